Add the thin whole path: settings, store, entry nodes, stand-ins, demo

A request goes from a caller through one of four entry nodes over HTTP to a stand-in engine whose models were loaded by orders from the nodes that own it.

--- /dev/null
+++ b/internal/demonstrator/demonstrator.go
@@ -0,0 +1,256 @@
+// Package demonstrator runs a whole deployment in one process, on loopback:
+// the stand-ins of the platform, of the backend servers and of the plain
+// services, entry nodes, and traffic through real TCP and HTTP.
+//
+// # Usage
+//
+//	dm, err := demonstrator.Start(ctx, "qurum", demonstrator.WithNodes(4))
+//	defer dm.Stop()
+//	result, err := dm.Drive(ctx)
+package demonstrator
+
+import (
+	"context"
+	"fmt"
+	"net"
+	"net/http"
+	"strings"
+	"sync"
+	"time"
+
+	"github.com/go-faster/errors"
+
+	"github.com/lagoonpass/lagoonpass/examples"
+	"github.com/lagoonpass/lagoonpass/internal/coordination/publisher"
+	"github.com/lagoonpass/lagoonpass/internal/runner"
+	"github.com/lagoonpass/lagoonpass/internal/standin/engine"
+	"github.com/lagoonpass/lagoonpass/internal/standin/platform"
+	"github.com/lagoonpass/lagoonpass/internal/standin/service"
+	"github.com/lagoonpass/lagoonpass/internal/state/configurer"
+	"github.com/lagoonpass/lagoonpass/internal/state/identifier"
+)
+
+const (
+	defaultNodes = 4
+	loopback     = "127.0.0.1:0"
+	// overrideName sorts after every file of the examples.
+	overrideName = "99-demo.ini"
+)
+
+// Demo is a running deployment.
+type Demo struct {
+	deployment string
+	nodeCount  int
+	settings   *configurer.Settings
+	store      *platform.Memory
+	engines    map[string]*engine.Engine
+	services   map[string]*service.Service
+	servers    []*http.Server
+	nodes      []*entryNode
+	running    sync.WaitGroup
+}
+
+// entryNode is an entry node with its stop.
+type entryNode struct {
+	identity *identifier.Node
+	node     *runner.Node
+	stop     context.CancelFunc
+}
+
+// Option changes a Demo that is being started.
+type Option func(*Demo)
+
+// WithNodes sets the number of entry nodes.
+func WithNodes(count int) Option { return func(dm *Demo) { dm.nodeCount = count } }
+
+// Start starts a deployment of the examples.
+func Start(ctx context.Context, deployment string, opts ...Option) (*Demo, error) {
+	dm := &Demo{
+		deployment: deployment,
+		nodeCount:  defaultNodes,
+		store:      platform.NewMemory(),
+		engines:    map[string]*engine.Engine{},
+		services:   map[string]*service.Service{},
+	}
+	for _, opt := range opts {
+		opt(dm)
+	}
+	if err := dm.start(ctx); err != nil {
+		dm.Stop()
+		return nil, err
+	}
+	return dm, nil
+}
+
+func (dm *Demo) start(ctx context.Context) error {
+	files, err := dm.startBackends()
+	if err != nil {
+		return err
+	}
+	if _, err := publisher.Apply(ctx, dm.store, files, "demo", 0); err != nil {
+		return errors.Wrap(err, "apply settings")
+	}
+	return dm.startNodes(ctx)
+}
+
+// startBackends starts the stand-ins and returns the settings with the
+// addresses that they listen on.
+func (dm *Demo) startBackends() ([]configurer.File, error) {
+	files, err := examples.Files(dm.deployment)
+	if err != nil {
+		return nil, err
+	}
+	st, faults := configurer.Parse(files)
+	if len(faults) > 0 {
+		return nil, errors.Wrap(faults[0], "read settings")
+	}
+	var override strings.Builder
+	for _, bs := range st.BackendServers() {
+		address, err := dm.startEngine(st, bs)
+		if err != nil {
+			return nil, err
+		}
+		fmt.Fprintf(&override, "[backend-server.%s]\naddress = %s\n", bs.Name(), address)
+	}
+	for _, sv := range st.Services() {
+		addresses, err := dm.startService(sv)
+		if err != nil {
+			return nil, err
+		}
+		fmt.Fprintf(&override, "[service.%s]\naddresses = %s\n", sv.Name(), strings.Join(addresses, ", "))
+	}
+	files = append(files, configurer.File{Name: overrideName, Text: override.String()})
+	dm.settings, faults = configurer.Parse(files)
+	if len(faults) > 0 {
+		return nil, errors.Wrap(faults[0], "read settings with addresses")
+	}
+	return files, nil
+}
+
+func (dm *Demo) startEngine(st *configurer.Settings, bs *configurer.BackendServer) (string, error) {
+	ek, _ := st.EngineKind(bs.Kind())
+	eg := engine.New(bs.Name(),
+		engine.WithMemory(bs.WeightMemory()),
+		engine.WithSlots(bs.Slots()),
+		engine.WithFencing(ek.ChecksFencing()))
+	dm.engines[bs.Name()] = eg
+	return dm.serve(eg.Handler())
+}
+
+func (dm *Demo) startService(sv *configurer.Service) ([]string, error) {
+	var opts []service.Option
+	if sv.HonoursKey() {
+		opts = append(opts, service.WithHonoursKey())
+	}
+	book := service.New(opts...)
+	dm.services[sv.Name()] = book
+	addresses := make([]string, 0, len(sv.Addresses()))
+	for range sv.Addresses() {
+		address, err := dm.serve(book.Handler())
+		if err != nil {
+			return nil, err
+		}
+		addresses = append(addresses, address)
+	}
+	return addresses, nil
+}
+
+func (dm *Demo) serve(hd http.Handler) (string, error) {
+	ln, err := net.Listen("tcp", loopback)
+	if err != nil {
+		return "", errors.Wrap(err, "listen for a stand-in")
+	}
+	sv := &http.Server{Handler: hd, ReadHeaderTimeout: time.Minute}
+	dm.servers = append(dm.servers, sv)
+	dm.running.Go(func() { _ = sv.Serve(ln) })
+	return ln.Addr().String(), nil
+}
+
+func (dm *Demo) startNodes(ctx context.Context) error {
+	address, err := dm.serve(platform.Handler(dm.store, dm.vms))
+	if err != nil {
+		return err
+	}
+	base := "http://" + address
+	for ix := range dm.nodeCount {
+		ports, err := freeAddresses(2)
+		if err != nil {
+			return err
+		}
+		zone := fmt.Sprintf("zone-%c", 'a'+ix%3)
+		id := identifier.New(fmt.Sprintf("entry-%d", ix+1), zone, "region-1", ports[0], ports[1], base, base+"/v1/vms")
+		if err := dm.startNode(ctx, id); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+func (dm *Demo) startNode(ctx context.Context, id *identifier.Node) error {
+	nd, err := runner.New(id)
+	if err != nil {
+		return err
+	}
+	ctx, cancel := context.WithCancel(ctx)
+	dm.nodes = append(dm.nodes, &entryNode{identity: id, node: nd, stop: cancel})
+	dm.running.Go(func() { _ = nd.Run(ctx) })
+	return nil
+}
+
+// vms is the platform's list of VMs.
+func (dm *Demo) vms() []platform.VM {
+	var all []platform.VM
+	for _, en := range dm.nodes {
+		all = append(all, platform.VM{
+			Name:    en.identity.ID(),
+			Address: en.identity.PeerAddress(),
+			Zone:    en.identity.Zone(),
+			Kind:    "entry",
+			State:   "live",
+		})
+	}
+	for _, bs := range dm.settings.BackendServers() {
+		all = append(all, platform.VM{
+			Name:    bs.Name(),
+			Address: bs.Address(),
+			Zone:    bs.Zone(),
+			Kind:    "backend",
+			State:   "live",
+		})
+	}
+	return all
+}
+
+// Addresses returns the addresses for callers.
+func (dm *Demo) Addresses() []string {
+	all := make([]string, 0, len(dm.nodes))
+	for _, en := range dm.nodes {
+		all = append(all, en.identity.CallerAddress())
+	}
+	return all
+}
+
+// Stop stops everything.
+func (dm *Demo) Stop() {
+	for _, en := range dm.nodes {
+		en.stop()
+	}
+	for _, sv := range dm.servers {
+		_ = sv.Close()
+	}
+	dm.running.Wait()
+}
+
+// freeAddresses returns loopback addresses that were free a moment ago.
+func freeAddresses(count int) ([]string, error) {
+	var all []string
+	for range count {
+		ln, err := net.Listen("tcp", loopback)
+		if err != nil {
+			return nil, errors.Wrap(err, "find a free port")
+		}
+		all = append(all, ln.Addr().String())
+		defer func() { _ = ln.Close() }()
+	}
+	return all, nil
+}
--- /dev/null
+++ b/internal/demonstrator/demonstrator_test.go
@@ -0,0 +1,20 @@
+package demonstrator_test
+
+import (
+	"testing"
+
+	"github.com/stretchr/testify/require"
+
+	"github.com/lagoonpass/lagoonpass/internal/demonstrator"
+)
+
+func TestWholePath(t *testing.T) {
+	dm, err := demonstrator.Start(t.Context(), "harwick-pell", demonstrator.WithNodes(2))
+	require.NoError(t, err)
+	defer dm.Stop()
+	require.NoError(t, dm.AwaitReady(t.Context()))
+	rs, err := dm.Drive(t.Context())
+	require.NoError(t, err)
+	require.Equal(t, 2*14, rs.Whole)
+	require.Empty(t, rs.Broken)
+}
--- /dev/null
+++ b/internal/protocol/messenger/codec.go
@@ -0,0 +1,120 @@
+package messenger
+
+import (
+	"time"
+
+	"github.com/go-faster/errors"
+	"github.com/vmihailenco/msgpack/v5"
+)
+
+// maxElements bounds the announced length of a list, against broken frames.
+const maxElements = 1 << 20
+
+// EncodeAll writes basic values one after the other.
+func EncodeAll(en *msgpack.Encoder, values ...any) error {
+	for _, vl := range values {
+		if err := encodeOne(en, vl); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+func encodeOne(en *msgpack.Encoder, vl any) error {
+	switch tv := vl.(type) {
+	case string:
+		return en.EncodeString(tv)
+	case []byte:
+		return en.EncodeBytes(tv)
+	case bool:
+		return en.EncodeBool(tv)
+	case int:
+		return en.EncodeInt(int64(tv))
+	case int64:
+		return en.EncodeInt(tv)
+	case uint8:
+		return en.EncodeUint(uint64(tv))
+	case uint32:
+		return en.EncodeUint(uint64(tv))
+	case uint64:
+		return en.EncodeUint(tv)
+	case float64:
+		return en.EncodeFloat64(tv)
+	case time.Duration:
+		return en.EncodeInt(int64(tv))
+	}
+	return errors.Errorf("no codec for type %T", vl)
+}
+
+// DecodeAll reads basic values into pointers, in the order of EncodeAll.
+func DecodeAll(de *msgpack.Decoder, targets ...any) error {
+	for _, tg := range targets {
+		if err := decodeOne(de, tg); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+func decodeOne(de *msgpack.Decoder, target any) (err error) {
+	switch tp := target.(type) {
+	case *string:
+		*tp, err = de.DecodeString()
+	case *[]byte:
+		*tp, err = de.DecodeBytes()
+	case *bool:
+		*tp, err = de.DecodeBool()
+	case *int:
+		*tp, err = de.DecodeInt()
+	case *int64:
+		*tp, err = de.DecodeInt64()
+	case *uint8:
+		*tp, err = de.DecodeUint8()
+	case *uint32:
+		*tp, err = de.DecodeUint32()
+	case *uint64:
+		*tp, err = de.DecodeUint64()
+	case *float64:
+		*tp, err = de.DecodeFloat64()
+	case *time.Duration:
+		var nanos int64
+		nanos, err = de.DecodeInt64()
+		*tp = time.Duration(nanos)
+	default:
+		err = errors.Errorf("no codec for type %T", target)
+	}
+	return err
+}
+
+// EncodeList writes a list with a codec for its elements.
+func EncodeList[T any](en *msgpack.Encoder, all []T, one func(*msgpack.Encoder, T) error) error {
+	if err := en.EncodeArrayLen(len(all)); err != nil {
+		return err
+	}
+	for _, el := range all {
+		if err := one(en, el); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+// DecodeList reads a list with a codec for its elements.
+func DecodeList[T any](de *msgpack.Decoder, one func(*msgpack.Decoder) (T, error)) ([]T, error) {
+	count, err := de.DecodeArrayLen()
+	if err != nil {
+		return nil, err
+	}
+	if count > maxElements {
+		return nil, errors.Errorf("list of %d elements exceeds %d", count, maxElements)
+	}
+	var all []T
+	for range max(count, 0) {
+		el, err := one(de)
+		if err != nil {
+			return nil, err
+		}
+		all = append(all, el)
+	}
+	return all, nil
+}
--- /dev/null
+++ b/internal/protocol/messenger/server.go
@@ -0,0 +1,148 @@
+package messenger
+
+import (
+	"context"
+	"net"
+	"sync"
+	"time"
+
+	"github.com/go-faster/errors"
+
+	"github.com/lagoonpass/lagoonpass/internal/transport/framer"
+)
+
+// writeTimeout bounds the writing of one frame.
+const writeTimeout = 2 * time.Second
+
+// Handler answers the calls of peers. It is called from several goroutines.
+type Handler interface {
+	// Handle returns the answer, or an error whose text goes to the peer.
+	Handle(ctx context.Context, call Message) (Message, error)
+}
+
+// HandlerFunc is a function that is a Handler.
+type HandlerFunc func(ctx context.Context, call Message) (Message, error)
+
+// Handle implements Handler.
+func (hf HandlerFunc) Handle(ctx context.Context, call Message) (Message, error) {
+	return hf(ctx, call)
+}
+
+// Server serves the calls of peers.
+type Server struct {
+	handler Handler
+	ctx     context.Context
+	cancel  context.CancelFunc
+	mu      sync.Mutex
+	conns   map[net.Conn]bool
+	closed  bool
+}
+
+// NewServer returns a server that answers with the handler.
+func NewServer(hd Handler) *Server {
+	ctx, cancel := context.WithCancel(context.Background())
+	return &Server{handler: hd, ctx: ctx, cancel: cancel, conns: map[net.Conn]bool{}}
+}
+
+// Serve accepts connections until the listener or the server is closed.
+func (sv *Server) Serve(ln net.Listener) error {
+	for {
+		cn, err := ln.Accept()
+		if err != nil {
+			if sv.ctx.Err() != nil {
+				return nil
+			}
+			return errors.Wrap(err, "accept peer connection")
+		}
+		if sv.track(cn) {
+			go sv.serveConn(cn)
+		}
+	}
+}
+
+// Close closes all connections. The listener is closed by its owner.
+func (sv *Server) Close() {
+	sv.cancel()
+	sv.mu.Lock()
+	defer sv.mu.Unlock()
+	sv.closed = true
+	for cn := range sv.conns {
+		_ = cn.Close()
+	}
+}
+
+func (sv *Server) track(cn net.Conn) bool {
+	sv.mu.Lock()
+	defer sv.mu.Unlock()
+	if sv.closed {
+		_ = cn.Close()
+		return false
+	}
+	sv.conns[cn] = true
+	return true
+}
+
+func (sv *Server) untrack(cn net.Conn) {
+	_ = cn.Close()
+	sv.mu.Lock()
+	defer sv.mu.Unlock()
+	delete(sv.conns, cn)
+}
+
+func (sv *Server) serveConn(cn net.Conn) {
+	defer sv.untrack(cn)
+	ctx, cancel := context.WithCancel(sv.ctx)
+	defer cancel()
+	wr := &frameWriter{conn: cn}
+	for {
+		payload, err := framer.Read(cn)
+		if err != nil {
+			return
+		}
+		ev, err := decodeEnvelope(payload)
+		if err != nil {
+			return
+		}
+		switch ev.phase {
+		case phaseHeartbeat:
+			_ = wr.write(&envelope{phase: phaseHeartbeat})
+		case phaseCall:
+			go sv.answer(ctx, wr, ev)
+		case phaseAnswer, phaseReject:
+			return
+		}
+	}
+}
+
+func (sv *Server) answer(ctx context.Context, wr *frameWriter, ev *envelope) {
+	out := &envelope{id: ev.id, phase: phaseAnswer}
+	message, err := sv.handler.Handle(ctx, ev.message)
+	if err != nil {
+		out.phase = phaseReject
+		out.text = err.Error()
+	} else {
+		out.message = message
+	}
+	if err := wr.write(out); err != nil {
+		_ = wr.conn.Close()
+	}
+}
+
+// frameWriter writes whole frames from several goroutines.
+type frameWriter struct {
+	mu   sync.Mutex
+	conn net.Conn
+}
+
+func (fw *frameWriter) write(ev *envelope) error {
+	payload, err := ev.encode()
+	if err != nil {
+		return err
+	}
+	fw.mu.Lock()
+	defer fw.mu.Unlock()
+	if err := fw.conn.SetWriteDeadline(time.Now().Add(writeTimeout)); err != nil {
+		return errors.Wrap(err, "set write deadline")
+	}
+	return framer.Write(fw.conn, payload)
+}
--- /dev/null
+++ b/internal/runner/control.go
@@ -0,0 +1,71 @@
+package runner
+
+import (
+	"context"
+	"time"
+
+	"github.com/apex/log"
+	"github.com/go-faster/errors"
+
+	"github.com/lagoonpass/lagoonpass/internal/coordination/planner"
+	"github.com/lagoonpass/lagoonpass/internal/coordination/publisher"
+	"github.com/lagoonpass/lagoonpass/internal/state/configurer"
+)
+
+// controlInterval is the time between two passes of the control loop.
+const controlInterval = 250 * time.Millisecond
+
+// control is the goroutine that holds the control state.
+func (nd *Node) control(ctx context.Context) error {
+	tk := time.NewTicker(controlInterval)
+	defer tk.Stop()
+	for {
+		nd.pass(ctx)
+		select {
+		case <-ctx.Done():
+			return nil
+		case <-tk.C:
+		}
+	}
+}
+
+func (nd *Node) pass(ctx context.Context) {
+	nd.refreshConfiguration(ctx)
+	rv := nd.holder.Current()
+	if rv == nil {
+		return
+	}
+	nd.watcher.Poll(ctx, rv.Settings().BackendServers())
+	nd.placeModels(ctx, rv.Settings())
+}
+
+func (nd *Node) refreshConfiguration(ctx context.Context) {
+	rv, err := publisher.Load(ctx, nd.store)
+	if errors.Is(err, publisher.ErrNone) {
+		return
+	}
+	if err != nil {
+		log.WithError(err).Warn("configuration was not read; the revision in force stays")
+		return
+	}
+	if nd.holder.Adopt(rv) {
+		log.WithField("revision", rv.Number()).Info("configuration revision in force")
+	}
+}
+
+func (nd *Node) placeModels(ctx context.Context, st *configurer.Settings) {
+	pl := planner.Initial(st)
+	for _, bs := range st.BackendServers() {
+		if !nd.prober.View().Owns("worker/" + bs.Name()) {
+			continue
+		}
+		var models []*configurer.Model
+		for _, name := range pl.Models(bs.Name()) {
+			md, _ := st.Model(name)
+			models = append(models, md)
+		}
+		if err := nd.orderer.Ensure(ctx, bs, models); err != nil {
+			log.WithError(err).WithField("server", bs.Name()).Warn("models were not placed; will try again")
+		}
+	}
+}
--- /dev/null
+++ b/internal/runner/runner.go
@@ -0,0 +1,186 @@
+// Package runner puts the parts of an entry node together and runs them until
+// a planned stop.
+//
+// # Usage
+//
+//	nd, err := runner.New(identity)
+//	err = nd.Run(ctx) // until ctx ends, then a graceful shutdown
+//
+// One goroutine, the control loop, holds the control state; traffic reads
+// immutable snapshots.
+package runner
+
+import (
+	"context"
+	"math/rand/v2"
+	"net"
+	"net/http"
+	"sync/atomic"
+	"time"
+
+	"github.com/apex/log"
+	"github.com/go-faster/errors"
+	"github.com/oklog/run"
+
+	"github.com/lagoonpass/lagoonpass/internal/coordination/dispatcher"
+	"github.com/lagoonpass/lagoonpass/internal/coordination/orderer"
+	"github.com/lagoonpass/lagoonpass/internal/coordination/prober"
+	"github.com/lagoonpass/lagoonpass/internal/coordination/publisher"
+	"github.com/lagoonpass/lagoonpass/internal/coordination/router"
+	"github.com/lagoonpass/lagoonpass/internal/coordination/watcher"
+	"github.com/lagoonpass/lagoonpass/internal/protocol/messenger"
+	"github.com/lagoonpass/lagoonpass/internal/server"
+	"github.com/lagoonpass/lagoonpass/internal/state/identifier"
+	"github.com/lagoonpass/lagoonpass/internal/state/lister"
+	"github.com/lagoonpass/lagoonpass/internal/state/storer"
+	"github.com/lagoonpass/lagoonpass/internal/transport/forwarder"
+)
+
+// drainTimeout bounds a planned stop before any configuration is in force.
+const drainTimeout = 10 * time.Second
+
+// Node is one entry node.
+type Node struct {
+	identity  *identifier.Node
+	store     storer.Store
+	holder    *publisher.Holder
+	pool      *messenger.Pool
+	prober    *prober.Prober
+	watcher   *watcher.Watcher
+	orderer   *orderer.Orderer
+	peers     *messenger.Server
+	web       *http.Server
+	callerNet net.Listener
+	peerNet   net.Listener
+	leaving   atomic.Bool
+}
+
+// Option changes a Node that is being made.
+type Option func(*Node)
+
+// WithStore makes the node use st in place of the service that its settings
+// name.
+func WithStore(st storer.Store) Option { return func(nd *Node) { nd.store = st } }
+
+// New opens the node's listeners and returns it ready to run.
+func New(id *identifier.Node, opts ...Option) (*Node, error) {
+	nd := &Node{
+		identity: id,
+		store:    storer.NewClient(id.Store()),
+		holder:   &publisher.Holder{},
+		pool:     messenger.NewPool(),
+		watcher:  watcher.New(),
+	}
+	for _, opt := range opts {
+		opt(nd)
+	}
+	nd.orderer = orderer.New(nd.store)
+	nd.prober = prober.New(nd.presence, lister.New(id.VMList()), nd.pool)
+	nd.peers = messenger.NewServer(messenger.HandlerFunc(nd.handlePeer))
+	nd.web = &http.Server{Handler: nd.buildServer(), ReadHeaderTimeout: 10 * time.Second}
+	return nd, nd.listen()
+}
+
+func (nd *Node) buildServer() http.Handler {
+	fw := forwarder.New()
+	rt := router.New(rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64())))
+	return server.New(server.Parts{
+		Holder:     nd.holder,
+		Dispatcher: dispatcher.New(nd.watcher, rt, fw),
+		Forwarder:  fw,
+		View:       nd.prober.View,
+		Zone:       nd.identity.Zone(),
+	})
+}
+
+func (nd *Node) listen() error {
+	var err error
+	if nd.callerNet, err = net.Listen("tcp", nd.identity.CallerAddress()); err != nil {
+		return errors.Wrap(err, "listen for callers")
+	}
+	if nd.peerNet, err = net.Listen("tcp", nd.identity.PeerAddress()); err != nil {
+		_ = nd.callerNet.Close()
+		return errors.Wrap(err, "listen for peers")
+	}
+	return nil
+}
+
+// presence is what the node says of itself.
+func (nd *Node) presence() messenger.Presence {
+	return messenger.Presence{
+		ID:            nd.identity.ID(),
+		Zone:          nd.identity.Zone(),
+		Region:        nd.identity.Region(),
+		PeerAddress:   nd.identity.PeerAddress(),
+		CallerAddress: nd.identity.CallerAddress(),
+		Leaving:       nd.leaving.Load(),
+		Revision:      nd.holder.Number(),
+	}
+}
+
+func (nd *Node) handlePeer(_ context.Context, call messenger.Message) (messenger.Message, error) {
+	switch call.(type) {
+	case *messenger.Ping:
+		return nd.prober.Answer(), nil
+	default:
+		return nil, errors.Errorf("no handler for message of kind %d", call.Kind())
+	}
+}
+
+// Run serves until the context ends, then finishes what is in progress.
+func (nd *Node) Run(ctx context.Context) error {
+	var gr run.Group
+	nd.addContext(ctx, &gr)
+	nd.addLoop(&gr, nd.prober.Run)
+	nd.addLoop(&gr, nd.control)
+	nd.addWeb(&gr)
+	nd.addPeers(&gr)
+	log.WithField("node", nd.identity.ID()).Info("node started")
+	return gr.Run()
+}
+
+func (nd *Node) addContext(ctx context.Context, gr *run.Group) {
+	ctx, cancel := context.WithCancel(ctx)
+	gr.Add(func() error {
+		<-ctx.Done()
+		nd.leaving.Store(true)
+		nd.shutdown()
+		return nil
+	}, func(error) { cancel() })
+}
+
+func (nd *Node) addLoop(gr *run.Group, loop func(context.Context) error) {
+	ctx, cancel := context.WithCancel(context.Background())
+	gr.Add(func() error { return loop(ctx) }, func(error) { cancel() })
+}
+
+func (nd *Node) addWeb(gr *run.Group) {
+	gr.Add(func() error {
+		if err := nd.web.Serve(nd.callerNet); !errors.Is(err, http.ErrServerClosed) {
+			return errors.Wrap(err, "serve callers")
+		}
+		nd.shutdown()
+		return nil
+	}, func(error) { _ = nd.web.Close() })
+}
+
+func (nd *Node) addPeers(gr *run.Group) {
+	gr.Add(func() error { return nd.peers.Serve(nd.peerNet) }, func(error) {
+		nd.peers.Close()
+		_ = nd.peerNet.Close()
+		nd.pool.Close()
+	})
+}
+
+// shutdown waits for the requests in progress.
+func (nd *Node) shutdown() {
+	dn := drainTimeout
+	if rv := nd.holder.Current(); rv != nil {
+		dn = rv.Settings().Timeouts().Drain()
+	}
+	ctx, cancel := context.WithTimeout(context.Background(), dn)
+	defer cancel()
+	if err := nd.web.Shutdown(ctx); err != nil {
+		log.WithError(err).Error("requests were still in progress when the drain time ended")
+	}
+}
--- /dev/null
+++ b/internal/server/authenticate.go
@@ -0,0 +1,61 @@
+package server
+
+import (
+	"crypto/sha256"
+	"crypto/subtle"
+	"encoding/hex"
+	"net/http"
+	"strings"
+
+	"github.com/go-faster/errors"
+	"github.com/labstack/echo/v4"
+
+	"github.com/lagoonpass/lagoonpass/internal/state/configurer"
+	"github.com/lagoonpass/lagoonpass/pkg/refuser"
+)
+
+const bearerPrefix = "Bearer "
+
+// authenticate finds the caller of an API key. Every caller's hash is compared,
+// each in constant time.
+func authenticate(st *configurer.Settings, header string) (*configurer.Caller, error) {
+	key, found := strings.CutPrefix(header, bearerPrefix)
+	if !found {
+		return nil, refuser.New(refuser.NoCredentials, "an Authorization header with a bearer key is wanted")
+	}
+	sum := sha256.Sum256([]byte(key))
+	hash := []byte(hex.EncodeToString(sum[:]))
+	var match *configurer.Caller
+	for _, cr := range st.Callers() {
+		if subtle.ConstantTimeCompare(hash, []byte(cr.KeyHash())) == 1 {
+			match = cr
+		}
+	}
+	if match == nil {
+		return nil, refuser.New(refuser.BadCredentials, "the API key belongs to no caller")
+	}
+	return match, nil
+}
+
+// permitted reports whether a name matches one of the patterns.
+func permitted(patterns []string, name string) bool {
+	for _, pattern := range patterns {
+		prefix, open := strings.CutSuffix(pattern, "*")
+		if pattern == name || open && strings.HasPrefix(name, prefix) {
+			return true
+		}
+	}
+	return false
+}
+
+func asRefusal(err error) *refuser.Refusal {
+	var rf *refuser.Refusal
+	if errors.As(err, &rf) {
+		return rf
+	}
+	var he *echo.HTTPError
+	if errors.As(err, &he) && (he.Code == http.StatusNotFound || he.Code == http.StatusMethodNotAllowed) {
+		return refuser.New(refuser.NotFound, "no such path or method")
+	}
+	return refuser.New(refuser.Internal, "%v", err).WithOutcome(refuser.Unknown)
+}
--- /dev/null
+++ b/internal/server/completions.go
@@ -0,0 +1,153 @@
+package server
+
+import (
+	"encoding/json"
+	"net/http"
+	"time"
+
+	"github.com/labstack/echo/v4"
+
+	"github.com/lagoonpass/lagoonpass/internal/coordination/dispatcher"
+	"github.com/lagoonpass/lagoonpass/internal/state/configurer"
+	"github.com/lagoonpass/lagoonpass/pkg/refuser"
+)
+
+// Headers of the interface for callers.
+const (
+	headerClass    = "Lagoonpass-Class"
+	headerDeadline = "Lagoonpass-Deadline"
+)
+
+// defaultMaxTokens is assumed for a request that sets no max_tokens.
+const defaultMaxTokens = 256
+
+func (sv *Server) complete(ec echo.Context) error {
+	sc, err := sv.enter(ec)
+	if err != nil {
+		return err
+	}
+	body, err := readBody(ec, sc.settings.Limits().BodyBytes())
+	if err != nil {
+		return err
+	}
+	rq, err := parseCompletion(sc, ec.Request().Header, body)
+	if err != nil {
+		return err
+	}
+	rq.Path = ec.Request().URL.Path
+	if rf := sv.Dispatcher.Dispatch(ec.Request().Context(), sc.settings, rq, ec.Response()); rf != nil {
+		return rf
+	}
+	return nil
+}
+
+func parseCompletion(sc *scope, hd http.Header, body []byte) (*dispatcher.Request, error) {
+	var wire struct {
+		Model     string `json:"model"`
+		Stream    bool   `json:"stream"`
+		MaxTokens int    `json:"max_tokens"`
+	}
+	if err := json.Unmarshal(body, &wire); err != nil {
+		return nil, refuser.New(refuser.Malformed, "body is not a completions request: %v", err)
+	}
+	rq := &dispatcher.Request{
+		ID:        newRequestID(),
+		Caller:    sc.caller,
+		Body:      body,
+		Stream:    wire.Stream,
+		MaxTokens: wire.MaxTokens,
+	}
+	if rq.MaxTokens <= 0 {
+		rq.MaxTokens = defaultMaxTokens
+	}
+	if err := findModel(sc, rq, wire.Model); err != nil {
+		return nil, err
+	}
+	return rq, findClass(sc, rq, hd)
+}
+
+// findModel resolves the name of a model or of an adapter.
+func findModel(sc *scope, rq *dispatcher.Request, name string) error {
+	if ad, ok := sc.settings.Adapter(name); ok {
+		if !permitted(sc.caller.Adapters(), name) {
+			return refuser.New(refuser.Forbidden, "caller %q may not use adapter %q", sc.caller.Name(), name)
+		}
+		rq.Adapter = ad
+		name = ad.Model()
+	}
+	md, ok := sc.settings.Model(name)
+	if !ok {
+		return refuser.New(refuser.UnknownModel, "no model or adapter %q", name)
+	}
+	if !permitted(sc.caller.Models(), name) {
+		return refuser.New(refuser.Forbidden, "caller %q may not use model %q", sc.caller.Name(), name)
+	}
+	rq.Model = md
+	return nil
+}
+
+func findClass(sc *scope, rq *dispatcher.Request, hd http.Header) error {
+	cs, err := chooseClass(sc, hd.Get(headerClass))
+	if err != nil {
+		return err
+	}
+	rq.Class = cs
+	within := cs.Deadline()
+	if tx := hd.Get(headerDeadline); tx != "" {
+		within, err = time.ParseDuration(tx)
+		if err != nil || within <= 0 {
+			return refuser.New(refuser.Malformed, "%s: found %q; allowed: a duration such as 1500ms", headerDeadline, tx)
+		}
+	}
+	rq.Deadline = time.Now().Add(within)
+	return nil
+}
+
+func chooseClass(sc *scope, name string) (*configurer.Class, error) {
+	if name == "" {
+		name = sc.caller.DefaultClass()
+	}
+	if name == "" {
+		return leastUrgent(sc.settings)
+	}
+	cs, ok := sc.settings.Class(name)
+	if !ok {
+		return nil, refuser.New(refuser.UnknownClass, "no priority class %q", name)
+	}
+	if !permitted(sc.caller.Classes(), name) {
+		return nil, refuser.New(refuser.Forbidden, "caller %q may not use class %q", sc.caller.Name(), name)
+	}
+	return cs, nil
+}
+
+func leastUrgent(st *configurer.Settings) (*configurer.Class, error) {
+	var last *configurer.Class
+	for _, cs := range st.Classes() {
+		if last == nil || cs.Rank() > last.Rank() {
+			last = cs
+		}
+	}
+	if last == nil {
+		return nil, refuser.New(refuser.NotConfigured, "no priority class is configured")
+	}
+	return last, nil
+}
+
+func (sv *Server) listModels(ec echo.Context) error {
+	sc, err := sv.enter(ec)
+	if err != nil {
+		return err
+	}
+	data := []map[string]string{}
+	for _, md := range sc.settings.Models() {
+		if permitted(sc.caller.Models(), md.Name()) {
+			data = append(data, map[string]string{"id": md.Name(), "object": "model", "owned_by": "lagoonpass"})
+		}
+	}
+	for _, ad := range sc.settings.Adapters() {
+		if permitted(sc.caller.Adapters(), ad.Name()) && permitted(sc.caller.Models(), ad.Model()) {
+			data = append(data, map[string]string{"id": ad.Name(), "object": "model", "owned_by": "lagoonpass", "parent": ad.Model()})
+		}
+	}
+	return ec.JSON(http.StatusOK, map[string]any{"object": "list", "data": data})
+}
--- /dev/null
+++ b/internal/server/server.go
@@ -0,0 +1,110 @@
+// Package server is the HTTP interface of an entry node for callers and
+// operators.
+//
+// # Usage
+//
+//	sv := server.New(node, server.Parts{...})
+//	http.Serve(listener, sv)
+package server
+
+import (
+	"crypto/rand"
+	"io"
+	"net/http"
+	"strconv"
+	"time"
+
+	"github.com/labstack/echo/v4"
+
+	"github.com/lagoonpass/lagoonpass/internal/coordination/dispatcher"
+	"github.com/lagoonpass/lagoonpass/internal/coordination/prober"
+	"github.com/lagoonpass/lagoonpass/internal/coordination/publisher"
+	"github.com/lagoonpass/lagoonpass/internal/state/configurer"
+	"github.com/lagoonpass/lagoonpass/internal/transport/forwarder"
+	"github.com/lagoonpass/lagoonpass/pkg/refuser"
+)
+
+// Parts are what the server puts to work.
+type Parts struct {
+	// Holder keeps the configuration in force.
+	Holder *publisher.Holder
+	// Dispatcher runs completions.
+	Dispatcher *dispatcher.Dispatcher
+	// Forwarder reaches plain services.
+	Forwarder *forwarder.Forwarder
+	// View returns the membership.
+	View func() *prober.View
+	// Zone is the node's availability zone.
+	Zone string
+}
+
+// Server serves callers and operators.
+type Server struct {
+	Parts
+	echo *echo.Echo
+}
+
+// New returns a server of the parts.
+func New(pt Parts) *Server {
+	sv := &Server{Parts: pt, echo: echo.New()}
+	sv.echo.HideBanner = true
+	sv.echo.HTTPErrorHandler = sv.handleError
+	sv.routes()
+	return sv
+}
+
+// ServeHTTP implements http.Handler.
+func (sv *Server) ServeHTTP(wr http.ResponseWriter, rq *http.Request) { sv.echo.ServeHTTP(wr, rq) }
+
+func (sv *Server) routes() {
+	sv.echo.POST("/v1/chat/completions", sv.complete)
+	sv.echo.POST("/v1/completions", sv.complete)
+	sv.echo.GET("/v1/models", sv.listModels)
+	sv.echo.Any("/services/:service/*", sv.callService)
+	sv.echo.GET("/v1/addresses", sv.listAddresses)
+	sv.echo.GET("/v1/status", sv.status)
+}
+
+// handleError writes every error as a refusal of the closed list.
+func (sv *Server) handleError(err error, ec echo.Context) {
+	if ec.Response().Committed {
+		return
+	}
+	rf := asRefusal(err)
+	if rf.RetryAfter() > 0 {
+		seconds := int64((rf.RetryAfter() + time.Second - 1) / time.Second)
+		ec.Response().Header().Set("Retry-After", strconv.FormatInt(seconds, 10))
+	}
+	_ = ec.Blob(rf.Status(), echo.MIMEApplicationJSON, refuser.Encode(rf))
+}
+
+// scope is what a request was found to be allowed.
+type scope struct {
+	settings *configurer.Settings
+	caller   *configurer.Caller
+}
+
+func (sv *Server) enter(ec echo.Context) (*scope, error) {
+	rv := sv.Holder.Current()
+	if rv == nil {
+		return nil, refuser.New(refuser.NotConfigured, "no configuration is in force yet").WithRetryAfter(time.Second)
+	}
+	cr, err := authenticate(rv.Settings(), ec.Request().Header.Get(echo.HeaderAuthorization))
+	if err != nil {
+		return nil, err
+	}
+	return &scope{settings: rv.Settings(), caller: cr}, nil
+}
+
+func readBody(ec echo.Context, limit int64) ([]byte, error) {
+	body, err := io.ReadAll(io.LimitReader(ec.Request().Body, limit+1))
+	if err != nil {
+		return nil, refuser.New(refuser.Malformed, "read body: %v", err)
+	}
+	if int64(len(body)) > limit {
+		return nil, refuser.New(refuser.TooLarge, "body exceeds %d bytes", limit)
+	}
+	return body, nil
+}
+
+func newRequestID() string { return rand.Text() }
--- /dev/null
+++ b/internal/state/configurer/read.go
@@ -0,0 +1,266 @@
+package configurer
+
+import (
+	"fmt"
+	"os"
+	"path/filepath"
+	"sort"
+	"strings"
+
+	"github.com/go-faster/errors"
+	"gopkg.in/ini.v1"
+)
+
+// File is one settings file.
+type File struct {
+	// Name is the file's name within its folder; files merge in its order.
+	Name string
+	// Text is the content.
+	Text string
+}
+
+// ReadFolder reads and checks all files of a folder whose names end in .ini.
+func ReadFolder(folder string) (*Settings, []Fault, error) {
+	files, err := Files(folder)
+	if err != nil {
+		return nil, nil, err
+	}
+	st, faults := Parse(files)
+	return st, faults, nil
+}
+
+// Files reads the text of all .ini files of a folder in the order of names.
+func Files(folder string) ([]File, error) {
+	names, err := filepath.Glob(filepath.Join(folder, "*.ini"))
+	if err != nil {
+		return nil, errors.Wrapf(err, "read settings folder %q", folder)
+	}
+	if len(names) == 0 {
+		return nil, errors.Errorf("read settings folder %q: it holds no .ini file", folder)
+	}
+	sort.Strings(names)
+	files := make([]File, 0, len(names))
+	for _, name := range names {
+		text, err := os.ReadFile(name)
+		if err != nil {
+			return nil, errors.Wrapf(err, "read settings file %q", name)
+		}
+		files = append(files, File{Name: filepath.Base(name), Text: string(text)})
+	}
+	return files, nil
+}
+
+// Parse merges and checks files. The settings are nil if there is any fault.
+func Parse(files []File) (*Settings, []Fault) {
+	rd := &reader{sections: map[string]*section{}}
+	for _, fl := range files {
+		rd.merge(fl)
+	}
+	st := rd.build()
+	if len(rd.faults) == 0 {
+		rd.checkReferences(st)
+	}
+	if len(rd.faults) > 0 {
+		return nil, rd.faults
+	}
+	return st, nil
+}
+
+// entry is a key's value with the place where it was written last.
+type entry struct {
+	value string
+	file  string
+	line  int
+}
+
+// section is a merged section.
+type section struct {
+	name string
+	file string
+	line int
+	keys map[string]entry
+}
+
+// reader merges files and collects faults.
+type reader struct {
+	sections map[string]*section
+	order    []string
+	faults   []Fault
+}
+
+func (rd *reader) merge(fl File) {
+	opts := ini.LoadOptions{KeyValueDelimiters: "=", IgnoreInlineComment: true}
+	doc, err := ini.LoadSources(opts, []byte(fl.Text))
+	if err != nil {
+		rd.faults = append(rd.faults, Fault{File: fl.Name, Found: err.Error(), Allowed: "INI sections and keys"})
+		return
+	}
+	lines := indexLines(fl.Text)
+	for _, sc := range doc.Sections() {
+		if sc.Name() == ini.DefaultSection && len(sc.Keys()) == 0 {
+			continue
+		}
+		target := rd.section(sc.Name(), fl.Name, lines[sc.Name()])
+		for _, ky := range sc.Keys() {
+			line := lines[sc.Name()+"\n"+ky.Name()]
+			target.keys[ky.Name()] = entry{value: ky.Value(), file: fl.Name, line: line}
+		}
+	}
+}
+
+func (rd *reader) section(name, file string, line int) *section {
+	if sc, ok := rd.sections[name]; ok {
+		return sc
+	}
+	sc := &section{name: name, file: file, line: line, keys: map[string]entry{}}
+	rd.sections[name] = sc
+	rd.order = append(rd.order, name)
+	return sc
+}
+
+// indexLines returns the line of each section and of each "section\nkey".
+func indexLines(text string) map[string]int {
+	lines := map[string]int{}
+	current := ini.DefaultSection
+	for ix, line := range strings.Split(text, "\n") {
+		line = strings.TrimSpace(line)
+		if strings.HasPrefix(line, "[") && strings.HasSuffix(line, "]") {
+			current = strings.TrimSpace(line[1 : len(line)-1])
+			lines[current] = ix + 1
+			continue
+		}
+		if key, _, found := strings.Cut(line, "="); found {
+			lines[current+"\n"+strings.TrimSpace(key)] = ix + 1
+		}
+	}
+	return lines
+}
+
+func (rd *reader) build() *Settings {
+	st := &Settings{
+		limits:   &Limits{},
+		records:  &Records{},
+		retries:  &Retries{},
+		timeouts: &Timeouts{},
+		planning: &Planning{},
+	}
+	specs := map[string]sectionSpec{}
+	for _, sp := range schema() {
+		specs[sp.kind] = sp
+		if !sp.named {
+			rd.section(sp.kind, "", 0)
+		}
+	}
+	for _, name := range rd.order {
+		rd.buildSection(st, specs, rd.sections[name])
+	}
+	return st
+}
+
+func (rd *reader) buildSection(st *Settings, specs map[string]sectionSpec, sc *section) {
+	kind, name, hasName := strings.Cut(sc.name, ".")
+	sp, ok := specs[kind]
+	if !ok || sp.named != hasName || sp.named && name == "" {
+		rd.fault(sc, "", sc.name, "a known section"+nearest(kind, sectionNames(specs)))
+		return
+	}
+	target := sp.target(st, name)
+	for _, ks := range sp.keys {
+		rd.buildKey(target, sc, ks)
+	}
+	rd.rejectUnknownKeys(sc, sp)
+}
+
+func (rd *reader) buildKey(target any, sc *section, ks keySpec) {
+	en, written := sc.keys[ks.name]
+	if !written && ks.def == "" {
+		if ks.unit == "list" || strings.HasPrefix(ks.name, "default-") {
+			return
+		}
+		rd.fault(sc, ks.name, "", ks.allowed+"; the key must be set")
+		return
+	}
+	text := en.value
+	if !written {
+		text = ks.def
+	}
+	if !ks.set(target, text) {
+		rd.fault(sc, ks.name, text, ks.allowed)
+	}
+}
+
+func (rd *reader) rejectUnknownKeys(sc *section, sp sectionSpec) {
+	known := make([]string, 0, len(sp.keys))
+	for _, ks := range sp.keys {
+		known = append(known, ks.name)
+	}
+	unknown := make([]string, 0)
+	for key := range sc.keys {
+		if !contains(known, key) {
+			unknown = append(unknown, key)
+		}
+	}
+	sort.Strings(unknown)
+	for _, key := range unknown {
+		rd.fault(sc, key, sc.keys[key].value, "a known key"+nearest(key, known))
+	}
+}
+
+func (rd *reader) fault(sc *section, key, found, allowed string) {
+	ft := Fault{File: sc.file, Line: sc.line, Section: sc.name, Key: key, Found: found, Allowed: allowed}
+	if en, ok := sc.keys[key]; ok {
+		ft.File, ft.Line = en.file, en.line
+	}
+	rd.faults = append(rd.faults, ft)
+}
+
+func contains(all []string, one string) bool {
+	for _, candidate := range all {
+		if candidate == one {
+			return true
+		}
+	}
+	return false
+}
+
+func sectionNames(specs map[string]sectionSpec) []string {
+	names := make([]string, 0, len(specs))
+	for name := range specs {
+		names = append(names, name)
+	}
+	sort.Strings(names)
+	return names
+}
+
+// nearest returns a hint with the known name at the least edit distance.
+func nearest(found string, known []string) string {
+	best, least := "", len(found)
+	for _, name := range known {
+		if dist := editDistance(found, name); dist < least {
+			best, least = name, dist
+		}
+	}
+	if best == "" {
+		return ""
+	}
+	return fmt.Sprintf("; the nearest is %q", best)
+}
+
+func editDistance(from, to string) int {
+	row := make([]int, len(to)+1)
+	for jx := range row {
+		row[jx] = jx
+	}
+	for ix := range len(from) {
+		diagonal := row[0]
+		row[0] = ix + 1
+		for jx := range len(to) {
+			cost := diagonal
+			if from[ix] != to[jx] {
+				cost = 1 + min(diagonal, row[jx], row[jx+1])
+			}
+			diagonal, row[jx+1] = row[jx+1], cost
+		}
+	}
+	return row[len(to)]
+}
--- /dev/null
+++ b/internal/transport/framer/framer.go
@@ -0,0 +1,72 @@
+// Package framer cuts a byte stream into frames: a version byte, a length of
+// four bytes in network order, and that many bytes of payload.
+//
+// # Usage
+//
+//	err := framer.Write(conn, payload)
+//	payload, err := framer.Read(conn)
+//
+// A frame of another version or of an excessive length is an error, after
+// which the stream cannot be used any more.
+package framer
+
+import (
+	"encoding/binary"
+	"io"
+
+	"github.com/go-faster/errors"
+)
+
+// Version is the version of the framing that this package speaks.
+const Version byte = 1
+
+// MaxPayloadBytes is the longest payload of a frame.
+const MaxPayloadBytes = 4 << 20
+
+const headerBytes = 5
+
+// Errors of this layer.
+var (
+	// ErrVersion means that the peer speaks another version.
+	ErrVersion = errors.New("frame of an unknown version")
+	// ErrLength means that the length exceeds MaxPayloadBytes.
+	ErrLength = errors.New("frame exceeds the greatest length")
+)
+
+// Write writes one frame in a single call to wr.
+func Write(wr io.Writer, payload []byte) error {
+	if len(payload) > MaxPayloadBytes {
+		return ErrLength
+	}
+	frame := make([]byte, headerBytes, headerBytes+len(payload))
+	frame[0] = Version
+	binary.BigEndian.PutUint32(frame[1:], uint32(len(payload)))
+	if _, err := wr.Write(append(frame, payload...)); err != nil {
+		return errors.Wrap(err, "write frame")
+	}
+	return nil
+}
+
+// Read reads one frame and returns its payload. It returns io.EOF if the
+// stream ends between two frames.
+func Read(rd io.Reader) ([]byte, error) {
+	var header [headerBytes]byte
+	if _, err := io.ReadFull(rd, header[:]); err != nil {
+		if errors.Is(err, io.EOF) {
+			return nil, io.EOF
+		}
+		return nil, errors.Wrap(err, "read frame header")
+	}
+	if header[0] != Version {
+		return nil, ErrVersion
+	}
+	size := binary.BigEndian.Uint32(header[1:])
+	if size > MaxPayloadBytes {
+		return nil, ErrLength
+	}
+	payload := make([]byte, size)
+	if _, err := io.ReadFull(rd, payload); err != nil {
+		return nil, errors.Wrap(err, "read frame payload")
+	}
+	return payload, nil
+}
--- /dev/null
+++ b/pkg/refuser/refuser.go
@@ -0,0 +1,183 @@
+// Package refuser names every reason for which lagoonpass refuses or fails a
+// request, and the outcome that the refusal vouches for.
+//
+// # Usage
+//
+// A node builds a refusal and sends it as JSON; a client decodes it and
+// decides by its outcome whether the request may be sent again:
+//
+//	rf := refuser.New(refuser.QueueFull, "queue of model %q is full", name)
+//	rf = rf.WithRetryAfter(time.Second)
+//	body := refuser.Encode(rf)
+//
+// The list of reasons is closed: a reason that is not in Reasons is never
+// sent.
+package refuser
+
+import (
+	"fmt"
+	"net/http"
+	"time"
+)
+
+// Outcome says what the system vouches for about a request that got no answer.
+type Outcome string
+
+// The outcomes of a request without an answer.
+const (
+	// NotRun vouches that no backend server ran the request or ever will.
+	NotRun Outcome = "not-run"
+	// Unknown says that a backend server may have run the request.
+	Unknown Outcome = "unknown"
+)
+
+// Reason is the cause of a refusal, in kebab case.
+type Reason string
+
+// The closed list of reasons.
+const (
+	NoCredentials       Reason = "no-credentials"
+	BadCredentials      Reason = "bad-credentials"
+	Forbidden           Reason = "forbidden"
+	Malformed           Reason = "malformed"
+	TooLarge            Reason = "too-large"
+	UnknownModel        Reason = "unknown-model"
+	UnknownAdapter      Reason = "unknown-adapter"
+	UnknownService      Reason = "unknown-service"
+	UnknownClass        Reason = "unknown-class"
+	UnknownJob          Reason = "unknown-job"
+	NotFound            Reason = "not-found"
+	NotConfigured       Reason = "not-configured"
+	RevisionBehind      Reason = "revision-behind"
+	Quota               Reason = "quota"
+	QueueFull           Reason = "queue-full"
+	QueueBytes          Reason = "queue-bytes"
+	DeadlineUnreachable Reason = "deadline-unreachable"
+	DeadlinePassed      Reason = "deadline-passed"
+	NoWorker            Reason = "no-worker"
+	BackendUnreachable  Reason = "backend-unreachable"
+	BackendRefused      Reason = "backend-refused"
+	BackendFailed       Reason = "backend-failed"
+	BackendSilent       Reason = "backend-silent"
+	StreamBroken        Reason = "stream-broken"
+	RetryBudget         Reason = "retry-budget"
+	KeyMissing          Reason = "key-missing"
+	KeyUntimed          Reason = "key-untimed"
+	KeyExpired          Reason = "key-expired"
+	KeyConflict         Reason = "key-conflict"
+	KeyInProgress       Reason = "key-in-progress"
+	KeyUnresolved       Reason = "key-unresolved"
+	KeyResultGone       Reason = "key-result-gone"
+	RecordFull          Reason = "record-full"
+	StoreUnavailable    Reason = "store-unavailable"
+	OwnerUnreachable    Reason = "owner-unreachable"
+	Removed             Reason = "removed"
+	Cancelled           Reason = "cancelled"
+	Leaving             Reason = "leaving"
+	Internal            Reason = "internal"
+)
+
+// statuses holds the HTTP status of each reason, and with it the closed list.
+var statuses = map[Reason]int{
+	NoCredentials:       http.StatusUnauthorized,
+	BadCredentials:      http.StatusUnauthorized,
+	Forbidden:           http.StatusForbidden,
+	Malformed:           http.StatusBadRequest,
+	TooLarge:            http.StatusRequestEntityTooLarge,
+	UnknownModel:        http.StatusNotFound,
+	UnknownAdapter:      http.StatusNotFound,
+	UnknownService:      http.StatusNotFound,
+	UnknownClass:        http.StatusBadRequest,
+	UnknownJob:          http.StatusNotFound,
+	NotFound:            http.StatusNotFound,
+	NotConfigured:       http.StatusServiceUnavailable,
+	RevisionBehind:      http.StatusServiceUnavailable,
+	Quota:               http.StatusTooManyRequests,
+	QueueFull:           http.StatusTooManyRequests,
+	QueueBytes:          http.StatusTooManyRequests,
+	DeadlineUnreachable: http.StatusTooManyRequests,
+	DeadlinePassed:      http.StatusGatewayTimeout,
+	NoWorker:            http.StatusServiceUnavailable,
+	BackendUnreachable:  http.StatusBadGateway,
+	BackendRefused:      http.StatusBadGateway,
+	BackendFailed:       http.StatusBadGateway,
+	BackendSilent:       http.StatusGatewayTimeout,
+	StreamBroken:        http.StatusBadGateway,
+	RetryBudget:         http.StatusServiceUnavailable,
+	KeyMissing:          http.StatusBadRequest,
+	KeyUntimed:          http.StatusBadRequest,
+	KeyExpired:          http.StatusGone,
+	KeyConflict:         http.StatusUnprocessableEntity,
+	KeyInProgress:       http.StatusConflict,
+	KeyUnresolved:       http.StatusConflict,
+	KeyResultGone:       http.StatusConflict,
+	RecordFull:          http.StatusServiceUnavailable,
+	StoreUnavailable:    http.StatusServiceUnavailable,
+	OwnerUnreachable:    http.StatusServiceUnavailable,
+	Removed:             http.StatusNotFound,
+	Cancelled:           http.StatusConflict,
+	Leaving:             http.StatusServiceUnavailable,
+	Internal:            http.StatusInternalServerError,
+}
+
+// Reasons returns the closed list of reasons, in no particular order.
+func Reasons() []Reason {
+	rs := make([]Reason, 0, len(statuses))
+	for rn := range statuses {
+		rs = append(rs, rn)
+	}
+	return rs
+}
+
+// Refusal is an error that tells a caller why its request has no answer.
+type Refusal struct {
+	reason     Reason
+	outcome    Outcome
+	message    string
+	retryAfter time.Duration
+}
+
+// New returns a refusal with outcome NotRun.
+func New(rs Reason, format string, args ...any) *Refusal {
+	return &Refusal{reason: rs, outcome: NotRun, message: fmt.Sprintf(format, args...)}
+}
+
+// WithOutcome returns a copy of the refusal with another outcome.
+func (rf *Refusal) WithOutcome(oc Outcome) *Refusal {
+	cp := *rf
+	cp.outcome = oc
+	return &cp
+}
+
+// WithRetryAfter returns a copy that tells the caller when to come back.
+func (rf *Refusal) WithRetryAfter(dn time.Duration) *Refusal {
+	cp := *rf
+	cp.retryAfter = dn
+	return &cp
+}
+
+// Reason returns the cause.
+func (rf *Refusal) Reason() Reason { return rf.reason }
+
+// Outcome returns what the refusal vouches for.
+func (rf *Refusal) Outcome() Outcome { return rf.outcome }
+
+// Message returns the explanation for people.
+func (rf *Refusal) Message() string { return rf.message }
+
+// RetryAfter returns the time to wait before a retry; zero means that a retry
+// does not help.
+func (rf *Refusal) RetryAfter() time.Duration { return rf.retryAfter }
+
+// Status returns the HTTP status of the refusal's reason.
+func (rf *Refusal) Status() int {
+	if st, ok := statuses[rf.reason]; ok {
+		return st
+	}
+	return http.StatusInternalServerError
+}
+
+// Error implements error.
+func (rf *Refusal) Error() string {
+	return fmt.Sprintf("%s (%s): %s", rf.reason, rf.outcome, rf.message)
+}
