Fix the interfaces between admission, dispatch, adapters, store metering and invariants

Admission hands out a grant for one sending to one server; the dispatcher never chooses servers by itself.

--- a/internal/coordination/dispatcher/dispatcher.go
+++ b/internal/coordination/dispatcher/dispatcher.go
@@ -3,8 +3,8 @@
 //
 // # Usage
 //
-//	ds := dispatcher.New(watch, router, forwarder)
-//	rf := ds.Dispatch(ctx, request, responseWriter)
+//	ds := dispatcher.New(admitter, forwarder, adapters)
+//	rf := ds.Dispatch(ctx, settings, request, responseWriter)
 //
 // Dispatch returns a refusal only while nothing was written to the caller.
 package dispatcher
@@ -16,8 +16,7 @@
 	"strconv"
 	"time"
 
-	"github.com/lagoonpass/lagoonpass/internal/coordination/router"
-	"github.com/lagoonpass/lagoonpass/internal/coordination/watcher"
+	"github.com/lagoonpass/lagoonpass/internal/coordination/admitter"
 	"github.com/lagoonpass/lagoonpass/internal/state/configurer"
 	"github.com/lagoonpass/lagoonpass/internal/transport/forwarder"
 	"github.com/lagoonpass/lagoonpass/pkg/refuser"
@@ -53,30 +52,39 @@
 	Deadline time.Time
 }
 
+// Adapters makes adapters ready on backend servers.
+type Adapters interface {
+	// Ensure returns once the adapter is ready on the server, or an error.
+	Ensure(ctx context.Context, server string, ad *configurer.Adapter) error
+}
+
 // Dispatcher runs requests on backend servers.
 type Dispatcher struct {
-	watch     *watcher.Watcher
-	router    *router.Router
+	admitter  *admitter.Admitter
 	forwarder *forwarder.Forwarder
+	adapters  Adapters
 }
 
-// New returns a dispatcher that chooses among the watched servers.
-func New(wt *watcher.Watcher, rt *router.Router, fw *forwarder.Forwarder) *Dispatcher {
-	return &Dispatcher{watch: wt, router: rt, forwarder: fw}
+// New returns a dispatcher that sends what the admitter grants.
+func New(am *admitter.Admitter, fw *forwarder.Forwarder, ad Adapters) *Dispatcher {
+	return &Dispatcher{admitter: am, forwarder: fw, adapters: ad}
 }
 
 // Dispatch runs the request and copies its answer to wr.
 func (ds *Dispatcher) Dispatch(ctx context.Context, st *configurer.Settings, rq *Request, wr http.ResponseWriter) *refuser.Refusal {
 	ctx, cancel := context.WithDeadline(ctx, rq.Deadline)
 	defer cancel()
-	sn := ds.watch.Snapshot()
-	name, ok := ds.router.Pick(candidates(st, sn, rq.Model.Name()))
-	if !ok {
-		return refuser.New(refuser.NoWorker, "no replica of model %q is ready", rq.Model.Name()).WithRetryAfter(retryLater)
+	gr, rf := ds.admitter.Admit(ctx, st, ticketOf(rq))
+	if rf != nil {
+		return rf
 	}
-	defer ds.router.Done(name)
-	rp, _ := sn.Report(name)
-	rs, err := ds.forwarder.Send(ctx, backendRequest(rp.Address, rq))
+	defer gr.Done(admitter.Result{})
+	if rq.Adapter != nil {
+		if err := ds.adapters.Ensure(ctx, gr.Server(), rq.Adapter); err != nil {
+			return refuser.New(refuser.NoWorker, "adapter %q was not loaded: %v", rq.Adapter.Name(), err).WithRetryAfter(retryLater)
+		}
+	}
+	rs, err := ds.forwarder.Send(ctx, backendRequest(gr.Address(), rq))
 	if err != nil {
 		return refusalOf(err)
 	}
@@ -87,17 +95,17 @@
 	return nil
 }
 
-func candidates(st *configurer.Settings, sn *watcher.Snapshot, model string) []router.Candidate {
-	var all []router.Candidate
-	for _, name := range sn.Replicas(model) {
-		rp, _ := sn.Report(name)
-		bs, ok := st.BackendServer(name)
-		if !ok {
-			continue
-		}
-		all = append(all, router.Candidate{Name: name, Load: rp.Running + rp.Waiting, Slots: bs.Slots()})
+func ticketOf(rq *Request) *admitter.Ticket {
+	return &admitter.Ticket{
+		ID:        rq.ID,
+		Caller:    rq.Caller,
+		Class:     rq.Class,
+		Model:     rq.Model,
+		Adapter:   rq.Adapter,
+		Bytes:     len(rq.Body),
+		MaxTokens: rq.MaxTokens,
+		Deadline:  rq.Deadline,
 	}
-	return all
 }
 
 func backendRequest(address string, rq *Request) forwarder.Request {
--- a/internal/coordination/orderer/orderer.go
+++ b/internal/coordination/orderer/orderer.go
@@ -107,3 +107,10 @@
 	}
 	return nil
 }
+
+// Adapters makes adapters ready on backend servers, through the node that owns
+// the server.
+type Adapters struct{}
+
+// Ensure implements dispatcher.Adapters.
+func (*Adapters) Ensure(context.Context, string, *configurer.Adapter) error { return nil }
--- /dev/null
+++ b/internal/counter/counter.go
@@ -0,0 +1,64 @@
+// Package counter holds the metrics of one node, by names in kebab case with
+// dots between the parts: refusal.queue-full, retry.backend-silent,
+// store-read.configuration.
+//
+// # Usage
+//
+//	rg := counter.NewRegistry()
+//	rg.Inc("refusal", string(refuser.QueueFull))
+//	for name, value := range rg.Values() { ... }
+//
+// The zero Registry is not usable, but a nil one is: it counts nothing.
+package counter
+
+import (
+	"strings"
+
+	"github.com/rcrowley/go-metrics"
+)
+
+// Registry is the metrics of one node.
+type Registry struct {
+	metrics metrics.Registry
+}
+
+// NewRegistry returns a registry without metrics.
+func NewRegistry() *Registry {
+	return &Registry{metrics: metrics.NewRegistry()}
+}
+
+// Inc adds one to the counter whose name has these parts.
+func (rg *Registry) Inc(parts ...string) { rg.Add(1, parts...) }
+
+// Add adds delta to the counter whose name has these parts.
+func (rg *Registry) Add(delta int64, parts ...string) {
+	if rg == nil {
+		return
+	}
+	metrics.GetOrRegisterCounter(strings.Join(parts, "."), rg.metrics).Inc(delta)
+}
+
+// Set sets the gauge whose name has these parts.
+func (rg *Registry) Set(value int64, parts ...string) {
+	if rg == nil {
+		return
+	}
+	metrics.GetOrRegisterGauge(strings.Join(parts, "."), rg.metrics).Update(value)
+}
+
+// Values returns all counters and gauges by name.
+func (rg *Registry) Values() map[string]int64 {
+	values := map[string]int64{}
+	if rg == nil {
+		return values
+	}
+	rg.metrics.Each(func(name string, metric any) {
+		switch mt := metric.(type) {
+		case metrics.Counter:
+			values[name] = mt.Count()
+		case metrics.Gauge:
+			values[name] = mt.Value()
+		}
+	})
+	return values
+}
--- a/internal/demonstrator/demonstrator.go
+++ b/internal/demonstrator/demonstrator.go
@@ -46,6 +46,7 @@
 	engines    map[string]*engine.Engine
 	services   map[string]*service.Service
 	servers    []*http.Server
+	mu         sync.Mutex
 	nodes      []*entryNode
 	running    sync.WaitGroup
 }
@@ -173,12 +174,8 @@
 	}
 	base := "http://" + address
 	for ix := range dm.nodeCount {
-		ports, err := freeAddresses(2)
-		if err != nil {
-			return err
-		}
 		zone := fmt.Sprintf("zone-%c", 'a'+ix%3)
-		id := identifier.New(fmt.Sprintf("entry-%d", ix+1), zone, "region-1", ports[0], ports[1], base, base+"/v1/vms")
+		id := identifier.New(fmt.Sprintf("entry-%d", ix+1), zone, "region-1", loopback, loopback, base, base+"/v1/vms")
 		if err := dm.startNode(ctx, id); err != nil {
 			return err
 		}
@@ -192,18 +189,22 @@
 		return err
 	}
 	ctx, cancel := context.WithCancel(ctx)
+	dm.mu.Lock()
 	dm.nodes = append(dm.nodes, &entryNode{identity: id, node: nd, stop: cancel})
+	dm.mu.Unlock()
 	dm.running.Go(func() { _ = nd.Run(ctx) })
 	return nil
 }
 
 // vms is the platform's list of VMs.
 func (dm *Demo) vms() []platform.VM {
+	dm.mu.Lock()
+	defer dm.mu.Unlock()
 	var all []platform.VM
 	for _, en := range dm.nodes {
 		all = append(all, platform.VM{
 			Name:    en.identity.ID(),
-			Address: en.identity.PeerAddress(),
+			Address: en.node.PeerAddress(),
 			Zone:    en.identity.Zone(),
 			Kind:    "entry",
 			State:   "live",
@@ -225,7 +226,7 @@
 func (dm *Demo) Addresses() []string {
 	all := make([]string, 0, len(dm.nodes))
 	for _, en := range dm.nodes {
-		all = append(all, en.identity.CallerAddress())
+		all = append(all, en.node.CallerAddress())
 	}
 	return all
 }
@@ -240,17 +241,3 @@
 	}
 	dm.running.Wait()
 }
-
-// freeAddresses returns loopback addresses that were free a moment ago.
-func freeAddresses(count int) ([]string, error) {
-	var all []string
-	for range count {
-		ln, err := net.Listen("tcp", loopback)
-		if err != nil {
-			return nil, errors.Wrap(err, "find a free port")
-		}
-		all = append(all, ln.Addr().String())
-		defer func() { _ = ln.Close() }()
-	}
-	return all, nil
-}
--- a/internal/runner/control.go
+++ b/internal/runner/control.go
@@ -10,6 +10,7 @@
 	"github.com/lagoonpass/lagoonpass/internal/coordination/planner"
 	"github.com/lagoonpass/lagoonpass/internal/coordination/publisher"
 	"github.com/lagoonpass/lagoonpass/internal/state/configurer"
+	"github.com/lagoonpass/lagoonpass/internal/state/storer"
 )
 
 // controlInterval is the time between two passes of the control loop.
@@ -40,7 +41,7 @@
 }
 
 func (nd *Node) refreshConfiguration(ctx context.Context) {
-	rv, err := publisher.Load(ctx, nd.store)
+	rv, err := publisher.Load(ctx, nd.meter.For(storer.PurposeConfiguration))
 	if errors.Is(err, publisher.ErrNone) {
 		return
 	}
--- a/internal/runner/runner.go
+++ b/internal/runner/runner.go
@@ -22,12 +22,14 @@
 	"github.com/go-faster/errors"
 	"github.com/oklog/run"
 
+	"github.com/lagoonpass/lagoonpass/internal/coordination/admitter"
 	"github.com/lagoonpass/lagoonpass/internal/coordination/dispatcher"
+	"github.com/lagoonpass/lagoonpass/internal/coordination/ejector"
 	"github.com/lagoonpass/lagoonpass/internal/coordination/orderer"
 	"github.com/lagoonpass/lagoonpass/internal/coordination/prober"
 	"github.com/lagoonpass/lagoonpass/internal/coordination/publisher"
-	"github.com/lagoonpass/lagoonpass/internal/coordination/router"
 	"github.com/lagoonpass/lagoonpass/internal/coordination/watcher"
+	"github.com/lagoonpass/lagoonpass/internal/counter"
 	"github.com/lagoonpass/lagoonpass/internal/protocol/messenger"
 	"github.com/lagoonpass/lagoonpass/internal/server"
 	"github.com/lagoonpass/lagoonpass/internal/state/identifier"
@@ -42,7 +44,9 @@
 // Node is one entry node.
 type Node struct {
 	identity  *identifier.Node
+	registry  *counter.Registry
 	store     storer.Store
+	meter     *storer.Meter
 	holder    *publisher.Holder
 	pool      *messenger.Pool
 	prober    *prober.Prober
@@ -66,6 +70,7 @@
 func New(id *identifier.Node, opts ...Option) (*Node, error) {
 	nd := &Node{
 		identity: id,
+		registry: counter.NewRegistry(),
 		store:    storer.NewClient(id.Store()),
 		holder:   &publisher.Holder{},
 		pool:     messenger.NewPool(),
@@ -74,19 +79,33 @@
 	for _, opt := range opts {
 		opt(nd)
 	}
-	nd.orderer = orderer.New(nd.store)
+	nd.meter = storer.NewMeter(nd.store, nd.registry)
+	if err := nd.listen(); err != nil {
+		return nil, err
+	}
+	nd.orderer = orderer.New(nd.meter.For(storer.PurposeOrder))
 	nd.prober = prober.New(nd.presence, lister.New(id.VMList()), nd.pool)
 	nd.peers = messenger.NewServer(messenger.HandlerFunc(nd.handlePeer))
 	nd.web = &http.Server{Handler: nd.buildServer(), ReadHeaderTimeout: 10 * time.Second}
-	return nd, nd.listen()
+	return nd, nil
 }
 
+// PeerAddress returns the address on which the node listens for peers.
+func (nd *Node) PeerAddress() string { return nd.peerNet.Addr().String() }
+
+// CallerAddress returns the address on which the node listens for callers.
+func (nd *Node) CallerAddress() string { return nd.callerNet.Addr().String() }
+
+// Values returns the node's metrics by name.
+func (nd *Node) Values() map[string]int64 { return nd.registry.Values() }
+
 func (nd *Node) buildServer() http.Handler {
 	fw := forwarder.New()
-	rt := router.New(rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64())))
+	random := rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64()))
+	am := admitter.New(nd.watcher, ejector.New(), random)
 	return server.New(server.Parts{
 		Holder:     nd.holder,
-		Dispatcher: dispatcher.New(nd.watcher, rt, fw),
+		Dispatcher: dispatcher.New(am, fw, &orderer.Adapters{}),
 		Forwarder:  fw,
 		View:       nd.prober.View,
 		Zone:       nd.identity.Zone(),
@@ -111,8 +130,8 @@
 		ID:            nd.identity.ID(),
 		Zone:          nd.identity.Zone(),
 		Region:        nd.identity.Region(),
-		PeerAddress:   nd.identity.PeerAddress(),
-		CallerAddress: nd.identity.CallerAddress(),
+		PeerAddress:   nd.PeerAddress(),
+		CallerAddress: nd.CallerAddress(),
 		Leaving:       nd.leaving.Load(),
 		Revision:      nd.holder.Number(),
 	}
