Plan by few moves, measured against fixed and proportional planners

Demand is now followed evenly, victims are chosen by what they would be missed, and replicas are exchanged when one carries several times another's demand.

--- /dev/null
+++ b/internal/coordination/planner/plan.go
@@ -0,0 +1,59 @@
+package planner
+
+import "sort"
+
+// Plan assigns models to backend servers. It is immutable.
+type Plan struct {
+	byServer map[string][]string
+	byModel  map[string][]string
+}
+
+// NewPlan returns a plan from the models of each backend server.
+func NewPlan(byServer map[string][]string) *Plan {
+	pl := &Plan{byServer: map[string][]string{}, byModel: map[string][]string{}}
+	for server, models := range byServer {
+		sorted := append([]string(nil), models...)
+		sort.Strings(sorted)
+		pl.byServer[server] = sorted
+		for _, model := range sorted {
+			pl.byModel[model] = append(pl.byModel[model], server)
+		}
+	}
+	for _, servers := range pl.byModel {
+		sort.Strings(servers)
+	}
+	return pl
+}
+
+// Models returns the models of a backend server in the order of their names.
+func (pl *Plan) Models(server string) []string { return pl.byServer[server] }
+
+// Servers returns the backend servers of a model in the order of their names.
+func (pl *Plan) Servers(model string) []string { return pl.byModel[model] }
+
+// ServerNames returns the backend servers that hold a model, in order.
+func (pl *Plan) ServerNames() []string {
+	names := make([]string, 0, len(pl.byServer))
+	for name := range pl.byServer {
+		names = append(names, name)
+	}
+	sort.Strings(names)
+	return names
+}
+
+// Moves returns the number of loads that lead from an older plan to this one.
+func (pl *Plan) Moves(old *Plan) int {
+	moves := 0
+	for server, models := range pl.byServer {
+		had := map[string]bool{}
+		for _, model := range old.byServer[server] {
+			had[model] = true
+		}
+		for _, model := range models {
+			if !had[model] {
+				moves++
+			}
+		}
+	}
+	return moves
+}
--- a/internal/coordination/planner/planner.go
+++ b/internal/coordination/planner/planner.go
@@ -1,90 +1,119 @@
 // Package planner decides which model runs on which backend server.
 //
+// A plan is changed by few moves. A model gets another replica only if its
+// demand exceeds what its replicas can serve, by enough to be worth a move and
+// for long enough not to be noise; a replica is given up only when its memory
+// is needed. When nothing is overloaded, replicas are exchanged only where one
+// carries several times the demand of another. The weights of moves and
+// attainment set the thresholds.
+//
 // # Usage
 //
-//	pl := planner.Initial(settings)
-//	for _, model := range pl.Models("w1") { ... }
+//	pl := planner.New(settings)
+//	plan := planner.Initial(settings, planner.All)
+//	...
+//	plan = pl.Next(planner.Input{
+//		Settings: settings,
+//		Usable:   usable,
+//		Demand:   demand,
+//		Current:  plan,
+//		Now:      now,
+//	})
+//	for _, model := range plan.Models("w1") { ... }
+//
+// Fixed and Proportional are the naive planners that Planner is measured
+// against.
 package planner
 
 import (
-	"sort"
+	"time"
 
 	"github.com/lagoonpass/lagoonpass/internal/state/configurer"
 )
 
-// Plan assigns models to backend servers.
-type Plan struct {
-	byServer map[string][]string
-	byModel  map[string][]string
+// Usable reports whether a backend server may hold models.
+type Usable func(server string) bool
+
+// All says that every backend server may hold models.
+func All(string) bool { return true }
+
+// Demand is the number of requests of each model that would run at once if
+// there were room for all, by model name.
+type Demand map[string]float64
+
+// Input is what a planning pass knows.
+type Input struct {
+	// Settings are the settings in force.
+	Settings *configurer.Settings
+	// Usable says which backend servers may hold models.
+	Usable Usable
+	// Demand is the demand seen since the last pass.
+	Demand Demand
+	// Current is the plan in force.
+	Current *Plan
+	// Now is the time of the pass; only elapsed time counts.
+	Now time.Time
 }
 
-// Models returns the models of a backend server in the order of their names.
-func (pl *Plan) Models(server string) []string { return pl.byServer[server] }
+// Policy makes the next plan from the current one.
+type Policy interface {
+	// Next returns the plan to put in force. It may return Input.Current.
+	Next(in Input) *Plan
+}
 
-// Servers returns the backend servers of a model in the order of their names.
-func (pl *Plan) Servers(model string) []string { return pl.byModel[model] }
+// Planner is the policy of the system. It belongs to one goroutine.
+type Planner struct {
+	demand   smoother
+	budget   moveBudget
+	patience int
+	streak   int
+}
 
-// Initial places the least replicas of each model, the largest model first, on
-// the backend server with most free memory, in a zone that lacks the model if
-// there is one.
-func Initial(st *configurer.Settings) *Plan {
-	pl := &Plan{byServer: map[string][]string{}, byModel: map[string][]string{}}
-	free := map[string]int64{}
-	for _, bs := range st.BackendServers() {
-		free[bs.Name()] = bs.WeightMemory()
-	}
-	models := st.Models()
-	sort.SliceStable(models, func(ix, jx int) bool { return models[ix].Memory() > models[jx].Memory() })
-	for _, md := range models {
-		for range max(md.MinReplicas(), 2) {
-			pl.place(st, md, free)
-		}
+// New returns a planner with the weights of the settings.
+func New(st *configurer.Settings) *Planner {
+	pn := st.Planning()
+	return &Planner{
+		demand:   newSmoother(),
+		budget:   moveBudget{perHour: pn.MovesPerHour()},
+		patience: patienceOf(pn),
 	}
-	pl.sort()
-	return pl
 }
 
-func (pl *Plan) place(st *configurer.Settings, md *configurer.Model, free map[string]int64) {
-	zones := map[string]bool{}
-	has := map[string]bool{}
-	for _, name := range pl.byModel[md.Name()] {
-		bs, _ := st.BackendServer(name)
-		zones[bs.Zone()] = true
-		has[name] = true
-	}
-	best := ""
-	for _, bs := range st.BackendServers() {
-		name := bs.Name()
-		if has[name] || free[name] < md.Memory() {
-			continue
-		}
-		if best == "" || better(st, best, name, zones, free) {
-			best = name
-		}
-	}
-	if best == "" {
-		return
+// patienceOf returns the number of passes in a row that have to ask for a move
+// before one is made: the more a move weighs, the more.
+func patienceOf(pn *configurer.Planning) int {
+	if pn.AttainmentWeight() <= 0 {
+		return maxPatience
 	}
-	free[best] -= md.Memory()
-	pl.byServer[best] = append(pl.byServer[best], md.Name())
-	pl.byModel[md.Name()] = append(pl.byModel[md.Name()], best)
+	return min(max(int(pn.MoveWeight()/pn.AttainmentWeight()/2), 1), maxPatience)
 }
 
-// better reports whether the challenger is the better place.
-func better(st *configurer.Settings, best, challenger string, zones map[string]bool, free map[string]int64) bool {
-	was, _ := st.BackendServer(best)
-	now, _ := st.BackendServer(challenger)
-	if zones[was.Zone()] != zones[now.Zone()] {
-		return zones[was.Zone()]
+// Next implements Policy. Missing replicas are put back at once and outside
+// the budget; moves for demand are made one after the other while each is
+// worth its cost.
+func (pl *Planner) Next(in Input) *Plan {
+	pl.demand.observe(in.Demand, in.Now)
+	wk := newWork(in, pl.demand.value)
+	wk.setMeans(pl.demand.mean)
+	wk.repair()
+	wk.balance()
+	moves := wk.improve(pl.allowance(in, wk))
+	if moves == 0 && pl.budget.left(in.Now) > 0 {
+		moves = wk.even()
 	}
-	return free[challenger] > free[best]
+	pl.budget.spend(moves, in.Now)
+	return wk.plan()
 }
 
-func (pl *Plan) sort() {
-	for _, names := range pl.byServer {
-		sort.Strings(names)
+// allowance returns the number of moves that this pass may make.
+func (pl *Planner) allowance(in Input, wk *work) int {
+	if !wk.wantsMove() {
+		pl.streak = 0
+		return 0
 	}
-	for _, names := range pl.byModel {
-		sort.Strings(names)
+	pl.streak++
+	if pl.streak < pl.patience && !wk.urgent() {
+		return 0
 	}
+	return pl.budget.left(in.Now)
 }
--- a/internal/runner/control.go
+++ b/internal/runner/control.go
@@ -55,7 +55,7 @@
 }
 
 func (nd *Node) placeModels(ctx context.Context, st *configurer.Settings) {
-	pl := planner.Initial(st)
+	pl := planner.Initial(st, planner.All)
 	for _, bs := range st.BackendServers() {
 		if !nd.prober.View().Owns("worker/" + bs.Name()) {
 			continue
