--- a/internal/commander/check.go
+++ b/internal/commander/check.go
@@ -7,6 +7,7 @@
 
 	"github.com/google/subcommands"
 
+	"github.com/lagoonpass/lagoonpass/internal/coordination/planner"
 	"github.com/lagoonpass/lagoonpass/internal/state/configurer"
 )
 
@@ -34,6 +35,9 @@
 	if err != nil {
 		return complain(subcommands.ExitFailure, "%v", err)
 	}
+	if st != nil {
+		faults = planner.Verify(st)
+	}
 	for _, ft := range faults {
 		fmt.Println(ft.Error())
 	}
--- a/internal/server/authenticate.go
+++ b/internal/server/authenticate.go
@@ -39,13 +39,7 @@
 
 // permitted reports whether a name matches one of the patterns.
 func permitted(patterns []string, name string) bool {
-	for _, pattern := range patterns {
-		prefix, open := strings.CutSuffix(pattern, "*")
-		if pattern == name || open && strings.HasPrefix(name, prefix) {
-			return true
-		}
-	}
-	return false
+	return configurer.Permitted(patterns, name)
 }
 
 func asRefusal(err error) *refuser.Refusal {
--- a/internal/state/configurer/configurer.go
+++ b/internal/state/configurer/configurer.go
@@ -37,7 +37,13 @@
 
 // Error implements error.
 func (ft Fault) Error() string {
-	where := fmt.Sprintf("%s:%d: [%s]", ft.File, ft.Line, ft.Section)
+	where := fmt.Sprintf("%s:%d", ft.File, ft.Line)
+	if ft.File == "" {
+		where = "defaults"
+	}
+	if ft.Section != "" {
+		where += ": [" + ft.Section + "]"
+	}
 	if ft.Key != "" {
 		where += " " + ft.Key
 	}
@@ -59,6 +65,20 @@
 	retries  *Retries
 	timeouts *Timeouts
 	planning *Planning
+	sections map[string]*section
+}
+
+// Place returns the file and line in which a key was written last, or those of
+// its section.
+func (st *Settings) Place(section, key string) (file string, line int) {
+	sc, ok := st.sections[section]
+	if !ok {
+		return "", 0
+	}
+	if en, ok := sc.keys[key]; ok {
+		return en.file, en.line
+	}
+	return sc.file, sc.line
 }
 
 // Model returns the model of that name.
--- a/internal/state/configurer/read.go
+++ b/internal/state/configurer/read.go
@@ -11,6 +11,9 @@
 	"gopkg.in/ini.v1"
 )
 
+// syntaxAllowed is what may stand in a line.
+const syntaxAllowed = "[section], key = value, or a comment after ; or #"
+
 // File is one settings file.
 type File struct {
 	// Name is the file's name within its folder; files merge in its order.
@@ -57,15 +60,23 @@
 		rd.merge(fl)
 	}
 	st := rd.build()
-	if len(rd.faults) == 0 {
-		rd.checkReferences(st)
-	}
+	rd.checkReferences(st)
 	if len(rd.faults) > 0 {
+		sortFaults(rd.faults)
 		return nil, rd.faults
 	}
 	return st, nil
 }
 
+func sortFaults(faults []Fault) {
+	sort.SliceStable(faults, func(ix, jx int) bool {
+		if faults[ix].File != faults[jx].File {
+			return faults[ix].File < faults[jx].File
+		}
+		return faults[ix].Line < faults[jx].Line
+	})
+}
+
 // entry is a key's value with the place where it was written last.
 type entry struct {
 	value string
@@ -92,10 +103,11 @@
 	opts := ini.LoadOptions{KeyValueDelimiters: "=", IgnoreInlineComment: true}
 	doc, err := ini.LoadSources(opts, []byte(fl.Text))
 	if err != nil {
-		rd.faults = append(rd.faults, Fault{File: fl.Name, Found: err.Error(), Allowed: "INI sections and keys"})
+		rd.faults = append(rd.faults, syntaxFault(fl))
 		return
 	}
 	lines := indexLines(fl.Text)
+	rd.rejectRepeats(fl)
 	for _, sc := range doc.Sections() {
 		if sc.Name() == ini.DefaultSection && len(sc.Keys()) == 0 {
 			continue
@@ -118,6 +130,45 @@
 	return sc
 }
 
+// syntaxFault points at the first line that is no section, key or comment.
+func syntaxFault(fl File) Fault {
+	for ix, line := range strings.Split(fl.Text, "\n") {
+		line = strings.TrimSpace(line)
+		section := strings.HasPrefix(line, "[") && strings.HasSuffix(line, "]")
+		comment := line == "" || line[0] == ';' || line[0] == '#'
+		if !section && !comment && !strings.Contains(line, "=") {
+			return Fault{File: fl.Name, Line: ix + 1, Found: line, Allowed: syntaxAllowed}
+		}
+	}
+	return Fault{File: fl.Name, Line: 1, Found: "a file that cannot be read as INI", Allowed: syntaxAllowed}
+}
+
+// rejectRepeats refuses a key that stands twice in one section of one file,
+// since it could not be told which of the two is meant.
+func (rd *reader) rejectRepeats(fl File) {
+	seen := map[string]int{}
+	current := ini.DefaultSection
+	for ix, line := range strings.Split(fl.Text, "\n") {
+		line = strings.TrimSpace(line)
+		if strings.HasPrefix(line, "[") && strings.HasSuffix(line, "]") {
+			current = strings.TrimSpace(line[1 : len(line)-1])
+			continue
+		}
+		key, value, found := strings.Cut(line, "=")
+		if !found || line[0] == ';' || line[0] == '#' {
+			continue
+		}
+		key = strings.TrimSpace(key)
+		if first, ok := seen[current+"\n"+key]; ok {
+			rd.faults = append(rd.faults, Fault{
+				File: fl.Name, Line: ix + 1, Section: current, Key: key,
+				Found: strings.TrimSpace(value), Allowed: fmt.Sprintf("the key once in a file; it stands in line %d", first),
+			})
+		}
+		seen[current+"\n"+key] = ix + 1
+	}
+}
+
 // indexLines returns the line of each section and of each "section\nkey".
 func indexLines(text string) map[string]int {
 	lines := map[string]int{}
@@ -138,6 +189,7 @@
 
 func (rd *reader) build() *Settings {
 	st := &Settings{
+		sections: rd.sections,
 		limits:   &Limits{},
 		records:  &Records{},
 		retries:  &Retries{},
@@ -161,7 +213,7 @@
 	kind, name, hasName := strings.Cut(sc.name, ".")
 	sp, ok := specs[kind]
 	if !ok || sp.named != hasName || sp.named && name == "" {
-		rd.fault(sc, "", sc.name, "a known section"+nearest(kind, sectionNames(specs)))
+		rd.fault(sc, "", sc.name, "a known section"+nearestSection(kind, specs))
 		return
 	}
 	target := sp.target(st, name)
@@ -174,7 +226,7 @@
 func (rd *reader) buildKey(target any, sc *section, ks keySpec) {
 	en, written := sc.keys[ks.name]
 	if !written && ks.def == "" {
-		if ks.unit == "list" || strings.HasPrefix(ks.name, "default-") {
+		if ks.optional() {
 			return
 		}
 		rd.fault(sc, ks.name, "", ks.allowed+"; the key must be set")
@@ -211,7 +263,20 @@
 	if en, ok := sc.keys[key]; ok {
 		ft.File, ft.Line = en.file, en.line
 	}
-	rd.faults = append(rd.faults, ft)
+	if !rd.reported(ft) {
+		rd.faults = append(rd.faults, ft)
+	}
+}
+
+// reported reports whether the key is at fault already: one fault a key is
+// enough, and what was checked later may follow from it.
+func (rd *reader) reported(ft Fault) bool {
+	for _, other := range rd.faults {
+		if other.Section == ft.Section && other.Key == ft.Key {
+			return true
+		}
+	}
+	return false
 }
 
 func contains(all []string, one string) bool {
@@ -223,27 +288,33 @@
 	return false
 }
 
-func sectionNames(specs map[string]sectionSpec) []string {
-	names := make([]string, 0, len(specs))
-	for name := range specs {
-		names = append(names, name)
+// nearestSection returns a hint with the title of the known section whose kind
+// is nearest.
+func nearestSection(kind string, specs map[string]sectionSpec) string {
+	name := nearestName(kind, namesOf(specs))
+	if name == "" {
+		return ""
 	}
-	sort.Strings(names)
-	return names
+	return fmt.Sprintf("; the nearest is %q", specs[name].title())
 }
 
 // nearest returns a hint with the known name at the least edit distance.
 func nearest(found string, known []string) string {
+	best := nearestName(found, known)
+	if best == "" {
+		return ""
+	}
+	return fmt.Sprintf("; the nearest is %q", best)
+}
+
+func nearestName(found string, known []string) string {
 	best, least := "", len(found)
 	for _, name := range known {
 		if dist := editDistance(found, name); dist < least {
 			best, least = name, dist
 		}
 	}
-	if best == "" {
-		return ""
-	}
-	return fmt.Sprintf("; the nearest is %q", best)
+	return best
 }
 
 func editDistance(from, to string) int {
--- a/internal/state/configurer/references.go
+++ b/internal/state/configurer/references.go
@@ -1,22 +1,48 @@
 package configurer
 
-import "fmt"
+import (
+	"fmt"
+	"sort"
+	"strings"
+	"time"
+)
+
+// heartbeatsInSilence is how many heartbeats have to fit in the silence after
+// which a connection is dropped.
+const heartbeatsInSilence = 3
 
 // checkReferences checks what one section says about another.
 func (rd *reader) checkReferences(st *Settings) {
 	for _, ad := range st.Adapters() {
 		rd.refer("adapter."+ad.name, "model", ad.model, st.models[ad.model] != nil, "a configured model")
 	}
+	for _, md := range st.Models() {
+		rd.checkReplicas(md)
+	}
+	rd.checkServers(st)
+	rd.checkCallers(st)
+	rd.checkServices(st)
+	rd.checkTimeouts(st)
+}
+
+func (rd *reader) checkReplicas(md *Model) {
+	if md.maxReplicas == 0 || md.maxReplicas >= md.minReplicas {
+		return
+	}
+	allowed := fmt.Sprintf("0, or min-replicas %d and more", md.minReplicas)
+	rd.fault(rd.sections["model."+md.name], "max-replicas", fmt.Sprint(md.maxReplicas), allowed)
+}
+
+func (rd *reader) checkServers(st *Settings) {
+	users := map[string]string{}
 	for _, bs := range st.BackendServers() {
-		rd.refer("backend-server."+bs.name, "kind", bs.kind, st.kinds[bs.kind] != nil, "a configured engine kind")
+		section := "backend-server." + bs.name
+		rd.refer(section, "kind", bs.kind, st.kinds[bs.kind] != nil, "a configured engine kind")
 		rd.checkReserves(bs)
+		other := users[bs.address]
+		rd.refer(section, "address", bs.address, other == "", "an address of its own; it is that of "+other)
+		users[bs.address] = bs.name
 	}
-	for _, cr := range st.Callers() {
-		if cr.defaultClass != "" {
-			rd.refer("caller."+cr.name, "default-class", cr.defaultClass, st.classes[cr.defaultClass] != nil, "a configured class")
-		}
-	}
-	rd.checkTimeouts(st.timeouts)
 }
 
 func (rd *reader) checkReserves(bs *BackendServer) {
@@ -28,14 +54,90 @@
 	rd.fault(rd.sections["backend-server."+bs.name], "cache-reserve", sum, allowed)
 }
 
+func (rd *reader) checkCallers(st *Settings) {
+	owners := map[string]string{}
+	for _, cr := range st.Callers() {
+		section := "caller." + cr.name
+		other := owners[cr.keyHash]
+		rd.refer(section, "key-sha256", cr.keyHash, other == "", "a key of its own; it is that of "+other)
+		owners[cr.keyHash] = cr.name
+		rd.checkPatterns(section, "models", cr.models, namesOf(st.models))
+		rd.checkPatterns(section, "adapters", cr.adapters, namesOf(st.adapters))
+		rd.checkPatterns(section, "services", cr.services, namesOf(st.services))
+		rd.checkPatterns(section, "classes", cr.classes, namesOf(st.classes))
+		rd.checkDefaultClass(st, cr)
+	}
+}
+
+func (rd *reader) checkDefaultClass(st *Settings, cr *Caller) {
+	if cr.defaultClass == "" {
+		return
+	}
+	section := "caller." + cr.name
+	rd.refer(section, "default-class", cr.defaultClass, st.classes[cr.defaultClass] != nil, "a configured class")
+	if st.classes[cr.defaultClass] != nil {
+		ok := Permitted(cr.classes, cr.defaultClass)
+		rd.refer(section, "default-class", cr.defaultClass, ok, "one of the caller's classes "+strings.Join(cr.classes, ", "))
+	}
+}
+
+// checkPatterns refuses a pattern that matches nothing. The pattern * may.
+func (rd *reader) checkPatterns(section, key string, patterns, names []string) {
+	for _, pattern := range patterns {
+		matches := pattern == "*"
+		for _, name := range names {
+			matches = matches || Permitted([]string{pattern}, name)
+		}
+		rd.refer(section, key, pattern, matches, "a name that is configured, or a prefix of one with *"+nearest(pattern, names))
+	}
+}
+
+func (rd *reader) checkServices(st *Settings) {
+	for _, sv := range st.Services() {
+		for _, call := range sv.nonRepeatable {
+			method, path, found := strings.Cut(call, " ")
+			ok := found && strings.ToUpper(method) == method && strings.HasPrefix(path, "/")
+			rd.refer("service."+sv.name, "non-repeatable", call, ok, "METHOD /path, * at the end for a prefix")
+		}
+	}
+}
+
 // checkTimeouts refuses a detection time that outlasts what depends on it.
-func (rd *reader) checkTimeouts(to *Timeouts) {
-	sc := rd.sections["timeouts"]
-	if to.peerSilence >= to.leaseLifetime {
-		rd.fault(sc, "peer-silence", to.peerSilence.String(), "less than lease-lifetime "+to.leaseLifetime.String())
+func (rd *reader) checkTimeouts(st *Settings) {
+	to := st.timeouts
+	rd.shorter("peer-silence", to.peerSilence, "lease-lifetime", to.leaseLifetime)
+	rd.checkHeartbeat(to)
+	rd.shorter("engine-silence", to.engineSilence, "lease-lifetime", to.leaseLifetime)
+	rd.longer("drain", to.drain, "address-answer-lifetime", st.limits.addressAnswerLifetime)
+	for _, cs := range st.Classes() {
+		section := rd.sections["class."+cs.name]
+		if to.engineSilence >= cs.deadline {
+			rd.fault(section, "deadline", cs.deadline.String(), "more than engine-silence "+to.engineSilence.String())
+		}
+		if cs.firstToken >= cs.deadline {
+			rd.fault(section, "first-token", cs.firstToken.String(), "less than deadline "+cs.deadline.String())
+		}
+	}
+}
+
+func (rd *reader) checkHeartbeat(to *Timeouts) {
+	if heartbeatsInSilence*to.heartbeat > to.peerSilence {
+		allowed := fmt.Sprintf("at most a third of peer-silence %s", to.peerSilence)
+		rd.fault(rd.sections["timeouts"], "heartbeat", to.heartbeat.String(), allowed)
+	}
+}
+
+// shorter faults a time that is not below the one that depends on it.
+func (rd *reader) shorter(key string, found time.Duration, other string, limit time.Duration) {
+	if found >= limit {
+		allowed := fmt.Sprintf("a time that is found out before %s %s ends", other, limit)
+		rd.fault(rd.sections["timeouts"], key, found.String(), allowed)
 	}
-	if to.heartbeat >= to.peerSilence {
-		rd.fault(sc, "heartbeat", to.heartbeat.String(), "less than peer-silence "+to.peerSilence.String())
+}
+
+func (rd *reader) longer(key string, found time.Duration, other string, limit time.Duration) {
+	if found < limit {
+		rd.fault(rd.sections["timeouts"], key, found.String(), "at least "+other+" "+limit.String())
 	}
 }
 
@@ -44,3 +146,24 @@
 		rd.fault(rd.sections[section], key, found, allowed)
 	}
 }
+
+func namesOf[T any](all map[string]T) []string {
+	names := make([]string, 0, len(all))
+	for name := range all {
+		names = append(names, name)
+	}
+	sort.Strings(names)
+	return names
+}
+
+// Permitted reports whether a name matches one of the patterns, each a name or
+// a prefix that ends in *.
+func Permitted(patterns []string, name string) bool {
+	for _, pattern := range patterns {
+		prefix, open := strings.CutSuffix(pattern, "*")
+		if pattern == name || open && strings.HasPrefix(name, prefix) {
+			return true
+		}
+	}
+	return false
+}
--- a/internal/state/configurer/spec.go
+++ b/internal/state/configurer/spec.go
@@ -21,6 +21,11 @@
 	set func(target any, text string) bool
 }
 
+// optional reports whether the key may be left out although it has no default.
+func (ks keySpec) optional() bool {
+	return ks.unit == "list" || strings.HasPrefix(ks.name, "default-")
+}
+
 // sectionSpec describes one kind of section.
 type sectionSpec struct {
 	kind  string
@@ -31,6 +36,14 @@
 	target func(st *Settings, name string) any
 }
 
+// title returns the section's name as it is written.
+func (sp sectionSpec) title() string {
+	if sp.named {
+		return sp.kind + ".NAME"
+	}
+	return sp.kind
+}
+
 func namedSection[T any](kind, doc string, target func(*Settings, string) *T, keys ...keySpec) sectionSpec {
 	build := func(st *Settings, name string) any { return target(st, name) }
 	return sectionSpec{kind: kind, named: true, doc: doc, keys: keys, target: build}
