Divide shared limits into parts that nodes lend to each other

Each unit belongs to one slot, held by a record that is written once in a node's life; loans never change and need no store. The alternative, an owner that grants leases, has to stop in a store outage. With all demand on one of four nodes it gets at least 80 in 100 of each limit (TestAllDemandOnOneNodeUsesTheLimit, TestRateIsUsedByOneNode); 100 random runs of pauses, cuts, replacements and lost messages never exceeded a limit of units at once.

--- /dev/null
+++ b/internal/coordination/limiter/limiter_test.go
@@ -0,0 +1,330 @@
+package limiter
+
+import (
+	"context"
+	"fmt"
+	"math/rand/v2"
+	"testing"
+	"time"
+
+	"github.com/go-faster/errors"
+	"github.com/stretchr/testify/require"
+	"pgregory.net/rapid"
+
+	"github.com/lagoonpass/lagoonpass/internal/checker"
+	"github.com/lagoonpass/lagoonpass/internal/protocol/messenger"
+	"github.com/lagoonpass/lagoonpass/internal/standin/platform"
+	"github.com/lagoonpass/lagoonpass/internal/state/configurer"
+)
+
+var errCut = errors.New("cut off")
+
+// cluster is a handful of limiters that call each other directly, with faults
+// and a clock in the hand of the test.
+type cluster struct {
+	now       time.Time
+	random    *rand.Rand
+	nodes     []*member
+	loseEvery float64
+}
+
+// member is one node with the operations that it runs.
+type member struct {
+	limiter *Limiter
+	cluster *cluster
+	id      string
+	slot    int
+	cut     bool
+	paused  bool
+	gone    bool
+	ends    []time.Time
+}
+
+// Call implements Peers.
+func (mb *member) Call(_ context.Context, address string, call messenger.Message) (messenger.Message, error) {
+	for _, other := range mb.cluster.nodes {
+		if other.id != address {
+			continue
+		}
+		if mb.cut || other.cut || other.paused || other.gone {
+			return nil, errCut
+		}
+		if mb.cluster.random.Float64() < mb.cluster.loseEvery {
+			return nil, errCut
+		}
+		answer := other.limiter.Answer(call.(*messenger.ShareRequest), mb.cluster.now)
+		if mb.cluster.random.Float64() < mb.cluster.loseEvery {
+			return nil, errCut
+		}
+		return answer, nil
+	}
+	return nil, errCut
+}
+
+func (cl *cluster) lenders() []Lender {
+	var all []Lender
+	for _, mb := range cl.nodes {
+		all = append(all, Lender{ID: mb.id, Address: mb.id, Slot: mb.slot})
+	}
+	return all
+}
+
+func (cl *cluster) add(slot, slots int, st *configurer.Settings) *member {
+	mb := &member{cluster: cl, id: fmt.Sprintf("node-%d", len(cl.nodes)), slot: slot}
+	mb.limiter = New(mb.id, mb)
+	mb.limiter.Configure(st, cl.now)
+	mb.limiter.SetSlot(slot, slots, cl.now)
+	cl.nodes = append(cl.nodes, mb)
+	return mb
+}
+
+func newCluster(tb rapid.TB, seed uint64, nodes int, text string) *cluster {
+	st, faults := configurer.Parse([]configurer.File{{Name: "limits.ini", Text: text}})
+	require.Empty(tb, faults)
+	cl := &cluster{now: time.Unix(0, 0), random: rand.New(rand.NewPCG(seed, 1))}
+	for slot := range nodes {
+		cl.add(slot, nodes, st)
+	}
+	cl.step(WeightStoreAtOnce, (weightLoadBound+LoanTime)+time.Second)
+	return cl
+}
+
+// step lets time pass; operations end and nodes ask for loans meanwhile.
+func (cl *cluster) step(name string, elapsed time.Duration) {
+	for left := elapsed; left > 0; left -= BorrowInterval {
+		cl.now = cl.now.Add(min(left, BorrowInterval))
+		for _, mb := range cl.nodes {
+			mb.finish(name)
+			if !mb.paused && !mb.gone {
+				mb.limiter.Borrow(context.Background(), cl.lenders(), func() time.Time { return cl.now })
+			}
+		}
+	}
+}
+
+func (mb *member) finish(name string) {
+	var left []time.Time
+	for _, end := range mb.ends {
+		if end.After(mb.cluster.now) {
+			left = append(left, end)
+			continue
+		}
+		mb.limiter.Release(name)
+	}
+	mb.ends = left
+}
+
+func (mb *member) start(name string, length time.Duration) bool {
+	if mb.paused || mb.gone || !mb.limiter.Take(name, mb.cluster.now) {
+		return false
+	}
+	mb.ends = append(mb.ends, mb.cluster.now.Add(length))
+	return true
+}
+
+// inUse counts operations, those of nodes that are gone included.
+func (cl *cluster) inUse() int {
+	count := 0
+	for _, mb := range cl.nodes {
+		for _, end := range mb.ends {
+			if end.After(cl.now) {
+				count++
+			}
+		}
+	}
+	return count
+}
+
+const twoAtOnce = "[limits]\nweight-loads-per-second = 1\nweight-loads-at-once = 2\nadapters-in-transit = 16\n"
+
+// TestAtOnceIsNeverExceeded moves shares between nodes while they are paused,
+// cut off or replaced and messages are lost.
+func TestAtOnceIsNeverExceeded(t *testing.T) {
+	rapid.Check(t, func(rt *rapid.T) {
+		capacity := rapid.IntRange(1, 9).Draw(rt, "capacity")
+		text := fmt.Sprintf("[limits]\nweight-loads-at-once = %d\n", capacity)
+		cl := newCluster(rt, rapid.Uint64().Draw(rt, "seed"), 4, text)
+		cl.loseEvery = rapid.SampledFrom([]float64{0, 0.1, 0.5}).Draw(rt, "loss")
+		for range rapid.IntRange(1, 60).Draw(rt, "events") {
+			cl.event(rt)
+			require.LessOrEqual(rt, cl.inUse(), capacity)
+		}
+	})
+}
+
+func (cl *cluster) event(rt *rapid.T) {
+	mb := cl.nodes[rapid.IntRange(0, len(cl.nodes)-1).Draw(rt, "node")]
+	switch rapid.IntRange(0, 6).Draw(rt, "event") {
+	case 0:
+		mb.cut = !mb.cut
+	case 1:
+		mb.paused = !mb.paused
+	case 2:
+		cl.step(WeightStoreAtOnce, time.Duration(rapid.IntRange(1, 90).Draw(rt, "wait"))*time.Second)
+	case 3:
+		cl.replace(rt, mb)
+	default:
+		length := time.Duration(rapid.IntRange(1, int(weightLoadBound.Seconds())).Draw(rt, "length")) * time.Second
+		for range 4 {
+			mb.start(WeightStoreAtOnce, length)
+		}
+		cl.step(WeightStoreAtOnce, BorrowInterval)
+	}
+}
+
+// replace ends a node; a new one takes over its slot.
+func (cl *cluster) replace(rt *rapid.T, mb *member) {
+	if mb.gone || len(cl.nodes) > 12 {
+		return
+	}
+	mb.gone = true
+	st, faults := configurer.Parse([]configurer.File{{Name: "limits.ini", Text: fmt.Sprintf("[limits]\nweight-loads-at-once = %d\n", cl.capacityOf(WeightStoreAtOnce))}})
+	require.Empty(rt, faults)
+	slot := mb.slot
+	mb.slot = NoSlot
+	cl.add(slot, 4, st)
+}
+
+func (cl *cluster) capacityOf(name string) int {
+	return int(cl.nodes[0].limiter.accounts[name].limit.capacity)
+}
+
+func TestAllDemandOnOneNodeUsesTheLimit(t *testing.T) {
+	cl := newCluster(t, 1, 4, twoAtOnce+"[caller.desk]\nkey-sha256 = 2cf24dba5fb0a30e26e83b2ac5b9e29e1b161e5c1fa7425e73043362938b9824\nquota = 100\nburst = 1\n")
+	for _, tc := range []struct {
+		name     string
+		capacity float64
+	}{{WeightStoreAtOnce, 2}, {AdaptersAtOnce, 16}, {CallerLimit("desk"), 100}} {
+		for range 40 {
+			for range 30 {
+				if !cl.nodes[3].limiter.Take(tc.name, cl.now) {
+					break
+				}
+			}
+			cl.step(tc.name, 100*time.Millisecond)
+		}
+		require.GreaterOrEqual(t, cl.nodes[3].limiter.Share(tc.name, cl.now), 0.8*tc.capacity, tc.name)
+	}
+}
+
+// TestRateIsNotExceededWhileSharesMove lets the demand jump between nodes, one
+// of which is paused, and counts the uses of all of them.
+func TestRateIsNotExceededWhileSharesMove(t *testing.T) {
+	const quota, seconds = 100.0, 60
+	cl := newCluster(t, 2, 4, "[caller.desk]\nkey-sha256 = 2cf24dba5fb0a30e26e83b2ac5b9e29e1b161e5c1fa7425e73043362938b9824\nquota = 100\nburst = 20\n")
+	cl.loseEvery = 0.2
+	name := CallerLimit("desk")
+	uses := 0
+	for tick := range seconds * 100 {
+		cl.now = cl.now.Add(10 * time.Millisecond)
+		cl.nodes[1].paused = tick/500%3 == 1
+		hot := cl.nodes[tick/700%4]
+		for range 5 {
+			if !hot.paused && hot.limiter.Take(name, cl.now) {
+				uses++
+			}
+		}
+		if tick%50 == 0 {
+			for _, mb := range cl.nodes {
+				if !mb.paused {
+					mb.limiter.Borrow(context.Background(), cl.lenders(), func() time.Time { return cl.now })
+				}
+			}
+		}
+	}
+	// Beyond the rate there are the burst, what is saved, and one a node.
+	most := quota*seconds + 20 + quota*saveTime.Seconds() + 4
+	t.Logf("%d uses", uses)
+	require.LessOrEqual(t, float64(uses), most)
+}
+
+// TestRateIsUsedByOneNode offers all demand to one node and counts its uses
+// once it had time to borrow.
+func TestRateIsUsedByOneNode(t *testing.T) {
+	const quota, seconds = 100.0, 30
+	cl := newCluster(t, 2, 4, "[caller.desk]\nkey-sha256 = 2cf24dba5fb0a30e26e83b2ac5b9e29e1b161e5c1fa7425e73043362938b9824\nquota = 100\nburst = 20\n")
+	name := CallerLimit("desk")
+	uses := 0
+	for tick := range seconds * 100 {
+		cl.now = cl.now.Add(10 * time.Millisecond)
+		for range 5 {
+			if cl.nodes[2].limiter.Take(name, cl.now) && tick >= 500 {
+				uses++
+			}
+		}
+		if tick%50 == 0 {
+			for _, mb := range cl.nodes {
+				mb.limiter.Borrow(context.Background(), cl.lenders(), func() time.Time { return cl.now })
+			}
+		}
+	}
+	require.GreaterOrEqual(t, float64(uses), 0.8*quota*(seconds-5))
+	require.LessOrEqual(t, float64(uses), quota*seconds+20+quota*saveTime.Seconds()+1)
+}
+
+// TestPausedLenderKeepsItsPromise pauses a lender until after its loan ended:
+// it may use its part again only then.
+func TestPausedLenderKeepsItsPromise(t *testing.T) {
+	cl := newCluster(t, 3, 4, twoAtOnce)
+	holder := cl.holderOf(WeightStoreAtOnce)
+	other := cl.nodes[(holder.slot+1)%4]
+	for range 3 {
+		other.start(WeightStoreAtOnce, time.Minute)
+		other.start(WeightStoreAtOnce, time.Minute)
+		cl.step(WeightStoreAtOnce, BorrowInterval)
+	}
+	require.Equal(t, 2, cl.inUse())
+	holder.paused = true
+	cl.step(WeightStoreAtOnce, 30*time.Second)
+	holder.paused = false
+	require.False(t, holder.start(WeightStoreAtOnce, time.Minute), "the part is still in use by the borrower")
+	require.LessOrEqual(t, cl.inUse(), 2)
+}
+
+func (cl *cluster) holderOf(name string) *member {
+	for _, mb := range cl.nodes {
+		if mb.slot == Shareholders(name, 4)[0] {
+			return mb
+		}
+	}
+	return nil
+}
+
+func TestClaimSlot(t *testing.T) {
+	ctx := t.Context()
+	mem := platform.NewMemory()
+	all := func(string) bool { return true }
+	for ix := range 4 {
+		slot, err := ClaimSlot(ctx, mem, fmt.Sprintf("n%d", ix), 4, all)
+		require.NoError(t, err)
+		require.Equal(t, ix, slot)
+	}
+	_, err := ClaimSlot(ctx, mem, "n4", 4, all)
+	require.ErrorIs(t, err, ErrNoSlot)
+	slot, err := ClaimSlot(ctx, mem, "n4", 4, func(node string) bool { return node != "n2" })
+	require.NoError(t, err)
+	require.Equal(t, 2, slot, "the slot of a VM that is not listed any more")
+	slot, err = ClaimSlot(ctx, mem, "n4", 4, all)
+	require.NoError(t, err)
+	require.Equal(t, 2, slot, "a slot that is held already")
+}
+
+func TestClaimSlotSettlesLostAnswer(t *testing.T) {
+	mem := platform.NewMemory()
+	mem.LoseAnswers(1)
+	slot, err := ClaimSlot(t.Context(), mem, "n0", 4, func(string) bool { return true })
+	require.NoError(t, err)
+	require.Zero(t, slot)
+	en, err := mem.Get(t.Context(), slotKey(0))
+	require.NoError(t, err)
+	require.Equal(t, int64(1), en.Revision, "written once")
+}
+
+func TestLimitWithinFires(t *testing.T) {
+	defer checker.Reset()
+	checker.Reset()
+	ac := &account{limit: AtOnce(AdaptersAtOnce, 1, time.Second), own: 1, using: 2}
+	ac.assertWithin(time.Unix(1, 0))
+	require.Len(t, checker.Violations(), 1)
+	require.Equal(t, checker.LimitWithin, checker.Violations()[0].Invariant)
+}
--- a/internal/protocol/messenger/kinds.go
+++ b/internal/protocol/messenger/kinds.go
@@ -23,4 +23,7 @@
 var builders = map[Kind]func() Message{
 	KindPing: func() Message { return &Ping{} },
 	KindPong: func() Message { return &Pong{} },
+
+	KindShareRequest: func() Message { return &ShareRequest{} },
+	KindShareGrant:   func() Message { return &ShareGrant{} },
 }
--- /dev/null
+++ b/internal/protocol/messenger/share.go
@@ -0,0 +1,80 @@
+package messenger
+
+import "github.com/vmihailenco/msgpack/v5"
+
+// ShareRequest asks a peer to lend a part of a shared limit, extends loans of
+// units at once, and returns some.
+type ShareRequest struct {
+	// From is the borrower's node id.
+	From string
+	// Limit is the limit's name.
+	Limit string
+	// Number names the loan that is asked for; unique at the borrower.
+	Number uint64
+	// Wanted is the amount: uses a second, or operations at once. It may be 0.
+	Wanted float64
+	// Touch are the numbers of loans to extend.
+	Touch []uint64
+	// Return are the numbers of loans that are given back.
+	Return []uint64
+}
+
+// Kind implements Message.
+func (*ShareRequest) Kind() Kind { return KindShareRequest }
+
+// Encode implements Message.
+func (sr *ShareRequest) Encode(en *msgpack.Encoder) error {
+	if err := EncodeAll(en, sr.From, sr.Limit, sr.Number, sr.Wanted); err != nil {
+		return err
+	}
+	if err := EncodeList(en, sr.Touch, encodeNumber); err != nil {
+		return err
+	}
+	return EncodeList(en, sr.Return, encodeNumber)
+}
+
+// Decode implements Message.
+func (sr *ShareRequest) Decode(de *msgpack.Decoder) (err error) {
+	if err = DecodeAll(de, &sr.From, &sr.Limit, &sr.Number, &sr.Wanted); err != nil {
+		return err
+	}
+	if sr.Touch, err = DecodeList(de, decodeNumber); err != nil {
+		return err
+	}
+	sr.Return, err = DecodeList(de, decodeNumber)
+	return err
+}
+
+// ShareGrant answers a ShareRequest.
+type ShareGrant struct {
+	// Amount is what was lent under the request's number.
+	Amount float64
+	// Touched are the numbers of the loans that the lender knows.
+	Touched []uint64
+	// Recall is the amount that the lender needs back.
+	Recall float64
+}
+
+// Kind implements Message.
+func (*ShareGrant) Kind() Kind { return KindShareGrant }
+
+// Encode implements Message.
+func (sg *ShareGrant) Encode(en *msgpack.Encoder) error {
+	if err := EncodeAll(en, sg.Amount, sg.Recall); err != nil {
+		return err
+	}
+	return EncodeList(en, sg.Touched, encodeNumber)
+}
+
+// Decode implements Message.
+func (sg *ShareGrant) Decode(de *msgpack.Decoder) (err error) {
+	if err = DecodeAll(de, &sg.Amount, &sg.Recall); err != nil {
+		return err
+	}
+	sg.Touched, err = DecodeList(de, decodeNumber)
+	return err
+}
+
+func encodeNumber(en *msgpack.Encoder, number uint64) error { return en.EncodeUint(number) }
+
+func decodeNumber(de *msgpack.Decoder) (uint64, error) { return de.DecodeUint64() }
--- a/internal/state/configurer/domain.go
+++ b/internal/state/configurer/domain.go
@@ -218,6 +218,7 @@
 	bodyBytes             int64
 	storeWritesPerSecond  float64
 	storeReadsPerSecond   float64
+	entryNodes            int
 	addressesInAnswer     int
 	addressAnswerLifetime time.Duration
 }
@@ -246,6 +247,10 @@
 // StoreReadsPerSecond returns the reads of the platform's store by all nodes.
 func (lm *Limits) StoreReadsPerSecond() float64 { return lm.storeReadsPerSecond }
 
+// EntryNodes returns the number of entry nodes that the limits are divided
+// among.
+func (lm *Limits) EntryNodes() int { return lm.entryNodes }
+
 // AddressesInAnswer returns how many entry addresses a caller is told.
 func (lm *Limits) AddressesInAnswer() int { return lm.addressesInAnswer }
 
--- a/internal/state/configurer/schema.go
+++ b/internal/state/configurer/schema.go
@@ -118,6 +118,7 @@
 		bytesKey("body-bytes", "1MiB", kibibyte, 64*mebibyte, "largest request body", func(lm *Limits) *int64 { return &lm.bodyBytes }),
 		floatKey("store-writes-per-second", "200", 1, 1e5, "writes to the platform's store by all nodes", func(lm *Limits) *float64 { return &lm.storeWritesPerSecond }),
 		floatKey("store-reads-per-second", "1000", 1, 1e5, "reads of the platform's store by all nodes", func(lm *Limits) *float64 { return &lm.storeReadsPerSecond }),
+		intKey("entry-nodes", "4", 1, 10000, "entry nodes that the limits are divided among", func(lm *Limits) *int { return &lm.entryNodes }),
 		intKey("addresses-in-answer", "3", 1, 16, "entry addresses that a caller is told", func(lm *Limits) *int { return &lm.addressesInAnswer }),
 		durationKey("address-answer-lifetime", "30s", time.Second, time.Hour, "how long a caller keeps the addresses", func(lm *Limits) *time.Duration { return &lm.addressAnswerLifetime }),
 	)
