Check, retry and resume completions; drain nodes on a planned stop

Answers are parsed as they pass and only whole, own ones are passed off as whole. Failed sendings are repeated within a retry budget, broken streams are resumed by token number, silent connections are closed, and a planned stop waits for the lifetime of address answers.

--- a/internal/coordination/dispatcher/dispatcher.go
+++ b/internal/coordination/dispatcher/dispatcher.go
@@ -1,31 +1,41 @@
 // Package dispatcher takes a completion request of a caller from admission to
-// the end of its answer.
+// the last byte of its answer.
+//
+// A failed sending is repeated on another server within the retry budget, a
+// broken stream is resumed from its last token where the engine can, and what
+// reaches the caller is checked: it is the answer to its own request, without
+// a token repeated or skipped, and it ends as whole only if it is whole.
 //
 // # Usage
 //
-//	ds := dispatcher.New(admitter, forwarder, adapters)
+//	ds := dispatcher.New(admitter, forwarder, adapters, dispatcher.WithRegistry(registry))
 //	rf := ds.Dispatch(ctx, settings, request, responseWriter)
 //
-// Dispatch returns a refusal only while nothing was written to the caller.
+// Without a refusal the answer is whole. With one it is not: if nothing was
+// written, the caller gets the refusal as its answer; if a stream had begun,
+// an event "error" was its last and the connection has to be aborted.
 package dispatcher
 
 import (
 	"context"
-	"io"
+	"math/rand/v2"
 	"net/http"
-	"strconv"
+	"sync"
+	"sync/atomic"
 	"time"
 
+	"github.com/cespare/xxhash/v2"
+
 	"github.com/lagoonpass/lagoonpass/internal/coordination/admitter"
+	"github.com/lagoonpass/lagoonpass/internal/coordination/ejector"
+	"github.com/lagoonpass/lagoonpass/internal/coordination/retrier"
+	"github.com/lagoonpass/lagoonpass/internal/counter"
 	"github.com/lagoonpass/lagoonpass/internal/state/configurer"
 	"github.com/lagoonpass/lagoonpass/internal/transport/forwarder"
 	"github.com/lagoonpass/lagoonpass/pkg/refuser"
 )
 
-// copyBufferBytes is the size of the buffer between a stream's two ends.
-const copyBufferBytes = 4096
-
-// retryLater is what a caller is told to wait when no replica is ready.
+// retryLater is what a caller is told to wait before it tries again.
 const retryLater = time.Second
 
 // Request is one completion request after it was checked.
@@ -44,12 +54,25 @@
 	Path string
 	// Body is the JSON body as it goes to the backend server.
 	Body []byte
+	// Prompt is the text of the prompt.
+	Prompt string
 	// Stream says that the answer is a stream of events.
 	Stream bool
 	// MaxTokens is the greatest number of tokens of the answer.
 	MaxTokens int
 	// Deadline is when the answer becomes worthless.
 	Deadline time.Time
+	// ResumeFrom is the number of tokens that the caller already has, from a
+	// stream with the same ID that broke off.
+	ResumeFrom int
+	// Once says that the caller forbids to send the request a second time.
+	Once bool
+}
+
+// Admission grants the right to send a request.
+type Admission interface {
+	// Admit waits for a grant, or refuses with outcome not-run.
+	Admit(ctx context.Context, st *configurer.Settings, tk *admitter.Ticket) (*admitter.Grant, *refuser.Refusal)
 }
 
 // Adapters makes adapters ready on backend servers.
@@ -60,88 +83,77 @@
 
 // Dispatcher runs requests on backend servers.
 type Dispatcher struct {
-	admitter  *admitter.Admitter
+	admission Admission
 	forwarder *forwarder.Forwarder
 	adapters  Adapters
-}
+	registry  *counter.Registry
+	ejector   *ejector.Ejector
+	budget    *retrier.Budget
+	suspects  *retrier.Suspects
+	buffered  atomic.Int64
 
-// New returns a dispatcher that sends what the admitter grants.
-func New(am *admitter.Admitter, fw *forwarder.Forwarder, ad Adapters) *Dispatcher {
-	return &Dispatcher{admitter: am, forwarder: fw, adapters: ad}
+	randomMu sync.Mutex
+	random   *rand.Rand
 }
 
-// Dispatch runs the request and copies its answer to wr.
-func (ds *Dispatcher) Dispatch(ctx context.Context, st *configurer.Settings, rq *Request, wr http.ResponseWriter) *refuser.Refusal {
-	ctx, cancel := context.WithDeadline(ctx, rq.Deadline)
-	defer cancel()
-	gr, rf := ds.admitter.Admit(ctx, st, ticketOf(rq))
-	if rf != nil {
-		return rf
-	}
-	defer gr.Done(admitter.Result{})
-	if rq.Adapter != nil {
-		if err := ds.adapters.Ensure(ctx, gr.Server(), rq.Adapter); err != nil {
-			return refuser.New(refuser.NoWorker, "adapter %q was not loaded: %v", rq.Adapter.Name(), err).WithRetryAfter(retryLater)
-		}
-	}
-	rs, err := ds.forwarder.Send(ctx, backendRequest(gr.Address(), rq))
-	if err != nil {
-		return refusalOf(err)
-	}
-	defer func() { _ = rs.Body.Close() }()
-	wr.Header().Set("Content-Type", rs.Header.Get("Content-Type"))
-	wr.WriteHeader(rs.StatusCode)
-	copyFlushing(wr, rs.Body)
-	return nil
-}
+// Option changes a Dispatcher that is being made.
+type Option func(*Dispatcher)
 
-func ticketOf(rq *Request) *admitter.Ticket {
-	return &admitter.Ticket{
-		ID:        rq.ID,
-		Caller:    rq.Caller,
-		Class:     rq.Class,
-		Model:     rq.Model,
-		Adapter:   rq.Adapter,
-		Bytes:     len(rq.Body),
-		MaxTokens: rq.MaxTokens,
-		Deadline:  rq.Deadline,
-	}
-}
+// WithRegistry makes the dispatcher count retries by reason.
+func WithRegistry(rg *counter.Registry) Option { return func(ds *Dispatcher) { ds.registry = rg } }
+
+// WithEjector tells the ejector how each sending ended.
+func WithEjector(ej *ejector.Ejector) Option { return func(ds *Dispatcher) { ds.ejector = ej } }
+
+// WithRandom replaces the source of the jitter.
+func WithRandom(random *rand.Rand) Option { return func(ds *Dispatcher) { ds.random = random } }
 
-func backendRequest(address string, rq *Request) forwarder.Request {
-	hd := http.Header{}
-	hd.Set("Content-Type", "application/json")
-	hd.Set("X-Request-Id", rq.ID)
-	hd.Set("X-Priority", strconv.Itoa(rq.Class.Rank()))
-	return forwarder.Request{
-		Address: address,
-		Method:  http.MethodPost,
-		Path:    rq.Path,
-		Header:  hd,
-		Body:    rq.Body,
+// New returns a dispatcher that sends what the admission grants.
+func New(am Admission, fw *forwarder.Forwarder, ad Adapters, opts ...Option) *Dispatcher {
+	ds := &Dispatcher{
+		admission: am,
+		forwarder: fw,
+		adapters:  ad,
+		ejector:   ejector.New(),
+		budget:    retrier.NewBudget(),
+		suspects:  retrier.NewSuspects(),
+		random:    rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64())),
 	}
+	for _, opt := range opts {
+		opt(ds)
+	}
+	return ds
 }
 
-func refusalOf(err error) *refuser.Refusal {
-	if forwarder.NotSent(err) {
-		return refuser.New(refuser.BackendUnreachable, "%v", err).WithRetryAfter(retryLater)
+// Dispatch runs the request and writes its answer to wr.
+func (ds *Dispatcher) Dispatch(ctx context.Context, st *configurer.Settings, rq *Request, wr http.ResponseWriter) *refuser.Refusal {
+	up, cancel := context.WithDeadline(context.WithoutCancel(ctx), rq.Deadline)
+	unlink := context.AfterFunc(ctx, cancel)
+	rl := newRelay(&ds.buffered, rq.ID, rq.ResumeFrom)
+	ex := &execution{
+		ds:          ds,
+		settings:    st,
+		request:     rq,
+		relay:       rl,
+		progress:    newProgress(rq.ID, rq.ResumeFrom),
+		fingerprint: xxhash.Sum64(rq.Body),
+		caller:      ctx,
 	}
-	return refuser.New(refuser.BackendFailed, "%v", err).WithOutcome(refuser.Unknown)
+	go func() {
+		defer cancel()
+		rl.end(ex.run(up, unlink))
+		ex.drain(cancel)
+	}()
+	rf, err := rl.deliver(wr)
+	if err != nil {
+		cancel()
+		return refuser.New(refuser.Cancelled, "caller took no more of the answer: %v", err).WithOutcome(refuser.Unknown)
+	}
+	return rf
 }
 
-func copyFlushing(wr http.ResponseWriter, rd io.Reader) {
-	ct := http.NewResponseController(wr)
-	buf := make([]byte, copyBufferBytes)
-	for {
-		count, err := rd.Read(buf)
-		if count > 0 {
-			if _, werr := wr.Write(buf[:count]); werr != nil {
-				return
-			}
-			_ = ct.Flush()
-		}
-		if err != nil {
-			return
-		}
-	}
+func (ds *Dispatcher) backoff(rt *configurer.Retries, retry int) time.Duration {
+	ds.randomMu.Lock()
+	defer ds.randomMu.Unlock()
+	return retrier.Backoff(rt, retry, ds.random)
 }
--- /dev/null
+++ b/internal/coordination/dispatcher/progress.go
@@ -0,0 +1,141 @@
+package dispatcher
+
+import (
+	"encoding/json"
+
+	"github.com/go-faster/errors"
+)
+
+// Faults of an answer.
+var (
+	errForeign = errors.New("answer belongs to another request")
+	errGap     = errors.New("tokens are missing or out of order")
+	errNoIndex = errors.New("a resumed stream does not number its tokens")
+	errEngine  = errors.New("the engine reported an error")
+)
+
+// chunk is the part of an answer that is checked. An answer that is no stream
+// has the same shape.
+type chunk struct {
+	ID         string          `json:"id"`
+	TokenIndex *int            `json:"token_index"`
+	Error      json.RawMessage `json:"error"`
+	Choices    []choice        `json:"choices"`
+}
+
+type choice struct {
+	Index        int     `json:"index"`
+	FinishReason *string `json:"finish_reason"`
+	Text         string  `json:"text"`
+	Delta        struct {
+		Content string `json:"content"`
+	} `json:"delta"`
+}
+
+func (ck *chunk) hasContent() bool {
+	for _, ch := range ck.Choices {
+		if ch.Text != "" || ch.Delta.Content != "" {
+			return true
+		}
+	}
+	return false
+}
+
+func (ck *chunk) hasFinish() bool {
+	for _, ch := range ck.Choices {
+		if ch.FinishReason != nil && *ch.FinishReason != "" {
+			return true
+		}
+	}
+	return false
+}
+
+// progress is how far an answer has got, over all its sendings.
+type progress struct {
+	id string
+	// from is the number of tokens that the caller had before this request.
+	from int
+	// next is the number of the token that comes next.
+	next int
+	// chunks counts the chunks that were passed on.
+	chunks int
+	// unnumbered says that a token came without its number.
+	unnumbered bool
+	// choices says of each choice seen whether it has its finish reason.
+	choices map[int]bool
+}
+
+func newProgress(id string, from int) *progress {
+	return &progress{id: id, from: from, next: from, choices: map[int]bool{}}
+}
+
+// begun reports whether the caller already has a part of the answer.
+func (pr *progress) begun() bool { return pr.chunks > 0 || pr.from > 0 }
+
+// resumable reports whether the stream can be continued by token number.
+func (pr *progress) resumable() bool { return !pr.unnumbered && len(pr.choices) <= 1 }
+
+// finished reports whether every choice has its finish reason.
+func (pr *progress) finished() bool {
+	for _, done := range pr.choices {
+		if !done {
+			return false
+		}
+	}
+	return len(pr.choices) > 0
+}
+
+// accept checks the next chunk of a stream and reports whether it is passed
+// on; a chunk that repeats what the caller has is not.
+func (pr *progress) accept(ck *chunk, resumed bool) (bool, error) {
+	if len(ck.Error) > 0 {
+		return false, errEngine
+	}
+	if ck.ID != pr.id {
+		return false, errForeign
+	}
+	if ck.hasContent() {
+		keep, err := pr.acceptToken(ck, resumed)
+		if err != nil || !keep {
+			return false, err
+		}
+	} else if repeated, err := pr.checkEnd(ck, resumed); repeated || err != nil {
+		return false, err
+	}
+	for _, ch := range ck.Choices {
+		pr.choices[ch.Index] = pr.choices[ch.Index] || ch.FinishReason != nil && *ch.FinishReason != ""
+	}
+	pr.chunks++
+	return true, nil
+}
+
+func (pr *progress) acceptToken(ck *chunk, resumed bool) (bool, error) {
+	if ck.TokenIndex == nil {
+		if resumed {
+			return false, errNoIndex
+		}
+		pr.unnumbered = true
+		pr.next++
+		return true, nil
+	}
+	if *ck.TokenIndex < pr.next {
+		return false, nil
+	}
+	if *ck.TokenIndex > pr.next {
+		return false, errGap
+	}
+	pr.next++
+	return true, nil
+}
+
+// checkEnd reports whether a chunk without content repeats one that was passed
+// on, and refuses a finish reason that comes before all numbered tokens did.
+func (pr *progress) checkEnd(ck *chunk, resumed bool) (bool, error) {
+	if !ck.hasFinish() {
+		return resumed && pr.chunks > 0 && len(ck.Choices) > 0, nil
+	}
+	if ck.TokenIndex != nil && *ck.TokenIndex != pr.next {
+		return false, errGap
+	}
+	return pr.finished(), nil
+}
--- a/internal/demonstrator/demonstrator.go
+++ b/internal/demonstrator/demonstrator.go
@@ -235,6 +235,7 @@
 func (dm *Demo) Stop() {
 	for _, en := range dm.nodes {
 		en.stop()
+		en.node.Abort()
 	}
 	for _, sv := range dm.servers {
 		_ = sv.Close()
--- a/internal/runner/runner.go
+++ b/internal/runner/runner.go
@@ -15,6 +15,7 @@
 	"math/rand/v2"
 	"net"
 	"net/http"
+	"sync"
 	"sync/atomic"
 	"time"
 
@@ -38,9 +39,6 @@
 	"github.com/lagoonpass/lagoonpass/internal/transport/forwarder"
 )
 
-// drainTimeout bounds a planned stop before any configuration is in force.
-const drainTimeout = 10 * time.Second
-
 // Node is one entry node.
 type Node struct {
 	identity  *identifier.Node
@@ -57,6 +55,11 @@
 	callerNet net.Listener
 	peerNet   net.Listener
 	leaving   atomic.Bool
+	server    *server.Server
+	pause     Pause
+	drained   chan struct{}
+	aborted   chan struct{}
+	abortOnce sync.Once
 }
 
 // Option changes a Node that is being made.
@@ -66,6 +69,12 @@
 // name.
 func WithStore(st storer.Store) Option { return func(nd *Node) { nd.store = st } }
 
+// Pause returns a channel that delivers after the time has passed.
+type Pause func(time.Duration) <-chan time.Time
+
+// WithPause replaces the clock of a planned stop.
+func WithPause(ps Pause) Option { return func(nd *Node) { nd.pause = ps } }
+
 // New opens the node's listeners and returns it ready to run.
 func New(id *identifier.Node, opts ...Option) (*Node, error) {
 	nd := &Node{
@@ -75,6 +84,9 @@
 		holder:   &publisher.Holder{},
 		pool:     messenger.NewPool(),
 		watcher:  watcher.New(),
+		pause:    time.After,
+		drained:  make(chan struct{}),
+		aborted:  make(chan struct{}),
 	}
 	for _, opt := range opts {
 		opt(nd)
@@ -102,14 +114,30 @@
 func (nd *Node) buildServer() http.Handler {
 	fw := forwarder.New()
 	random := rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64()))
-	am := admitter.New(nd.watcher, ejector.New(), random)
-	return server.New(server.Parts{
+	ej := ejector.New(ejector.WithReplicas(nd.replicas), ejector.WithRegistry(nd.registry))
+	am := admitter.New(nd.watcher, ej, random)
+	ds := dispatcher.New(am, fw, &orderer.Adapters{}, dispatcher.WithRegistry(nd.registry), dispatcher.WithEjector(ej))
+	nd.server = server.New(server.Parts{
 		Holder:     nd.holder,
-		Dispatcher: dispatcher.New(am, fw, &orderer.Adapters{}),
+		Dispatcher: ds,
 		Forwarder:  fw,
 		View:       nd.prober.View,
 		Zone:       nd.identity.Zone(),
+		Registry:   nd.registry,
+		Leaving:    nd.leaving.Load,
 	})
+	return nd.server
+}
+
+// replicas tells the ejector which servers share a server's models.
+func (nd *Node) replicas(name string) map[string][]string {
+	sn := nd.watcher.Snapshot()
+	rp, _ := sn.Report(name)
+	groups := make(map[string][]string, len(rp.Models))
+	for model := range rp.Models {
+		groups[model] = sn.Replicas(model)
+	}
+	return groups
 }
 
 func (nd *Node) listen() error {
@@ -162,7 +190,6 @@
 	ctx, cancel := context.WithCancel(ctx)
 	gr.Add(func() error {
 		<-ctx.Done()
-		nd.leaving.Store(true)
 		nd.shutdown()
 		return nil
 	}, func(error) { cancel() })
@@ -178,9 +205,12 @@
 		if err := nd.web.Serve(nd.callerNet); !errors.Is(err, http.ErrServerClosed) {
 			return errors.Wrap(err, "serve callers")
 		}
-		nd.shutdown()
+		<-nd.drained
 		return nil
-	}, func(error) { _ = nd.web.Close() })
+	}, func(error) {
+		<-nd.drained
+		_ = nd.web.Close()
+	})
 }
 
 func (nd *Node) addPeers(gr *run.Group) {
@@ -190,16 +220,3 @@
 		nd.pool.Close()
 	})
 }
-
-// shutdown waits for the requests in progress.
-func (nd *Node) shutdown() {
-	dn := drainTimeout
-	if rv := nd.holder.Current(); rv != nil {
-		dn = rv.Settings().Timeouts().Drain()
-	}
-	ctx, cancel := context.WithTimeout(context.Background(), dn)
-	defer cancel()
-	if err := nd.web.Shutdown(ctx); err != nil {
-		log.WithError(err).Error("requests were still in progress when the drain time ended")
-	}
-}
--- a/internal/server/addresses.go
+++ b/internal/server/addresses.go
@@ -17,7 +17,7 @@
 	limit := sc.settings.Limits().AddressesInAnswer()
 	near, far := []string{}, []string{}
 	for _, mb := range sv.View().Members() {
-		if mb.State != prober.Alive {
+		if mb.State != prober.Alive || sv.leaving() && mb.ID == sv.View().Self() {
 			continue
 		}
 		if mb.Zone == sv.Zone {
--- a/internal/server/completions.go
+++ b/internal/server/completions.go
@@ -3,6 +3,8 @@
 import (
 	"encoding/json"
 	"net/http"
+	"strconv"
+	"strings"
 	"time"
 
 	"github.com/labstack/echo/v4"
@@ -16,10 +18,22 @@
 const (
 	headerClass    = "Lagoonpass-Class"
 	headerDeadline = "Lagoonpass-Deadline"
+	// headerRequestID names the request in every answer, and a broken stream
+	// in a request that continues it.
+	headerRequestID = "Lagoonpass-Request-Id"
+	// headerRetries set to none forbids to send a request a second time.
+	headerRetries = "Lagoonpass-Retries"
+	retriesNone   = "none"
+	// requestIDAlphabet is what request ids are made of.
+	requestIDAlphabet = "ABCDEFGHIJKLMNOPQRSTUVWXYZ234567"
 )
 
-// defaultMaxTokens is assumed for a request that sets no max_tokens.
-const defaultMaxTokens = 256
+const (
+	// defaultMaxTokens is assumed for a request that sets no max_tokens.
+	defaultMaxTokens = 256
+	// maxRequestIDBytes is the longest id that a caller may name.
+	maxRequestIDBytes = 64
+)
 
 func (sv *Server) complete(ec echo.Context) error {
 	sc, err := sv.enter(ec)
@@ -35,17 +49,29 @@
 		return err
 	}
 	rq.Path = ec.Request().URL.Path
-	if rf := sv.Dispatcher.Dispatch(ec.Request().Context(), sc.settings, rq, ec.Response()); rf != nil {
-		return rf
+	ec.Response().Header().Set(headerRequestID, rq.ID)
+	rf := sv.Dispatcher.Dispatch(ec.Request().Context(), sc.settings, rq, ec.Response())
+	if rf == nil {
+		return nil
 	}
-	return nil
+	if ec.Response().Committed {
+		sv.countRefusal(rf)
+		// The connection is cut off, so that no caller takes the part for the whole.
+		panic(http.ErrAbortHandler)
+	}
+	return rf
 }
 
 func parseCompletion(sc *scope, hd http.Header, body []byte) (*dispatcher.Request, error) {
 	var wire struct {
-		Model     string `json:"model"`
-		Stream    bool   `json:"stream"`
-		MaxTokens int    `json:"max_tokens"`
+		Model     string          `json:"model"`
+		Stream    bool            `json:"stream"`
+		MaxTokens int             `json:"max_tokens"`
+		Prompt    json.RawMessage `json:"prompt"`
+		Messages  []struct {
+			Role    string          `json:"role"`
+			Content json.RawMessage `json:"content"`
+		} `json:"messages"`
 	}
 	if err := json.Unmarshal(body, &wire); err != nil {
 		return nil, refuser.New(refuser.Malformed, "body is not a completions request: %v", err)
@@ -54,18 +80,65 @@
 		ID:        newRequestID(),
 		Caller:    sc.caller,
 		Body:      body,
+		Prompt:    text(wire.Prompt),
 		Stream:    wire.Stream,
 		MaxTokens: wire.MaxTokens,
+		Once:      hd.Get(headerRetries) == retriesNone,
+	}
+	for _, ms := range wire.Messages {
+		rq.Prompt += ms.Role + "\n" + text(ms.Content) + "\n"
 	}
 	if rq.MaxTokens <= 0 {
 		rq.MaxTokens = defaultMaxTokens
 	}
+	if err := findResumption(rq, hd); err != nil {
+		return nil, err
+	}
 	if err := findModel(sc, rq, wire.Model); err != nil {
 		return nil, err
 	}
 	return rq, findClass(sc, rq, hd)
 }
 
+// text returns the value of a JSON string, or other JSON as it is.
+func text(raw json.RawMessage) string {
+	var tx string
+	if json.Unmarshal(raw, &tx) == nil {
+		return tx
+	}
+	return string(raw)
+}
+
+// findResumption reads which broken stream the request continues.
+func findResumption(rq *dispatcher.Request, hd http.Header) error {
+	tx := hd.Get(dispatcher.HeaderResumeFrom)
+	if tx == "" {
+		return nil
+	}
+	from, err := strconv.Atoi(tx)
+	if err != nil || from < 0 || from > rq.MaxTokens {
+		return refuser.New(refuser.Malformed, "%s: found %q; allowed: a number of tokens up to max_tokens", dispatcher.HeaderResumeFrom, tx)
+	}
+	id := hd.Get(headerRequestID)
+	if !validRequestID(id) {
+		return refuser.New(refuser.Malformed, "%s: found %q; allowed: the id that the broken answer carried", headerRequestID, id)
+	}
+	if !rq.Stream {
+		return refuser.New(refuser.Malformed, "%s: allowed only with \"stream\": true", dispatcher.HeaderResumeFrom)
+	}
+	rq.ID, rq.ResumeFrom = id, from
+	return nil
+}
+
+func validRequestID(id string) bool {
+	for _, ch := range id {
+		if !strings.ContainsRune(requestIDAlphabet, ch) {
+			return false
+		}
+	}
+	return id != "" && len(id) <= maxRequestIDBytes
+}
+
 // findModel resolves the name of a model or of an adapter.
 func findModel(sc *scope, rq *dispatcher.Request, name string) error {
 	if ad, ok := sc.settings.Adapter(name); ok {
--- a/internal/server/server.go
+++ b/internal/server/server.go
@@ -12,6 +12,7 @@
 	"io"
 	"net/http"
 	"strconv"
+	"sync/atomic"
 	"time"
 
 	"github.com/labstack/echo/v4"
@@ -19,6 +20,7 @@
 	"github.com/lagoonpass/lagoonpass/internal/coordination/dispatcher"
 	"github.com/lagoonpass/lagoonpass/internal/coordination/prober"
 	"github.com/lagoonpass/lagoonpass/internal/coordination/publisher"
+	"github.com/lagoonpass/lagoonpass/internal/counter"
 	"github.com/lagoonpass/lagoonpass/internal/state/configurer"
 	"github.com/lagoonpass/lagoonpass/internal/transport/forwarder"
 	"github.com/lagoonpass/lagoonpass/pkg/refuser"
@@ -36,12 +38,17 @@
 	View func() *prober.View
 	// Zone is the node's availability zone.
 	Zone string
+	// Registry counts refusals by reason.
+	Registry *counter.Registry
+	// Leaving reports whether a planned stop has begun; nil means never.
+	Leaving func() bool
 }
 
 // Server serves callers and operators.
 type Server struct {
 	Parts
-	echo *echo.Echo
+	echo     *echo.Echo
+	inFlight atomic.Int64
 }
 
 // New returns a server of the parts.
@@ -54,7 +61,20 @@
 }
 
 // ServeHTTP implements http.Handler.
-func (sv *Server) ServeHTTP(wr http.ResponseWriter, rq *http.Request) { sv.echo.ServeHTTP(wr, rq) }
+func (sv *Server) ServeHTTP(wr http.ResponseWriter, rq *http.Request) {
+	sv.inFlight.Add(1)
+	defer sv.inFlight.Add(-1)
+	if sv.leaving() {
+		// The caller's next request goes to a node that stays.
+		wr.Header().Set("Connection", "close")
+	}
+	sv.echo.ServeHTTP(wr, rq)
+}
+
+// InFlight returns the number of requests in progress.
+func (sv *Server) InFlight() int64 { return sv.inFlight.Load() }
+
+func (sv *Server) leaving() bool { return sv.Leaving != nil && sv.Leaving() }
 
 func (sv *Server) routes() {
 	sv.echo.POST("/v1/chat/completions", sv.complete)
@@ -71,6 +91,7 @@
 		return
 	}
 	rf := asRefusal(err)
+	sv.countRefusal(rf)
 	if rf.RetryAfter() > 0 {
 		seconds := int64((rf.RetryAfter() + time.Second - 1) / time.Second)
 		ec.Response().Header().Set("Retry-After", strconv.FormatInt(seconds, 10))
@@ -78,6 +99,10 @@
 	_ = ec.Blob(rf.Status(), echo.MIMEApplicationJSON, refuser.Encode(rf))
 }
 
+func (sv *Server) countRefusal(rf *refuser.Refusal) {
+	sv.Registry.Inc("refusal", string(rf.Reason()))
+}
+
 // scope is what a request was found to be allowed.
 type scope struct {
 	settings *configurer.Settings
--- a/internal/standin/engine/engine.go
+++ b/internal/standin/engine/engine.go
@@ -43,6 +43,7 @@
 	down        bool
 	runs        map[string]int
 
+	faults
 	queue queue
 }
 
--- a/internal/standin/engine/generate.go
+++ b/internal/standin/engine/generate.go
@@ -3,7 +3,9 @@
 import (
 	"encoding/json"
 	"fmt"
+	"io"
 	"net/http"
+	"strconv"
 	"time"
 )
 
@@ -26,8 +28,12 @@
 }
 
 func (eg *Engine) serveCompletion(wr http.ResponseWriter, rq *http.Request) {
+	body, err := io.ReadAll(rq.Body)
+	if err != nil {
+		return
+	}
 	var call completionCall
-	if err := json.NewDecoder(rq.Body).Decode(&call); err != nil {
+	if err := json.Unmarshal(body, &call); err != nil {
 		refuse(wr, http.StatusBadRequest, "malformed")
 		return
 	}
@@ -42,59 +48,113 @@
 		return
 	}
 	defer eg.queue.leave()
-	id := rq.Header.Get("X-Request-Id")
-	eg.countRun(id)
-	if !pause(rq, eg.prefill) {
+	gn := &generation{Engine: eg, call: call, id: rq.Header.Get("X-Request-Id"), fault: eg.nextFault()}
+	gn.from, _ = strconv.Atoi(rq.Header.Get(headerResumeFrom))
+	if gn.fault.Kind == FaultRefuse {
+		refuse(wr, http.StatusServiceUnavailable, "overloaded")
+		return
+	}
+	eg.countRun(gn.id)
+	eg.crashIfMarked(string(body))
+	if !eg.pause(rq, eg.prefill) {
 		return
 	}
 	if call.Stream {
-		eg.stream(wr, rq, id, call)
+		gn.stream(wr, rq)
 		return
 	}
-	eg.answer(wr, rq, id, call)
+	gn.answer(wr, rq)
+}
+
+// headerResumeFrom carries the number of tokens of a stream that its receiver
+// has already.
+const headerResumeFrom = "Lagoonpass-Resume-From"
+
+// generation is one answer on its way.
+type generation struct {
+	*Engine
+	call  completionCall
+	id    string
+	from  int
+	fault Fault
 }
 
-func (eg *Engine) stream(wr http.ResponseWriter, rq *http.Request, id string, call completionCall) {
+func (gn *generation) stream(wr http.ResponseWriter, rq *http.Request) {
 	wr.Header().Set("Content-Type", "text/event-stream")
 	flush := http.NewResponseController(wr)
-	for ix := range call.MaxTokens {
-		if ix > 0 && !pause(rq, eg.tokenGap) {
+	for ix := gn.from; ix < gn.call.MaxTokens; ix++ {
+		if ix > gn.from && !gn.pause(rq, gn.tokenGap) {
+			return
+		}
+		if !gn.fault.apply(rq, ix) {
 			return
 		}
-		event(wr, chunk(id, call.Model, Token(id, ix), nil))
+		gn.sendToken(wr, ix)
 		_ = flush.Flush()
 	}
-	event(wr, chunk(id, call.Model, "", "length"))
+	if !gn.fault.apply(rq, gn.call.MaxTokens) {
+		return
+	}
+	event(wr, gn.chunk(gn.call.MaxTokens, "", "length"))
 	_, _ = fmt.Fprint(wr, "data: [DONE]\n\n")
+	if gn.fault.Kind == FaultLate {
+		event(wr, gn.chunk(0, Token(gn.id, 0), nil))
+	}
+}
+
+func (gn *generation) sendToken(wr http.ResponseWriter, ix int) {
+	if gn.fault.Kind == FaultSkip && ix == gn.fault.At {
+		return
+	}
+	event(wr, gn.chunk(ix, Token(gn.id, ix), nil))
+	if gn.fault.Kind == FaultRepeat && ix == gn.fault.At {
+		event(wr, gn.chunk(ix, Token(gn.id, ix), nil))
+	}
 }
 
-func (eg *Engine) answer(wr http.ResponseWriter, rq *http.Request, id string, call completionCall) {
+func (gn *generation) answer(wr http.ResponseWriter, rq *http.Request) {
 	text := ""
-	for ix := range call.MaxTokens {
-		if ix > 0 && !pause(rq, eg.tokenGap) {
+	for ix := range gn.call.MaxTokens {
+		if ix > 0 && !gn.pause(rq, gn.tokenGap) {
 			return
 		}
-		text += Token(id, ix)
+		if !gn.fault.apply(rq, ix) {
+			break
+		}
+		text += Token(gn.id, ix)
+	}
+	finish := any("length")
+	if gn.fault.Kind == FaultEnd {
+		finish = nil
 	}
 	writeJSON(wr, http.StatusOK, map[string]any{
-		"id":     id,
+		"id":     gn.answerID(0),
 		"object": "chat.completion",
-		"model":  call.Model,
+		"model":  gn.call.Model,
 		"choices": []map[string]any{{
 			"index":         0,
 			"message":       map[string]string{"role": "assistant", "content": text},
 			"text":          text,
-			"finish_reason": "length",
+			"finish_reason": finish,
 		}},
-		"usage": map[string]int{"completion_tokens": call.MaxTokens},
+		"usage": map[string]int{"completion_tokens": gn.call.MaxTokens},
 	})
 }
 
-func chunk(id, model, text string, finish any) map[string]any {
+// answerID returns the id that chunk ix carries.
+func (gn *generation) answerID(ix int) string {
+	if gn.fault.Kind == FaultForeign && ix >= gn.fault.At {
+		return "another-request"
+	}
+	return gn.id
+}
+
+func (gn *generation) chunk(ix int, text string, finish any) map[string]any {
 	return map[string]any{
-		"id":     id,
-		"object": "chat.completion.chunk",
-		"model":  model,
+		"id":          gn.answerID(ix),
+		"object":      "chat.completion.chunk",
+		"model":       gn.call.Model,
+		"token_index": ix,
 		"choices": []map[string]any{{
 			"index":         0,
 			"delta":         map[string]string{"content": text},
@@ -113,13 +173,14 @@
 }
 
 // pause waits and reports whether the caller still does.
-func pause(rq *http.Request, dn time.Duration) bool {
+func (eg *Engine) pause(rq *http.Request, dn time.Duration) bool {
 	tm := time.NewTimer(dn)
 	defer tm.Stop()
 	select {
 	case <-tm.C:
 		return true
 	case <-rq.Context().Done():
+		eg.countCancelled()
 		return false
 	}
 }
--- a/internal/transport/forwarder/forwarder.go
+++ b/internal/transport/forwarder/forwarder.go
@@ -23,8 +23,9 @@
 
 const (
 	dialTimeout     = time.Second
-	idleTimeout     = 30 * time.Second
-	idleConnections = 64
+	idleTimeout     = 5 * time.Second
+	idleConnections = 256
+	headerBytes     = 64 << 10
 )
 
 // Request is what goes to the backend server.
@@ -74,19 +75,37 @@
 	http *http.Client
 }
 
+// Dial opens a connection.
+type Dial func(ctx context.Context, network, address string) (net.Conn, error)
+
+// Option changes a Forwarder that is being made.
+type Option func(*http.Transport)
+
+// WithDial replaces the way connections are opened.
+func WithDial(dl Dial) Option { return func(tp *http.Transport) { tp.DialContext = dl } }
+
 // New returns a forwarder without connections.
-func New() *Forwarder {
+func New(opts ...Option) *Forwarder {
 	dl := &net.Dialer{Timeout: dialTimeout}
 	tp := &http.Transport{
-		DialContext:         dl.DialContext,
-		MaxIdleConnsPerHost: idleConnections,
-		IdleConnTimeout:     idleTimeout,
-		DisableCompression:  true,
+		DialContext:            dl.DialContext,
+		MaxIdleConnsPerHost:    idleConnections,
+		IdleConnTimeout:        idleTimeout,
+		MaxResponseHeaderBytes: headerBytes,
+		DisableCompression:     true,
+	}
+	for _, opt := range opts {
+		opt(tp)
 	}
 	noRedirect := func(*http.Request, []*http.Request) error { return http.ErrUseLastResponse }
 	return &Forwarder{http: &http.Client{Transport: tp, CheckRedirect: noRedirect}}
 }
 
+// DropIdle closes the connections that no request uses, after one of them
+// failed or fell silent: others that passed through the same place may be lost
+// as well without having shown it yet.
+func (fw *Forwarder) DropIdle() { fw.http.CloseIdleConnections() }
+
 // Send sends the request once and returns the answer's head. Its body has to
 // be closed. The error is an *Error.
 func (fw *Forwarder) Send(ctx context.Context, rq Request) (*http.Response, error) {
