--- a/internal/coordination/dispatcher/dispatcher.go
+++ b/internal/coordination/dispatcher/dispatcher.go
@@ -152,6 +152,9 @@
 	return rf
 }
 
+// Buffered returns the bytes that callers have not taken yet.
+func (ds *Dispatcher) Buffered() int64 { return ds.buffered.Load() }
+
 func (ds *Dispatcher) backoff(rt *configurer.Retries, retry int) time.Duration {
 	ds.randomMu.Lock()
 	defer ds.randomMu.Unlock()
--- /dev/null
+++ b/internal/coordination/dispatcher/dispatcher_test.go
@@ -0,0 +1,282 @@
+package dispatcher_test
+
+import (
+	"context"
+	"encoding/json"
+	"net/http/httptest"
+	"strings"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"github.com/lagoonpass/lagoonpass/internal/standin/engine"
+	"github.com/lagoonpass/lagoonpass/pkg/refuser"
+)
+
+func TestAnswerIsWhole(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		rg := newRig(t, 1, "yes")
+		defer rg.stop()
+		wr, rf := rg.run(rg.request("A", 5, false, ""))
+		require.Nil(t, rf)
+		var answer struct {
+			ID      string
+			Choices []struct{ Text string }
+		}
+		require.NoError(t, json.Unmarshal(wr.Body.Bytes(), &answer))
+		require.Equal(t, "A", answer.ID)
+		require.Equal(t, wantText("A", 0, 5), answer.Choices[0].Text)
+		wr, rf = rg.run(rg.request("B", 5, true, ""))
+		require.Nil(t, rf)
+		text, whole := streamText(t, wr)
+		require.True(t, whole)
+		require.Equal(t, wantText("B", 0, 5), text)
+	})
+}
+
+// TestStreamGoesWrong causes each fault of hazard 19 in a stream that can be
+// resumed.
+func TestStreamGoesWrong(t *testing.T) {
+	for name, tc := range map[string]struct {
+		faults []engine.Fault
+		reason refuser.Reason
+	}{
+		"breaks off before the first token":   {[]engine.Fault{{Kind: engine.FaultAbort}}, refuser.BackendFailed},
+		"breaks off":                          {[]engine.Fault{{Kind: engine.FaultAbort, At: 3}}, refuser.StreamBroken},
+		"ends cleanly without its end":        {[]engine.Fault{{Kind: engine.FaultEnd, At: 3}}, refuser.StreamBroken},
+		"ends before the finish reason":       {[]engine.Fault{{Kind: engine.FaultEnd, At: 6}}, refuser.StreamBroken},
+		"falls silent":                        {[]engine.Fault{{Kind: engine.FaultSilence, At: 3}}, refuser.BackendSilent},
+		"is silent from the start":            {[]engine.Fault{{Kind: engine.FaultSilence}}, refuser.BackendSilent},
+		"skips a token":                       {[]engine.Fault{{Kind: engine.FaultSkip, At: 2}}, refuser.StreamBroken},
+		"skips its last token":                {[]engine.Fault{{Kind: engine.FaultSkip, At: 5}}, refuser.StreamBroken},
+		"repeats a token":                     {[]engine.Fault{{Kind: engine.FaultRepeat, At: 2}}, ""},
+		"turns into another request's":        {[]engine.Fault{{Kind: engine.FaultForeign, At: 2}}, refuser.StreamBroken},
+		"is another request's":                {[]engine.Fault{{Kind: engine.FaultForeign}}, refuser.BackendFailed},
+		"has a late token":                    {[]engine.Fault{{Kind: engine.FaultLate}}, ""},
+		"is refused under load":               {[]engine.Fault{{Kind: engine.FaultRefuse}}, refuser.BackendRefused},
+		"skips after it was resumed":          {[]engine.Fault{{Kind: engine.FaultEnd, At: 2}, {Kind: engine.FaultSkip, At: 3}}, refuser.StreamBroken},
+		"repeats after it was resumed":        {[]engine.Fault{{Kind: engine.FaultEnd, At: 2}, {Kind: engine.FaultRepeat, At: 3}}, refuser.StreamBroken},
+		"is foreign after it was resumed":     {[]engine.Fault{{Kind: engine.FaultEnd, At: 2}, {Kind: engine.FaultForeign}}, refuser.StreamBroken},
+		"breaks off again after a resumption": {[]engine.Fault{{Kind: engine.FaultEnd, At: 2}, {Kind: engine.FaultAbort, At: 4}}, refuser.StreamBroken},
+	} {
+		for servers := 1; servers <= 2; servers++ {
+			t.Run(name, func(t *testing.T) {
+				synctest.Test(t, func(t *testing.T) {
+					rg := newRig(t, servers, "yes")
+					defer rg.stop()
+					rg.earn(40)
+					for ix, ft := range tc.faults {
+						rg.engines[rg.names[ix%servers]].Inject(ft)
+					}
+					wr, rf := rg.run(rg.request("A", 6, true, ""))
+					require.Nil(t, rf)
+					text, whole := streamText(t, wr)
+					require.True(t, whole)
+					require.Equal(t, wantText("A", 0, 6), text)
+					if tc.reason != "" {
+						require.EqualValues(t, len(tc.faults), retriesFor(rg, tc.reason, tc.faults))
+					}
+					// A late or foreign token reaches no later request either.
+					wr, rf = rg.run(rg.request("B", 4, true, ""))
+					require.Nil(t, rf)
+					text, _ = streamText(t, wr)
+					require.Equal(t, wantText("B", 0, 4), text)
+				})
+			})
+		}
+	}
+}
+
+// retriesFor counts the retries; a repeated token after a resumption needs none.
+func retriesFor(rg *rig, reason refuser.Reason, fts []engine.Fault) int64 {
+	count := rg.registry.Values()["retry."+string(reason)]
+	if len(fts) == 2 && fts[1].Kind == engine.FaultRepeat {
+		count++
+	}
+	return count
+}
+
+func TestStreamBreaksOffAndCannotBeResumed(t *testing.T) {
+	for _, kind := range []engine.FaultKind{engine.FaultAbort, engine.FaultEnd, engine.FaultSilence} {
+		synctest.Test(t, func(t *testing.T) {
+			rg := newRig(t, 2, "no")
+			defer rg.stop()
+			rg.earn(40)
+			rg.engines["w1"].Inject(engine.Fault{Kind: kind, At: 3})
+			wr, rf := rg.run(rg.request("A", 6, true, ""))
+			require.NotNil(t, rf)
+			require.Equal(t, refuser.StreamBroken, rf.Reason())
+			require.Equal(t, refuser.Unknown, rf.Outcome())
+			require.Contains(t, wr.Body.String(), "event: error\ndata: {\"error\":")
+			text, whole := streamText(t, wr)
+			require.False(t, whole)
+			require.Equal(t, wantText("A", 0, 3), text)
+			require.Zero(t, rg.engines["w2"].Runs("A"))
+		})
+	}
+}
+
+func TestAnswerIsCutOffOrForeign(t *testing.T) {
+	for _, kind := range []engine.FaultKind{engine.FaultAbort, engine.FaultEnd, engine.FaultForeign, engine.FaultSilence} {
+		synctest.Test(t, func(t *testing.T) {
+			rg := newRig(t, 1, "yes")
+			defer rg.stop()
+			rg.engines["w1"].Inject(engine.Fault{Kind: kind})
+			wr, rf := rg.run(rg.request("A", 6, false, ""))
+			require.NotNil(t, rf)
+			require.Equal(t, refuser.RetryBudget, rf.Reason())
+			require.Equal(t, refuser.Unknown, rf.Outcome())
+			require.Zero(t, wr.Body.Len())
+		})
+	}
+}
+
+func TestUnreachableServerIsNotRun(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		rg := newRig(t, 1, "yes")
+		defer rg.stop()
+		_ = rg.pipes["w1"].Close()
+		rq := rg.request("A", 6, false, "")
+		rq.Once = true
+		began := time.Now()
+		_, rf := rg.run(rq)
+		require.Equal(t, refuser.BackendUnreachable, rf.Reason())
+		require.Equal(t, refuser.NotRun, rf.Outcome())
+		require.Zero(t, time.Since(began), "a final refusal is given at once")
+	})
+}
+
+// TestRequestCrashesItsEngines causes hazard 20.
+func TestRequestCrashesItsEngines(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		rg := newRig(t, 5, "yes")
+		defer rg.stop()
+		rg.earn(60)
+		for _, eg := range rg.engines {
+			eg.CrashOn("lethal")
+		}
+		rq := rg.request("A", 6, true, "lethal")
+		_, rf := rg.run(rq)
+		require.Equal(t, refuser.BackendFailed, rf.Reason())
+		require.Equal(t, refuser.Unknown, rf.Outcome())
+		_, rf = rg.run(rq)
+		require.Equal(t, refuser.BackendFailed, rf.Reason())
+		require.Equal(t, refuser.NotRun, rf.Outcome())
+		require.Positive(t, rf.RetryAfter())
+		crashes := 0
+		for _, eg := range rg.engines {
+			crashes += eg.Crashes()
+		}
+		require.Equal(t, 2, crashes)
+	})
+}
+
+func TestCallerIsGone(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		rg := newRig(t, 1, "yes")
+		defer rg.stop()
+		ctx, cancel := context.WithCancel(t.Context())
+		ended := make(chan *refuser.Refusal, 1)
+		go func() {
+			ended <- rg.dispatch.Dispatch(ctx, rg.settings, rg.request("A", 1000, true, ""), httptest.NewRecorder())
+		}()
+		time.Sleep(time.Second)
+		cancel()
+		rf := <-ended
+		require.Equal(t, refuser.Cancelled, rf.Reason())
+		synctest.Wait()
+		require.Equal(t, 1, rg.engines["w1"].Cancelled())
+		require.Zero(t, rg.openGrants())
+	})
+}
+
+func TestStreamGoesOnAtAnotherNode(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		rg := newRig(t, 1, "yes")
+		defer rg.stop()
+		rq := rg.request("A", 6, true, "")
+		rq.ResumeFrom = 4
+		wr, rf := rg.run(rq)
+		require.Nil(t, rf)
+		text, whole := streamText(t, wr)
+		require.True(t, whole)
+		require.Equal(t, wantText("A", 4, 6), text)
+	})
+}
+
+// TestHalfOfTheWorkersFail causes hazard 25.
+func TestHalfOfTheWorkersFail(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		rg := newRig(t, 4, "yes")
+		defer rg.stop()
+		rg.earn(100)
+		rg.engines["w1"].SetDown(true)
+		rg.engines["w3"].SetDown(true)
+		const traffic = 400
+		whole := 0
+		for ix := range traffic {
+			rq := rg.request("R", 2, ix%2 == 0, string(rune('a'+ix%26))+time.Now().String())
+			if _, rf := rg.run(rq); rf == nil {
+				whole++
+			}
+			require.Equal(t, 1.0, rg.ejector.Weight("w2"))
+			require.Equal(t, 1.0, rg.ejector.Weight("w4"))
+		}
+		retries := int64(0)
+		for _, reason := range refuser.Reasons() {
+			retries += rg.registry.Values()["retry."+string(reason)]
+		}
+		require.Positive(t, retries)
+		require.LessOrEqual(t, retries, int64(traffic/10))
+		require.Positive(t, rg.registry.Values()["ejection.out"])
+		require.Greater(t, whole, traffic*8/10)
+	})
+}
+
+// slowWriter is a caller who takes nothing until told.
+type slowWriter struct {
+	*httptest.ResponseRecorder
+	taken chan struct{}
+}
+
+func (sw *slowWriter) Write(data []byte) (int, error) {
+	<-sw.taken
+	return sw.ResponseRecorder.Write(data)
+}
+
+// TestCallerReadsSlowly causes hazard 21.
+func TestCallerReadsSlowly(t *testing.T) {
+	for name, tc := range map[string]struct {
+		tokens int
+		reason refuser.Reason
+	}{
+		"an answer that fits the buffer": {100, ""},
+		"an answer that does not":        {4000, refuser.StreamBroken},
+	} {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				rg := newRig(t, 1, "yes")
+				defer rg.stop()
+				rq := rg.request("A", tc.tokens, true, "")
+				rq.Deadline = time.Now().Add(time.Hour)
+				sw := &slowWriter{ResponseRecorder: httptest.NewRecorder(), taken: make(chan struct{})}
+				ended := make(chan *refuser.Refusal, 1)
+				go func() { ended <- rg.dispatch.Dispatch(t.Context(), rg.settings, rq, sw) }()
+				time.Sleep(10 * time.Minute)
+				require.Zero(t, rg.openGrants(), "the accelerator is free although the caller has read nothing")
+				require.LessOrEqual(t, rg.dispatch.Buffered(), int64(256<<10))
+				close(sw.taken)
+				rf := <-ended
+				text, whole := streamText(t, sw.ResponseRecorder)
+				require.Equal(t, rf == nil, whole)
+				require.True(t, strings.HasPrefix(wantText("A", 0, tc.tokens), text))
+				if tc.reason != "" {
+					require.Equal(t, tc.reason, rf.Reason())
+				}
+				require.Zero(t, rg.dispatch.Buffered())
+			})
+		})
+	}
+}
--- /dev/null
+++ b/internal/coordination/dispatcher/invariants_test.go
@@ -0,0 +1,68 @@
+package dispatcher
+
+import (
+	"sync/atomic"
+	"testing"
+
+	"github.com/stretchr/testify/require"
+
+	"github.com/lagoonpass/lagoonpass/internal/checker"
+	"github.com/lagoonpass/lagoonpass/pkg/refuser"
+)
+
+func TestBrokenInvariantsAreSeen(t *testing.T) {
+	one, finish := 1, "stop"
+	token := func(id string, ix *int) *chunk {
+		return &chunk{ID: id, TokenIndex: ix, Choices: []choice{{Text: "x"}}}
+	}
+	for name, tc := range map[string]struct {
+		breach    func(*relay)
+		invariant checker.Invariant
+	}{
+		"foreign chunk":  {func(rl *relay) { _ = rl.pushChunk(token("B", nil), nil) }, checker.OwnAnswer},
+		"foreign answer": {func(rl *relay) { _ = rl.pushAnswer(&chunk{ID: "B", Choices: []choice{{FinishReason: &finish}}}, nil) }, checker.OwnAnswer},
+		"skipped token":  {func(rl *relay) { _ = rl.pushChunk(token("A", &one), nil) }, checker.WholeAnswer},
+		"no finish":      {func(rl *relay) { _ = rl.finishStream() }, checker.WholeAnswer},
+		"ended early":    {func(rl *relay) { rl.end(nil) }, checker.WholeAnswer},
+		"half an answer": {func(rl *relay) { _ = rl.pushAnswer(&chunk{ID: "A"}, nil) }, checker.WholeAnswer},
+		"dishonest": {func(*relay) {
+			assertHonest("A", refuser.New(refuser.BackendFailed, "x"), true)
+		}, checker.NotRunHonest},
+	} {
+		t.Run(name, func(t *testing.T) {
+			checker.Reset()
+			defer checker.Reset()
+			tc.breach(newRelay(&atomic.Int64{}, "A", 0))
+			require.Len(t, checker.Violations(), 1)
+			require.Equal(t, tc.invariant, checker.Violations()[0].Invariant)
+		})
+	}
+}
+
+func TestCallersShareTheNodesBuffer(t *testing.T) {
+	total := &atomic.Int64{}
+	total.Store(maxNodeBuffer - 100)
+	rl := newRelay(total, "A", 0)
+	require.NoError(t, rl.push(contentTypeEvents, make([]byte, 50)))
+	require.ErrorIs(t, rl.push(contentTypeEvents, make([]byte, 50)), errNodeBuffer)
+	rl.release()
+	require.EqualValues(t, maxNodeBuffer-100, total.Load())
+	require.ErrorIs(t, rl.push(contentTypeEvents, nil), errCallerGone)
+}
+
+func TestEventsOfSeveralLinesStayOneEvent(t *testing.T) {
+	rl := newRelay(&atomic.Int64{}, "A", 0)
+	require.NoError(t, rl.push(contentTypeEvents, []byte("{\"id\":\r\n\"A\"}")))
+	batch, _ := rl.take()
+	require.Equal(t, "data: {\"id\":\"A\"}\n\n", string(batch))
+}
+
+func TestPrefixesExtendEachOther(t *testing.T) {
+	long := make([]byte, 100*prefixBlockBytes)
+	short := Prefixes(string(long[:3*prefixBlockBytes+10]))
+	require.Len(t, short, 3)
+	require.Equal(t, short, Prefixes(string(long))[:3])
+	require.Len(t, Prefixes(string(long)), maxPrefixBlocks)
+	long[0] = 'x'
+	require.NotEqual(t, short[2], Prefixes(string(long))[2])
+}
--- /dev/null
+++ b/internal/transport/forwarder/forwarder_test.go
@@ -0,0 +1,68 @@
+package forwarder_test
+
+import (
+	"bufio"
+	"context"
+	"io"
+	"net"
+	"net/http"
+	"testing"
+	"testing/synctest"
+
+	"github.com/stretchr/testify/require"
+
+	"github.com/lagoonpass/lagoonpass/internal/transport/forwarder"
+)
+
+// closingServer answers the first request of a connection and closes it when
+// the second one has arrived.
+type closingServer struct{ arrived int }
+
+func (cs *closingServer) dial(context.Context, string, string) (net.Conn, error) {
+	near, far := net.Pipe()
+	go func() {
+		defer func() { _ = far.Close() }()
+		rd := bufio.NewReader(far)
+		for ix := range 2 {
+			rq, err := http.ReadRequest(rd)
+			if err != nil {
+				return
+			}
+			_, _ = io.Copy(io.Discard, rq.Body)
+			cs.arrived++
+			if ix == 0 {
+				_, _ = io.WriteString(far, "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok")
+			}
+		}
+	}()
+	return near, nil
+}
+
+// TestReusedConnectionIsClosed causes hazard 17: a reused connection dies
+// after a request, and nothing may send the request again by itself.
+func TestReusedConnectionIsClosed(t *testing.T) {
+	for name, rq := range map[string]forwarder.Request{
+		"post with key":     {Method: http.MethodPost, Header: http.Header{"Idempotency-Key": {"k"}}, Body: []byte("order")},
+		"post without key":  {Method: http.MethodPost, Body: []byte("order")},
+		"post with no body": {Method: http.MethodPost, Header: http.Header{"Idempotency-Key": {"k"}}},
+		"get":               {Method: http.MethodGet},
+	} {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				cs := &closingServer{}
+				fw := forwarder.New(forwarder.WithDial(cs.dial))
+				defer fw.DropIdle()
+				rq.Address, rq.Path = "backend:80", "/"
+				rs, err := fw.Send(t.Context(), rq)
+				require.NoError(t, err)
+				_, _ = io.Copy(io.Discard, rs.Body)
+				_ = rs.Body.Close()
+				synctest.Wait()
+				_, err = fw.Send(t.Context(), rq)
+				require.Error(t, err)
+				require.False(t, forwarder.NotSent(err))
+				require.Equal(t, 2, cs.arrived, "each request arrives once")
+			})
+		})
+	}
+}
