--- a/internal/coordination/dispatcher/dispatcher_test.go
+++ b/internal/coordination/dispatcher/dispatcher_test.go
@@ -47,6 +47,7 @@
 		"breaks off":                          {[]engine.Fault{{Kind: engine.FaultAbort, At: 3}}, refuser.StreamBroken},
 		"ends cleanly without its end":        {[]engine.Fault{{Kind: engine.FaultEnd, At: 3}}, refuser.StreamBroken},
 		"ends before the finish reason":       {[]engine.Fault{{Kind: engine.FaultEnd, At: 6}}, refuser.StreamBroken},
+		"has no finish reason":                {[]engine.Fault{{Kind: engine.FaultUnfinished}}, refuser.StreamBroken},
 		"falls silent":                        {[]engine.Fault{{Kind: engine.FaultSilence, At: 3}}, refuser.BackendSilent},
 		"is silent from the start":            {[]engine.Fault{{Kind: engine.FaultSilence}}, refuser.BackendSilent},
 		"skips a token":                       {[]engine.Fault{{Kind: engine.FaultSkip, At: 2}}, refuser.StreamBroken},
--- a/internal/coordination/dispatcher/faults_test.go
+++ b/internal/coordination/dispatcher/faults_test.go
@@ -23,7 +23,7 @@
 
 func drawPlan(t *rapid.T) plan {
 	fault := rapid.Custom(func(t *rapid.T) engine.Fault {
-		kind := rapid.IntRange(int(engine.FaultNone), int(engine.FaultRefuse)).Draw(t, "kind")
+		kind := rapid.IntRange(int(engine.FaultNone), int(engine.FaultUnfinished)).Draw(t, "kind")
 		return engine.Fault{Kind: engine.FaultKind(kind), At: rapid.IntRange(0, 8).Draw(t, "at")}
 	})
 	return plan{
--- /dev/null
+++ b/internal/runner/rig_test.go
@@ -0,0 +1,164 @@
+package runner_test
+
+import (
+	"bytes"
+	"context"
+	"fmt"
+	"io"
+	"net/http"
+	"net/http/httptest"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"github.com/lagoonpass/lagoonpass/internal/checker"
+	"github.com/lagoonpass/lagoonpass/internal/coordination/publisher"
+	"github.com/lagoonpass/lagoonpass/internal/runner"
+	"github.com/lagoonpass/lagoonpass/internal/standin/engine"
+	"github.com/lagoonpass/lagoonpass/internal/standin/platform"
+	"github.com/lagoonpass/lagoonpass/internal/state/configurer"
+	"github.com/lagoonpass/lagoonpass/internal/state/identifier"
+)
+
+const (
+	loopback     = "127.0.0.1:0"
+	readyTimeout = 20 * time.Second
+	pollInterval = 20 * time.Millisecond
+	settingsText = `
+[model.m]
+memory = 1GiB
+[class.c]
+rank = 0
+[limits]
+address-answer-lifetime = 1m
+[timeouts]
+drain = %s
+engine-silence = 1m
+[caller.t]
+key-sha256 = 9f86d081884c7d659a2feaa0c55ad015a3bf4f1b2b0b822cd15d6c15b0f00a08
+[engine-kind.k]
+checks-fencing = yes
+resumes = yes
+[backend-server.w1]
+kind = k
+address = %s
+zone = zone-a
+accelerators = 1
+memory = 80GiB
+cache-reserve = 20GiB
+adapter-reserve = 4GiB
+slots = 16
+`
+)
+
+// rig is two entry nodes before one stand-in engine, on loopback.
+type rig struct {
+	t       *testing.T
+	engine  *engine.Engine
+	nodes   []*runner.Node
+	stops   []context.CancelFunc
+	ended   []chan error
+	noticed chan time.Duration
+	release chan time.Time
+	gate    chan struct{}
+	open    func()
+}
+
+// gatedWriter holds token 20 back until the gate is open.
+type gatedWriter struct {
+	http.ResponseWriter
+	gate chan struct{}
+}
+
+func (gw *gatedWriter) Write(data []byte) (int, error) {
+	if bytes.Contains(data, []byte(`"token_index":20}`)) {
+		<-gw.gate
+	}
+	return gw.ResponseWriter.Write(data)
+}
+
+func (gw *gatedWriter) Unwrap() http.ResponseWriter { return gw.ResponseWriter }
+
+func newRig(t *testing.T, drain string, opts ...engine.Option) *rig {
+	checker.Reset()
+	rg := &rig{t: t, engine: engine.New("w1", opts...), noticed: make(chan time.Duration, 2), release: make(chan time.Time, 2), gate: make(chan struct{})}
+	rg.open = sync.OnceFunc(func() { close(rg.gate) })
+	backend := httptest.NewServer(http.HandlerFunc(func(wr http.ResponseWriter, rq *http.Request) {
+		rg.engine.Handler().ServeHTTP(&gatedWriter{wr, rg.gate}, rq)
+	}))
+	store := platform.NewMemory()
+	files := []configurer.File{{Name: "1.ini", Text: fmt.Sprintf(settingsText, drain, backend.Listener.Addr())}}
+	_, err := publisher.Apply(t.Context(), store, files, "test", 0)
+	require.NoError(t, err)
+	web := httptest.NewServer(platform.Handler(store, rg.vms))
+	for ix := range 2 {
+		id := identifier.New(fmt.Sprintf("entry-%d", ix+1), "zone-a", "region-1", loopback, loopback, web.URL, web.URL+"/v1/vms")
+		nd, err := runner.New(id, runner.WithPause(rg.pause))
+		require.NoError(t, err)
+		rg.nodes = append(rg.nodes, nd)
+	}
+	for _, nd := range rg.nodes {
+		ctx, cancel := context.WithCancel(context.Background())
+		ended := make(chan error, 1)
+		rg.stops, rg.ended = append(rg.stops, cancel), append(rg.ended, ended)
+		go func() { ended <- nd.Run(ctx) }()
+	}
+	t.Cleanup(func() {
+		rg.open()
+		for ix, nd := range rg.nodes {
+			rg.stops[ix]()
+			nd.Abort()
+			<-rg.ended[ix]
+		}
+		backend.CloseClientConnections()
+		backend.Close()
+		web.Close()
+		checker.Reset()
+	})
+	for ix := range rg.nodes {
+		require.Eventually(t, func() bool { return rg.ready(ix) }, readyTimeout, pollInterval)
+	}
+	return rg
+}
+
+func (rg *rig) pause(dn time.Duration) <-chan time.Time {
+	rg.noticed <- dn
+	return rg.release
+}
+
+func (rg *rig) vms() []platform.VM {
+	var all []platform.VM
+	for _, nd := range rg.nodes {
+		all = append(all, platform.VM{Name: nd.PeerAddress(), Address: nd.PeerAddress(), Zone: "zone-a", Kind: "entry", State: "live"})
+	}
+	return all
+}
+
+// ready reports whether the node serves the model and knows its peer.
+func (rg *rig) ready(ix int) bool {
+	rs := rg.call(http.DefaultClient, ix, "/v1/completions", `{"model":"m","max_tokens":1}`)
+	_, _ = io.Copy(io.Discard, rs.Body)
+	addresses, _ := io.ReadAll(rg.call(http.DefaultClient, ix, "/v1/addresses", "").Body)
+	return rs.StatusCode == http.StatusOK && strings.Contains(string(addresses), rg.nodes[1-ix].CallerAddress())
+}
+
+// call sends a GET, or a POST if there is a body.
+func (rg *rig) call(hc *http.Client, ix int, path, body string, headers ...string) *http.Response {
+	method := http.MethodGet
+	if body != "" {
+		method = http.MethodPost
+	}
+	rq, err := http.NewRequestWithContext(rg.t.Context(), method, "http://"+rg.nodes[ix].CallerAddress()+path, strings.NewReader(body))
+	require.NoError(rg.t, err)
+	rq.Header.Set("Authorization", "Bearer test")
+	for at := 0; at < len(headers); at += 2 {
+		rq.Header.Set(headers[at], headers[at+1])
+	}
+	rs, err := hc.Do(rq)
+	require.NoError(rg.t, err)
+	rg.t.Cleanup(func() { _ = rs.Body.Close() })
+	return rs
+}
--- a/internal/standin/engine/faults.go
+++ b/internal/standin/engine/faults.go
@@ -28,6 +28,8 @@
 	FaultLate
 	// FaultRefuse answers with status 503.
 	FaultRefuse
+	// FaultUnfinished ends the stream without a finish reason.
+	FaultUnfinished
 )
 
 // Fault is what goes wrong with one request.
--- a/internal/standin/engine/generate.go
+++ b/internal/standin/engine/generate.go
@@ -95,7 +95,9 @@
 	if !gn.fault.apply(rq, gn.call.MaxTokens) {
 		return
 	}
-	event(wr, gn.chunk(gn.call.MaxTokens, "", "length"))
+	if gn.fault.Kind != FaultUnfinished {
+		event(wr, gn.chunk(gn.call.MaxTokens, "", "length"))
+	}
 	_, _ = fmt.Fprint(wr, "data: [DONE]\n\n")
 	if gn.fault.Kind == FaultLate {
 		event(wr, gn.chunk(0, Token(gn.id, 0), nil))
