--- a/internal/coordination/dispatcher/attempt.go
+++ b/internal/coordination/dispatcher/attempt.go
@@ -166,6 +166,7 @@
 	hd.Set("X-Request-Id", rq.ID)
 	hd.Set("X-Priority", strconv.Itoa(rq.Class.Rank()))
 	if sn.progress.begun() {
+		sn.ds.registry.Inc("stream", "resumed")
 		hd.Set(HeaderResumeFrom, strconv.Itoa(sn.progress.next))
 	}
 	return forwarder.Request{
--- a/internal/coordination/dispatcher/dispatcher_test.go
+++ b/internal/coordination/dispatcher/dispatcher_test.go
@@ -3,6 +3,9 @@
 import (
 	"context"
 	"encoding/json"
+	"io"
+	"net"
+	"net/http"
 	"net/http/httptest"
 	"strings"
 	"testing"
@@ -190,6 +193,10 @@
 		synctest.Wait()
 		require.Equal(t, 1, rg.engines["w1"].Cancelled())
 		require.Zero(t, rg.openGrants())
+		wr, rf := rg.run(rg.request("B", 4, true, ""))
+		require.Nil(t, rf)
+		text, _ := streamText(t, wr)
+		require.Equal(t, wantText("B", 0, 4), text, "no late token of the cancelled request")
 	})
 }
 
@@ -281,3 +288,26 @@
 		})
 	}
 }
+
+// TestCallerStopsReading keeps a connection open and reads nothing more.
+func TestCallerStopsReading(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		rg := newRig(t, 1, "yes")
+		defer rg.stop()
+		ended := make(chan *refuser.Refusal, 1)
+		pl := &pipeListener{conns: make(chan net.Conn), closed: make(chan struct{})}
+		sv := &http.Server{Handler: http.HandlerFunc(func(wr http.ResponseWriter, rq *http.Request) {
+			ended <- rg.dispatch.Dispatch(rq.Context(), rg.settings, rg.request("A", 100, true, ""), wr)
+		})}
+		go func() { _ = sv.Serve(pl) }()
+		defer func() { _ = sv.Close() }()
+		cn, err := pl.dial(t.Context())
+		require.NoError(t, err)
+		_, err = io.WriteString(cn, "GET / HTTP/1.1\r\nHost: entry\r\n\r\n")
+		require.NoError(t, err)
+		rf := <-ended
+		require.Equal(t, refuser.Cancelled, rf.Reason())
+		require.Zero(t, rg.openGrants())
+		require.Zero(t, rg.dispatch.Buffered())
+	})
+}
--- a/internal/coordination/dispatcher/execution.go
+++ b/internal/coordination/dispatcher/execution.go
@@ -101,7 +101,7 @@
 	if ex.progress.begun() && !ex.progress.resumable() {
 		return last
 	}
-	if ex.deaths >= retrier.MaxDeaths || ex.attempts >= rt.Attempts() || ex.request.Once {
+	if ex.deaths >= retrier.MaxDeaths || max(ex.attempts, retry) >= rt.Attempts() || ex.request.Once {
 		return last
 	}
 	delay := ex.ds.backoff(rt, retry)
--- /dev/null
+++ b/internal/runner/bench_test.go
@@ -0,0 +1,143 @@
+package runner_test
+
+import (
+	"bufio"
+	"context"
+	"io"
+	"net/http"
+	"runtime"
+	"runtime/debug"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/HdrHistogram/hdrhistogram-go"
+	"github.com/stretchr/testify/require"
+
+	"github.com/lagoonpass/lagoonpass/internal/standin/engine"
+)
+
+const (
+	benchRate     = 2000
+	benchDuration = 5 * time.Second
+	benchWarmUp   = time.Second
+	benchStreams  = 2000
+	benchBody     = `{"model":"m","stream":true,"max_tokens":8}`
+)
+
+// timing collects how long streamed answers took.
+type timing struct {
+	mu      sync.Mutex
+	hist    *hdrhistogram.Histogram
+	first   *hdrhistogram.Histogram
+	refused int
+}
+
+func newTiming() *timing {
+	return &timing{hist: hdrhistogram.New(1, int64(time.Minute), 3), first: hdrhistogram.New(1, int64(time.Minute), 3)}
+}
+
+func (tm *timing) ask(hc *http.Client, address string, keep bool) {
+	began := time.Now()
+	rq, _ := http.NewRequestWithContext(context.Background(), http.MethodPost, "http://"+address+"/v1/completions", strings.NewReader(benchBody))
+	rq.Header.Set("Authorization", "Bearer test")
+	rs, err := hc.Do(rq)
+	whole := false
+	var first time.Duration
+	if err == nil {
+		rd := bufio.NewReader(rs.Body)
+		_, _ = rd.ReadString('\n')
+		first = time.Since(began)
+		rest, _ := io.ReadAll(rd)
+		whole = strings.HasSuffix(string(rest), "[DONE]\n\n")
+		_ = rs.Body.Close()
+	}
+	took := time.Since(began)
+	if !keep {
+		return
+	}
+	tm.mu.Lock()
+	defer tm.mu.Unlock()
+	if !whole {
+		tm.refused++
+		return
+	}
+	_ = tm.hist.RecordValue(int64(took))
+	_ = tm.first.RecordValue(int64(first))
+}
+
+// BenchmarkAddedTime sends 2,000 requests a second to an entry node and as
+// many to the stand-in directly, side by side, and reports the quantiles.
+func BenchmarkAddedTime(b *testing.B) {
+	rg := newRig(b, "1s", engine.WithTokenGap(0), engine.WithPrefill(0), engine.WithSlots(100000))
+	direct, through := newTiming(), newTiming()
+	client := func() *http.Client {
+		return &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: benchRate}}
+	}
+	directClient, throughClient := client(), client()
+	for b.Loop() {
+		var wg sync.WaitGroup
+		began := time.Now()
+		for ix := 0; time.Since(began) < benchDuration; ix++ {
+			keep := time.Since(began) > benchWarmUp
+			wg.Go(func() { direct.ask(directClient, rg.backend, keep) })
+			wg.Go(func() { through.ask(throughClient, rg.nodes[0].CallerAddress(), keep) })
+			time.Sleep(time.Until(began.Add(time.Duration(ix+1) * time.Second / benchRate)))
+		}
+		wg.Wait()
+	}
+	report := func(name string, quantile float64) {
+		for part, pair := range map[string][2]*hdrhistogram.Histogram{"answer": {direct.hist, through.hist}, "first": {direct.first, through.first}} {
+			was, is := pair[0].ValueAtQuantile(quantile), pair[1].ValueAtQuantile(quantile)
+			b.ReportMetric(float64(was)/1e6, "ms-direct-"+part+"-"+name)
+			b.ReportMetric(float64(is)/1e6, "ms-through-"+part+"-"+name)
+			b.ReportMetric(float64(is-was)/1e6, "ms-added-"+part+"-"+name)
+		}
+	}
+	report("p50", 50)
+	report("p99", 99)
+	b.ReportMetric(float64(through.hist.TotalCount()), "answers")
+	b.ReportMetric(float64(direct.refused+through.refused), "not-whole")
+}
+
+// BenchmarkOpenStreams opens 2,000 streams to the stand-in directly and then
+// 2,000 through an entry node, and reports the memory of each, all in one
+// process: the difference is the entry node's.
+func BenchmarkOpenStreams(b *testing.B) {
+	rg := newRig(b, "1s", engine.WithTokenGap(0), engine.WithPrefill(0), engine.WithSlots(100000))
+	for b.Loop() {
+		direct := rg.openStreams(b, rg.backend)
+		through := rg.openStreams(b, rg.nodes[0].CallerAddress())
+		b.ReportMetric(direct/(1<<20), "MiB-direct")
+		b.ReportMetric(through/(1<<20), "MiB-through")
+		b.ReportMetric((through-direct)/(1<<20), "MiB-entry-node")
+		b.ReportMetric((through-direct)/benchStreams/1024, "KiB/stream-entry-node")
+	}
+}
+
+// openStreams returns the memory that open streams to the address add.
+func (rg *rig) openStreams(b *testing.B, address string) float64 {
+	tp := &http.Transport{}
+	defer tp.CloseIdleConnections()
+	before := memoryInUse()
+	for range benchStreams {
+		rq, err := http.NewRequestWithContext(b.Context(), http.MethodPost, "http://"+address+"/v1/completions", strings.NewReader(longStream))
+		require.NoError(b, err)
+		rq.Header.Set("Authorization", "Bearer test")
+		rs, err := tp.RoundTrip(rq)
+		require.NoError(b, err)
+		defer func() { _ = rs.Body.Close() }()
+		var first [1]byte
+		_, err = io.ReadFull(rs.Body, first[:])
+		require.NoError(b, err)
+	}
+	return memoryInUse() - before
+}
+
+func memoryInUse() float64 {
+	debug.FreeOSMemory()
+	var ms runtime.MemStats
+	runtime.ReadMemStats(&ms)
+	return float64(ms.HeapInuse + ms.StackInuse)
+}
--- a/internal/runner/rig_test.go
+++ b/internal/runner/rig_test.go
@@ -39,6 +39,8 @@
 engine-silence = 1m
 [caller.t]
 key-sha256 = 9f86d081884c7d659a2feaa0c55ad015a3bf4f1b2b0b822cd15d6c15b0f00a08
+quota = 100000
+burst = 100000
 [engine-kind.k]
 checks-fencing = yes
 resumes = yes
@@ -56,7 +58,7 @@
 
 // rig is two entry nodes before one stand-in engine, on loopback.
 type rig struct {
-	t       *testing.T
+	t       testing.TB
 	engine  *engine.Engine
 	nodes   []*runner.Node
 	stops   []context.CancelFunc
@@ -65,6 +67,7 @@
 	release chan time.Time
 	gate    chan struct{}
 	open    func()
+	backend string
 }
 
 // gatedWriter holds token 20 back until the gate is open.
@@ -82,13 +85,14 @@
 
 func (gw *gatedWriter) Unwrap() http.ResponseWriter { return gw.ResponseWriter }
 
-func newRig(t *testing.T, drain string, opts ...engine.Option) *rig {
+func newRig(t testing.TB, drain string, opts ...engine.Option) *rig {
 	checker.Reset()
 	rg := &rig{t: t, engine: engine.New("w1", opts...), noticed: make(chan time.Duration, 2), release: make(chan time.Time, 2), gate: make(chan struct{})}
 	rg.open = sync.OnceFunc(func() { close(rg.gate) })
 	backend := httptest.NewServer(http.HandlerFunc(func(wr http.ResponseWriter, rq *http.Request) {
 		rg.engine.Handler().ServeHTTP(&gatedWriter{wr, rg.gate}, rq)
 	}))
+	rg.backend = backend.Listener.Addr().String()
 	store := platform.NewMemory()
 	files := []configurer.File{{Name: "1.ini", Text: fmt.Sprintf(settingsText, drain, backend.Listener.Addr())}}
 	_, err := publisher.Apply(t.Context(), store, files, "test", 0)
