Keep the connections of each backend server apart

A failure at one server closed the idle connections to all of them; now only that server's own are closed. Trial: the test of DropIdle dials the failed server twice and the other one once.

--- a/internal/coordination/dispatcher/attempt.go
+++ b/internal/coordination/dispatcher/attempt.go
@@ -33,6 +33,7 @@
 type sending struct {
 	*execution
 	server   string
+	address  string
 	began    time.Time
 	watchdog *time.Timer
 	result   admitter.Result
@@ -44,8 +45,8 @@
 	if fl != nil {
 		return fl
 	}
-	sn := &sending{execution: ex, server: gr.Server(), began: time.Now()}
-	fl = sn.send(ctx, gr.Address())
+	sn := &sending{execution: ex, server: gr.Server(), address: gr.Address(), began: time.Now()}
+	fl = sn.send(ctx)
 	sn.result.Duration = time.Since(sn.began)
 	sn.result.Failed = fl != nil && fl.blamesServer()
 	gr.Done(sn.result)
@@ -66,7 +67,7 @@
 	return !fl.final && !fl.refused && fl.reason != refuser.NoWorker
 }
 
-func (sn *sending) send(ctx context.Context, address string) *failure {
+func (sn *sending) send(ctx context.Context) *failure {
 	rq := sn.request
 	if rq.Adapter != nil {
 		if err := sn.ds.adapters.Ensure(ctx, sn.server, rq.Adapter); err != nil {
@@ -80,7 +81,7 @@
 	ctx, cancel := context.WithCancelCause(ctx)
 	sn.watchdog = time.AfterFunc(sn.firstBound(), func() { cancel(errSilent) })
 	defer sn.watchdog.Stop()
-	rs, err := sn.ds.forwarder.Send(ctx, sn.backendRequest(address))
+	rs, err := sn.ds.forwarder.Send(ctx, sn.backendRequest())
 	if err != nil {
 		cancel(nil)
 		return sn.broken(ctx, err, forwarder.NotSent(err))
@@ -140,7 +141,7 @@
 	if !unsent && sn.progress.begun() && fl.reason == refuser.BackendFailed {
 		fl.reason = refuser.StreamBroken
 	}
-	sn.ds.forwarder.DropIdle()
+	sn.ds.forwarder.DropIdle(sn.address)
 	return fl
 }
 
@@ -159,7 +160,7 @@
 	return fl
 }
 
-func (sn *sending) backendRequest(address string) forwarder.Request {
+func (sn *sending) backendRequest() forwarder.Request {
 	rq := sn.request
 	hd := http.Header{}
 	hd.Set("Content-Type", "application/json")
@@ -170,7 +171,7 @@
 		hd.Set(HeaderResumeFrom, strconv.Itoa(sn.progress.next))
 	}
 	return forwarder.Request{
-		Address: address,
+		Address: sn.address,
 		Method:  http.MethodPost,
 		Path:    rq.Path,
 		Header:  hd,
--- a/internal/coordination/dispatcher/rig_test.go
+++ b/internal/coordination/dispatcher/rig_test.go
@@ -99,7 +99,7 @@
 
 // stop ends the engines and checks what holds after every test.
 func (rg *rig) stop() {
-	rg.forward.DropIdle()
+	rg.forward.Close()
 	for _, sv := range rg.servers {
 		_ = sv.Close()
 	}
--- a/internal/transport/forwarder/forwarder.go
+++ b/internal/transport/forwarder/forwarder.go
@@ -15,6 +15,7 @@
 	"net"
 	"net/http"
 	"net/http/httptrace"
+	"sync"
 	"sync/atomic"
 	"time"
 
@@ -70,9 +71,11 @@
 	return errors.As(err, &fe) && !fe.Sent
 }
 
-// Forwarder holds connections to backend servers.
+// Forwarder holds connections to backend servers, each server's on its own.
 type Forwarder struct {
-	http *http.Client
+	opts    []Option
+	mu      sync.RWMutex
+	clients map[string]*http.Client
 }
 
 // Dial opens a connection.
@@ -86,6 +89,40 @@
 
 // New returns a forwarder without connections.
 func New(opts ...Option) *Forwarder {
+	return &Forwarder{opts: opts, clients: map[string]*http.Client{}}
+}
+
+// DropIdle closes the connections to a server that no request uses, after one
+// of them failed or fell silent: others that passed through the same place may
+// be lost as well without having shown it yet.
+func (fw *Forwarder) DropIdle(address string) { fw.client(address).CloseIdleConnections() }
+
+// Close closes all connections that no request uses.
+func (fw *Forwarder) Close() {
+	fw.mu.RLock()
+	defer fw.mu.RUnlock()
+	for _, hc := range fw.clients {
+		hc.CloseIdleConnections()
+	}
+}
+
+func (fw *Forwarder) client(address string) *http.Client {
+	fw.mu.RLock()
+	hc, ok := fw.clients[address]
+	fw.mu.RUnlock()
+	if ok {
+		return hc
+	}
+	fw.mu.Lock()
+	defer fw.mu.Unlock()
+	if hc, ok = fw.clients[address]; !ok {
+		hc = fw.newClient()
+		fw.clients[address] = hc
+	}
+	return hc
+}
+
+func (fw *Forwarder) newClient() *http.Client {
 	dl := &net.Dialer{Timeout: dialTimeout}
 	tp := &http.Transport{
 		DialContext:            dl.DialContext,
@@ -94,18 +131,13 @@
 		MaxResponseHeaderBytes: headerBytes,
 		DisableCompression:     true,
 	}
-	for _, opt := range opts {
+	for _, opt := range fw.opts {
 		opt(tp)
 	}
 	noRedirect := func(*http.Request, []*http.Request) error { return http.ErrUseLastResponse }
-	return &Forwarder{http: &http.Client{Transport: tp, CheckRedirect: noRedirect}}
+	return &http.Client{Transport: tp, CheckRedirect: noRedirect}
 }
 
-// DropIdle closes the connections that no request uses, after one of them
-// failed or fell silent: others that passed through the same place may be lost
-// as well without having shown it yet.
-func (fw *Forwarder) DropIdle() { fw.http.CloseIdleConnections() }
-
 // Send sends the request once and returns the answer's head. Its body has to
 // be closed. The error is an *Error.
 func (fw *Forwarder) Send(ctx context.Context, rq Request) (*http.Response, error) {
@@ -122,7 +154,7 @@
 	if rq.Header != nil {
 		out.Header = rq.Header
 	}
-	rs, err := fw.http.Do(out)
+	rs, err := fw.client(rq.Address).Do(out)
 	if err != nil {
 		return nil, &Error{Sent: connected.Load(), Address: rq.Address, Cause: err}
 	}
--- a/internal/transport/forwarder/forwarder_test.go
+++ b/internal/transport/forwarder/forwarder_test.go
@@ -51,7 +51,7 @@
 			synctest.Test(t, func(t *testing.T) {
 				cs := &closingServer{}
 				fw := forwarder.New(forwarder.WithDial(cs.dial))
-				defer fw.DropIdle()
+				defer fw.Close()
 				rq.Address, rq.Path = "backend:80", "/"
 				rs, err := fw.Send(t.Context(), rq)
 				require.NoError(t, err)
@@ -66,3 +66,30 @@
 		})
 	}
 }
+
+// TestDropIdle closes the connections to one server and keeps the other's.
+func TestDropIdle(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		dials := map[string]int{}
+		fw := forwarder.New(forwarder.WithDial(func(ctx context.Context, network, address string) (net.Conn, error) {
+			dials[address]++
+			return (&closingServer{}).dial(ctx, network, address)
+		}))
+		defer fw.Close()
+		ask := func(address string) {
+			rs, err := fw.Send(t.Context(), forwarder.Request{Address: address, Method: http.MethodGet, Path: "/"})
+			if err != nil {
+				return
+			}
+			_, _ = io.Copy(io.Discard, rs.Body)
+			_ = rs.Body.Close()
+			synctest.Wait()
+		}
+		ask("a:80")
+		ask("b:80")
+		fw.DropIdle("a:80")
+		ask("a:80")
+		ask("b:80")
+		require.Equal(t, map[string]int{"a:80": 2, "b:80": 1}, dials)
+	})
+}
