--- a/internal/runner/bench_test.go
+++ b/internal/runner/bench_test.go
@@ -103,6 +103,11 @@
 	report("p99", 99)
 	b.ReportMetric(float64(through.hist.TotalCount()), "answers")
 	b.Log("not whole, direct and through:", direct.causes, through.causes)
+	for name, value := range rg.nodes[0].Values() {
+		if strings.HasPrefix(name, "refusal.") || strings.HasPrefix(name, "retry.") {
+			b.Log(name, value)
+		}
+	}
 }
 
 // BenchmarkOpenStreams opens 2,000 streams to the stand-in directly and then
