--- a/internal/coordination/dispatcher/rig_test.go
+++ b/internal/coordination/dispatcher/rig_test.go
@@ -71,7 +71,7 @@
 	for ix := range servers {
 		name := fmt.Sprintf("w%d", ix+1)
 		rg.names = append(rg.names, name)
-		text += fmt.Sprintf("[backend-server.%s]\nkind = k\naddress = 127.0.0.1:1\nzone = zone-a\naccelerators = 1\nmemory = 80GiB\ncache-reserve = 20GiB\nadapter-reserve = 4GiB\nslots = 16\n", name)
+		text += fmt.Sprintf("[backend-server.%s]\nkind = k\naddress = 127.0.0.1:%d\nzone = zone-a\naccelerators = 1\nmemory = 80GiB\ncache-reserve = 20GiB\nadapter-reserve = 4GiB\nslots = 16\n", name, ix+1)
 		rg.startEngine(name)
 	}
 	st, faults := configurer.Parse([]configurer.File{{Name: "10.ini", Text: text}})
