--- /dev/null
+++ b/internal/coordination/recorder/key.go
@@ -0,0 +1,72 @@
+package recorder
+
+import (
+	"crypto/sha256"
+	"encoding/binary"
+	"encoding/hex"
+	"strings"
+	"time"
+
+	"github.com/lagoonpass/lagoonpass/pkg/refuser"
+)
+
+const (
+	// hashBytes is the length of the hashes of a record.
+	hashBytes = 16
+	// maxKeyBytes is the greatest length of an idempotency key.
+	maxKeyBytes = 255
+	// uuidHexDigits is the length of a UUID without its hyphens.
+	uuidHexDigits = 32
+	// uuidTimeBytes is the length of the time that leads a UUIDv7.
+	uuidTimeBytes = 6
+)
+
+type hash [hashBytes]byte
+
+// Key is an idempotency key of one caller, bound to one request.
+type Key struct {
+	id      hash
+	time    int64
+	request hash
+}
+
+// NewKey returns the key of a request. The time of the key is that of a UUIDv7,
+// or is given as text in RFC 3339; a key without a time is refused, since a
+// record that has expired could not be told from one that never was.
+func NewKey(caller, key, keyTime string, request ...[]byte) (Key, *refuser.Refusal) {
+	if len(key) > maxKeyBytes {
+		return Key{}, refuser.New(refuser.Malformed, "the idempotency key exceeds %d bytes", maxKeyBytes)
+	}
+	millis, ok := timeOfUUID(key)
+	if keyTime != "" {
+		parsed, err := time.Parse(time.RFC3339, keyTime)
+		if err != nil {
+			return Key{}, refuser.New(refuser.KeyUntimed, "key time: found %q; allowed: a time in RFC 3339", keyTime)
+		}
+		millis, ok = parsed.UnixMilli(), true
+	}
+	if !ok {
+		return Key{}, refuser.New(refuser.KeyUntimed, "the idempotency key is no UUIDv7 and comes without a time")
+	}
+	return Key{id: sum([]byte(caller), []byte(key)), time: millis, request: sum(request...)}, nil
+}
+
+// sum hashes parts so that no two lists of parts share their input.
+func sum(parts ...[]byte) hash {
+	dg := sha256.New()
+	for _, part := range parts {
+		_ = binary.Write(dg, binary.BigEndian, uint64(len(part)))
+		_, _ = dg.Write(part)
+	}
+	return hash(dg.Sum(nil)[:hashBytes])
+}
+
+// timeOfUUID returns the milliseconds that a UUIDv7 carries.
+func timeOfUUID(text string) (int64, bool) {
+	raw, err := hex.DecodeString(strings.ReplaceAll(text, "-", ""))
+	if err != nil || len(raw)*2 != uuidHexDigits || raw[uuidTimeBytes]>>4 != 7 {
+		return 0, false
+	}
+	wide := append(make([]byte, 2), raw[:uuidTimeBytes]...)
+	return int64(binary.BigEndian.Uint64(wide)), true
+}
--- /dev/null
+++ b/internal/coordination/recorder/recorder_test.go
@@ -0,0 +1,215 @@
+package recorder
+
+import (
+	"context"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"github.com/lagoonpass/lagoonpass/internal/checker"
+	"github.com/lagoonpass/lagoonpass/internal/coordination/prober"
+	"github.com/lagoonpass/lagoonpass/internal/protocol/messenger"
+	"github.com/lagoonpass/lagoonpass/pkg/refuser"
+)
+
+// inBubble runs a test of a cluster on a controlled clock and checks the
+// invariants at the end.
+func inBubble(t *testing.T, size int, settings string, fn func(t *testing.T, cl *cluster)) {
+	t.Helper()
+	checker.Reset()
+	synctest.Test(t, func(t *testing.T) {
+		cl := newCluster(t, 1, size, defaultSegmentBytes, settings)
+		defer cl.close()
+		fn(t, cl)
+	})
+	require.Empty(t, checker.Violations())
+}
+
+func requireRefusal(t *testing.T, an Answer, rs refuser.Reason, oc refuser.Outcome) {
+	t.Helper()
+	require.NotNil(t, an.Refusal, "%+v", an)
+	require.Equal(t, rs, an.Refusal.Reason())
+	require.Equal(t, oc, an.Refusal.Outcome())
+}
+
+func TestKeyNeedsTime(t *testing.T) {
+	_, rf := NewKey("c", "order-17", "")
+	require.Equal(t, refuser.KeyUntimed, rf.Reason())
+	require.Equal(t, refuser.NotRun, rf.Outcome())
+	_, rf = NewKey("c", "order-17", "yesterday")
+	require.Equal(t, refuser.KeyUntimed, rf.Reason())
+	timed, rf := NewKey("c", "order-17", "2026-01-02T03:04:05Z")
+	require.Nil(t, rf)
+	require.EqualValues(t, 1767323045000, timed.time)
+	uuid, rf := NewKey("c", "019b7b00-0000-7000-8000-000000000001", "")
+	require.Nil(t, rf)
+	require.EqualValues(t, 0x019b7b000000, uuid.time)
+	_, rf = NewKey("c", "019b7b00-0000-4000-8000-000000000001", "")
+	require.Equal(t, refuser.KeyUntimed, rf.Reason(), "a UUIDv4 has no time")
+}
+
+// Hazard 15: the same key through two nodes that are both alive.
+func TestSameKeyThroughTwoNodesRunsOnce(t *testing.T) {
+	inBubble(t, 3, smallRecord, func(t *testing.T, cl *cluster) {
+		ctx := t.Context()
+		key := keyAt("k")
+		first := cl.nodes[0].Begin(ctx, key)
+		require.NotNil(t, first.Grant)
+		requireRefusal(t, cl.nodes[1].Begin(ctx, key), refuser.KeyInProgress, refuser.Unknown)
+		first.Grant.Use()
+		first.Grant.Finish(result("booked"))
+		require.NoError(t, cl.nodes[0].Flush(ctx))
+		again := cl.nodes[2].Begin(ctx, key)
+		require.Equal(t, "booked", string(again.Result.Body))
+	})
+}
+
+// Hazard 16: the executor is paused, another node answers for its key, and the
+// executor wakes and sends.
+func TestPausedExecutorSendsOnceWhileOthersAnswerUnknown(t *testing.T) {
+	inBubble(t, 3, smallRecord, func(t *testing.T, cl *cluster) {
+		ctx := t.Context()
+		key := keyAt("k")
+		paused := cl.nodes[0].Begin(ctx, key)
+		require.NotNil(t, paused.Grant)
+		cl.see(1, 0, prober.Dead)
+		cl.see(2, 0, prober.Dead)
+		requireRefusal(t, cl.nodes[1].Begin(ctx, key), refuser.KeyUnresolved, refuser.Unknown)
+		time.Sleep(time.Minute)
+		requireRefusal(t, cl.nodes[2].Begin(ctx, key), refuser.KeyUnresolved, refuser.Unknown)
+		paused.Grant.Use()
+		paused.Grant.Finish(result("late"))
+		cl.see(1, 0, prober.Alive)
+		cl.see(2, 0, prober.Alive)
+		require.NoError(t, cl.nodes[0].Flush(ctx))
+		require.Equal(t, "late", string(cl.nodes[1].Begin(ctx, key).Result.Body))
+	})
+}
+
+// Hazard 16 and 13: the deadline passes before the grant arrives, so that the
+// executor sends nothing and a retry runs.
+func TestGrantAfterDeadlineIsAbandoned(t *testing.T) {
+	inBubble(t, 2, smallRecord, func(t *testing.T, cl *cluster) {
+		key := keyAt("k")
+		cl.store.SetLatency(200 * time.Millisecond)
+		ctx, cancel := context.WithTimeout(t.Context(), 250*time.Millisecond)
+		defer cancel()
+		an := cl.nodes[0].Begin(ctx, key)
+		require.Nil(t, an.Grant)
+		require.Equal(t, refuser.NotRun, an.Refusal.Outcome())
+		require.NoError(t, cl.nodes[0].Flush(t.Context()))
+		require.NotNil(t, cl.nodes[1].Begin(t.Context(), key).Grant)
+	})
+}
+
+// Hazard 3: the commit took effect and its answer was lost.
+func TestLostAnswerOfCommitStillGrantsOnce(t *testing.T) {
+	inBubble(t, 2, smallRecord, func(t *testing.T, cl *cluster) {
+		require.NotNil(t, cl.nodes[0].Begin(t.Context(), keyAt("warm")).Grant)
+		cl.store.LoseAnswers(1)
+		key := keyAt("k")
+		require.NotNil(t, cl.nodes[0].Begin(t.Context(), key).Grant)
+		requireRefusal(t, cl.nodes[1].Begin(t.Context(), key), refuser.KeyInProgress, refuser.Unknown)
+	})
+}
+
+// Hazard 18: the key comes back with another body, and after it expired.
+func TestKeyWithAnotherBodyConflicts(t *testing.T) {
+	inBubble(t, 1, smallRecord, func(t *testing.T, cl *cluster) {
+		key := keyAt("k")
+		require.NotNil(t, cl.nodes[0].Begin(t.Context(), key).Grant)
+		other := key
+		other.request = sum([]byte("another"))
+		requireRefusal(t, cl.nodes[0].Begin(t.Context(), other), refuser.KeyConflict, refuser.NotRun)
+	})
+}
+
+func TestExpiredKeyNeverRunsAgain(t *testing.T) {
+	inBubble(t, 1, "[records]\nshards = 1\nretention = 2s\nshard-bytes = 8MiB\n", func(t *testing.T, cl *cluster) {
+		key := keyAt("old")
+		first := cl.nodes[0].Begin(t.Context(), key)
+		first.Grant.Finish(result("done"))
+		for round := range 3 {
+			fill(t, cl, round)
+			time.Sleep(5 * time.Second)
+		}
+		require.NotNil(t, cl.nodes[0].Begin(t.Context(), keyAt("new")).Grant)
+		requireRefusal(t, cl.nodes[0].Begin(t.Context(), key), refuser.KeyExpired, refuser.Unknown)
+	})
+}
+
+// fill grants enough keys with results to seal segments.
+func fill(t *testing.T, cl *cluster, round int) {
+	body := make([]byte, 2048)
+	for ix := range 40 {
+		an := cl.nodes[0].Begin(t.Context(), keyAt(string(rune('a'+round))+string(rune('A'+ix))))
+		require.NotNil(t, an.Grant, "%v", an.Refusal)
+		an.Grant.Finish(result(string(body)))
+	}
+	require.NoError(t, cl.nodes[0].Flush(t.Context()))
+}
+
+func TestFullRecordRefusesInsteadOfForgetting(t *testing.T) {
+	inBubble(t, 1, "[records]\nshards = 1\nretention = 1h\nshard-bytes = 64KiB\n", func(t *testing.T, cl *cluster) {
+		body := make([]byte, 2048)
+		var last Answer
+		for ix := range 60 {
+			last = cl.nodes[0].Begin(t.Context(), keyAt(string(rune('A'+ix))))
+			if last.Grant == nil {
+				break
+			}
+			last.Grant.Finish(result(string(body)))
+		}
+		requireRefusal(t, last, refuser.RecordFull, refuser.NotRun)
+		again := cl.nodes[0].Begin(t.Context(), Key{id: sum([]byte("A")), time: time.Now().UnixMilli(), request: sum([]byte("body of A"))})
+		require.Nil(t, again.Grant, "a key in the record does not run again")
+	})
+}
+
+func TestOutageRefusesHonestlyAndEndsAreKept(t *testing.T) {
+	inBubble(t, 2, smallRecord, func(t *testing.T, cl *cluster) {
+		key := keyAt("k")
+		an := cl.nodes[0].Begin(t.Context(), key)
+		require.NotNil(t, an.Grant)
+		cl.store.SetDown(true)
+		an.Grant.Finish(result("kept"))
+		requireRefusal(t, cl.nodes[1].Begin(t.Context(), keyAt("other")), refuser.StoreUnavailable, refuser.NotRun)
+		time.Sleep(time.Hour)
+		cl.store.SetDown(false)
+		require.NoError(t, cl.nodes[0].Flush(t.Context()))
+		require.Equal(t, "kept", string(cl.nodes[1].Begin(t.Context(), key).Result.Body))
+	})
+}
+
+func TestLateBeginFindsThatItWasAbandoned(t *testing.T) {
+	lg := newLedger(head{epoch: 1})
+	sg := lg.stage(time.Now(), rules{retention: time.Hour, shardBytes: 1 << 20})
+	key := keyAt("k")
+	bg := beginOf(key, "a")
+	sg.finish(finishOf(bg, true))
+	require.Equal(t, messenger.BeginAbandoned, sg.begin(bg).Status)
+	require.Equal(t, messenger.BeginGranted, sg.begin(beginOf(key, "b")).Status)
+}
+
+func TestBrokenInvariantsAreSeen(t *testing.T) {
+	defer checker.Reset()
+	checker.Reset()
+	gr := &Grant{begin: beginOf(keyAt("k"), "a")}
+	gr.Use()
+	gr.Use()
+	gr.ended.Store(true)
+	gr.Use()
+	lg := newLedger(head{epoch: 1})
+	sg := lg.stage(time.Now(), rules{})
+	sg.finish(finishOf(beginOf(keyAt("k"), "a"), false))
+	sg.commit(sg.next("b", nil))
+	var seen []checker.Invariant
+	for _, vl := range checker.Violations() {
+		seen = append(seen, vl.Invariant)
+	}
+	require.Contains(t, seen, checker.AtMostOnce)
+	require.Contains(t, seen, checker.NotRunHonest)
+	require.Len(t, seen, 4)
+}
