--- a/internal/runner/runner.go
+++ b/internal/runner/runner.go
@@ -57,6 +57,7 @@
 	callerNet net.Listener
 	peerNet   net.Listener
 	leaving   atomic.Bool
+	records
 }
 
 // Option changes a Node that is being made.
@@ -85,6 +86,7 @@
 	}
 	nd.orderer = orderer.New(nd.meter.For(storer.PurposeOrder))
 	nd.prober = prober.New(nd.presence, lister.New(id.VMList()), nd.pool)
+	nd.buildRecords()
 	nd.peers = messenger.NewServer(messenger.HandlerFunc(nd.handlePeer))
 	nd.web = &http.Server{Handler: nd.buildServer(), ReadHeaderTimeout: 10 * time.Second}
 	return nd, nil
@@ -106,7 +108,7 @@
 	return server.New(server.Parts{
 		Holder:     nd.holder,
 		Dispatcher: dispatcher.New(am, fw, &orderer.Adapters{}),
-		Forwarder:  fw,
+		Invoker:    nd.buildInvoker(fw),
 		View:       nd.prober.View,
 		Zone:       nd.identity.Zone(),
 	})
@@ -137,8 +139,10 @@
 	}
 }
 
-func (nd *Node) handlePeer(_ context.Context, call messenger.Message) (messenger.Message, error) {
+func (nd *Node) handlePeer(ctx context.Context, call messenger.Message) (messenger.Message, error) {
 	switch call.(type) {
+	case *messenger.Begin, *messenger.Finish:
+		return nd.recorder.Handle(ctx, call)
 	case *messenger.Ping:
 		return nd.prober.Answer(), nil
 	default:
@@ -202,4 +206,5 @@
 	if err := nd.web.Shutdown(ctx); err != nil {
 		log.WithError(err).Error("requests were still in progress when the drain time ended")
 	}
+	nd.stopRecords(ctx)
 }
--- a/internal/server/server.go
+++ b/internal/server/server.go
@@ -17,10 +17,10 @@
 	"github.com/labstack/echo/v4"
 
 	"github.com/lagoonpass/lagoonpass/internal/coordination/dispatcher"
+	"github.com/lagoonpass/lagoonpass/internal/coordination/invoker"
 	"github.com/lagoonpass/lagoonpass/internal/coordination/prober"
 	"github.com/lagoonpass/lagoonpass/internal/coordination/publisher"
 	"github.com/lagoonpass/lagoonpass/internal/state/configurer"
-	"github.com/lagoonpass/lagoonpass/internal/transport/forwarder"
 	"github.com/lagoonpass/lagoonpass/pkg/refuser"
 )
 
@@ -30,8 +30,8 @@
 	Holder *publisher.Holder
 	// Dispatcher runs completions.
 	Dispatcher *dispatcher.Dispatcher
-	// Forwarder reaches plain services.
-	Forwarder *forwarder.Forwarder
+	// Invoker runs calls of plain services.
+	Invoker *invoker.Invoker
 	// View returns the membership.
 	View func() *prober.View
 	// Zone is the node's availability zone.
--- a/internal/server/services.go
+++ b/internal/server/services.go
@@ -1,50 +1,105 @@
 package server
 
 import (
-	"io"
-	"net/http"
+	"context"
+	"time"
 
 	"github.com/labstack/echo/v4"
 
-	"github.com/lagoonpass/lagoonpass/internal/transport/forwarder"
+	"github.com/lagoonpass/lagoonpass/internal/coordination/invoker"
+	"github.com/lagoonpass/lagoonpass/internal/state/configurer"
 	"github.com/lagoonpass/lagoonpass/pkg/refuser"
 )
 
-// callService passes a call on to the first instance of a plain service.
+// Headers of calls to plain services and of jobs.
+const (
+	headerKeyTime  = "Lagoonpass-Key-Time"
+	headerAttempt  = "Lagoonpass-Attempt"
+	headerReplayed = "Lagoonpass-Replayed"
+)
+
+// recordAllowance is added to a service's timeout for the record's work.
+const recordAllowance = 5 * time.Second
+
+// callService passes a call on to a plain service.
 func (sv *Server) callService(ec echo.Context) error {
 	sc, err := sv.enter(ec)
 	if err != nil {
 		return err
 	}
-	name := ec.Param("service")
+	svc, err := findService(sc, ec.Param("service"))
+	if err != nil {
+		return err
+	}
+	cl, err := readCall(ec, sc, svc)
+	if err != nil {
+		return err
+	}
+	ctx, cancel, err := callContext(ec, cl)
+	if err != nil {
+		return err
+	}
+	defer cancel()
+	an, rf := sv.Invoker.Invoke(ctx, sc.settings, cl)
+	if rf != nil {
+		return rf
+	}
+	if an.Replayed {
+		ec.Response().Header().Set(headerReplayed, "true")
+	}
+	return ec.Blob(an.Status, an.ContentType, an.Body)
+}
+
+func findService(sc *scope, name string) (*configurer.Service, error) {
 	svc, ok := sc.settings.Service(name)
 	if !ok {
-		return refuser.New(refuser.UnknownService, "no service %q", name)
+		return nil, refuser.New(refuser.UnknownService, "no service %q", name)
 	}
 	if !permitted(sc.caller.Services(), name) {
-		return refuser.New(refuser.Forbidden, "caller %q may not use service %q", sc.caller.Name(), name)
+		return nil, refuser.New(refuser.Forbidden, "caller %q may not use service %q", sc.caller.Name(), name)
 	}
+	return svc, nil
+}
+
+func readCall(ec echo.Context, sc *scope, svc *configurer.Service) (invoker.Call, error) {
 	body, err := readBody(ec, sc.settings.Limits().BodyBytes())
 	if err != nil {
-		return err
+		return invoker.Call{}, err
 	}
-	rs, err := sv.Forwarder.Send(ec.Request().Context(), forwarder.Request{
-		Address: svc.Addresses()[0],
-		Method:  ec.Request().Method,
-		Path:    "/" + ec.Param("*"),
-		Header:  http.Header{"Content-Type": ec.Request().Header["Content-Type"]},
-		Body:    body,
-	})
-	if forwarder.NotSent(err) {
-		return refuser.New(refuser.BackendUnreachable, "%v", err)
+	rq := ec.Request()
+	path := "/" + ec.Param("*")
+	if rq.URL.RawQuery != "" {
+		path += "?" + rq.URL.RawQuery
 	}
-	if err != nil {
-		return refuser.New(refuser.BackendFailed, "%v", err).WithOutcome(refuser.Unknown)
+	attempt := rq.Header.Get(headerAttempt)
+	return invoker.Call{
+		Caller:      sc.caller.Name(),
+		Service:     svc,
+		Method:      rq.Method,
+		Path:        path,
+		ContentType: rq.Header.Get(echo.HeaderContentType),
+		Body:        body,
+		Key:         rq.Header.Get(invoker.HeaderKey),
+		KeyTime:     rq.Header.Get(headerKeyTime),
+		Repeated:    attempt != "" && attempt != "1",
+	}, nil
+}
+
+// callContext returns the context of a call. One that may not be repeated goes
+// on when its caller hangs up: its result then waits in the record.
+func callContext(ec echo.Context, cl invoker.Call) (context.Context, context.CancelFunc, error) {
+	within := cl.Service.Timeout() + recordAllowance
+	if tx := ec.Request().Header.Get(headerDeadline); tx != "" {
+		dn, err := time.ParseDuration(tx)
+		if err != nil || dn <= 0 {
+			return nil, nil, refuser.New(refuser.Malformed, "%s: found %q; allowed: a duration such as 1500ms", headerDeadline, tx)
+		}
+		within = dn
 	}
-	defer func() { _ = rs.Body.Close() }()
-	answer, err := io.ReadAll(rs.Body)
-	if err != nil {
-		return refuser.New(refuser.BackendFailed, "%v", err).WithOutcome(refuser.Unknown)
+	ctx := ec.Request().Context()
+	if !invoker.Repeatable(cl.Service, cl.Method, cl.Path) {
+		ctx = context.WithoutCancel(ctx)
 	}
-	return ec.Blob(rs.StatusCode, rs.Header.Get("Content-Type"), answer)
+	ctx, cancel := context.WithTimeout(ctx, within)
+	return ctx, cancel, nil
 }
