--- a/internal/coordination/recorder/shard.go
+++ b/internal/coordination/recorder/shard.go
@@ -22,6 +22,8 @@
 	// finishIntervals is how many intervals an end waits for a batch of
 	// begins before it gets one of its own.
 	finishIntervals = 5
+	// segmentNameLength keeps the list of segments in the head short.
+	segmentNameLength = 12
 	// storeTimeout bounds the store calls of one batch.
 	storeTimeout = 3 * time.Second
 )
@@ -307,7 +309,7 @@
 	if len(sh.ledger.open) == 0 || len(sh.ledger.open)+len(sg.encoded) <= sh.recorder.segmentBytes {
 		return nil, nil
 	}
-	sealed := sh.ledger.openSegment(sh.recorder.names())
+	sealed := sh.ledger.openSegment(sh.segmentName())
 	open := sh.ledger.open
 	mine := func(found []byte) bool { return bytes.Equal(found, open) }
 	if _, err := storer.SwapSettled(ctx, sh.recorder.store, sh.segmentKey(sealed.name), open, 0, mine); err != nil {
@@ -318,6 +320,12 @@
 	return sealed, nil
 }
 
+// segmentName returns a name that no other segment of the shard has.
+func (sh *shard) segmentName() string {
+	name := sh.recorder.names()
+	return name[:min(len(name), segmentNameLength)]
+}
+
 // remove deletes segments that the committed head lists no more. One that is
 // left behind costs space and nothing else.
 func (sh *shard) remove(ctx context.Context, dropped []segment) {
--- a/internal/state/configurer/domain.go
+++ b/internal/state/configurer/domain.go
@@ -259,6 +259,10 @@
 	resultBytes int
 	shardBytes  int64
 	interval    time.Duration
+
+	jobRetention time.Duration
+	jobsAtOnce   int
+	jobBytes     int64
 }
 
 // Shards returns the number of parts of the key space.
@@ -276,6 +280,15 @@
 // Interval returns the least time between two writes of one shard.
 func (rc *Records) Interval() time.Duration { return rc.interval }
 
+// JobRetention returns how long the result of a job is kept.
+func (rc *Records) JobRetention() time.Duration { return rc.jobRetention }
+
+// JobsAtOnce returns the number of jobs that one node runs at once.
+func (rc *Records) JobsAtOnce() int { return rc.jobsAtOnce }
+
+// JobBytes returns the size of the largest body and of the largest result.
+func (rc *Records) JobBytes() int64 { return rc.jobBytes }
+
 // Retries holds the settings of retries.
 type Retries struct {
 	budget     float64
--- a/internal/state/configurer/schema.go
+++ b/internal/state/configurer/schema.go
@@ -126,11 +126,14 @@
 func recordsSpec() sectionSpec {
 	return singleSection("records", "the at-most-once record of keyed requests",
 		func(st *Settings) *Records { return st.records },
-		intKey("shards", "2", 1, 4096, "parts of the key space", func(rc *Records) *int { return &rc.shards }),
+		intKey("shards", "1", 1, 4096, "parts of the key space; fixed for good by the first node that uses the record", func(rc *Records) *int { return &rc.shards }),
 		durationKey("retention", "1h", time.Second, 30*24*time.Hour, "how long a key is remembered at least", func(rc *Records) *time.Duration { return &rc.retention }),
 		intKey("result-bytes", "2048", 0, 65536, "largest result kept for a repeated key", func(rc *Records) *int { return &rc.resultBytes }),
-		bytesKey("shard-bytes", "32MiB", 64*kibibyte, gibibyte, "records of one shard", func(rc *Records) *int64 { return &rc.shardBytes }),
-		durationKey("interval", "20ms", time.Millisecond, time.Second, "least time between two writes of one shard", func(rc *Records) *time.Duration { return &rc.interval }),
+		bytesKey("shard-bytes", "32MiB", 64*kibibyte, 256*mebibyte, "records of one shard", func(rc *Records) *int64 { return &rc.shardBytes }),
+		durationKey("interval", "13ms", time.Millisecond, time.Second, "least time between two writes of one shard", func(rc *Records) *time.Duration { return &rc.interval }),
+		durationKey("job-retention", "24h", time.Minute, 30*24*time.Hour, "how long the result of a job is kept", func(rc *Records) *time.Duration { return &rc.jobRetention }),
+		intKey("jobs-at-once", "8", 1, 10000, "jobs that one node runs at once", func(rc *Records) *int { return &rc.jobsAtOnce }),
+		bytesKey("job-bytes", "256KiB", kibibyte, 512*kibibyte, "largest body and largest result of a job", func(rc *Records) *int64 { return &rc.jobBytes }),
 	)
 }
 
