--- a/internal/coordination/recorder/key.go
+++ b/internal/coordination/recorder/key.go
@@ -37,18 +37,27 @@
 	if len(key) > maxKeyBytes {
 		return Key{}, refuser.New(refuser.Malformed, "the idempotency key exceeds %d bytes", maxKeyBytes)
 	}
-	millis, ok := timeOfUUID(key)
+	millis, rf := TimeOf(key, keyTime)
+	if rf != nil {
+		return Key{}, rf
+	}
+	return Key{id: sum([]byte(caller), []byte(key)), time: millis, request: sum(request...)}, nil
+}
+
+// TimeOf returns the time of a key in milliseconds of the Unix epoch.
+func TimeOf(key, keyTime string) (int64, *refuser.Refusal) {
 	if keyTime != "" {
 		parsed, err := time.Parse(time.RFC3339, keyTime)
 		if err != nil {
-			return Key{}, refuser.New(refuser.KeyUntimed, "key time: found %q; allowed: a time in RFC 3339", keyTime)
+			return 0, refuser.New(refuser.KeyUntimed, "key time: found %q; allowed: a time in RFC 3339", keyTime)
 		}
-		millis, ok = parsed.UnixMilli(), true
+		return parsed.UnixMilli(), nil
 	}
+	millis, ok := timeOfUUID(key)
 	if !ok {
-		return Key{}, refuser.New(refuser.KeyUntimed, "the idempotency key is no UUIDv7 and comes without a time")
+		return 0, refuser.New(refuser.KeyUntimed, "the idempotency key is no UUIDv7 and comes without a time")
 	}
-	return Key{id: sum([]byte(caller), []byte(key)), time: millis, request: sum(request...)}, nil
+	return millis, nil
 }
 
 // sum hashes parts so that no two lists of parts share their input.
--- a/internal/runner/records.go
+++ b/internal/runner/records.go
@@ -5,8 +5,11 @@
 
 	"github.com/apex/log"
 
+	"github.com/lagoonpass/lagoonpass/internal/coordination/dispatcher"
 	"github.com/lagoonpass/lagoonpass/internal/coordination/invoker"
+	"github.com/lagoonpass/lagoonpass/internal/coordination/jobrunner"
 	"github.com/lagoonpass/lagoonpass/internal/coordination/recorder"
+	"github.com/lagoonpass/lagoonpass/internal/server"
 	"github.com/lagoonpass/lagoonpass/internal/state/configurer"
 	"github.com/lagoonpass/lagoonpass/internal/state/storer"
 	"github.com/lagoonpass/lagoonpass/internal/transport/forwarder"
@@ -15,9 +18,13 @@
 // records are the parts of a node that keep the at-most-once record and jobs.
 type records struct {
 	recorder *recorder.Recorder
+	jobs     *jobrunner.Runner
+	stopJobs context.CancelFunc
+	jobsDone chan struct{}
 }
 
 func (nd *Node) buildRecords() {
+	nd.jobsDone = make(chan struct{})
 	nd.recorder = recorder.New(nd.identity.ID(), nd.meter.For(storer.PurposeRecord), nd.prober.View,
 		nd.pool, nd.recordSettings, recorder.WithRegistry(nd.registry))
 }
@@ -34,8 +41,31 @@
 	return invoker.New(nd.recorder, pooled, forwarder.New(), invoker.WithRegistry(nd.registry))
 }
 
-// stopRecords waits until the results of this node's requests are recorded.
+func (nd *Node) buildJobs(ds *dispatcher.Dispatcher, iv *invoker.Invoker) *jobrunner.Runner {
+	ex := server.NewExecutor(nd.holder, ds, iv)
+	nd.jobs = jobrunner.New(nd.identity.ID(), nd.meter.For(storer.PurposeJob), nd.prober.View,
+		nd.pool, nd.recordSettings, ex, jobrunner.WithRegistry(nd.registry))
+	return nd.jobs
+}
+
+func (nd *Node) startJobs() {
+	var ctx context.Context
+	ctx, nd.stopJobs = context.WithCancel(context.Background())
+	go func() {
+		defer close(nd.jobsDone)
+		_ = nd.jobs.Run(ctx)
+	}()
+}
+
+// stopRecords waits for the jobs that run, and until the results of this
+// node's requests are recorded.
 func (nd *Node) stopRecords(ctx context.Context) {
+	nd.stopJobs()
+	select {
+	case <-nd.jobsDone:
+	case <-ctx.Done():
+		log.Warn("jobs were still running when the drain time ended; another node takes them over")
+	}
 	if err := nd.recorder.Flush(ctx); err != nil {
 		log.WithError(err).Warn("results of keyed requests were not recorded; their keys stay unresolved")
 	}
--- a/internal/runner/runner.go
+++ b/internal/runner/runner.go
@@ -105,10 +105,13 @@
 	fw := forwarder.New()
 	random := rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64()))
 	am := admitter.New(nd.watcher, ejector.New(), random)
+	ds := dispatcher.New(am, fw, &orderer.Adapters{})
+	iv := nd.buildInvoker(fw)
 	return server.New(server.Parts{
 		Holder:     nd.holder,
-		Dispatcher: dispatcher.New(am, fw, &orderer.Adapters{}),
-		Invoker:    nd.buildInvoker(fw),
+		Dispatcher: ds,
+		Invoker:    iv,
+		Jobs:       nd.buildJobs(ds, iv),
 		View:       nd.prober.View,
 		Zone:       nd.identity.Zone(),
 	})
@@ -140,7 +143,9 @@
 }
 
 func (nd *Node) handlePeer(ctx context.Context, call messenger.Message) (messenger.Message, error) {
-	switch call.(type) {
+	switch tc := call.(type) {
+	case *messenger.JobNotice:
+		return nd.jobs.Handle(tc), nil
 	case *messenger.Begin, *messenger.Finish:
 		return nd.recorder.Handle(ctx, call)
 	case *messenger.Ping:
@@ -156,6 +161,7 @@
 	nd.addContext(ctx, &gr)
 	nd.addLoop(&gr, nd.prober.Run)
 	nd.addLoop(&gr, nd.control)
+	nd.startJobs()
 	nd.addWeb(&gr)
 	nd.addPeers(&gr)
 	log.WithField("node", nd.identity.ID()).Info("node started")
@@ -197,6 +203,7 @@
 
 // shutdown waits for the requests in progress.
 func (nd *Node) shutdown() {
+	nd.stopJobs()
 	dn := drainTimeout
 	if rv := nd.holder.Current(); rv != nil {
 		dn = rv.Settings().Timeouts().Drain()
--- /dev/null
+++ b/internal/server/executor.go
@@ -0,0 +1,165 @@
+package server
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"net/http"
+	"strings"
+	"time"
+
+	"github.com/lagoonpass/lagoonpass/internal/coordination/dispatcher"
+	"github.com/lagoonpass/lagoonpass/internal/coordination/invoker"
+	"github.com/lagoonpass/lagoonpass/internal/coordination/jobrunner"
+	"github.com/lagoonpass/lagoonpass/internal/coordination/publisher"
+	"github.com/lagoonpass/lagoonpass/pkg/refuser"
+)
+
+// servicesPrefix leads the paths of calls to plain services.
+const servicesPrefix = "/services/"
+
+// Executor runs the requests of jobs, with the rights that their callers have
+// at that moment.
+type Executor struct {
+	holder     *publisher.Holder
+	dispatcher *dispatcher.Dispatcher
+	invoker    *invoker.Invoker
+}
+
+// NewExecutor returns an executor over the parts that serve callers.
+func NewExecutor(hd *publisher.Holder, ds *dispatcher.Dispatcher, iv *invoker.Invoker) *Executor {
+	return &Executor{holder: hd, dispatcher: ds, invoker: iv}
+}
+
+// Repeatable implements jobrunner.Executor.
+func (ex *Executor) Repeatable(rq jobrunner.Request) bool {
+	name, path, ok := splitService(rq.Path)
+	if !ok {
+		return true
+	}
+	rv := ex.holder.Current()
+	if rv == nil {
+		return false
+	}
+	svc, ok := rv.Settings().Service(name)
+	return ok && invoker.Repeatable(svc, rq.Method, path)
+}
+
+// Execute implements jobrunner.Executor. What the caller may no longer use
+// ends its jobs as removed.
+func (ex *Executor) Execute(ctx context.Context, jb *jobrunner.Job) (jobrunner.Result, *refuser.Refusal) {
+	rv := ex.holder.Current()
+	if rv == nil {
+		return jobrunner.Result{}, refuser.New(refuser.NotConfigured, "no configuration is in force yet").WithRetryAfter(time.Second)
+	}
+	cr, ok := rv.Settings().Caller(jb.Caller())
+	if !ok {
+		return jobrunner.Result{}, refuser.New(refuser.Removed, "caller %q was removed", jb.Caller())
+	}
+	sc := &scope{settings: rv.Settings(), caller: cr}
+	if err := check(sc, jb.Request()); err != nil {
+		return jobrunner.Result{}, refuser.New(refuser.Removed, "the job may no longer be run: %v", err)
+	}
+	if name, path, ok := splitService(jb.Request().Path); ok {
+		return ex.call(ctx, sc, jb, name, path)
+	}
+	return ex.complete(ctx, sc, jb)
+}
+
+func splitService(full string) (name, path string, ok bool) {
+	rest, ok := strings.CutPrefix(full, servicesPrefix)
+	if !ok {
+		return "", "", false
+	}
+	name, path, _ = strings.Cut(rest, "/")
+	return name, "/" + path, true
+}
+
+// check returns why the caller may not have the request run.
+func check(sc *scope, rq jobrunner.Request) error {
+	if name, _, ok := splitService(rq.Path); ok {
+		_, err := findService(sc, name)
+		return err
+	}
+	if rq.Path != "/v1/chat/completions" && rq.Path != "/v1/completions" {
+		return refuser.New(refuser.Malformed, "path: found %q; allowed: a path of completions or of a plain service", rq.Path)
+	}
+	parsed, err := parseCompletion(sc, classHeader(rq), rq.Body)
+	if err != nil {
+		return err
+	}
+	if parsed.Stream {
+		return refuser.New(refuser.Malformed, "a job's answer is not a stream")
+	}
+	return nil
+}
+
+func classHeader(rq jobrunner.Request) http.Header {
+	hd := http.Header{}
+	if rq.Class != "" {
+		hd.Set(headerClass, rq.Class)
+	}
+	return hd
+}
+
+func (ex *Executor) call(ctx context.Context, sc *scope, jb *jobrunner.Job, name, path string) (jobrunner.Result, *refuser.Refusal) {
+	svc, err := findService(sc, name)
+	if err != nil {
+		return jobrunner.Result{}, asRefusal(err)
+	}
+	key := jb.RunKey()
+	if svc.HonoursKey() {
+		key = jb.Key()
+	}
+	ctx, cancel := context.WithTimeout(ctx, svc.Timeout()+recordAllowance)
+	defer cancel()
+	rq := jb.Request()
+	an, rf := ex.invoker.Invoke(ctx, sc.settings, invoker.Call{
+		Caller:      sc.caller.Name(),
+		Service:     svc,
+		Method:      rq.Method,
+		Path:        path,
+		ContentType: rq.ContentType,
+		Body:        rq.Body,
+		Key:         key,
+	})
+	if rf != nil {
+		return jobrunner.Result{}, rf
+	}
+	return jobrunner.Result{Status: an.Status, ContentType: an.ContentType, Body: an.Body}, nil
+}
+
+func (ex *Executor) complete(ctx context.Context, sc *scope, jb *jobrunner.Job) (jobrunner.Result, *refuser.Refusal) {
+	rq, err := parseCompletion(sc, classHeader(jb.Request()), jb.Request().Body)
+	if err != nil {
+		return jobrunner.Result{}, asRefusal(err)
+	}
+	rq.Path = jb.Request().Path
+	wr := &answerBuffer{header: http.Header{}, status: http.StatusOK}
+	if rf := ex.dispatcher.Dispatch(ctx, sc.settings, rq, wr); rf != nil {
+		return jobrunner.Result{}, rf
+	}
+	if wr.status >= http.StatusInternalServerError || wr.status == http.StatusOK && !json.Valid(wr.body.Bytes()) {
+		return jobrunner.Result{}, refuser.New(refuser.BackendFailed, "no whole answer, status %d", wr.status).WithOutcome(refuser.Unknown)
+	}
+	return jobrunner.Result{Status: wr.status, ContentType: wr.header.Get("Content-Type"), Body: wr.body.Bytes()}, nil
+}
+
+// answerBuffer is a ResponseWriter that keeps the answer.
+type answerBuffer struct {
+	header http.Header
+	status int
+	body   bytes.Buffer
+}
+
+// Header implements http.ResponseWriter.
+func (ab *answerBuffer) Header() http.Header { return ab.header }
+
+// WriteHeader implements http.ResponseWriter.
+func (ab *answerBuffer) WriteHeader(status int) { ab.status = status }
+
+// Write implements http.ResponseWriter.
+func (ab *answerBuffer) Write(part []byte) (int, error) { return ab.body.Write(part) }
+
+// Flush implements http.Flusher.
+func (*answerBuffer) Flush() {}
--- /dev/null
+++ b/internal/server/jobs.go
@@ -0,0 +1,199 @@
+package server
+
+import (
+	"encoding/json"
+	"net/http"
+	"strconv"
+	"time"
+
+	"github.com/labstack/echo/v4"
+
+	"github.com/lagoonpass/lagoonpass/internal/coordination/invoker"
+	"github.com/lagoonpass/lagoonpass/internal/coordination/jobrunner"
+	"github.com/lagoonpass/lagoonpass/pkg/refuser"
+)
+
+const (
+	// maxJobWait bounds a long poll for the end of a job.
+	maxJobWait = 60 * time.Second
+	// jobPollInterval is how often a long poll reads the job.
+	jobPollInterval = time.Second
+	// defaultPage and maxPage bound the jobs of one list.
+	defaultPage = 50
+	maxPage     = 500
+	// jobEnvelopeBytes is what a job may take beyond its request's body.
+	jobEnvelopeBytes = 4096
+)
+
+func (sv *Server) jobRoutes() {
+	sv.echo.POST("/v1/jobs", sv.acceptJob)
+	sv.echo.GET("/v1/jobs", sv.listJobs)
+	sv.echo.GET("/v1/jobs/:id", sv.showJob)
+	sv.echo.DELETE("/v1/jobs/:id", sv.cancelJob)
+}
+
+func (sv *Server) acceptJob(ec echo.Context) error {
+	sc, err := sv.enter(ec)
+	if err != nil {
+		return err
+	}
+	body, err := readBody(ec, sc.settings.Records().JobBytes()+jobEnvelopeBytes)
+	if err != nil {
+		return err
+	}
+	od, err := parseOrder(body)
+	if err != nil {
+		return err
+	}
+	if err := check(sc, od.Request); err != nil {
+		return err
+	}
+	hd := ec.Request().Header
+	od.Caller = sc.caller.Name()
+	od.Key = hd.Get(invoker.HeaderKey)
+	od.KeyTime = hd.Get(headerKeyTime)
+	jb, rf := sv.Jobs.Accept(ec.Request().Context(), od)
+	if rf != nil {
+		return rf
+	}
+	ec.Response().Header().Set(echo.HeaderLocation, "/v1/jobs/"+jb.ID())
+	return ec.JSON(http.StatusAccepted, jobFields(jb))
+}
+
+func parseOrder(body []byte) (jobrunner.Order, error) {
+	var wire struct {
+		Request struct {
+			Method      string          `json:"method"`
+			Path        string          `json:"path"`
+			ContentType string          `json:"content-type"`
+			Class       string          `json:"class"`
+			Body        json.RawMessage `json:"body"`
+		} `json:"request"`
+		Deadline string `json:"deadline"`
+	}
+	if err := json.Unmarshal(body, &wire); err != nil {
+		return jobrunner.Order{}, refuser.New(refuser.Malformed, "body is not a job: %v", err)
+	}
+	od := jobrunner.Order{Request: jobrunner.Request{
+		Method:      wire.Request.Method,
+		Path:        wire.Request.Path,
+		ContentType: wire.Request.ContentType,
+		Class:       wire.Request.Class,
+		Body:        wire.Request.Body,
+	}}
+	if od.Request.Method == "" {
+		od.Request.Method = http.MethodPost
+	}
+	if od.Request.ContentType == "" {
+		od.Request.ContentType = echo.MIMEApplicationJSON
+	}
+	if wire.Deadline != "" {
+		within, err := time.ParseDuration(wire.Deadline)
+		if err != nil || within <= 0 {
+			return od, refuser.New(refuser.Malformed, "deadline: found %q; allowed: a duration such as 8h", wire.Deadline)
+		}
+		od.Within = within
+	}
+	return od, nil
+}
+
+// showJob answers at once, or waits for the job's end as long as ?wait says.
+func (sv *Server) showJob(ec echo.Context) error {
+	sc, err := sv.enter(ec)
+	if err != nil {
+		return err
+	}
+	until, err := parseWait(ec.QueryParam("wait"))
+	if err != nil {
+		return err
+	}
+	ctx := ec.Request().Context()
+	for {
+		jb, rf := sv.Jobs.Get(ctx, sc.caller.Name(), ec.Param("id"))
+		if rf != nil {
+			return rf
+		}
+		if jb.State().Ended() || !time.Now().Add(jobPollInterval).Before(until) {
+			return ec.JSON(http.StatusOK, jobFields(jb))
+		}
+		select {
+		case <-ctx.Done():
+			return refuser.New(refuser.Cancelled, "the caller hung up").WithOutcome(refuser.Unknown)
+		case <-time.After(jobPollInterval):
+		}
+	}
+}
+
+func parseWait(text string) (time.Time, error) {
+	if text == "" {
+		return time.Now(), nil
+	}
+	wait, err := time.ParseDuration(text)
+	if err != nil || wait < 0 || wait > maxJobWait {
+		return time.Time{}, refuser.New(refuser.Malformed, "wait: found %q; allowed: a duration up to %v", text, maxJobWait)
+	}
+	return time.Now().Add(wait), nil
+}
+
+func (sv *Server) listJobs(ec echo.Context) error {
+	sc, err := sv.enter(ec)
+	if err != nil {
+		return err
+	}
+	limit := defaultPage
+	if tx := ec.QueryParam("limit"); tx != "" {
+		limit, err = strconv.Atoi(tx)
+		if err != nil || limit < 1 || limit > maxPage {
+			return refuser.New(refuser.Malformed, "limit: found %q; allowed: a number from 1 to %d", tx, maxPage)
+		}
+	}
+	page, next, rf := sv.Jobs.List(ec.Request().Context(), sc.caller.Name(), ec.QueryParam("after"), limit)
+	if rf != nil {
+		return rf
+	}
+	jobs := []map[string]any{}
+	for _, jb := range page {
+		fields := jobFields(jb)
+		delete(fields, "result")
+		jobs = append(jobs, fields)
+	}
+	return ec.JSON(http.StatusOK, map[string]any{"jobs": jobs, "next": next})
+}
+
+func (sv *Server) cancelJob(ec echo.Context) error {
+	sc, err := sv.enter(ec)
+	if err != nil {
+		return err
+	}
+	jb, rf := sv.Jobs.Cancel(ec.Request().Context(), sc.caller.Name(), ec.Param("id"))
+	if rf != nil {
+		return rf
+	}
+	return ec.JSON(http.StatusOK, jobFields(jb))
+}
+
+func jobFields(jb *jobrunner.Job) map[string]any {
+	fields := map[string]any{
+		"id":       jb.ID(),
+		"state":    jb.State().String(),
+		"path":     jb.Request().Path,
+		"created":  jb.Created().UTC().Format(time.RFC3339),
+		"attempts": jb.Attempts(),
+	}
+	if jb.State() == jobrunner.Done {
+		rs := jb.Result()
+		fields["result"] = map[string]any{"status": rs.Status, "content-type": rs.ContentType, "body": bodyField(rs.Body)}
+	}
+	if rf := jb.Refusal(); rf != nil {
+		fields["refusal"] = json.RawMessage(refuser.Encode(rf))
+	}
+	return fields
+}
+
+// bodyField returns JSON as it is and anything else as text.
+func bodyField(body []byte) any {
+	if json.Valid(body) {
+		return json.RawMessage(body)
+	}
+	return string(body)
+}
--- a/internal/server/server.go
+++ b/internal/server/server.go
@@ -18,6 +18,7 @@
 
 	"github.com/lagoonpass/lagoonpass/internal/coordination/dispatcher"
 	"github.com/lagoonpass/lagoonpass/internal/coordination/invoker"
+	"github.com/lagoonpass/lagoonpass/internal/coordination/jobrunner"
 	"github.com/lagoonpass/lagoonpass/internal/coordination/prober"
 	"github.com/lagoonpass/lagoonpass/internal/coordination/publisher"
 	"github.com/lagoonpass/lagoonpass/internal/state/configurer"
@@ -32,6 +33,8 @@
 	Dispatcher *dispatcher.Dispatcher
 	// Invoker runs calls of plain services.
 	Invoker *invoker.Invoker
+	// Jobs accepts and runs work for later.
+	Jobs *jobrunner.Runner
 	// View returns the membership.
 	View func() *prober.View
 	// Zone is the node's availability zone.
@@ -61,6 +64,7 @@
 	sv.echo.POST("/v1/completions", sv.complete)
 	sv.echo.GET("/v1/models", sv.listModels)
 	sv.echo.Any("/services/:service/*", sv.callService)
+	sv.jobRoutes()
 	sv.echo.GET("/v1/addresses", sv.listAddresses)
 	sv.echo.GET("/v1/status", sv.status)
 }
