--- a/internal/commander/commander.go
+++ b/internal/commander/commander.go
@@ -35,6 +35,7 @@
 	cm.Register(cm.CommandsCommand(), "")
 	cm.Register(&checkCommand{}, "settings")
 	cm.Register(&applyCommand{}, "settings")
+	cm.Register(&jobsCommand{}, "requests")
 	cm.Register(&demoCommand{}, "trying out")
 	cm.Register(&standinCommand{}, "trying out")
 }
