--- a/internal/coordination/recorder/recorder_test.go
+++ b/internal/coordination/recorder/recorder_test.go
@@ -88,13 +88,14 @@
 	})
 }
 
-// Hazard 16 and 13: the deadline passes before the grant arrives, so that the
-// executor sends nothing and a retry runs.
+// Hazard 16 and 13: the deadline passes while the begin is being recorded, so
+// that the executor sends nothing and a retry runs.
 func TestGrantAfterDeadlineIsAbandoned(t *testing.T) {
 	inBubble(t, 2, smallRecord, func(t *testing.T, cl *cluster) {
+		warm(t, cl)
 		key := keyAt("k")
 		cl.store.SetLatency(200 * time.Millisecond)
-		ctx, cancel := context.WithTimeout(t.Context(), 250*time.Millisecond)
+		ctx, cancel := context.WithTimeout(t.Context(), 100*time.Millisecond)
 		defer cancel()
 		an := cl.nodes[0].Begin(ctx, key)
 		require.Nil(t, an.Grant)
@@ -104,6 +105,70 @@
 	})
 }
 
+// warm makes each node read the layout.
+func warm(t *testing.T, cl *cluster) {
+	for ix, rc := range cl.nodes {
+		require.NotNil(t, rc.Begin(t.Context(), keyAt("warm"+string(rune('0'+ix)))).Grant)
+	}
+}
+
+// split makes another node than the owner of a key's shard take itself for the
+// owner too, and returns both.
+func split(cl *cluster, key Key) (owner, rival int) {
+	name, _ := cl.view(0).Owner(resource(shardOf(key.id, 2)))
+	for ix, mb := range cl.members {
+		if mb.ID == name.ID {
+			owner = ix
+		}
+	}
+	rival = (owner + 1) % len(cl.nodes)
+	for ix := range cl.nodes {
+		if ix != rival {
+			cl.see(rival, ix, prober.Dead)
+		}
+	}
+	return owner, rival
+}
+
+// Hazards 1 and 2: two nodes find themselves the owner, and each goes on after
+// the other committed.
+func TestOwnerThatLostItsShardReloads(t *testing.T) {
+	inBubble(t, 3, smallRecord, func(t *testing.T, cl *cluster) {
+		key := keyAt("k")
+		owner, rival := split(cl, key)
+		for round := range 3 {
+			for _, ix := range []int{owner, rival} {
+				other := key
+				other.request = sum([]byte{byte(round), byte(ix)})
+				other.id[hashBytes-1] = byte(round*16 + ix)
+				require.NotNil(t, cl.nodes[ix].Begin(t.Context(), other).Grant)
+				require.Nil(t, cl.nodes[owner+rival-ix].Begin(t.Context(), other).Grant)
+			}
+		}
+	})
+}
+
+// An outdated owner does not acknowledge the end of a key that it never saw.
+func TestOutdatedOwnerDoesNotAcknowledgeUnrecordedEnds(t *testing.T) {
+	inBubble(t, 3, smallRecord, func(t *testing.T, cl *cluster) {
+		key := keyAt("k")
+		first := key
+		first.id[hashBytes-1]++
+		owner, rival := split(cl, key)
+		require.NotNil(t, cl.nodes[owner].Begin(t.Context(), first).Grant)
+		an := cl.nodes[rival].Begin(t.Context(), key)
+		require.NotNil(t, an.Grant)
+		fn := finishOf(an.Grant.begin, false)
+		fn.Result = result("booked").RecordResult
+		answer, err := cl.nodes[owner].Handle(t.Context(), fn)
+		require.NoError(t, err)
+		require.False(t, answer.(*messenger.Finished).Recorded)
+		an.Grant.Finish(result("booked"))
+		require.NoError(t, cl.nodes[rival].Flush(t.Context()))
+		require.Equal(t, "booked", string(cl.nodes[owner].Begin(t.Context(), key).Result.Body))
+	})
+}
+
 // Hazard 3: the commit took effect and its answer was lost.
 func TestLostAnswerOfCommitStillGrantsOnce(t *testing.T) {
 	inBubble(t, 2, smallRecord, func(t *testing.T, cl *cluster) {
