--- a/internal/coordination/jobrunner/jobrunner_test.go
+++ b/internal/coordination/jobrunner/jobrunner_test.go
@@ -12,6 +12,7 @@
 	"pgregory.net/rapid"
 
 	"github.com/lagoonpass/lagoonpass/internal/checker"
+	"github.com/lagoonpass/lagoonpass/internal/standin/platform"
 	"github.com/lagoonpass/lagoonpass/pkg/refuser"
 )
 
@@ -244,6 +245,15 @@
 	return od
 }
 
+func TestVanishedJobIsSeen(t *testing.T) {
+	defer checker.Reset()
+	checker.Reset()
+	rn := New("n0", platform.NewMemory(), nil, nil, nil, nil)
+	require.True(t, rn.settleOnce(t.Context(), &Job{id: "gone", state: Done, revision: 7}))
+	require.Len(t, checker.Violations(), 1)
+	require.Equal(t, checker.JobKept, checker.Violations()[0].Invariant)
+}
+
 // TestRandomRunsEndEveryJob covers deaths, outages, lost answers and writes at
 // any step: no accepted job vanishes, and no booking is sent twice.
 func TestRandomRunsEndEveryJob(t *testing.T) {
--- a/internal/server/executor_test.go
+++ b/internal/server/executor_test.go
@@ -17,6 +17,8 @@
 [service.orders]
 addresses = 127.0.0.1:1
 non-repeatable = POST /book
+[service.other]
+addresses = 127.0.0.1:2
 `
 
 func scopeOf(t *testing.T, text string) *scope {
@@ -32,7 +34,7 @@
 	require.NoError(t, check(scopeOf(t, jobSettings), rq))
 	withoutRight := strings.Replace(jobSettings, "services = orders", "services = other", 1)
 	require.Equal(t, refuser.Forbidden, asRefusal(check(scopeOf(t, withoutRight), rq)).Reason())
-	withoutService := strings.ReplaceAll(jobSettings, "orders", "others")
+	withoutService := strings.NewReplacer("services = orders", "services = *", "[service.orders]", "[service.bookings]").Replace(jobSettings)
 	require.Equal(t, refuser.UnknownService, asRefusal(check(scopeOf(t, withoutService), rq)).Reason())
 }
 
