--- a/internal/runner/runner.go
+++ b/internal/runner/runner.go
@@ -60,6 +60,7 @@
 	drained   chan struct{}
 	aborted   chan struct{}
 	abortOnce sync.Once
+	records
 }
 
 // Option changes a Node that is being made.
@@ -97,6 +98,7 @@
 	}
 	nd.orderer = orderer.New(nd.meter.For(storer.PurposeOrder))
 	nd.prober = prober.New(nd.presence, lister.New(id.VMList()), nd.pool)
+	nd.buildRecords()
 	nd.peers = messenger.NewServer(messenger.HandlerFunc(nd.handlePeer))
 	nd.web = &http.Server{Handler: nd.buildServer(), ReadHeaderTimeout: 10 * time.Second}
 	return nd, nil
@@ -117,10 +119,12 @@
 	ej := ejector.New(ejector.WithReplicas(nd.replicas), ejector.WithRegistry(nd.registry))
 	am := admitter.New(nd.watcher, ej, random)
 	ds := dispatcher.New(am, fw, &orderer.Adapters{}, dispatcher.WithRegistry(nd.registry), dispatcher.WithEjector(ej))
+	iv := nd.buildInvoker(fw)
 	nd.server = server.New(server.Parts{
 		Holder:     nd.holder,
 		Dispatcher: ds,
-		Forwarder:  fw,
+		Invoker:    iv,
+		Jobs:       nd.buildJobs(ds, iv),
 		View:       nd.prober.View,
 		Zone:       nd.identity.Zone(),
 		Registry:   nd.registry,
@@ -165,8 +169,12 @@
 	}
 }
 
-func (nd *Node) handlePeer(_ context.Context, call messenger.Message) (messenger.Message, error) {
-	switch call.(type) {
+func (nd *Node) handlePeer(ctx context.Context, call messenger.Message) (messenger.Message, error) {
+	switch tc := call.(type) {
+	case *messenger.JobNotice:
+		return nd.jobs.Handle(tc), nil
+	case *messenger.Begin, *messenger.Finish:
+		return nd.recorder.Handle(ctx, call)
 	case *messenger.Ping:
 		return nd.prober.Answer(), nil
 	default:
@@ -180,6 +188,7 @@
 	nd.addContext(ctx, &gr)
 	nd.addLoop(&gr, nd.prober.Run)
 	nd.addLoop(&gr, nd.control)
+	nd.startJobs()
 	nd.addWeb(&gr)
 	nd.addPeers(&gr)
 	log.WithField("node", nd.identity.ID()).Info("node started")
--- a/internal/runner/stop.go
+++ b/internal/runner/stop.go
@@ -19,6 +19,7 @@
 func (nd *Node) shutdown() {
 	defer close(nd.drained)
 	nd.leaving.Store(true)
+	nd.stopJobs()
 	notice, drain := nd.stopTimes()
 	log.WithField("node", nd.identity.ID()).WithField("notice", notice.String()).Info("node is leaving")
 	select {
@@ -36,6 +37,7 @@
 		}
 	}()
 	err := nd.web.Shutdown(ctx)
+	nd.stopRecords(ctx)
 	if nd.isAborted() {
 		return
 	}
--- a/internal/server/server.go
+++ b/internal/server/server.go
@@ -18,11 +18,12 @@
 	"github.com/labstack/echo/v4"
 
 	"github.com/lagoonpass/lagoonpass/internal/coordination/dispatcher"
+	"github.com/lagoonpass/lagoonpass/internal/coordination/invoker"
+	"github.com/lagoonpass/lagoonpass/internal/coordination/jobrunner"
 	"github.com/lagoonpass/lagoonpass/internal/coordination/prober"
 	"github.com/lagoonpass/lagoonpass/internal/coordination/publisher"
 	"github.com/lagoonpass/lagoonpass/internal/counter"
 	"github.com/lagoonpass/lagoonpass/internal/state/configurer"
-	"github.com/lagoonpass/lagoonpass/internal/transport/forwarder"
 	"github.com/lagoonpass/lagoonpass/pkg/refuser"
 )
 
@@ -32,8 +33,10 @@
 	Holder *publisher.Holder
 	// Dispatcher runs completions.
 	Dispatcher *dispatcher.Dispatcher
-	// Forwarder reaches plain services.
-	Forwarder *forwarder.Forwarder
+	// Invoker runs calls of plain services.
+	Invoker *invoker.Invoker
+	// Jobs accepts and runs work for later.
+	Jobs *jobrunner.Runner
 	// View returns the membership.
 	View func() *prober.View
 	// Zone is the node's availability zone.
@@ -81,6 +84,7 @@
 	sv.echo.POST("/v1/completions", sv.complete)
 	sv.echo.GET("/v1/models", sv.listModels)
 	sv.echo.Any("/services/:service/*", sv.callService)
+	sv.jobRoutes()
 	sv.echo.GET("/v1/addresses", sv.listAddresses)
 	sv.echo.GET("/v1/status", sv.status)
 }
