--- a/internal/bencher/bencher.go
+++ b/internal/bencher/bencher.go
@@ -10,7 +10,11 @@
 //	})
 package bencher
 
-import "sort"
+import (
+	"slices"
+	"sort"
+	"time"
+)
 
 func sortedNames[T any](all map[string]T) []string {
 	names := make([]string, 0, len(all))
@@ -20,3 +24,5 @@
 	sort.Strings(names)
 	return names
 }
+
+func sortDurations(all []time.Duration) { slices.Sort(all) }
