Probe one peer an interval, with suspicion, refutation and pauses

Every node used to ping every other node twice a second, believed the platform's list alone, and kept its ownership over a pause. Now a node probes one peer an interval, directly and through others; suspects can refute; news rides on the probes within a budget of bytes; a view expires, so that a paused node wakes owning nothing until a peer has answered it.

--- /dev/null
+++ b/internal/coordination/prober/contact.go
@@ -0,0 +1,101 @@
+package prober
+
+import (
+	"context"
+	"time"
+
+	"github.com/lagoonpass/lagoonpass/internal/protocol/messenger"
+	"github.com/lagoonpass/lagoonpass/internal/state/lister"
+)
+
+const (
+	// listBytesPerSecond bounds what a node spends on reading the list.
+	listBytesPerSecond = 700
+	// listLineBytes is the size of a line of the list.
+	listLineBytes = 100
+	// The bounds of the time between two readings of the list.
+	minListInterval = time.Second
+	maxListInterval = 5 * time.Minute
+	// listTimeout bounds one reading.
+	listTimeout = 2 * time.Second
+)
+
+// listInterval grows with the list. With many nodes some node reads it every
+// second all the same, and tells the others who is leaving.
+func (pb *Prober) listInterval() time.Duration {
+	bytes := len(pb.vms) * listLineBytes
+	dn := time.Duration(bytes) * time.Second / listBytesPerSecond
+	return min(max(dn, minListInterval), maxListInterval)
+}
+
+func (pb *Prober) readList(ctx context.Context) {
+	ctx, cancel := context.WithTimeout(ctx, listTimeout)
+	defer cancel()
+	vms, err := pb.list.VMs(ctx)
+	pb.mu.Lock()
+	defer pb.mu.Unlock()
+	pb.listing = false
+	pb.listedAt = time.Now()
+	if err != nil {
+		pb.registry.Inc("membership", "list-unread")
+		return
+	}
+	pb.vms = pb.vms[:0]
+	for _, vm := range vms {
+		if vm.Kind == lister.KindEntry {
+			pb.vms = append(pb.vms, vm)
+		}
+	}
+	if !pb.listed {
+		pb.rounds = 0
+		pb.startContacts(context.WithoutCancel(ctx), pb.listedAt)
+	}
+	pb.listed = true
+	for _, vm := range pb.vms {
+		if vm.State == lister.StateLeaving {
+			pb.table.markLeaving(vm.Name)
+		}
+	}
+	pb.publish(time.Now())
+}
+
+// startContacts tries listed VMs that are not known as members, and members
+// that are dead: some at once while the node is alone, one now and then later.
+func (pb *Prober) startContacts(ctx context.Context, now time.Time) {
+	count := 1
+	if pb.table.alone() {
+		count = joinContacts
+	} else if pb.rounds%contactRounds != 0 {
+		return
+	}
+	addresses := pb.contacts()
+	pb.random.Shuffle(len(addresses), func(ix, jx int) { addresses[ix], addresses[jx] = addresses[jx], addresses[ix] })
+	for _, ct := range addresses[:min(count, len(addresses))] {
+		ping := &messenger.Ping{Gossip: pb.gossip(ct.id)}
+		pb.goProbe(ctx, func(ctx context.Context) { pb.ping(ctx, ct.address, ping, now) })
+	}
+}
+
+// contact is where a node may be that is not a member.
+type contact struct{ id, address string }
+
+func (pb *Prober) contacts() []contact {
+	known := map[string]bool{pb.table.self.PeerAddress: true}
+	for _, en := range pb.table.living(func(*entry) bool { return true }) {
+		known[en.PeerAddress] = true
+	}
+	var found []contact
+	for _, vm := range pb.vms {
+		if !known[vm.Address] {
+			known[vm.Address] = true
+			found = append(found, contact{vm.Name, vm.Address})
+		}
+	}
+	for _, id := range pb.table.deadIDs() {
+		if en := pb.table.entries[id]; !known[en.PeerAddress] {
+			known[en.PeerAddress] = true
+			found = append(found, contact{id, en.PeerAddress})
+		}
+	}
+	return found
+}
--- /dev/null
+++ b/internal/coordination/prober/handle.go
@@ -0,0 +1,111 @@
+package prober
+
+import (
+	"context"
+	"time"
+
+	"github.com/go-faster/errors"
+
+	"github.com/lagoonpass/lagoonpass/internal/coordination/spreader"
+	"github.com/lagoonpass/lagoonpass/internal/protocol/messenger"
+)
+
+// ErrUnhandled means that a message is none of the membership's.
+var ErrUnhandled = errors.New("message is not about the membership")
+
+// Handle answers the membership messages of peers.
+func (pb *Prober) Handle(ctx context.Context, call messenger.Message) (messenger.Message, error) {
+	switch ms := call.(type) {
+	case *messenger.Ping:
+		return pb.answerPing(ms, time.Now()), nil
+	case *messenger.Relay:
+		return pb.answerRelay(ctx, ms)
+	case *messenger.Sync:
+		return pb.answerSync(ms, time.Now()), nil
+	}
+	return nil, ErrUnhandled
+}
+
+func (pb *Prober) answerPing(ping *messenger.Ping, now time.Time) *messenger.Pong {
+	pb.take(ping.Gossip, now)
+	self := pb.presence()
+	pb.mu.Lock()
+	defer pb.mu.Unlock()
+	pb.table.setSelf(self)
+	return &messenger.Pong{Gossip: pb.gossip(ping.Sender.ID)}
+}
+
+func (pb *Prober) answerRelay(ctx context.Context, rl *messenger.Relay) (messenger.Message, error) {
+	pb.take(rl.Gossip, time.Now())
+	pb.mu.Lock()
+	ping := &messenger.Ping{Gossip: pb.gossip(rl.Sender.ID)}
+	pb.mu.Unlock()
+	ctx, cancel := context.WithTimeout(ctx, pb.interval)
+	defer cancel()
+	answer, err := pb.caller.Call(ctx, rl.Target, ping)
+	if err != nil {
+		return nil, errors.Wrap(err, "relayed ping")
+	}
+	return answer, nil
+}
+
+// digest returns a checksum for each bucket of members and entries.
+func (pb *Prober) digest(now time.Time) []uint32 {
+	dg := make([]uint32, spreader.Buckets)
+	pb.table.addDigest(dg, now)
+	pb.spread.AddDigest(dg)
+	return dg
+}
+
+func (pb *Prober) answerSync(sy *messenger.Sync, now time.Time) *messenger.Synced {
+	pb.mu.Lock()
+	defer pb.mu.Unlock()
+	mine := pb.digest(now)
+	marked := func(key string) bool {
+		bk := spreader.Bucket(key)
+		return bk >= len(sy.Digest) || sy.Digest[bk] != mine[bk]
+	}
+	limit := min(max(sy.Limit, 0), joinItems)
+	sd := &messenger.Synced{}
+	sd.Updates = pb.table.in(marked, limit, now)
+	sd.Entries = pb.spread.In(marked, limit)
+	return sd
+}
+
+// startSync compares what the node knows with a random peer.
+func (pb *Prober) startSync(ctx context.Context, now time.Time) {
+	limit := syncItems
+	if pb.joining {
+		limit = joinItems
+	}
+	pb.nextSync = now.Add(syncInterval/2 + time.Duration(pb.random.Int64N(int64(syncInterval))))
+	peers := pb.table.pick(1, "")
+	if len(peers) == 0 {
+		return
+	}
+	pb.joining = false
+	address, call := peers[0].PeerAddress, &messenger.Sync{Digest: pb.digest(now), Limit: limit}
+	pb.goProbe(ctx, func(ctx context.Context) {
+		ctx, cancel := context.WithTimeout(ctx, staleIntervals*pb.interval)
+		defer cancel()
+		answer, err := pb.caller.Call(ctx, address, call)
+		if sd, ok := answer.(*messenger.Synced); ok && err == nil {
+			pb.takeSynced(sd, time.Now())
+		}
+	})
+}
+
+// takeSynced merges the news; where the node knows better, its own word is
+// sent again with the next messages.
+func (pb *Prober) takeSynced(sd *messenger.Synced, now time.Time) {
+	pb.mu.Lock()
+	for _, mu := range sd.Updates {
+		if _, known := pb.table.entries[mu.ID]; pb.table.apply(mu, now) && !known {
+			// The peer that told it has told others too.
+			pb.table.entries[mu.ID].sends = quietSends
+		}
+	}
+	pb.publish(now)
+	pb.mu.Unlock()
+	pb.spread.Merge(sd.Entries)
+}
--- /dev/null
+++ b/internal/coordination/prober/prober_test.go
@@ -0,0 +1,353 @@
+package prober_test
+
+import (
+	"context"
+	"fmt"
+	"math/rand/v2"
+	"slices"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"github.com/lagoonpass/lagoonpass/internal/coordination/prober"
+	"github.com/lagoonpass/lagoonpass/internal/coordination/spreader"
+	"github.com/lagoonpass/lagoonpass/internal/protocol/messenger"
+	"github.com/lagoonpass/lagoonpass/internal/standin/network"
+	"github.com/lagoonpass/lagoonpass/internal/state/lister"
+)
+
+// fleet is some nodes on one network, within a synctest bubble.
+type fleet struct {
+	t       *testing.T
+	network *network.Network
+	mu      sync.Mutex
+	vms     []lister.VM
+	nodes   []*node
+	seed    uint64
+}
+
+type node struct {
+	*prober.Prober
+	id, address string
+	leaving     bool
+	stop        context.CancelFunc
+}
+
+func newFleet(t *testing.T, count, regions int) *fleet {
+	fl := &fleet{t: t, network: network.New(network.WithDelay(time.Millisecond))}
+	for ix := range count {
+		fl.add(fmt.Sprintf("n%d", ix), fmt.Sprintf("10.0.%d.%d:7", ix/200, ix%200), fmt.Sprintf("r%d", ix%regions))
+	}
+	return fl
+}
+
+// VMs implements prober.VMList.
+func (fl *fleet) VMs(context.Context) ([]lister.VM, error) {
+	fl.mu.Lock()
+	defer fl.mu.Unlock()
+	return slices.Clone(fl.vms), nil
+}
+
+func (fl *fleet) add(id, address, region string) *node {
+	fl.mu.Lock()
+	fl.vms = append(fl.vms, lister.VM{Name: id, Address: address, Kind: lister.KindEntry, State: lister.StateLive})
+	fl.mu.Unlock()
+	nd := &node{id: id, address: address}
+	fl.seed++
+	presence := func() messenger.Presence {
+		fl.network.Wait(address)
+		fl.mu.Lock()
+		defer fl.mu.Unlock()
+		return messenger.Presence{
+			ID: id, Zone: "zone-" + region, Region: region,
+			PeerAddress: address, CallerAddress: address + "0", Leaving: nd.leaving,
+		}
+	}
+	random := rand.New(rand.NewPCG(fl.seed, 1))
+	nd.Prober = prober.New(presence, fl, fl.network.From(address), prober.WithRandom(random))
+	fl.network.Listen(address, messenger.HandlerFunc(nd.Handle))
+	ctx, cancel := context.WithCancel(fl.t.Context())
+	nd.stop = cancel
+	fl.nodes = append(fl.nodes, nd)
+	go func() { _ = nd.Run(ctx) }()
+	return nd
+}
+
+func (fl *fleet) kill(nd *node) {
+	fl.network.Kill(nd.address)
+	nd.stop()
+	fl.nodes = slices.DeleteFunc(fl.nodes, func(other *node) bool { return other == nd })
+}
+
+func (fl *fleet) cut(one, two *node, cut bool) {
+	if cut {
+		fl.network.Cut(one.address, two.address)
+		return
+	}
+	fl.network.Heal(one.address, two.address)
+}
+
+// agreed reports whether all nodes see exactly each other as alive.
+func (fl *fleet) agreed() bool {
+	for _, nd := range fl.nodes {
+		if nd.View().Stale() || len(seen(nd, prober.Alive)) != len(fl.nodes) {
+			return false
+		}
+	}
+	return true
+}
+
+// await lets time pass until the condition holds and returns how long it took.
+func (fl *fleet) await(limit time.Duration, holds func() bool) time.Duration {
+	const step = 10 * time.Millisecond
+	began := time.Now()
+	for !holds() {
+		require.Less(fl.t, time.Since(began), limit, "condition did not come true")
+		time.Sleep(step)
+		synctest.Wait()
+	}
+	return time.Since(began)
+}
+
+func (fl *fleet) stop() {
+	for _, nd := range fl.nodes {
+		nd.stop()
+	}
+	synctest.Wait()
+}
+
+func seen(nd *node, st prober.State) []string {
+	var ids []string
+	for _, mb := range nd.View().Members() {
+		if mb.State == st {
+			ids = append(ids, mb.ID)
+		}
+	}
+	return ids
+}
+
+func TestKilledNodesShareHasAnOwnerWithinFiveSeconds(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		fl := newFleet(t, 4, 1)
+		defer fl.stop()
+		t.Logf("4 nodes agree after %v", fl.await(10*time.Second, fl.agreed))
+		for _, ordinal := range []string{"first", "second"} {
+			fl.kill(fl.nodes[0])
+			t.Logf("%s killed node's share is owned after %v", ordinal, fl.await(5*time.Second, fl.agreed))
+		}
+	})
+}
+
+func TestSilentHostIsDeadWithinFiveSeconds(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		fl := newFleet(t, 4, 1)
+		defer fl.stop()
+		fl.await(10*time.Second, fl.agreed)
+		silent := fl.nodes[3]
+		fl.network.Pause(silent.address)
+		fl.nodes = fl.nodes[:3]
+		t.Logf("silent node's share is owned after %v", fl.await(5*time.Second, fl.agreed))
+		fl.network.Resume(silent.address)
+		fl.nodes = append(fl.nodes, silent)
+		fl.await(10*time.Second, fl.agreed)
+	})
+}
+
+func TestLeavingNodeOwnsNothingAtOnce(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		fl := newFleet(t, 4, 1)
+		defer fl.stop()
+		fl.await(10*time.Second, fl.agreed)
+		fl.mu.Lock()
+		fl.nodes[1].leaving = true
+		fl.mu.Unlock()
+		fl.nodes[1].Announce()
+		everyone := func() bool {
+			for _, nd := range fl.nodes {
+				if !slices.Equal(seen(nd, prober.Leaving), []string{"n1"}) {
+					return false
+				}
+			}
+			return true
+		}
+		require.Less(t, fl.await(time.Second, everyone), 100*time.Millisecond)
+	})
+}
+
+func TestListSaysLeavingButNeverKills(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		fl := newFleet(t, 4, 1)
+		defer fl.stop()
+		fl.await(10*time.Second, fl.agreed)
+		fl.mu.Lock()
+		fl.vms = fl.vms[:3] // n3 is missing, as in a list that lags
+		fl.vms[2].State = lister.StateLeaving
+		fl.mu.Unlock()
+		fl.await(3*time.Second, func() bool {
+			return slices.Contains(seen(fl.nodes[0], prober.Leaving), "n2") && fl.nodes[2].Leaving()
+		})
+		time.Sleep(20 * time.Second)
+		require.Equal(t, []string{"n0", "n1", "n3"}, seen(fl.nodes[0], prober.Alive))
+	})
+}
+
+// Hazard 8: a process is stopped and continued.
+func TestPausedNodeOwnsNothingUntilARoundIsComplete(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		fl := newFleet(t, 4, 1)
+		defer fl.stop()
+		fl.await(10*time.Second, fl.agreed)
+		paused := fl.nodes[0]
+		resource := ""
+		for ix := 0; !paused.View().Owns(resource); ix++ {
+			resource = fmt.Sprintf("r%d", ix)
+		}
+		fl.network.Pause(paused.address)
+		time.Sleep(time.Minute)
+		require.False(t, paused.View().Owns(resource), "a view that was not renewed for a minute owns nothing")
+		owner, _ := fl.nodes[1].View().Owner(resource)
+		require.NotEqual(t, paused.id, owner.ID)
+		for _, nd := range fl.nodes[1:] {
+			fl.cut(paused, nd, true)
+		}
+		fl.network.Resume(paused.address)
+		time.Sleep(time.Second)
+		require.False(t, paused.View().Owns(resource), "nobody answered yet")
+		for _, nd := range fl.nodes[1:] {
+			fl.cut(paused, nd, false)
+		}
+		fl.await(20*time.Second, func() bool { return fl.agreed() && paused.View().Owns(resource) })
+	})
+}
+
+func TestOneWayCutIsBridgedByRelays(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		fl := newFleet(t, 4, 1)
+		defer fl.stop()
+		fl.await(10*time.Second, fl.agreed)
+		fl.cut(fl.nodes[0], fl.nodes[1], true)
+		for range 300 {
+			time.Sleep(100 * time.Millisecond)
+			require.Empty(t, seen(fl.nodes[0], prober.Dead))
+			require.Empty(t, seen(fl.nodes[2], prober.Dead))
+		}
+	})
+}
+
+func TestRegionCutOffForAnHourGoesOnAloneAndComesBack(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		fl := newFleet(t, 4, 2)
+		defer fl.stop()
+		fl.await(15*time.Second, fl.agreed)
+		isolate := func(cut bool) {
+			for ix, one := range fl.nodes {
+				for jx, two := range fl.nodes {
+					if ix%2 != jx%2 {
+						fl.cut(one, two, cut)
+					}
+				}
+			}
+		}
+		isolate(true)
+		halves := func() bool {
+			for _, nd := range fl.nodes {
+				if len(seen(nd, prober.Alive)) != 2 || nd.View().Stale() {
+					return false
+				}
+			}
+			return true
+		}
+		fl.await(30*time.Second, halves)
+		time.Sleep(time.Hour)
+		require.True(t, halves())
+		isolate(false)
+		back := fl.await(30*time.Second, func() bool {
+			for ix, nd := range fl.nodes {
+				for _, id := range seen(nd, prober.Dead) {
+					same := (int(id[1]-'0')-ix)%2 == 0
+					require.False(t, same, "a member of the own region may not die on the way back")
+				}
+			}
+			return fl.agreed()
+		})
+		t.Logf("regions agree %v after the cut", back)
+	})
+}
+
+func TestReplacementAtTheSameAddressRetiresTheFormer(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		fl := newFleet(t, 3, 1)
+		defer fl.stop()
+		fl.await(10*time.Second, fl.agreed)
+		former := fl.nodes[2]
+		fl.kill(former)
+		fl.add("n2-new", former.address, "r0")
+		fl.await(10*time.Second, fl.agreed)
+		require.NotContains(t, seen(fl.nodes[0], prober.Alive), "n2")
+	})
+}
+
+func TestEntriesReachEveryNode(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		fl := newFleet(t, 16, 2)
+		defer fl.stop()
+		fl.await(20*time.Second, fl.agreed)
+		fl.nodes[3].Spreader().Publish("configuration", spreader.Version{Epoch: 9}, nil)
+		took := fl.await(2*time.Second, func() bool {
+			for _, nd := range fl.nodes {
+				if vn, _, _ := nd.Spreader().Get("configuration"); vn.Epoch != 9 {
+					return false
+				}
+			}
+			return true
+		})
+		t.Logf("entry at 16 nodes after %v", took)
+	})
+}
+
+func TestControlBytesStayWithinThreeKilobytes(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		mean, _ := controlBytes(t, 16, 20*time.Second)
+		require.Less(t, mean, int64(3000))
+	})
+}
+
+// BenchmarkControlBytes measures what membership costs a node in steady state,
+// on the virtual clock.
+func BenchmarkControlBytes(bm *testing.B) {
+	for _, count := range []int{4, 16, 64} {
+		bm.Run(fmt.Sprintf("nodes=%d", count), func(bm *testing.B) {
+			for bm.Loop() {
+				synctest.Test(&testing.T{}, func(t *testing.T) {
+					mean, most := controlBytes(t, count, 2*time.Minute)
+					bm.ReportMetric(float64(mean), "B/s-mean")
+					bm.ReportMetric(float64(most), "B/s-most")
+				})
+			}
+		})
+	}
+}
+
+func controlBytes(t *testing.T, count int, settle time.Duration) (mean, most int64) {
+	fl := newFleet(t, count, min(4, max(1, count/4)))
+	defer fl.stop()
+	fl.await(2*time.Minute, fl.agreed)
+	time.Sleep(settle)
+	const window = time.Minute
+	before := map[string]int64{}
+	for _, nd := range fl.nodes {
+		before[nd.address] = fl.network.Bytes(nd.address)
+	}
+	time.Sleep(window)
+	var sum int64
+	for _, nd := range fl.nodes {
+		used := fl.network.Bytes(nd.address) - before[nd.address]
+		most = max(most, used)
+		sum += used
+	}
+	seconds := int64(window / time.Second)
+	return sum / seconds / int64(count), most / seconds
+}
--- /dev/null
+++ b/internal/coordination/spreader/spreader.go
@@ -0,0 +1,225 @@
+// Package spreader keeps versioned entries that are spread from node to node:
+// the configuration's revision number, and whatever else every node should
+// learn within seconds and can bear to lack.
+//
+// An entry has an epoch and a sequence number; the higher pair wins, so that
+// entries may arrive late, twice and in any order. Messages carry the entries
+// that were sent least often, within a budget of bytes; comparing checksums of
+// buckets of keys finds what was missed.
+//
+// # Usage
+//
+//	sp := spreader.New()
+//	sp.Publish("configuration", spreader.Version{Epoch: 17}, nil)
+//	vn, payload, ok := sp.Get("configuration")
+//	sp.Subscribe(func(key string, vn spreader.Version, payload []byte) { ... })
+package spreader
+
+import (
+	"encoding/binary"
+	"math/bits"
+	"sort"
+	"strings"
+	"sync"
+
+	"github.com/cespare/xxhash/v2"
+
+	"github.com/lagoonpass/lagoonpass/internal/protocol/messenger"
+)
+
+const (
+	// Buckets is the number of checksums in a digest.
+	Buckets = 64
+	// MaxPayloadBytes is the longest payload.
+	MaxPayloadBytes = 512
+	// sendsPerDoubling is how often an item is sent for each doubling of the
+	// number of members.
+	sendsPerDoubling = 3
+	// entryOverheadBytes is what the encoding adds to key and payload.
+	entryOverheadBytes = 16
+)
+
+// Version orders the values of one key.
+type Version struct {
+	// Epoch is the fencing number or other epoch of the origin.
+	Epoch int64
+	// Seq orders the values of one epoch.
+	Seq int64
+}
+
+// Newer reports whether vn comes after other.
+func (vn Version) Newer(other Version) bool {
+	return vn.Epoch > other.Epoch || vn.Epoch == other.Epoch && vn.Seq > other.Seq
+}
+
+// Spreader keeps the entries of one node. It is safe for use by several
+// goroutines.
+type Spreader struct {
+	mu          sync.Mutex
+	entries     map[string]*entry
+	subscribers []func(key string, vn Version, payload []byte)
+	fresh       chan struct{}
+}
+
+type entry struct {
+	version Version
+	payload []byte
+	sends   int
+}
+
+// New returns a spreader without entries.
+func New() *Spreader {
+	return &Spreader{entries: map[string]*entry{}, fresh: make(chan struct{}, 1)}
+}
+
+// Fresh returns a channel that signals that there is something new to spread.
+func (sp *Spreader) Fresh() <-chan struct{} { return sp.fresh }
+
+// Subscribe calls fn for each newer entry from then on, in the goroutine that
+// brought it.
+func (sp *Spreader) Subscribe(fn func(key string, vn Version, payload []byte)) {
+	sp.mu.Lock()
+	defer sp.mu.Unlock()
+	sp.subscribers = append(sp.subscribers, fn)
+}
+
+// Publish puts an entry in and reports whether it was newer than the one held.
+// A payload over MaxPayloadBytes is refused.
+func (sp *Spreader) Publish(key string, vn Version, payload []byte) bool {
+	if len(payload) > MaxPayloadBytes || !sp.put(key, vn, payload) {
+		return false
+	}
+	select {
+	case sp.fresh <- struct{}{}:
+	default:
+	}
+	for _, fn := range sp.listeners() {
+		fn(key, vn, payload)
+	}
+	return true
+}
+
+// Merge puts in entries that a peer sent.
+func (sp *Spreader) Merge(entries []messenger.SpreadEntry) {
+	for _, se := range entries {
+		sp.Publish(se.Key, Version{se.Epoch, se.Seq}, se.Payload)
+	}
+}
+
+func (sp *Spreader) put(key string, vn Version, payload []byte) bool {
+	sp.mu.Lock()
+	defer sp.mu.Unlock()
+	old := sp.entries[key]
+	if old != nil && !vn.Newer(old.version) {
+		if old.version.Newer(vn) {
+			old.sends = 0
+		}
+		return false
+	}
+	sp.entries[key] = &entry{version: vn, payload: payload}
+	return true
+}
+
+func (sp *Spreader) listeners() []func(string, Version, []byte) {
+	sp.mu.Lock()
+	defer sp.mu.Unlock()
+	return sp.subscribers
+}
+
+// Get returns the entry of a key.
+func (sp *Spreader) Get(key string) (Version, []byte, bool) {
+	sp.mu.Lock()
+	defer sp.mu.Unlock()
+	en, ok := sp.entries[key]
+	if !ok {
+		return Version{}, nil, false
+	}
+	return en.version, en.payload, true
+}
+
+// Snapshot returns the payloads of all keys with the prefix.
+func (sp *Spreader) Snapshot(prefix string) map[string][]byte {
+	sp.mu.Lock()
+	defer sp.mu.Unlock()
+	found := map[string][]byte{}
+	for key, en := range sp.entries {
+		if strings.HasPrefix(key, prefix) {
+			found[key] = en.payload
+		}
+	}
+	return found
+}
+
+// Take returns the entries to send with the next message to one of members
+// peers, least often sent first, within a budget of bytes.
+func (sp *Spreader) Take(budget, members int) []messenger.SpreadEntry {
+	sp.mu.Lock()
+	defer sp.mu.Unlock()
+	var keys []string
+	for key, en := range sp.entries {
+		if en.sends < Sends(members) {
+			keys = append(keys, key)
+		}
+	}
+	sort.Slice(keys, func(ix, jx int) bool {
+		one, two := sp.entries[keys[ix]].sends, sp.entries[keys[jx]].sends
+		return one < two || one == two && keys[ix] < keys[jx]
+	})
+	var out []messenger.SpreadEntry
+	for _, key := range keys {
+		en := sp.entries[key]
+		size := len(key) + len(en.payload) + entryOverheadBytes
+		if size > budget && len(out) > 0 {
+			break
+		}
+		budget -= size
+		en.sends++
+		out = append(out, en.wire(key))
+	}
+	return out
+}
+
+// Sends returns how often an item is sent among that many members.
+func Sends(members int) int { return sendsPerDoubling * (bits.Len(uint(members)) + 1) }
+
+// AddDigest adds the checksums of all entries to a digest.
+func (sp *Spreader) AddDigest(digest []uint32) {
+	sp.mu.Lock()
+	defer sp.mu.Unlock()
+	for key, en := range sp.entries {
+		AddToDigest(digest, key, uint64(en.version.Epoch), uint64(en.version.Seq))
+	}
+}
+
+// In returns at most limit entries whose bucket is marked.
+func (sp *Spreader) In(marked func(key string) bool, limit int) []messenger.SpreadEntry {
+	sp.mu.Lock()
+	defer sp.mu.Unlock()
+	var out []messenger.SpreadEntry
+	for key, en := range sp.entries {
+		if len(out) < limit && marked(key) {
+			out = append(out, en.wire(key))
+		}
+	}
+	return out
+}
+
+func (en *entry) wire(key string) messenger.SpreadEntry {
+	return messenger.SpreadEntry{Key: key, Epoch: en.version.Epoch, Seq: en.version.Seq, Payload: en.payload}
+}
+
+// Bucket returns the bucket of a key.
+func Bucket(key string) int { return int(xxhash.Sum64String(key) % Buckets) }
+
+// AddToDigest adds the checksum of a key's version to its bucket. Adding is
+// commutative, so that the order of keys does not matter.
+func AddToDigest(digest []uint32, key string, numbers ...uint64) {
+	dg := xxhash.New()
+	_, _ = dg.WriteString(key)
+	var buf [8]byte
+	for _, nr := range numbers {
+		binary.BigEndian.PutUint64(buf[:], nr)
+		_, _ = dg.Write(buf[:])
+	}
+	digest[Bucket(key)] += uint32(dg.Sum64())
+}
--- a/internal/protocol/messenger/codec.go
+++ b/internal/protocol/messenger/codec.go
@@ -26,6 +26,8 @@
 		return en.EncodeString(tv)
 	case []byte:
 		return en.EncodeBytes(tv)
+	case []uint32:
+		return EncodeList(en, tv, func(en *msgpack.Encoder, nr uint32) error { return en.EncodeUint(uint64(nr)) })
 	case bool:
 		return en.EncodeBool(tv)
 	case int:
@@ -62,6 +64,8 @@
 		*tp, err = de.DecodeString()
 	case *[]byte:
 		*tp, err = de.DecodeBytes()
+	case *[]uint32:
+		*tp, err = DecodeList(de, (*msgpack.Decoder).DecodeUint32)
 	case *bool:
 		*tp, err = de.DecodeBool()
 	case *int:
--- /dev/null
+++ b/internal/protocol/messenger/fetch.go
@@ -0,0 +1,37 @@
+package messenger
+
+import "github.com/vmihailenco/msgpack/v5"
+
+// Fetch asks a peer for one part of the configuration in force there.
+type Fetch struct {
+	// AtLeast is the lowest revision number that is wanted.
+	AtLeast int64
+	// Part is the index of the part.
+	Part int
+}
+
+// Kind implements Message.
+func (*Fetch) Kind() Kind { return KindFetch }
+
+// Encode implements Message.
+func (ft *Fetch) Encode(en *msgpack.Encoder) error { return EncodeAll(en, ft.AtLeast, ft.Part) }
+
+// Decode implements Message.
+func (ft *Fetch) Decode(de *msgpack.Decoder) error { return DecodeAll(de, &ft.AtLeast, &ft.Part) }
+
+// Fetched answers a Fetch. Its head is empty if the peer has no such revision.
+type Fetched struct {
+	// Head is the encoded head of the revision.
+	Head []byte
+	// Part is the content of the part.
+	Part []byte
+}
+
+// Kind implements Message.
+func (*Fetched) Kind() Kind { return KindFetched }
+
+// Encode implements Message.
+func (ft *Fetched) Encode(en *msgpack.Encoder) error { return EncodeAll(en, ft.Head, ft.Part) }
+
+// Decode implements Message.
+func (ft *Fetched) Decode(de *msgpack.Decoder) error { return DecodeAll(de, &ft.Head, &ft.Part) }
--- a/internal/protocol/messenger/kinds.go
+++ b/internal/protocol/messenger/kinds.go
@@ -6,6 +6,11 @@
 	KindPong         Kind = 2
 	KindFetch        Kind = 3
 	KindFetched      Kind = 4
+	KindRelay        Kind = 5
+	KindSync         Kind = 6
+	KindSynced       Kind = 7
+	KindRelease      Kind = 8
+	KindReleased     Kind = 9
 	KindBegin        Kind = 10
 	KindBegun        Kind = 11
 	KindFinish       Kind = 12
@@ -21,6 +26,13 @@
 
 // builders makes an empty message of each kind for decoding.
 var builders = map[Kind]func() Message{
-	KindPing: func() Message { return &Ping{} },
-	KindPong: func() Message { return &Pong{} },
+	KindPing:     func() Message { return &Ping{} },
+	KindPong:     func() Message { return &Pong{} },
+	KindFetch:    func() Message { return &Fetch{} },
+	KindFetched:  func() Message { return &Fetched{} },
+	KindRelay:    func() Message { return &Relay{} },
+	KindSync:     func() Message { return &Sync{} },
+	KindSynced:   func() Message { return &Synced{} },
+	KindRelease:  func() Message { return &Release{} },
+	KindReleased: func() Message { return &Released{} },
 }
--- a/internal/protocol/messenger/messenger.go
+++ b/internal/protocol/messenger/messenger.go
@@ -19,9 +19,12 @@
 import (
 	"bytes"
 	"fmt"
+	"math"
 
 	"github.com/go-faster/errors"
 	"github.com/vmihailenco/msgpack/v5"
+
+	"github.com/lagoonpass/lagoonpass/internal/transport/framer"
 )
 
 // Kind tells message types apart on the wire.
@@ -126,6 +129,15 @@
 	return buf.Bytes(), nil
 }
 
+// FrameBytes returns the size of the frame that carries a message.
+func FrameBytes(ms Message) int {
+	payload, err := (&envelope{id: math.MaxUint16, phase: phaseCall, message: ms}).encode()
+	if err != nil {
+		return 0
+	}
+	return framer.HeaderBytes + len(payload)
+}
+
 func decodeEnvelope(payload []byte) (*envelope, error) {
 	de := msgpack.NewDecoder(bytes.NewReader(payload))
 	ev := &envelope{}
--- a/internal/runner/runner.go
+++ b/internal/runner/runner.go
@@ -84,7 +84,7 @@
 		return nil, err
 	}
 	nd.orderer = orderer.New(nd.meter.For(storer.PurposeOrder))
-	nd.prober = prober.New(nd.presence, lister.New(id.VMList()), nd.pool)
+	nd.prober = prober.New(nd.presence, lister.New(id.VMList()), nd.pool, prober.WithRegistry(nd.registry))
 	nd.peers = messenger.NewServer(messenger.HandlerFunc(nd.handlePeer))
 	nd.web = &http.Server{Handler: nd.buildServer(), ReadHeaderTimeout: 10 * time.Second}
 	return nd, nil
@@ -137,13 +137,11 @@
 	}
 }
 
-func (nd *Node) handlePeer(_ context.Context, call messenger.Message) (messenger.Message, error) {
-	switch call.(type) {
-	case *messenger.Ping:
-		return nd.prober.Answer(), nil
-	default:
-		return nil, errors.Errorf("no handler for message of kind %d", call.Kind())
+func (nd *Node) handlePeer(ctx context.Context, call messenger.Message) (messenger.Message, error) {
+	if answer, err := nd.handleMembership(ctx, call); !errors.Is(err, prober.ErrUnhandled) {
+		return answer, err
 	}
+	return nil, errors.Errorf("no handler for message of kind %d", call.Kind())
 }
 
 // Run serves until the context ends, then finishes what is in progress.
@@ -163,6 +161,7 @@
 	gr.Add(func() error {
 		<-ctx.Done()
 		nd.leaving.Store(true)
+		nd.prober.Announce()
 		nd.shutdown()
 		return nil
 	}, func(error) { cancel() })
--- a/internal/transport/framer/framer.go
+++ b/internal/transport/framer/framer.go
@@ -23,7 +23,8 @@
 // MaxPayloadBytes is the longest payload of a frame.
 const MaxPayloadBytes = 4 << 20
 
-const headerBytes = 5
+// HeaderBytes is what a frame adds to its payload.
+const HeaderBytes = 5
 
 // Errors of this layer.
 var (
@@ -38,7 +39,7 @@
 	if len(payload) > MaxPayloadBytes {
 		return ErrLength
 	}
-	frame := make([]byte, headerBytes, headerBytes+len(payload))
+	frame := make([]byte, HeaderBytes, HeaderBytes+len(payload))
 	frame[0] = Version
 	binary.BigEndian.PutUint32(frame[1:], uint32(len(payload)))
 	if _, err := wr.Write(append(frame, payload...)); err != nil {
@@ -50,7 +51,7 @@
 // Read reads one frame and returns its payload. It returns io.EOF if the
 // stream ends between two frames.
 func Read(rd io.Reader) ([]byte, error) {
-	var header [headerBytes]byte
+	var header [HeaderBytes]byte
 	if _, err := io.ReadFull(rd, header[:]); err != nil {
 		if errors.Is(err, io.EOF) {
 			return nil, io.EOF
