Hold named resources by a fenced record in the store

Ownership used to be whatever the view said. Now a resource has a record whose epoch grows with each holder, written by compare-and-swap only; a live holder hands over when asked, a dead one is replaced, and a node that lost a resource waits longer each time before it takes it again.

After an hour's outage a node acquires at most 4 resources in any second.

--- /dev/null
+++ b/internal/coordination/claimer/claimer_test.go
@@ -0,0 +1,254 @@
+package claimer_test
+
+import (
+	"context"
+	"fmt"
+	"math/rand/v2"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/go-faster/errors"
+	"github.com/stretchr/testify/require"
+
+	"github.com/lagoonpass/lagoonpass/internal/checker"
+	"github.com/lagoonpass/lagoonpass/internal/coordination/claimer"
+	"github.com/lagoonpass/lagoonpass/internal/coordination/prober"
+	"github.com/lagoonpass/lagoonpass/internal/counter"
+	"github.com/lagoonpass/lagoonpass/internal/protocol/messenger"
+	"github.com/lagoonpass/lagoonpass/internal/standin/network"
+	"github.com/lagoonpass/lagoonpass/internal/standin/platform"
+)
+
+const resource = "planner"
+
+// cluster is claimers whose views the test sets by hand.
+type cluster struct {
+	store   *platform.Memory
+	network *network.Network
+	nodes   []*node
+}
+
+type node struct {
+	*claimer.Claimer
+	id       string
+	view     *prober.View
+	registry *counter.Registry
+}
+
+func newCluster(count int) *cluster {
+	cs := &cluster{store: platform.NewMemory(), network: network.New()}
+	for ix := range count {
+		nd := &node{id: fmt.Sprintf("n%d", ix), registry: counter.NewRegistry()}
+		nd.Claimer = claimer.New(cs.store, func() *prober.View { return nd.view }, cs.network.From(nd.id),
+			claimer.WithRandom(rand.New(rand.NewPCG(uint64(ix), 7))), claimer.WithRegistry(nd.registry))
+		cs.network.Listen(nd.id, messenger.HandlerFunc(func(ctx context.Context, call messenger.Message) (messenger.Message, error) {
+			return nd.Handle(ctx, call.(*messenger.Release))
+		}))
+		cs.nodes = append(cs.nodes, nd)
+	}
+	return cs
+}
+
+// see gives a node a view in which exactly the named are alive.
+func (cs *cluster) see(nd *node, alive ...string) {
+	var members []prober.Member
+	for _, other := range cs.nodes {
+		mb := prober.Member{ID: other.id, PeerAddress: other.id, State: prober.Dead}
+		for _, id := range alive {
+			if id == other.id {
+				mb.State = prober.Alive
+			}
+		}
+		members = append(members, mb)
+	}
+	nd.view = prober.NewView(nd.id, members, prober.WithSince(nd.view.Since()))
+}
+
+// owner returns the node that should hold the resource among all, and another.
+func (cs *cluster) owner() (owner, other *node) {
+	for _, nd := range cs.nodes {
+		nd.view = prober.NewView(nd.id, nil)
+	}
+	for _, nd := range cs.nodes {
+		cs.see(nd, "n0", "n1")
+	}
+	if cs.nodes[0].view.Owns(resource) {
+		return cs.nodes[0], cs.nodes[1]
+	}
+	return cs.nodes[1], cs.nodes[0]
+}
+
+func hold(t *testing.T, nd *node, within time.Duration) int64 {
+	began := time.Now()
+	for {
+		epoch, err := nd.Hold(t.Context(), resource)
+		if err == nil {
+			return epoch
+		}
+		require.Less(t, time.Since(began), within, "%v", err)
+		time.Sleep(50 * time.Millisecond)
+	}
+}
+
+// Hazard 1: an owner is paused, another acts, the first wakes and writes.
+func TestPausedHolderIsFenced(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		cs := newCluster(2)
+		first, second := cs.owner()
+		require.EqualValues(t, 1, hold(t, first, time.Second))
+		require.NoError(t, first.Update(t.Context(), resource, []byte("a")))
+		cs.see(second, second.id)
+		require.EqualValues(t, 2, hold(t, second, time.Second))
+		payload, _ := second.Payload(t.Context(), resource)
+		require.Equal(t, "a", string(payload))
+		require.NoError(t, second.Update(t.Context(), resource, []byte("b")))
+		time.Sleep(time.Second)
+		first.view = prober.NewView(first.id, first.view.Members(), prober.WithSince(time.Now()))
+		_, held := first.Epoch(resource)
+		require.False(t, held, "what was confirmed before the pause does not count")
+		require.ErrorIs(t, first.Update(t.Context(), resource, []byte("c")), claimer.ErrLost)
+		payload, _ = second.Payload(t.Context(), resource)
+		require.Equal(t, "b", string(payload))
+	})
+}
+
+// Hazard 2: two nodes see different members and each finds itself the owner.
+func TestTwoOwnersDoNotPassAResourceToAndFro(t *testing.T) {
+	for _, mutual := range []bool{false, true} {
+		synctest.Test(t, func(t *testing.T) {
+			cs := newCluster(3)
+			first, second := cs.owner()
+			hold(t, first, time.Second)
+			if mutual { // each sees the other dead
+				cs.see(first, first.id)
+				cs.see(second, second.id)
+			} else { // each sees the other alive, but another third
+				first, second = cs.differ(t)
+			}
+			var highest int64
+			for range 4 * 3600 {
+				for _, nd := range []*node{first, second} {
+					if epoch, err := nd.Hold(t.Context(), resource); err == nil {
+						highest = max(highest, epoch)
+					}
+				}
+				time.Sleep(250 * time.Millisecond)
+			}
+			t.Logf("mutual=%v: epoch %d after an hour", mutual, highest)
+			require.LessOrEqual(t, highest, int64(24))
+			if !mutual {
+				require.LessOrEqual(t, highest, int64(2))
+			}
+		})
+	}
+}
+
+// differ gives two nodes views that both contain both and in which each owns.
+func (cs *cluster) differ(t *testing.T) (one, two *node) {
+	for _, one := range cs.nodes {
+		for _, two := range cs.nodes {
+			cs.see(one, one.id, two.id)
+			two.view = prober.NewView(two.id, []prober.Member{
+				{ID: two.id, State: prober.Alive},
+				{ID: one.id, PeerAddress: one.id, State: prober.Leaving},
+			})
+			if one != two && one.view.Owns(resource) && two.view.Owns(resource) {
+				return one, two
+			}
+		}
+	}
+	t.Fatal("no such pair")
+	return nil, nil
+}
+
+func TestLiveHolderHandsOverWhenAsked(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		cs := newCluster(2)
+		owner, other := cs.owner()
+		cs.see(other, other.id)
+		require.EqualValues(t, 1, hold(t, other, time.Second))
+		_, err := owner.Hold(t.Context(), resource)
+		require.ErrorIs(t, err, claimer.ErrHeld, "the holder's own view gives it the resource")
+		cs.see(other, "n0", "n1")
+		require.EqualValues(t, 2, hold(t, owner, 5*time.Second))
+		_, held := other.Epoch(resource)
+		require.False(t, held)
+	})
+}
+
+// Hazard 3: the write took effect and its answer was lost.
+func TestAcquisitionWithLostAnswerIsSettled(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		cs := newCluster(2)
+		owner, _ := cs.owner()
+		cs.store.LoseAnswers(1)
+		epoch, err := owner.Hold(t.Context(), resource)
+		require.NoError(t, err)
+		require.EqualValues(t, 1, epoch)
+		cs.store.LoseWrites(1)
+		require.Error(t, owner.Update(t.Context(), resource, []byte("x")))
+		require.EqualValues(t, 1, hold(t, owner, time.Second))
+		require.NoError(t, owner.Update(t.Context(), resource, []byte("x")))
+	})
+}
+
+// Hazard 4: after an hour's outage every acquisition wants to be written.
+func TestStoreOutageKeepsHoldersAndPacesAcquisitions(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		cs := newCluster(1)
+		nd := cs.nodes[0]
+		nd.view = prober.NewView(nd.id, []prober.Member{{ID: nd.id, State: prober.Alive}})
+		epoch := hold(t, nd, time.Second)
+		const resources = 40
+		pass := func() (held int) {
+			for ix := range resources {
+				if _, err := nd.Hold(t.Context(), fmt.Sprintf("limit/%d", ix)); err == nil {
+					held++
+				}
+			}
+			return held
+		}
+		cs.store.SetDown(true)
+		_, before := cs.store.Calls()
+		for range 3600 {
+			require.Zero(t, pass(), "nothing new is taken during an outage")
+			require.Equal(t, epoch, hold(t, nd, time.Second), "what is held is kept")
+			time.Sleep(time.Second)
+		}
+		cs.store.SetDown(false)
+		most := int64(0)
+		for held := 0; held < resources; {
+			_, start := cs.store.Calls()
+			held = pass()
+			time.Sleep(time.Second)
+			_, end := cs.store.Calls()
+			most = max(most, end-start)
+		}
+		_, after := cs.store.Calls()
+		require.EqualValues(t, resources, after-before)
+		require.LessOrEqual(t, most, int64(4), "acquisitions a second of one node")
+	})
+}
+
+func TestReleaseAllAtAPlannedStopLeavesNoGap(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		cs := newCluster(2)
+		owner, other := cs.owner()
+		hold(t, owner, time.Second)
+		owner.ReleaseAll(t.Context())
+		cs.see(other, other.id)
+		epoch, err := other.Hold(t.Context(), resource)
+		require.NoError(t, err)
+		require.EqualValues(t, 2, epoch)
+		require.Empty(t, checker.Violations())
+	})
+}
+
+func TestStaleViewHoldsNothing(t *testing.T) {
+	cs := newCluster(2)
+	owner, _ := cs.owner()
+	owner.view = prober.NewView(owner.id, owner.view.Members(), prober.WithStale(true))
+	_, err := owner.Hold(t.Context(), resource)
+	require.True(t, errors.Is(err, claimer.ErrNotOwner))
+}
--- a/internal/coordination/prober/prober.go
+++ b/internal/coordination/prober/prober.go
@@ -381,7 +381,7 @@
 // publish makes the view known. The expiry counts from the last round, so that
 // an answer that arrives just after a pause does not renew an old view.
 func (pb *Prober) publish(now time.Time) {
-	opts := []ViewOption{WithStale(pb.stale)}
+	opts := []ViewOption{WithStale(pb.stale), WithSince(pb.awakeAt)}
 	if !pb.lastRound.IsZero() {
 		now = pb.lastRound
 	}
--- a/internal/coordination/prober/view.go
+++ b/internal/coordination/prober/view.go
@@ -56,6 +56,7 @@
 	owners  []candidate
 	stale   bool
 	expiry  time.Time
+	since   time.Time
 }
 
 // candidate is a member that may own resources.
@@ -73,6 +74,9 @@
 // WithStale makes the view own nothing.
 func WithStale(stale bool) ViewOption { return func(vw *View) { vw.stale = stale } }
 
+// WithSince says since when the node has seen the membership without a pause.
+func WithSince(since time.Time) ViewOption { return func(vw *View) { vw.since = since } }
+
 // NewView returns the view of the node self. The view includes self.
 func NewView(self string, members []Member, opts ...ViewOption) *View {
 	sorted := append([]Member(nil), members...)
@@ -111,6 +115,10 @@
 	return vw.stale || !vw.expiry.IsZero() && !time.Now().Before(vw.expiry)
 }
 
+// Since returns since when the node has seen the membership without a pause.
+// What it confirmed before then has to be confirmed again.
+func (vw *View) Since() time.Time { return vw.since }
+
 // Owner returns the member that should own a resource, by rendezvous hashing
 // over the members that are alive or suspect. It reports false if there is
 // none. Two nodes with different views can name different owners; a resource's
--- a/internal/runner/runner.go
+++ b/internal/runner/runner.go
@@ -23,6 +23,7 @@
 	"github.com/oklog/run"
 
 	"github.com/lagoonpass/lagoonpass/internal/coordination/admitter"
+	"github.com/lagoonpass/lagoonpass/internal/coordination/claimer"
 	"github.com/lagoonpass/lagoonpass/internal/coordination/dispatcher"
 	"github.com/lagoonpass/lagoonpass/internal/coordination/ejector"
 	"github.com/lagoonpass/lagoonpass/internal/coordination/orderer"
@@ -50,6 +51,7 @@
 	holder    *publisher.Holder
 	pool      *messenger.Pool
 	prober    *prober.Prober
+	claimer   *claimer.Claimer
 	watcher   *watcher.Watcher
 	orderer   *orderer.Orderer
 	peers     *messenger.Server
@@ -85,6 +87,7 @@
 	}
 	nd.orderer = orderer.New(nd.meter.For(storer.PurposeOrder))
 	nd.prober = prober.New(nd.presence, lister.New(id.VMList()), nd.pool, prober.WithRegistry(nd.registry))
+	nd.claimer = claimer.New(nd.meter.For(storer.PurposeOwnership), nd.prober.View, nd.pool, claimer.WithRegistry(nd.registry))
 	nd.peers = messenger.NewServer(messenger.HandlerFunc(nd.handlePeer))
 	nd.web = &http.Server{Handler: nd.buildServer(), ReadHeaderTimeout: 10 * time.Second}
 	return nd, nil
@@ -161,7 +164,7 @@
 	gr.Add(func() error {
 		<-ctx.Done()
 		nd.leaving.Store(true)
-		nd.prober.Announce()
+		nd.leaveMembership()
 		nd.shutdown()
 		return nil
 	}, func(error) { cancel() })
