Spread the configuration's number and fetch revisions from peers

Every node used to read head and parts from the store four times a second. Now three designated nodes of a region poll the head, its number spreads with the probes, and the others fetch the content from a peer, or from the store. Revisions have parts, records and a history; races say what changed; lost answers are settled; a node that starts during an outage asks several peers, and refuses callers who have seen a newer revision.

--- a/internal/coordination/publisher/codec.go
+++ b/internal/coordination/publisher/codec.go
@@ -3,30 +3,47 @@
 import (
 	"bytes"
 	"compress/gzip"
+	"crypto/sha256"
+	"encoding/hex"
 	"io"
+	"strings"
 
 	"github.com/go-faster/errors"
 	"github.com/vmihailenco/msgpack/v5"
 
 	"github.com/lagoonpass/lagoonpass/internal/protocol/messenger"
 	"github.com/lagoonpass/lagoonpass/internal/state/configurer"
-	"github.com/lagoonpass/lagoonpass/internal/state/storer"
 )
 
-// maxUnpackedBytes bounds the settings text of one revision.
-const maxUnpackedBytes = 64 << 20
+const (
+	// maxUnpackedBytes bounds the settings text of one revision.
+	maxUnpackedBytes = 64 << 20
+	// partBytes is the size of all parts of a revision but the last.
+	partBytes = 512 << 10
+	// maxParts bounds the parts of a revision.
+	maxParts = 16
+)
 
-// head is the value that names the latest revision.
+// head names a revision and its parts. The store holds it twice: in the
+// revision's record, and in the head as long as the revision is the latest.
 type head struct {
-	number int64
-	batch  string
-	author string
-	part   string
+	number   int64
+	batch    string
+	author   string
+	previous string
+	parts    []string
 }
 
-func (hd head) encode() ([]byte, error) {
+// hash identifies the content.
+func (hd *head) hash() string { return hashOf([]byte(strings.Join(hd.parts, "\n"))) }
+
+func (hd *head) encode() ([]byte, error) {
 	var buf bytes.Buffer
-	if err := messenger.EncodeAll(msgpack.NewEncoder(&buf), hd.number, hd.batch, hd.author, hd.part); err != nil {
+	en := msgpack.NewEncoder(&buf)
+	if err := messenger.EncodeAll(en, hd.number, hd.batch, hd.author, hd.previous); err != nil {
+		return nil, errors.Wrap(err, "encode configuration head")
+	}
+	if err := messenger.EncodeList(en, hd.parts, (*msgpack.Encoder).EncodeString); err != nil {
 		return nil, errors.Wrap(err, "encode configuration head")
 	}
 	return buf.Bytes(), nil
@@ -35,14 +52,23 @@
 func decodeHead(value []byte) (head, error) {
 	var hd head
 	de := msgpack.NewDecoder(bytes.NewReader(value))
-	if err := messenger.DecodeAll(de, &hd.number, &hd.batch, &hd.author, &hd.part); err != nil {
+	if err := messenger.DecodeAll(de, &hd.number, &hd.batch, &hd.author, &hd.previous); err != nil {
+		return head{}, errors.Wrapf(ErrCorrupt, "head: %v", err)
+	}
+	parts, err := messenger.DecodeList(de, (*msgpack.Decoder).DecodeString)
+	if err != nil {
 		return head{}, errors.Wrapf(ErrCorrupt, "head: %v", err)
 	}
+	if hd.number <= 0 || len(parts) == 0 || len(parts) > maxParts {
+		return head{}, errors.Wrapf(ErrCorrupt, "head: number %d with %d parts", hd.number, len(parts))
+	}
+	hd.parts = parts
 	return hd, nil
 }
 
-// packFiles returns the compressed files. Equal files give equal bytes.
-func packFiles(files []configurer.File) ([]byte, error) {
+// packFiles returns the compressed files in parts. Equal files give equal
+// bytes.
+func packFiles(files []configurer.File) ([][]byte, error) {
 	var buf bytes.Buffer
 	zw := gzip.NewWriter(&buf)
 	one := func(en *msgpack.Encoder, fl configurer.File) error {
@@ -54,14 +80,18 @@
 	if err := zw.Close(); err != nil {
 		return nil, errors.Wrap(err, "compress settings files")
 	}
-	if buf.Len() > storer.MaxValueBytes {
-		return nil, errors.Errorf("settings take %d bytes when compressed, over %d", buf.Len(), storer.MaxValueBytes)
+	if buf.Len() > maxParts*partBytes {
+		return nil, errors.Errorf("settings take %d bytes when compressed, over %d", buf.Len(), maxParts*partBytes)
 	}
-	return buf.Bytes(), nil
+	var parts [][]byte
+	for buf.Len() > 0 {
+		parts = append(parts, bytes.Clone(buf.Next(partBytes)))
+	}
+	return parts, nil
 }
 
-func unpackFiles(part []byte) ([]configurer.File, error) {
-	zr, err := gzip.NewReader(bytes.NewReader(part))
+func unpackFiles(parts [][]byte) ([]configurer.File, error) {
+	zr, err := gzip.NewReader(bytes.NewReader(bytes.Join(parts, nil)))
 	if err != nil {
 		return nil, errors.Wrap(err, "decompress settings files")
 	}
@@ -73,18 +103,28 @@
 	return messenger.DecodeList(msgpack.NewDecoder(io.LimitReader(zr, maxUnpackedBytes)), one)
 }
 
-// unpack checks a part against its head and parses it.
-func unpack(hd head, part []byte) (*Revision, error) {
-	if hashOf(part) != hd.part {
-		return nil, errors.Wrap(ErrCorrupt, "part does not match its hash")
+// checkPart compares a part with the hash under which it is stored.
+func checkPart(hash string, part []byte) error {
+	if hashOf(part) != hash {
+		return errors.Wrapf(ErrCorrupt, "part %.12s does not match its hash", hash)
 	}
-	files, err := unpackFiles(part)
+	return nil
+}
+
+// unpack parses the parts of a head, which were checked.
+func unpack(hd head, parts [][]byte) (*Revision, error) {
+	files, err := unpackFiles(parts)
 	if err != nil {
-		return nil, errors.Wrapf(ErrCorrupt, "part: %v", err)
+		return nil, errors.Wrapf(ErrCorrupt, "parts: %v", err)
 	}
 	settings, faults := configurer.Parse(files)
 	if len(faults) > 0 {
-		return nil, errors.Wrapf(ErrCorrupt, "part: %v", faults[0])
+		return nil, errors.Wrapf(ErrCorrupt, "parts: %v", faults[0])
 	}
-	return &Revision{head: hd, files: files, settings: settings}, nil
+	return &Revision{head: hd, packed: parts, files: files, settings: settings}, nil
+}
+
+func hashOf(part []byte) string {
+	sum := sha256.Sum256(part)
+	return hex.EncodeToString(sum[:])
 }
--- /dev/null
+++ b/internal/coordination/publisher/fetch.go
@@ -0,0 +1,70 @@
+package publisher
+
+import (
+	"context"
+
+	"github.com/go-faster/errors"
+
+	"github.com/lagoonpass/lagoonpass/internal/protocol/messenger"
+)
+
+// errBehind means that a peer has no such revision.
+var errBehind = errors.New("peer has no such revision")
+
+// Handle answers a peer that fetches the revision in force.
+func (hd *Holder) Handle(ft *messenger.Fetch) (*messenger.Fetched, error) {
+	rv := hd.Current()
+	if rv == nil || rv.Number() < ft.AtLeast {
+		return &messenger.Fetched{}, nil
+	}
+	if ft.Part < 0 || ft.Part >= len(rv.packed) {
+		return nil, errors.Errorf("revision %d has no part %d", rv.Number(), ft.Part)
+	}
+	value, err := rv.head.encode()
+	if err != nil {
+		return nil, err
+	}
+	return &messenger.Fetched{Head: value, Part: rv.packed[ft.Part]}, nil
+}
+
+// download fetches a revision part by part. It fails if the peer puts another
+// revision in force meanwhile.
+func (fo *Follower) download(ctx context.Context, address string, atLeast int64) (*Revision, error) {
+	hd, first, err := fo.downloadPart(ctx, address, atLeast, 0)
+	if err != nil {
+		return nil, err
+	}
+	parts := [][]byte{first}
+	for ix := 1; ix < len(hd.parts); ix++ {
+		next, part, err := fo.downloadPart(ctx, address, hd.number, ix)
+		if err != nil {
+			return nil, err
+		}
+		if next.batch != hd.batch {
+			return nil, errors.Wrap(errBehind, "revision changed while it was fetched")
+		}
+		parts = append(parts, part)
+	}
+	return unpack(hd, parts)
+}
+
+func (fo *Follower) downloadPart(ctx context.Context, address string, atLeast int64, part int) (head, []byte, error) {
+	ctx, cancel := context.WithTimeout(ctx, fetchTimeout)
+	defer cancel()
+	answer, err := fo.caller.Call(ctx, address, &messenger.Fetch{AtLeast: atLeast, Part: part})
+	if err != nil {
+		return head{}, nil, errors.Wrap(err, "fetch configuration")
+	}
+	fetched, ok := answer.(*messenger.Fetched)
+	if !ok || len(fetched.Head) == 0 {
+		return head{}, nil, errBehind
+	}
+	hd, err := decodeHead(fetched.Head)
+	if err != nil {
+		return head{}, nil, err
+	}
+	if hd.number < atLeast || part >= len(hd.parts) {
+		return head{}, nil, errBehind
+	}
+	return hd, fetched.Part, checkPart(hd.parts[part], fetched.Part)
+}
--- /dev/null
+++ b/internal/coordination/publisher/history.go
@@ -0,0 +1,104 @@
+package publisher
+
+import (
+	"context"
+
+	"github.com/go-faster/errors"
+
+	"github.com/lagoonpass/lagoonpass/internal/state/storer"
+)
+
+// historyLength is how many revisions are kept at least.
+const historyLength = 50
+
+// Summary is one line of the history.
+type Summary struct {
+	// Number is the revision number.
+	Number int64
+	// Author is who applied the revision.
+	Author string
+	// Hash is the hash of the content; equal content has equal hashes.
+	Hash string
+}
+
+// Load reads the latest revision from the store.
+func Load(ctx context.Context, st storer.Store) (*Revision, error) {
+	hd, _, err := readHead(ctx, st)
+	if err != nil {
+		return nil, err
+	}
+	return loadHead(ctx, st, hd)
+}
+
+// LoadRevision reads one revision that is still kept from the store.
+func LoadRevision(ctx context.Context, st storer.Store, number int64) (*Revision, error) {
+	chain, err := latestChain(ctx, st)
+	if err != nil {
+		return nil, err
+	}
+	for _, hd := range chain {
+		if hd.number == number {
+			return loadHead(ctx, st, hd)
+		}
+	}
+	return nil, errors.Wrapf(ErrGone, "revision %d", number)
+}
+
+// History returns the revisions that are kept, the latest first.
+func History(ctx context.Context, st storer.Store) ([]Summary, error) {
+	chain, err := latestChain(ctx, st)
+	if err != nil {
+		return nil, err
+	}
+	var lines []Summary
+	for _, hd := range chain {
+		lines = append(lines, Summary{Number: hd.number, Author: hd.author, Hash: hd.hash()})
+	}
+	return lines, nil
+}
+
+func latestChain(ctx context.Context, st storer.Store) ([]head, error) {
+	hd, _, err := readHead(ctx, st)
+	if err != nil {
+		return nil, err
+	}
+	return readChain(ctx, st, hd)
+}
+
+// readChain follows the records from a head back as far as they are kept.
+func readChain(ctx context.Context, st storer.Store, from head) ([]head, error) {
+	entries, err := st.List(ctx, recordPrefix)
+	if err != nil {
+		return nil, errors.Wrap(err, "list configuration records")
+	}
+	byBatch := map[string]head{}
+	for _, en := range entries {
+		if hd, err := decodeHead(en.Value); err == nil {
+			byBatch[hd.batch] = hd
+		}
+	}
+	chain := []head{from}
+	for hd, ok := byBatch[from.previous]; ok; hd, ok = byBatch[hd.previous] {
+		chain = append(chain, hd)
+	}
+	return chain, nil
+}
+
+// loadHead reads the parts of a head.
+func loadHead(ctx context.Context, st storer.Store, hd head) (*Revision, error) {
+	var parts [][]byte
+	for _, hash := range hd.parts {
+		en, err := st.Get(ctx, partPrefix+hash)
+		if storer.Is(err, storer.NotFound) {
+			return nil, errors.Wrapf(ErrCorrupt, "part %.12s of revision %d is missing", hash, hd.number)
+		}
+		if err != nil {
+			return nil, errors.Wrap(err, "read configuration part")
+		}
+		if err := checkPart(hash, en.Value); err != nil {
+			return nil, err
+		}
+		parts = append(parts, en.Value)
+	}
+	return unpack(hd, parts)
+}
--- a/internal/runner/control.go
+++ b/internal/runner/control.go
@@ -5,12 +5,9 @@
 	"time"
 
 	"github.com/apex/log"
-	"github.com/go-faster/errors"
 
 	"github.com/lagoonpass/lagoonpass/internal/coordination/planner"
-	"github.com/lagoonpass/lagoonpass/internal/coordination/publisher"
 	"github.com/lagoonpass/lagoonpass/internal/state/configurer"
-	"github.com/lagoonpass/lagoonpass/internal/state/storer"
 )
 
 // controlInterval is the time between two passes of the control loop.
@@ -31,7 +28,6 @@
 }
 
 func (nd *Node) pass(ctx context.Context) {
-	nd.refreshConfiguration(ctx)
 	rv := nd.holder.Current()
 	if rv == nil {
 		return
@@ -40,20 +36,6 @@
 	nd.placeModels(ctx, rv.Settings())
 }
 
-func (nd *Node) refreshConfiguration(ctx context.Context) {
-	rv, err := publisher.Load(ctx, nd.meter.For(storer.PurposeConfiguration))
-	if errors.Is(err, publisher.ErrNone) {
-		return
-	}
-	if err != nil {
-		log.WithError(err).Warn("configuration was not read; the revision in force stays")
-		return
-	}
-	if nd.holder.Adopt(rv) {
-		log.WithField("revision", rv.Number()).Info("configuration revision in force")
-	}
-}
-
 func (nd *Node) placeModels(ctx context.Context, st *configurer.Settings) {
 	pl := planner.Initial(st)
 	for _, bs := range st.BackendServers() {
--- a/internal/runner/membership.go
+++ b/internal/runner/membership.go
@@ -13,10 +13,14 @@
 // handleMembership answers the messages about members, claims and the
 // configuration in force.
 func (nd *Node) handleMembership(ctx context.Context, call messenger.Message) (messenger.Message, error) {
-	if rl, ok := call.(*messenger.Release); ok {
-		return nd.claimer.Handle(ctx, rl)
+	switch ms := call.(type) {
+	case *messenger.Release:
+		return nd.claimer.Handle(ctx, ms)
+	case *messenger.Fetch:
+		return nd.holder.Handle(ms)
+	default:
+		return nd.prober.Handle(ctx, call)
 	}
-	return nd.prober.Handle(ctx, call)
 }
 
 // leaveMembership tells the peers that the node is leaving and gives up what
--- a/internal/runner/runner.go
+++ b/internal/runner/runner.go
@@ -52,6 +52,7 @@
 	pool      *messenger.Pool
 	prober    *prober.Prober
 	claimer   *claimer.Claimer
+	follower  *publisher.Follower
 	watcher   *watcher.Watcher
 	orderer   *orderer.Orderer
 	peers     *messenger.Server
@@ -74,7 +75,7 @@
 		identity: id,
 		registry: counter.NewRegistry(),
 		store:    storer.NewClient(id.Store()),
-		holder:   &publisher.Holder{},
+		holder:   publisher.NewHolder(),
 		pool:     messenger.NewPool(),
 		watcher:  watcher.New(),
 	}
@@ -88,6 +89,8 @@
 	nd.orderer = orderer.New(nd.meter.For(storer.PurposeOrder))
 	nd.prober = prober.New(nd.presence, lister.New(id.VMList()), nd.pool, prober.WithRegistry(nd.registry))
 	nd.claimer = claimer.New(nd.meter.For(storer.PurposeOwnership), nd.prober.View, nd.pool, claimer.WithRegistry(nd.registry))
+	nd.follower = publisher.NewFollower(nd.holder, nd.meter.For(storer.PurposeConfiguration),
+		nd.prober.View, nd.pool, nd.prober.Spreader(), publisher.WithRegistry(nd.registry))
 	nd.peers = messenger.NewServer(messenger.HandlerFunc(nd.handlePeer))
 	nd.web = &http.Server{Handler: nd.buildServer(), ReadHeaderTimeout: 10 * time.Second}
 	return nd, nil
@@ -152,6 +155,7 @@
 	var gr run.Group
 	nd.addContext(ctx, &gr)
 	nd.addLoop(&gr, nd.prober.Run)
+	nd.addLoop(&gr, nd.follower.Run)
 	nd.addLoop(&gr, nd.control)
 	nd.addWeb(&gr)
 	nd.addPeers(&gr)
--- a/internal/server/server.go
+++ b/internal/server/server.go
@@ -93,6 +93,9 @@
 	if err != nil {
 		return nil, err
 	}
+	if err := checkRevision(ec, rv.Number()); err != nil {
+		return nil, err
+	}
 	return &scope{settings: rv.Settings(), caller: cr}, nil
 }
 
