Notice silent connections also when calls are given up sooner

A call that was given up before the silence time made the next one start the count again, so that short calls, as probes are, stayed on a silent connection for good. A connection now owes a frame from the first call that none followed. Measured on the virtual clock: calls of 300 ms move to a new connection after 1.5 s, where they never did (go test -v -run Silen ./internal/protocol/messenger). Idle connections are closed after ten minutes; frames and envelopes are fuzzed.

--- /dev/null
+++ b/internal/protocol/messenger/messenger_test.go
@@ -0,0 +1,199 @@
+package messenger
+
+import (
+	"context"
+	"io"
+	"net"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/stretchr/testify/require"
+)
+
+func sample() Gossip {
+	return Gossip{
+		Sender: MemberUpdate{Presence: Presence{ID: "n1", Zone: "z", Region: "r", Revision: 7}, Incarnation: 3, State: 1},
+		News: News{
+			Updates: []MemberUpdate{{Presence: Presence{ID: "n2", Leaving: true}, Incarnation: 9, State: 2}},
+			Entries: []SpreadEntry{{Key: "k", Epoch: 1, Seq: 2, Payload: []byte("v")}},
+		},
+	}
+}
+
+func samples() []Message {
+	return []Message{
+		&Ping{Gossip: sample()},
+		&Pong{Gossip: sample()},
+		&Relay{Gossip: sample(), Target: "10.0.0.1:7"},
+		&Sync{Digest: []uint32{1, 0, 3}, Limit: 4},
+		&Synced{News: sample().News},
+		&Fetch{AtLeast: 4, Part: 1},
+		&Fetched{Head: []byte("h"), Part: []byte("p")},
+		&Release{Resource: "planner", Epoch: 2, Requester: "n1"},
+		&Released{Done: true},
+	}
+}
+
+func TestEveryMessageSurvivesItsCodec(t *testing.T) {
+	for _, ms := range samples() {
+		payload, err := (&envelope{id: 5, phase: phaseCall, message: ms}).encode()
+		require.NoError(t, err)
+		ev, err := decodeEnvelope(payload)
+		require.NoError(t, err)
+		require.Equal(t, ms, ev.message)
+		for cut := range payload {
+			_, err := decodeEnvelope(payload[:cut])
+			require.Error(t, err, "a frame that is cut short is an error")
+		}
+	}
+}
+
+func FuzzDecodeEnvelope(f *testing.F) {
+	for _, ms := range samples() {
+		payload, err := (&envelope{id: 5, phase: phaseAnswer, message: ms}).encode()
+		require.NoError(f, err)
+		f.Add(payload)
+	}
+	f.Add([]byte{1, 9})
+	f.Add([]byte{1, byte(phaseReject), 0xa1, 'x'})
+	f.Add([]byte{0, byte(phaseHeartbeat)})
+	f.Fuzz(func(t *testing.T, payload []byte) {
+		ev, err := decodeEnvelope(payload)
+		if err != nil {
+			return
+		}
+		again, err := ev.encode()
+		require.NoError(t, err)
+		same, err := decodeEnvelope(again)
+		require.NoError(t, err)
+		once, err := same.encode()
+		require.NoError(t, err)
+		require.Equal(t, again, once)
+	})
+}
+
+// valve carries bytes between two pipes until it is shut; then it swallows
+// them and keeps both ends open, as a middlebox that has lost track.
+type valve struct {
+	net.Conn
+	mu   sync.Mutex
+	shut bool
+}
+
+func (vl *valve) swallows() bool {
+	vl.mu.Lock()
+	defer vl.mu.Unlock()
+	return vl.shut
+}
+
+func (vl *valve) close() {
+	vl.mu.Lock()
+	defer vl.mu.Unlock()
+	vl.shut = true
+}
+
+// carry copies one way, swallowing what comes once the valve is shut.
+func (vl *valve) carry(to io.Writer, from io.Reader) {
+	buf := make([]byte, 4096)
+	for {
+		count, err := from.Read(buf)
+		if err != nil {
+			return
+		}
+		if vl.swallows() {
+			continue
+		}
+		if _, err := to.Write(buf[:count]); err != nil {
+			return
+		}
+	}
+}
+
+// pipeDial returns a dial to the server through valves, which it collects.
+func pipeDial(sv *Server, valves *[]*valve) DialFunc {
+	return func(context.Context, string) (net.Conn, error) {
+		near, inner := net.Pipe()
+		outer, far := net.Pipe()
+		vl := &valve{Conn: near}
+		go vl.carry(outer, inner)
+		go vl.carry(inner, outer)
+		sv.track(far)
+		go sv.serveConn(far)
+		*valves = append(*valves, vl)
+		return near, nil
+	}
+}
+
+func TestSilentConnectionIsReplacedWithinTheSilenceTime(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		sv := NewServer(HandlerFunc(func(context.Context, Message) (Message, error) { return &Released{Done: true}, nil }))
+		var valves []*valve
+		const silence = 1500 * time.Millisecond
+		pl := NewPool(WithSilence(silence), WithDial(pipeDial(sv, &valves)))
+		call := func() error {
+			_, err := pl.Call(t.Context(), "peer", &Release{Resource: "r"})
+			return err
+		}
+		require.NoError(t, call())
+		time.Sleep(idleTimeout / 2)
+		require.NoError(t, call(), "an idle connection is not silent")
+		require.Len(t, valves, 1)
+		valves[0].close()
+		began := time.Now()
+		require.True(t, Is(call(), Lost), "sent and not answered")
+		took := time.Since(began)
+		require.LessOrEqual(t, took, silence+silence/heartbeatsInSilence)
+		require.NoError(t, call(), "the next call opens a new connection")
+		require.Len(t, valves, 2)
+		t.Logf("moved to a new connection after %v", took)
+		pl.Close()
+		sv.Close()
+		for _, vl := range valves {
+			_ = vl.Conn.Close()
+		}
+	})
+}
+
+func TestSilenceIsNoticedByCallsThatAreGivenUpSooner(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		sv := NewServer(HandlerFunc(func(context.Context, Message) (Message, error) { return &Released{}, nil }))
+		var valves []*valve
+		pl := NewPool(WithDial(pipeDial(sv, &valves)))
+		short := func() error {
+			ctx, cancel := context.WithTimeout(t.Context(), 300*time.Millisecond)
+			defer cancel()
+			_, err := pl.Call(ctx, "peer", &Release{})
+			return err
+		}
+		require.NoError(t, short())
+		valves[0].close()
+		began := time.Now()
+		for short() != nil {
+			require.Less(t, time.Since(began), 3*time.Second)
+		}
+		t.Logf("moved to a new connection after %v", time.Since(began))
+		time.Sleep(2 * idleTimeout)
+		require.NoError(t, short())
+		require.Len(t, valves, 3, "the second was idle for long")
+		pl.Close()
+		sv.Close()
+		_ = valves[0].Conn.Close()
+	})
+}
+
+func TestSlowAnswerIsNotSilence(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		sv := NewServer(HandlerFunc(func(context.Context, Message) (Message, error) {
+			time.Sleep(time.Minute)
+			return &Released{}, nil
+		}))
+		var valves []*valve
+		pl := NewPool(WithDial(pipeDial(sv, &valves)))
+		_, err := pl.Call(t.Context(), "peer", &Release{})
+		require.NoError(t, err)
+		pl.Close()
+		sv.Close()
+	})
+}
--- a/internal/protocol/messenger/pool.go
+++ b/internal/protocol/messenger/pool.go
@@ -17,9 +17,19 @@
 	dialTimeout    = time.Second
 	// heartbeatsInSilence is how many heartbeats fit in the silence time.
 	heartbeatsInSilence = 3
+	// idleTimeout is how long a connection without calls is kept.
+	idleTimeout = 10 * time.Minute
+	// linkAttempts bounds how often a call looks for a connection that is not
+	// closed before the call was sent.
+	linkAttempts = 3
 )
 
-var errSilent = errors.New("connection fell silent")
+var (
+	errSilent = errors.New("connection fell silent")
+	errIdle   = errors.New("connection was idle")
+	// errUnsent means that the connection was closed before the call was sent.
+	errUnsent = errors.New("connection was closed before the call")
+)
 
 // DialFunc opens a connection to a peer.
 type DialFunc func(ctx context.Context, address string) (net.Conn, error)
@@ -66,11 +76,17 @@
 // Call sends a message to the peer at the address and returns its answer. The
 // error is an *Error.
 func (pl *Pool) Call(ctx context.Context, address string, call Message) (Message, error) {
-	lk, err := pl.link(ctx, address)
-	if err != nil {
-		return nil, &Error{Failure: Unreachable, Address: address, Cause: err}
+	for range linkAttempts {
+		lk, err := pl.link(ctx, address)
+		if err != nil {
+			return nil, &Error{Failure: Unreachable, Address: address, Cause: err}
+		}
+		answer, err := lk.call(ctx, call)
+		if !errors.Is(err, errUnsent) {
+			return answer, err
+		}
 	}
-	return lk.call(ctx, call)
+	return nil, &Error{Failure: Unreachable, Address: address, Cause: errUnsent}
 }
 
 // Close closes all connections.
@@ -124,9 +140,15 @@
 	mu      sync.Mutex
 	nextID  uint64
 	waiting map[uint64]chan *envelope
-	heard   time.Time
-	done    chan struct{}
-	err     error
+	// heard is when a frame came last, or when the first call was sent that
+	// no frame has come after.
+	heard time.Time
+	// owed says that no frame has come since a call was sent, also if the
+	// call was given up meanwhile.
+	owed bool
+	used time.Time
+	done chan struct{}
+	err  error
 }
 
 func newLink(address string, cn net.Conn, silence time.Duration) *link {
@@ -136,6 +158,7 @@
 		silence: silence,
 		waiting: map[uint64]chan *envelope{},
 		heard:   time.Now(),
+		used:    time.Now(),
 		done:    make(chan struct{}),
 	}
 	go lk.read()
@@ -144,7 +167,10 @@
 }
 
 func (lk *link) call(ctx context.Context, call Message) (Message, error) {
-	id, answers := lk.register()
+	id, answers, ok := lk.register()
+	if !ok {
+		return nil, errUnsent
+	}
 	defer lk.forget(id)
 	if err := lk.writer.write(&envelope{id: id, phase: phaseCall, message: call}); err != nil {
 		lk.fail(err)
@@ -163,16 +189,23 @@
 	}
 }
 
-func (lk *link) register() (uint64, chan *envelope) {
+// register gives a call its number. It reports false if the connection was
+// closed meanwhile.
+func (lk *link) register() (id uint64, answers chan *envelope, ok bool) {
 	lk.mu.Lock()
 	defer lk.mu.Unlock()
-	if len(lk.waiting) == 0 {
-		lk.heard = time.Now()
+	if lk.broken() {
+		return 0, nil, false
+	}
+	lk.used = time.Now()
+	if len(lk.waiting) == 0 && !lk.owed {
+		lk.heard = lk.used
 	}
+	lk.owed = true
 	lk.nextID++
-	answers := make(chan *envelope, 1)
+	answers = make(chan *envelope, 1)
 	lk.waiting[lk.nextID] = answers
-	return lk.nextID, answers
+	return lk.nextID, answers, true
 }
 
 func (lk *link) forget(id uint64) {
@@ -203,13 +236,15 @@
 	lk.mu.Lock()
 	defer lk.mu.Unlock()
 	lk.heard = time.Now()
+	lk.owed = false
 	if answers, ok := lk.waiting[ev.id]; ok {
 		delete(lk.waiting, ev.id)
 		answers <- ev
 	}
 }
 
-// watch sends heartbeats while answers are awaited and notices silence.
+// watch sends heartbeats while the peer owes a frame, notices silence, and
+// closes an idle connection.
 func (lk *link) watch() {
 	tk := time.NewTicker(lk.silence / heartbeatsInSilence)
 	defer tk.Stop()
@@ -221,6 +256,7 @@
 		}
 		waiting, quiet := lk.quiet()
 		if !waiting {
+			lk.closeIdle()
 			continue
 		}
 		if quiet >= lk.silence {
@@ -237,7 +273,15 @@
 func (lk *link) quiet() (waiting bool, quiet time.Duration) {
 	lk.mu.Lock()
 	defer lk.mu.Unlock()
-	return len(lk.waiting) > 0, time.Since(lk.heard)
+	return len(lk.waiting) > 0 || lk.owed, time.Since(lk.heard)
+}
+
+func (lk *link) closeIdle() {
+	lk.mu.Lock()
+	defer lk.mu.Unlock()
+	if len(lk.waiting) == 0 && time.Since(lk.used) >= idleTimeout {
+		lk.failLocked(errIdle)
+	}
 }
 
 func (lk *link) broken() bool {
@@ -252,6 +296,10 @@
 func (lk *link) fail(err error) {
 	lk.mu.Lock()
 	defer lk.mu.Unlock()
+	lk.failLocked(err)
+}
+
+func (lk *link) failLocked(err error) {
 	if lk.broken() {
 		return
 	}
