--- a/internal/coordination/prober/handle.go
+++ b/internal/coordination/prober/handle.go
@@ -100,9 +100,12 @@
 func (pb *Prober) takeSynced(sd *messenger.Synced, now time.Time) {
 	pb.mu.Lock()
 	for _, mu := range sd.Updates {
-		if _, known := pb.table.entries[mu.ID]; pb.table.apply(mu, now) && !known {
+		pb.hearOfSelf(mu, now)
+		_, known := pb.table.entries[mu.ID]
+		pb.table.apply(mu, now)
+		if en := pb.table.entries[mu.ID]; en != nil && !known {
 			// The peer that told it has told others too.
-			pb.table.entries[mu.ID].sends = quietSends
+			en.sends = quietSends
 		}
 	}
 	pb.publish(now)
--- a/internal/coordination/prober/prober.go
+++ b/internal/coordination/prober/prober.go
@@ -108,6 +108,7 @@
 	listing   bool
 	stale     bool
 	awakeAt   time.Time
+	since     time.Time
 	lastRound time.Time
 	nextSync  time.Time
 	joining   bool
@@ -237,6 +238,7 @@
 	pb.registry.Inc("membership", "paused")
 	pb.stale = true
 	pb.awakeAt = now
+	pb.since = now
 	pb.table.restartSuspicions(now)
 }
 
@@ -264,6 +266,7 @@
 		pb.nextSync = now
 	}
 	for _, mu := range gs.Updates {
+		pb.hearOfSelf(mu, now)
 		pb.table.apply(mu, now)
 	}
 	if pb.table.incarnation != before {
@@ -275,6 +278,15 @@
 	pb.spread.Merge(gs.Entries)
 }
 
+// hearOfSelf notes that others took the node for dead: what it held may have
+// been taken.
+func (pb *Prober) hearOfSelf(mu messenger.MemberUpdate, now time.Time) {
+	if mu.ID == pb.table.self.ID && State(mu.State) == Dead && mu.Incarnation == pb.table.incarnation {
+		pb.registry.Inc("membership", "taken-for-dead")
+		pb.since = now
+	}
+}
+
 // gossip returns what the node says in its next message to a peer.
 func (pb *Prober) gossip(receiver string) messenger.Gossip {
 	gs := messenger.Gossip{Sender: pb.table.selfUpdate()}
@@ -309,7 +321,7 @@
 // publish makes the view known. The expiry counts from the last round, so that
 // an answer that arrives just after a pause does not renew an old view.
 func (pb *Prober) publish(now time.Time) {
-	opts := []ViewOption{WithStale(pb.stale), WithSince(pb.awakeAt)}
+	opts := []ViewOption{WithStale(pb.stale), WithSince(pb.since)}
 	if !pb.lastRound.IsZero() {
 		now = pb.lastRound
 	}
--- a/internal/runner/control.go
+++ b/internal/runner/control.go
@@ -32,6 +32,7 @@
 	if rv == nil {
 		return
 	}
+	nd.shareStore(rv.Settings().Limits())
 	nd.watcher.Poll(ctx, rv.Settings().BackendServers())
 	nd.placeModels(ctx, rv.Settings())
 }
--- a/internal/runner/runner.go
+++ b/internal/runner/runner.go
@@ -48,6 +48,7 @@
 	registry  *counter.Registry
 	store     storer.Store
 	meter     *storer.Meter
+	allowance *storer.Allowance
 	holder    *publisher.Holder
 	pool      *messenger.Pool
 	prober    *prober.Prober
@@ -82,7 +83,8 @@
 	for _, opt := range opts {
 		opt(nd)
 	}
-	nd.meter = storer.NewMeter(nd.store, nd.registry)
+	nd.allowance = storer.NewAllowance(minStoreReads, minStoreWrites)
+	nd.meter = storer.NewMeter(nd.store, nd.registry, storer.WithAllowance(nd.allowance), storer.WithBackoff(rand.Float64))
 	if err := nd.listen(); err != nil {
 		return nil, err
 	}
