--- a/internal/coordination/claimer/claimer_test.go
+++ b/internal/coordination/claimer/claimer_test.go
@@ -22,8 +22,8 @@
 
 const resource = "planner"
 
-// cluster is claimers whose views the test sets by hand.
-type cluster struct {
+// group is claimers whose views the test sets by hand.
+type group struct {
 	store   *platform.Memory
 	network *network.Network
 	nodes   []*node
@@ -36,24 +36,24 @@
 	registry *counter.Registry
 }
 
-func newCluster(count int) *cluster {
-	cs := &cluster{store: platform.NewMemory(), network: network.New()}
+func newGroup(count int) *group {
+	gr := &group{store: platform.NewMemory(), network: network.New()}
 	for ix := range count {
 		nd := &node{id: fmt.Sprintf("n%d", ix), registry: counter.NewRegistry()}
-		nd.Claimer = claimer.New(cs.store, func() *prober.View { return nd.view }, cs.network.From(nd.id),
+		nd.Claimer = claimer.New(gr.store, func() *prober.View { return nd.view }, gr.network.From(nd.id),
 			claimer.WithRandom(rand.New(rand.NewPCG(uint64(ix), 7))), claimer.WithRegistry(nd.registry))
-		cs.network.Listen(nd.id, messenger.HandlerFunc(func(ctx context.Context, call messenger.Message) (messenger.Message, error) {
+		gr.network.Listen(nd.id, messenger.HandlerFunc(func(ctx context.Context, call messenger.Message) (messenger.Message, error) {
 			return nd.Handle(ctx, call.(*messenger.Release))
 		}))
-		cs.nodes = append(cs.nodes, nd)
+		gr.nodes = append(gr.nodes, nd)
 	}
-	return cs
+	return gr
 }
 
 // see gives a node a view in which exactly the named are alive.
-func (cs *cluster) see(nd *node, alive ...string) {
+func (gr *group) see(nd *node, alive ...string) {
 	var members []prober.Member
-	for _, other := range cs.nodes {
+	for _, other := range gr.nodes {
 		mb := prober.Member{ID: other.id, PeerAddress: other.id, State: prober.Dead}
 		for _, id := range alive {
 			if id == other.id {
@@ -66,17 +66,17 @@
 }
 
 // owner returns the node that should hold the resource among all, and another.
-func (cs *cluster) owner() (owner, other *node) {
-	for _, nd := range cs.nodes {
+func (gr *group) owner() (owner, other *node) {
+	for _, nd := range gr.nodes {
 		nd.view = prober.NewView(nd.id, nil)
 	}
-	for _, nd := range cs.nodes {
-		cs.see(nd, "n0", "n1")
+	for _, nd := range gr.nodes {
+		gr.see(nd, "n0", "n1")
 	}
-	if cs.nodes[0].view.Owns(resource) {
-		return cs.nodes[0], cs.nodes[1]
+	if gr.nodes[0].view.Owns(resource) {
+		return gr.nodes[0], gr.nodes[1]
 	}
-	return cs.nodes[1], cs.nodes[0]
+	return gr.nodes[1], gr.nodes[0]
 }
 
 func hold(t *testing.T, nd *node, within time.Duration) int64 {
@@ -94,11 +94,11 @@
 // Hazard 1: an owner is paused, another acts, the first wakes and writes.
 func TestPausedHolderIsFenced(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
-		cs := newCluster(2)
-		first, second := cs.owner()
+		gr := newGroup(2)
+		first, second := gr.owner()
 		require.EqualValues(t, 1, hold(t, first, time.Second))
 		require.NoError(t, first.Update(t.Context(), resource, []byte("a")))
-		cs.see(second, second.id)
+		gr.see(second, second.id)
 		require.EqualValues(t, 2, hold(t, second, time.Second))
 		payload, _ := second.Payload(t.Context(), resource)
 		require.Equal(t, "a", string(payload))
@@ -117,14 +117,14 @@
 func TestTwoOwnersDoNotPassAResourceToAndFro(t *testing.T) {
 	for _, mutual := range []bool{false, true} {
 		synctest.Test(t, func(t *testing.T) {
-			cs := newCluster(3)
-			first, second := cs.owner()
+			gr := newGroup(3)
+			first, second := gr.owner()
 			hold(t, first, time.Second)
 			if mutual { // each sees the other dead
-				cs.see(first, first.id)
-				cs.see(second, second.id)
+				gr.see(first, first.id)
+				gr.see(second, second.id)
 			} else { // each sees the other alive, but another third
-				first, second = cs.differ(t)
+				first, second = gr.differ(t)
 			}
 			var highest int64
 			for range 4 * 3600 {
@@ -145,10 +145,10 @@
 }
 
 // differ gives two nodes views that both contain both and in which each owns.
-func (cs *cluster) differ(t *testing.T) (one, two *node) {
-	for _, one := range cs.nodes {
-		for _, two := range cs.nodes {
-			cs.see(one, one.id, two.id)
+func (gr *group) differ(t *testing.T) (one, two *node) {
+	for _, one := range gr.nodes {
+		for _, two := range gr.nodes {
+			gr.see(one, one.id, two.id)
 			two.view = prober.NewView(two.id, []prober.Member{
 				{ID: two.id, State: prober.Alive},
 				{ID: one.id, PeerAddress: one.id, State: prober.Leaving},
@@ -164,13 +164,13 @@
 
 func TestLiveHolderHandsOverWhenAsked(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
-		cs := newCluster(2)
-		owner, other := cs.owner()
-		cs.see(other, other.id)
+		gr := newGroup(2)
+		owner, other := gr.owner()
+		gr.see(other, other.id)
 		require.EqualValues(t, 1, hold(t, other, time.Second))
 		_, err := owner.Hold(t.Context(), resource)
 		require.ErrorIs(t, err, claimer.ErrHeld, "the holder's own view gives it the resource")
-		cs.see(other, "n0", "n1")
+		gr.see(other, "n0", "n1")
 		require.EqualValues(t, 2, hold(t, owner, 5*time.Second))
 		_, held := other.Epoch(resource)
 		require.False(t, held)
@@ -180,13 +180,13 @@
 // Hazard 3: the write took effect and its answer was lost.
 func TestAcquisitionWithLostAnswerIsSettled(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
-		cs := newCluster(2)
-		owner, _ := cs.owner()
-		cs.store.LoseAnswers(1)
+		gr := newGroup(2)
+		owner, _ := gr.owner()
+		gr.store.LoseAnswers(1)
 		epoch, err := owner.Hold(t.Context(), resource)
 		require.NoError(t, err)
 		require.EqualValues(t, 1, epoch)
-		cs.store.LoseWrites(1)
+		gr.store.LoseWrites(1)
 		require.Error(t, owner.Update(t.Context(), resource, []byte("x")))
 		require.EqualValues(t, 1, hold(t, owner, time.Second))
 		require.NoError(t, owner.Update(t.Context(), resource, []byte("x")))
@@ -196,8 +196,8 @@
 // Hazard 4: after an hour's outage every acquisition wants to be written.
 func TestStoreOutageKeepsHoldersAndPacesAcquisitions(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
-		cs := newCluster(1)
-		nd := cs.nodes[0]
+		gr := newGroup(1)
+		nd := gr.nodes[0]
 		nd.view = prober.NewView(nd.id, []prober.Member{{ID: nd.id, State: prober.Alive}})
 		epoch := hold(t, nd, time.Second)
 		const resources = 40
@@ -209,23 +209,23 @@
 			}
 			return held
 		}
-		cs.store.SetDown(true)
-		_, before := cs.store.Calls()
+		gr.store.SetDown(true)
+		_, before := gr.store.Calls()
 		for range 3600 {
 			require.Zero(t, pass(), "nothing new is taken during an outage")
 			require.Equal(t, epoch, hold(t, nd, time.Second), "what is held is kept")
 			time.Sleep(time.Second)
 		}
-		cs.store.SetDown(false)
+		gr.store.SetDown(false)
 		most := int64(0)
 		for held := 0; held < resources; {
-			_, start := cs.store.Calls()
+			_, start := gr.store.Calls()
 			held = pass()
 			time.Sleep(time.Second)
-			_, end := cs.store.Calls()
+			_, end := gr.store.Calls()
 			most = max(most, end-start)
 		}
-		_, after := cs.store.Calls()
+		_, after := gr.store.Calls()
 		require.EqualValues(t, resources, after-before)
 		require.LessOrEqual(t, most, int64(4), "acquisitions a second of one node")
 	})
@@ -233,11 +233,11 @@
 
 func TestReleaseAllAtAPlannedStopLeavesNoGap(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
-		cs := newCluster(2)
-		owner, other := cs.owner()
+		gr := newGroup(2)
+		owner, other := gr.owner()
 		hold(t, owner, time.Second)
 		owner.ReleaseAll(t.Context())
-		cs.see(other, other.id)
+		gr.see(other, other.id)
 		epoch, err := other.Hold(t.Context(), resource)
 		require.NoError(t, err)
 		require.EqualValues(t, 2, epoch)
@@ -246,8 +246,8 @@
 }
 
 func TestStaleViewHoldsNothing(t *testing.T) {
-	cs := newCluster(2)
-	owner, _ := cs.owner()
+	gr := newGroup(2)
+	owner, _ := gr.owner()
 	owner.view = prober.NewView(owner.id, owner.view.Members(), prober.WithStale(true))
 	_, err := owner.Hold(t.Context(), resource)
 	require.True(t, errors.Is(err, claimer.ErrNotOwner))
--- a/internal/coordination/claimer/random_test.go
+++ b/internal/coordination/claimer/random_test.go
@@ -4,7 +4,6 @@
 	"context"
 	"flag"
 	"fmt"
-	"math/rand/v2"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -17,9 +16,8 @@
 	"github.com/lagoonpass/lagoonpass/internal/coordination/prober"
 	"github.com/lagoonpass/lagoonpass/internal/coordination/spreader"
 	"github.com/lagoonpass/lagoonpass/internal/protocol/messenger"
-	"github.com/lagoonpass/lagoonpass/internal/standin/network"
+	"github.com/lagoonpass/lagoonpass/internal/standin/cluster"
 	"github.com/lagoonpass/lagoonpass/internal/standin/platform"
-	"github.com/lagoonpass/lagoonpass/internal/state/lister"
 	"github.com/lagoonpass/lagoonpass/internal/state/storer"
 )
 
@@ -30,8 +28,8 @@
 
 // world is nodes with probers and claimers that a random run does things to.
 type world struct {
+	*cluster.Cluster
 	store   *platform.Memory
-	network *network.Network
 	nodes   []*resident
 	ctx     context.Context
 	lives   int
@@ -42,12 +40,11 @@
 }
 
 type resident struct {
-	id, address string
-	prober      *prober.Prober
-	claimer     *claimer.Claimer
-	stop        context.CancelFunc
-	epoch       int64
-	number      int64
+	*cluster.Node
+	claimer *claimer.Claimer
+	end     context.CancelFunc
+	epoch   int64
+	number  int64
 }
 
 // pausing is a store whose answers wait while the node is paused.
@@ -63,19 +60,10 @@
 	return ps.Store.Swap(ctx, key, value, revision)
 }
 
-// VMs implements prober.VMList.
-func (wd *world) VMs(context.Context) ([]lister.VM, error) {
-	var vms []lister.VM
-	for ix := range worldNodes {
-		vms = append(vms, lister.VM{Name: fmt.Sprintf("a%d", ix), Address: fmt.Sprintf("a%d", ix), Kind: lister.KindEntry})
-	}
-	return vms, nil
-}
-
 func newWorld(ctx context.Context) *world {
 	wd := &world{
-		store: platform.NewMemory(), ctx: ctx, holders: map[int64]string{},
-		network: network.New(network.WithDelay(time.Millisecond)), nodes: make([]*resident, worldNodes),
+		Cluster: cluster.New(), store: platform.NewMemory(), ctx: ctx,
+		holders: map[int64]string{}, nodes: make([]*resident, worldNodes),
 	}
 	for ix := range worldNodes {
 		wd.start(ix)
@@ -86,26 +74,23 @@
 // start starts a new life at an address.
 func (wd *world) start(ix int) {
 	wd.lives++
-	rs := &resident{id: fmt.Sprintf("n%d", wd.lives), address: fmt.Sprintf("a%d", ix)}
-	wait := func() { wd.network.Wait(rs.address) }
-	presence := func() messenger.Presence {
-		wait()
-		return messenger.Presence{ID: rs.id, Zone: "z", Region: "r", PeerAddress: rs.address}
-	}
-	random := func(stream uint64) *rand.Rand { return rand.New(rand.NewPCG(uint64(wd.lives), stream)) }
-	caller := wd.network.From(rs.address)
-	rs.prober = prober.New(presence, wd, caller, prober.WithRandom(random(1)))
-	rs.claimer = claimer.New(&pausing{wd.store, wait}, rs.prober.View, caller, claimer.WithRandom(random(2)))
-	wd.network.Listen(rs.address, messenger.HandlerFunc(func(ctx context.Context, call messenger.Message) (messenger.Message, error) {
+	rs := &resident{}
+	address := fmt.Sprintf("a%d", ix)
+	handle := func(ctx context.Context, call messenger.Message) (messenger.Message, error) {
 		if rl, ok := call.(*messenger.Release); ok {
 			return rs.claimer.Handle(ctx, rl)
 		}
-		return rs.prober.Handle(ctx, call)
-	}))
+		return nil, prober.ErrUnhandled
+	}
+	wait := func() { wd.Wait(address) }
+	setup := func(nd *cluster.Node) messenger.HandlerFunc {
+		rs.claimer = claimer.New(&pausing{wd.store, wait}, nd.View, nd.Caller, claimer.WithRandom(nd.Random(2)))
+		return handle
+	}
 	ctx, cancel := context.WithCancel(wd.ctx)
-	rs.stop = cancel
+	rs.Node = wd.Start(ctx, fmt.Sprintf("n%d", wd.lives), address, "r", cluster.WithSetup(setup))
+	rs.end = cancel
 	wd.nodes[ix] = rs
-	go func() { _ = rs.prober.Run(ctx) }()
 	go func() {
 		for ctx.Err() == nil {
 			wait()
@@ -131,24 +116,23 @@
 }), 5, 30)
 
 func (wd *world) do(ac action) {
-	one, two := wd.nodes[ac.one].address, wd.nodes[ac.two].address
+	one, two := wd.nodes[ac.one].Address, wd.nodes[ac.two].Address
 	switch ac.kind {
 	case 0:
-		wd.network.Resume(one)
-		wd.network.Kill(one)
-		wd.nodes[ac.one].stop()
+		wd.Kill(wd.nodes[ac.one].Node)
+		wd.nodes[ac.one].end()
 		wd.start(ac.one)
 	case 1:
-		wd.network.Pause(one)
+		wd.Pause(one)
 	case 2:
-		wd.network.Resume(one)
+		wd.Resume(one)
 	case 3:
-		wd.network.Cut(one, two)
+		wd.Cut(one, two)
 	case 4:
-		wd.network.Cut(one, two)
-		wd.network.Cut(two, one)
+		wd.Cut(one, two)
+		wd.Cut(two, one)
 	case 5:
-		wd.network.Heal(one, two)
+		wd.Heal(one, two)
 	case 6:
 		wd.store.SetDown(true)
 	case 7:
@@ -157,7 +141,7 @@
 		wd.store.LoseAnswers(1)
 	case 9:
 		wd.number++
-		wd.nodes[ac.one].prober.Spreader().Publish("configuration", spreader.Version{Epoch: wd.number}, nil)
+		wd.nodes[ac.one].Spreader().Publish("configuration", spreader.Version{Epoch: wd.number}, nil)
 	}
 	for range max(1, ac.wait/worldStep) {
 		time.Sleep(worldStep)
@@ -176,19 +160,19 @@
 func (wd *world) check() {
 	for _, rs := range wd.nodes {
 		if epoch, ok := rs.claimer.Epoch(resource); ok {
-			if holder := wd.holders[epoch]; holder != "" && holder != rs.id {
-				wd.fail("epoch %d held by %s and %s", epoch, holder, rs.id)
+			if holder := wd.holders[epoch]; holder != "" && holder != rs.ID {
+				wd.fail("epoch %d held by %s and %s", epoch, holder, rs.ID)
 			}
 			if epoch < rs.epoch {
-				wd.fail("%s: epoch %d after %d", rs.id, epoch, rs.epoch)
+				wd.fail("%s: epoch %d after %d", rs.ID, epoch, rs.epoch)
 			}
-			wd.holders[epoch] = rs.id
+			wd.holders[epoch] = rs.ID
 			rs.epoch = epoch
 			wd.epoch = max(wd.epoch, epoch)
 		}
-		vn, _, _ := rs.prober.Spreader().Get("configuration")
+		vn, _, _ := rs.Spreader().Get("configuration")
 		if vn.Epoch < rs.number {
-			wd.fail("%s: revision %d after %d", rs.id, vn.Epoch, rs.number)
+			wd.fail("%s: revision %d after %d", rs.ID, vn.Epoch, rs.number)
 		}
 		rs.number = vn.Epoch
 	}
@@ -198,9 +182,9 @@
 func (wd *world) heal() {
 	wd.store.SetDown(false)
 	for _, one := range wd.nodes {
-		wd.network.Resume(one.address)
+		wd.Resume(one.Address)
 		for _, two := range wd.nodes {
-			wd.network.Heal(one.address, two.address)
+			wd.Heal(one.Address, two.Address)
 		}
 	}
 	const patience = 15 * time.Minute // a node that lost a claim waits for minutes
@@ -217,9 +201,9 @@
 func (wd *world) agreed() bool {
 	held := 0
 	for _, rs := range wd.nodes {
-		vw := rs.prober.View()
+		vw := rs.View()
 		for _, other := range wd.nodes {
-			if mb, ok := vw.Member(other.id); !ok || mb.State != prober.Alive {
+			if mb, ok := vw.Member(other.ID); !ok || mb.State != prober.Alive {
 				return false
 			}
 		}
@@ -230,7 +214,7 @@
 				return false // the former holder learns it from the record
 			}
 		}
-		if vn, _, _ := rs.prober.Spreader().Get("configuration"); vw.Stale() || vn.Epoch != wd.number && wd.known(vn.Epoch) {
+		if vn, _, _ := rs.Spreader().Get("configuration"); vw.Stale() || vn.Epoch != wd.number && wd.known(vn.Epoch) {
 			return false
 		}
 	}
@@ -241,7 +225,7 @@
 // that only a killed node had is lost.
 func (wd *world) known(number int64) bool {
 	for _, rs := range wd.nodes {
-		if vn, _, _ := rs.prober.Spreader().Get("configuration"); vn.Epoch > number {
+		if vn, _, _ := rs.Spreader().Get("configuration"); vn.Epoch > number {
 			return true
 		}
 	}
--- a/internal/coordination/prober/prober_test.go
+++ b/internal/coordination/prober/prober_test.go
@@ -1,11 +1,8 @@
 package prober_test
 
 import (
-	"context"
 	"fmt"
-	"math/rand/v2"
 	"slices"
-	"sync"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -14,80 +11,32 @@
 
 	"github.com/lagoonpass/lagoonpass/internal/coordination/prober"
 	"github.com/lagoonpass/lagoonpass/internal/coordination/spreader"
-	"github.com/lagoonpass/lagoonpass/internal/protocol/messenger"
-	"github.com/lagoonpass/lagoonpass/internal/standin/network"
+	"github.com/lagoonpass/lagoonpass/internal/standin/cluster"
 	"github.com/lagoonpass/lagoonpass/internal/state/lister"
 )
 
-// fleet is some nodes on one network, within a synctest bubble.
+// fleet is some nodes within a synctest bubble.
 type fleet struct {
-	t       *testing.T
-	network *network.Network
-	mu      sync.Mutex
-	vms     []lister.VM
-	nodes   []*node
-	seed    uint64
-}
-
-type node struct {
-	*prober.Prober
-	id, address string
-	leaving     bool
-	stop        context.CancelFunc
+	*cluster.Cluster
+	t     *testing.T
+	nodes []*cluster.Node
 }
 
 func newFleet(t *testing.T, count, regions int) *fleet {
-	fl := &fleet{t: t, network: network.New(network.WithDelay(time.Millisecond))}
+	fl := &fleet{Cluster: cluster.New(), t: t}
 	for ix := range count {
-		fl.add(fmt.Sprintf("n%d", ix), fmt.Sprintf("10.0.%d.%d:7", ix/200, ix%200), fmt.Sprintf("r%d", ix%regions))
+		fl.add(fmt.Sprintf("n%d", ix), fmt.Sprintf("10.0.0.%d:7", ix), fmt.Sprintf("r%d", ix*regions/count))
 	}
 	return fl
 }
 
-// VMs implements prober.VMList.
-func (fl *fleet) VMs(context.Context) ([]lister.VM, error) {
-	fl.mu.Lock()
-	defer fl.mu.Unlock()
-	return slices.Clone(fl.vms), nil
+func (fl *fleet) add(id, address, region string) {
+	fl.nodes = append(fl.nodes, fl.Start(fl.t.Context(), id, address, region))
 }
 
-func (fl *fleet) add(id, address, region string) *node {
-	fl.mu.Lock()
-	fl.vms = append(fl.vms, lister.VM{Name: id, Address: address, Kind: lister.KindEntry, State: lister.StateLive})
-	fl.mu.Unlock()
-	nd := &node{id: id, address: address}
-	fl.seed++
-	presence := func() messenger.Presence {
-		fl.network.Wait(address)
-		fl.mu.Lock()
-		defer fl.mu.Unlock()
-		return messenger.Presence{
-			ID: id, Zone: "zone-" + region, Region: region,
-			PeerAddress: address, CallerAddress: address + "0", Leaving: nd.leaving,
-		}
-	}
-	random := rand.New(rand.NewPCG(fl.seed, 1))
-	nd.Prober = prober.New(presence, fl, fl.network.From(address), prober.WithRandom(random))
-	fl.network.Listen(address, messenger.HandlerFunc(nd.Handle))
-	ctx, cancel := context.WithCancel(fl.t.Context())
-	nd.stop = cancel
-	fl.nodes = append(fl.nodes, nd)
-	go func() { _ = nd.Run(ctx) }()
-	return nd
-}
-
-func (fl *fleet) kill(nd *node) {
-	fl.network.Kill(nd.address)
-	nd.stop()
-	fl.nodes = slices.DeleteFunc(fl.nodes, func(other *node) bool { return other == nd })
-}
-
-func (fl *fleet) cut(one, two *node, cut bool) {
-	if cut {
-		fl.network.Cut(one.address, two.address)
-		return
-	}
-	fl.network.Heal(one.address, two.address)
+func (fl *fleet) kill(nd *cluster.Node) {
+	fl.Kill(nd)
+	fl.nodes = slices.DeleteFunc(fl.nodes, func(other *cluster.Node) bool { return other == nd })
 }
 
 // agreed reports whether all nodes see exactly each other as alive.
@@ -114,12 +63,12 @@
 
 func (fl *fleet) stop() {
 	for _, nd := range fl.nodes {
-		nd.stop()
+		nd.Stop()
 	}
 	synctest.Wait()
 }
 
-func seen(nd *node, st prober.State) []string {
+func seen(nd *cluster.Node, st prober.State) []string {
 	var ids []string
 	for _, mb := range nd.View().Members() {
 		if mb.State == st {
@@ -147,10 +96,10 @@
 		defer fl.stop()
 		fl.await(10*time.Second, fl.agreed)
 		silent := fl.nodes[3]
-		fl.network.Pause(silent.address)
+		fl.Pause(silent.Address)
 		fl.nodes = fl.nodes[:3]
 		t.Logf("silent node's share is owned after %v", fl.await(5*time.Second, fl.agreed))
-		fl.network.Resume(silent.address)
+		fl.Resume(silent.Address)
 		fl.nodes = append(fl.nodes, silent)
 		fl.await(10*time.Second, fl.agreed)
 	})
@@ -161,10 +110,7 @@
 		fl := newFleet(t, 4, 1)
 		defer fl.stop()
 		fl.await(10*time.Second, fl.agreed)
-		fl.mu.Lock()
-		fl.nodes[1].leaving = true
-		fl.mu.Unlock()
-		fl.nodes[1].Announce()
+		fl.nodes[1].Leave()
 		everyone := func() bool {
 			for _, nd := range fl.nodes {
 				if !slices.Equal(seen(nd, prober.Leaving), []string{"n1"}) {
@@ -182,10 +128,10 @@
 		fl := newFleet(t, 4, 1)
 		defer fl.stop()
 		fl.await(10*time.Second, fl.agreed)
-		fl.mu.Lock()
-		fl.vms = fl.vms[:3] // n3 is missing, as in a list that lags
-		fl.vms[2].State = lister.StateLeaving
-		fl.mu.Unlock()
+		fl.EditList(func(vms []lister.VM) []lister.VM {
+			vms[2].State = lister.StateLeaving
+			return vms[:3] // n3 is missing, as in a list that lags
+		})
 		fl.await(3*time.Second, func() bool {
 			return slices.Contains(seen(fl.nodes[0], prober.Leaving), "n2") && fl.nodes[2].Leaving()
 		})
@@ -205,20 +151,16 @@
 		for ix := 0; !paused.View().Owns(resource); ix++ {
 			resource = fmt.Sprintf("r%d", ix)
 		}
-		fl.network.Pause(paused.address)
+		fl.Pause(paused.Address)
 		time.Sleep(time.Minute)
 		require.False(t, paused.View().Owns(resource), "a view that was not renewed for a minute owns nothing")
 		owner, _ := fl.nodes[1].View().Owner(resource)
-		require.NotEqual(t, paused.id, owner.ID)
-		for _, nd := range fl.nodes[1:] {
-			fl.cut(paused, nd, true)
-		}
-		fl.network.Resume(paused.address)
+		require.NotEqual(t, paused.ID, owner.ID)
+		fl.Isolate(paused, true, fl.nodes[1:]...)
+		fl.Resume(paused.Address)
 		time.Sleep(time.Second)
 		require.False(t, paused.View().Owns(resource), "nobody answered yet")
-		for _, nd := range fl.nodes[1:] {
-			fl.cut(paused, nd, false)
-		}
+		fl.Isolate(paused, false, fl.nodes[1:]...)
 		fl.await(20*time.Second, func() bool { return fl.agreed() && paused.View().Owns(resource) })
 	})
 }
@@ -228,7 +170,7 @@
 		fl := newFleet(t, 4, 1)
 		defer fl.stop()
 		fl.await(10*time.Second, fl.agreed)
-		fl.cut(fl.nodes[0], fl.nodes[1], true)
+		fl.Cut(fl.nodes[0].Address, fl.nodes[1].Address)
 		for range 300 {
 			time.Sleep(100 * time.Millisecond)
 			require.Empty(t, seen(fl.nodes[0], prober.Dead))
@@ -243,12 +185,8 @@
 		defer fl.stop()
 		fl.await(15*time.Second, fl.agreed)
 		isolate := func(cut bool) {
-			for ix, one := range fl.nodes {
-				for jx, two := range fl.nodes {
-					if ix%2 != jx%2 {
-						fl.cut(one, two, cut)
-					}
-				}
+			for _, nd := range fl.nodes[:2] {
+				fl.Isolate(nd, cut, fl.nodes[2:]...)
 			}
 		}
 		isolate(true)
@@ -267,7 +205,7 @@
 		back := fl.await(30*time.Second, func() bool {
 			for ix, nd := range fl.nodes {
 				for _, id := range seen(nd, prober.Dead) {
-					same := (int(id[1]-'0')-ix)%2 == 0
+					same := int(id[1]-'0')/2 == ix/2
 					require.False(t, same, "a member of the own region may not die on the way back")
 				}
 			}
@@ -284,7 +222,7 @@
 		fl.await(10*time.Second, fl.agreed)
 		former := fl.nodes[2]
 		fl.kill(former)
-		fl.add("n2-new", former.address, "r0")
+		fl.add("n2-new", former.Address, "r0")
 		fl.await(10*time.Second, fl.agreed)
 		require.NotContains(t, seen(fl.nodes[0], prober.Alive), "n2")
 	})
@@ -339,12 +277,12 @@
 	const window = time.Minute
 	before := map[string]int64{}
 	for _, nd := range fl.nodes {
-		before[nd.address] = fl.network.Bytes(nd.address)
+		before[nd.Address] = fl.Bytes(nd.Address)
 	}
 	time.Sleep(window)
 	var sum int64
 	for _, nd := range fl.nodes {
-		used := fl.network.Bytes(nd.address) - before[nd.address]
+		used := fl.Bytes(nd.Address) - before[nd.Address]
 		most = max(most, used)
 		sum += used
 	}
--- a/internal/coordination/publisher/follower_test.go
+++ b/internal/coordination/publisher/follower_test.go
@@ -19,33 +19,28 @@
 	"github.com/lagoonpass/lagoonpass/internal/coordination/publisher"
 	"github.com/lagoonpass/lagoonpass/internal/coordination/spreader"
 	"github.com/lagoonpass/lagoonpass/internal/protocol/messenger"
-	"github.com/lagoonpass/lagoonpass/internal/standin/network"
+	"github.com/lagoonpass/lagoonpass/internal/standin/cluster"
 	"github.com/lagoonpass/lagoonpass/internal/standin/platform"
-	"github.com/lagoonpass/lagoonpass/internal/state/lister"
 	"github.com/lagoonpass/lagoonpass/internal/state/storer"
 )
 
 func errorAs[T error](err error, target *T) bool { return errors.As(err, target) }
 
-// fleet is nodes with probers and followers on one network.
+// fleet is nodes with followers.
 type fleet struct {
-	t       *testing.T
-	store   *platform.Memory
-	network *network.Network
-	mu      sync.Mutex
-	vms     []lister.VM
-	nodes   []*node
+	*cluster.Cluster
+	t     *testing.T
+	store *platform.Memory
+	nodes []*node
 }
 
 type node struct {
-	address string
-	holder  *publisher.Holder
-	prober  *prober.Prober
-	stop    context.CancelFunc
+	*cluster.Node
+	holder *publisher.Holder
 }
 
 func newFleet(t *testing.T, count int) *fleet {
-	fl := &fleet{t: t, store: platform.NewMemory(), network: network.New(network.WithDelay(time.Millisecond))}
+	fl := &fleet{Cluster: cluster.New(), t: t, store: platform.NewMemory()}
 	fl.store.SetLatency(5 * time.Millisecond)
 	for range count {
 		fl.add(fl.store)
@@ -53,43 +48,25 @@
 	return fl
 }
 
-// VMs implements prober.VMList.
-func (fl *fleet) VMs(context.Context) ([]lister.VM, error) {
-	fl.mu.Lock()
-	defer fl.mu.Unlock()
-	return append([]lister.VM(nil), fl.vms...), nil
-}
-
 func (fl *fleet) add(st storer.Store) *node {
-	index := len(fl.nodes)
-	nd := &node{address: fmt.Sprintf("10.0.0.%d:7", index), holder: publisher.NewHolder()}
-	fl.mu.Lock()
-	fl.vms = append(fl.vms, lister.VM{Name: nd.address, Address: nd.address, Kind: lister.KindEntry})
-	fl.mu.Unlock()
-	presence := func() messenger.Presence {
-		return messenger.Presence{ID: nd.address, Zone: "z", Region: "r", PeerAddress: nd.address, Revision: nd.holder.Number()}
-	}
-	random := func(stream uint64) *rand.Rand { return rand.New(rand.NewPCG(uint64(index), stream)) }
-	caller := fl.network.From(nd.address)
-	nd.prober = prober.New(presence, fl, caller, prober.WithRandom(random(1)))
-	follower := publisher.NewFollower(nd.holder, st, nd.prober.View, caller, nd.prober.Spreader(), publisher.WithRandom(random(2)))
-	fl.network.Listen(nd.address, messenger.HandlerFunc(func(ctx context.Context, call messenger.Message) (messenger.Message, error) {
+	nd := &node{holder: publisher.NewHolder()}
+	handle := func(_ context.Context, call messenger.Message) (messenger.Message, error) {
 		if ft, ok := call.(*messenger.Fetch); ok {
 			return nd.holder.Handle(ft)
 		}
-		return nd.prober.Handle(ctx, call)
-	}))
-	ctx, cancel := context.WithCancel(fl.t.Context())
-	nd.stop = cancel
+		return nil, prober.ErrUnhandled
+	}
+	id := fmt.Sprintf("n%d", len(fl.nodes))
+	nd.Node = fl.Start(fl.t.Context(), id, id, "r", cluster.WithSetup(func(*cluster.Node) messenger.HandlerFunc { return handle }), cluster.WithRevision(nd.holder.Number))
+	follower := publisher.NewFollower(nd.holder, st, nd.View, nd.Caller, nd.Spreader(), publisher.WithRandom(nd.Random(2)))
 	fl.nodes = append(fl.nodes, nd)
-	go func() { _ = nd.prober.Run(ctx) }()
-	go func() { _ = follower.Run(ctx) }()
+	go func() { _ = follower.Run(fl.t.Context()) }()
 	return nd
 }
 
 func (fl *fleet) stop() {
 	for _, nd := range fl.nodes {
-		nd.stop()
+		nd.Stop()
 	}
 	synctest.Wait()
 	require.Empty(fl.t, checker.Violations())
@@ -100,7 +77,7 @@
 	began := time.Now()
 	for _, nd := range nodes {
 		for nd.holder.Number() < number {
-			require.Less(fl.t, time.Since(began), limit, "%s is at revision %d, not %d", nd.address, nd.holder.Number(), number)
+			require.Less(fl.t, time.Since(began), limit, "%s is at revision %d, not %d", nd.ID, nd.holder.Number(), number)
 			time.Sleep(5 * time.Millisecond)
 		}
 	}
@@ -109,13 +86,7 @@
 
 func (fl *fleet) isolate(one *node, cut bool, others ...*node) {
 	for _, nd := range others {
-		if cut {
-			fl.network.Cut(one.address, nd.address)
-			fl.network.Cut(nd.address, one.address)
-			continue
-		}
-		fl.network.Heal(one.address, nd.address)
-		fl.network.Heal(nd.address, one.address)
+		fl.Isolate(one.Node, cut, nd.Node)
 	}
 }
 
@@ -267,7 +238,7 @@
 		perSecond := float64(after-before) / 120
 		t.Logf("%.1f reads a second by 12 nodes", perSecond)
 		require.Less(t, perSecond, 13.0)
-		fl.nodes[0].prober.Spreader().Publish("other", spreader.Version{Epoch: 1}, nil)
+		fl.nodes[0].Spreader().Publish("other", spreader.Version{Epoch: 1}, nil)
 		apply(t, fl.store, 1, 1)
 		t.Logf("in force on 12 nodes after %v", fl.await(2*time.Second, 2, fl.nodes...))
 	})
