--- a/internal/coordination/prober/prober_test.go
+++ b/internal/coordination/prober/prober_test.go
@@ -228,6 +228,24 @@
 	})
 }
 
+func TestProcessStartedAgainUnderItsIDIsHeard(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		fl := newFleet(t, 3, 1)
+		defer fl.stop()
+		fl.await(10*time.Second, fl.agreed)
+		fl.Pause(fl.nodes[2].Address)
+		time.Sleep(10 * time.Second)
+		fl.Resume(fl.nodes[2].Address) // it raises its incarnation
+		fl.await(10*time.Second, fl.agreed)
+		former := fl.nodes[2]
+		fl.kill(former)
+		fl.add(former.ID, former.Address, "r0")
+		fl.await(10*time.Second, fl.agreed)
+		fl.nodes[2].Leave()
+		fl.await(2*time.Second, func() bool { return len(seen(fl.nodes[0], prober.Leaving)) == 1 })
+	})
+}
+
 func TestEntriesReachEveryNode(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		fl := newFleet(t, 16, 2)
