--- a/internal/protocol/messenger/kinds.go
+++ b/internal/protocol/messenger/kinds.go
@@ -35,4 +35,7 @@
 	KindSynced:   func() Message { return &Synced{} },
 	KindRelease:  func() Message { return &Release{} },
 	KindReleased: func() Message { return &Released{} },
+
+	KindShareRequest: func() Message { return &ShareRequest{} },
+	KindShareGrant:   func() Message { return &ShareGrant{} },
 }
