--- a/internal/coordination/recorder/shard.go
+++ b/internal/coordination/recorder/shard.go
@@ -180,7 +180,7 @@
 		answers = append(answers, &messenger.Finished{Recorded: true})
 	}
 	decided, rest := batch[:len(answers)], batch[len(answers):]
-	if err := sh.commit(ctx, sg); err != nil {
+	if err := sh.settle(ctx, sg, answers); err != nil {
 		status := statusOf(err, true)
 		if status != messenger.BeginStoreDown {
 			sh.ledger = nil
@@ -194,6 +194,29 @@
 	return rest
 }
 
+// settle commits the staged changes. If there are none and a begin is told that
+// its key is started, the head is read instead: a node that lost the shard
+// without noticing would go on saying so after the key was finished.
+func (sh *shard) settle(ctx context.Context, sg *stage, answers []messenger.Message) error {
+	if len(sg.order) > 0 || sg.verify || !anyStarted(answers) {
+		return sh.commit(ctx, sg)
+	}
+	en, err := sh.recorder.store.Get(ctx, sh.headKey())
+	if err == nil && en.Revision != sh.revision {
+		return errNotOwner
+	}
+	return nil
+}
+
+func anyStarted(answers []messenger.Message) bool {
+	for _, an := range answers {
+		if bg, ok := an.(*messenger.Begun); ok && bg.Status == messenger.BeginStarted {
+			return true
+		}
+	}
+	return false
+}
+
 // statusOf says what an error means for a begin. Only a write that was not
 // sent, or a read, vouches that nothing was recorded: even a conflict can hide
 // a write that took effect and was followed by a rival's.
--- a/internal/runner/runner.go
+++ b/internal/runner/runner.go
@@ -24,6 +24,7 @@
 	"github.com/oklog/run"
 
 	"github.com/lagoonpass/lagoonpass/internal/coordination/admitter"
+	"github.com/lagoonpass/lagoonpass/internal/coordination/claimer"
 	"github.com/lagoonpass/lagoonpass/internal/coordination/dispatcher"
 	"github.com/lagoonpass/lagoonpass/internal/coordination/ejector"
 	"github.com/lagoonpass/lagoonpass/internal/coordination/orderer"
@@ -45,9 +46,12 @@
 	registry  *counter.Registry
 	store     storer.Store
 	meter     *storer.Meter
+	allowance *storer.Allowance
 	holder    *publisher.Holder
 	pool      *messenger.Pool
 	prober    *prober.Prober
+	claimer   *claimer.Claimer
+	follower  *publisher.Follower
 	watcher   *watcher.Watcher
 	orderer   *orderer.Orderer
 	peers     *messenger.Server
@@ -82,7 +86,7 @@
 		identity: id,
 		registry: counter.NewRegistry(),
 		store:    storer.NewClient(id.Store()),
-		holder:   &publisher.Holder{},
+		holder:   publisher.NewHolder(),
 		pool:     messenger.NewPool(),
 		watcher:  watcher.New(),
 		pause:    time.After,
@@ -92,12 +96,16 @@
 	for _, opt := range opts {
 		opt(nd)
 	}
-	nd.meter = storer.NewMeter(nd.store, nd.registry)
+	nd.allowance = storer.NewAllowance(minStoreReads, minStoreWrites)
+	nd.meter = storer.NewMeter(nd.store, nd.registry, storer.WithAllowance(nd.allowance), storer.WithBackoff(rand.Float64))
 	if err := nd.listen(); err != nil {
 		return nil, err
 	}
 	nd.orderer = orderer.New(nd.meter.For(storer.PurposeOrder))
-	nd.prober = prober.New(nd.presence, lister.New(id.VMList()), nd.pool)
+	nd.prober = prober.New(nd.presence, lister.New(id.VMList()), nd.pool, prober.WithRegistry(nd.registry))
+	nd.claimer = claimer.New(nd.meter.For(storer.PurposeOwnership), nd.prober.View, nd.pool, claimer.WithRegistry(nd.registry))
+	nd.follower = publisher.NewFollower(nd.holder, nd.meter.For(storer.PurposeConfiguration),
+		nd.prober.View, nd.pool, nd.prober.Spreader(), publisher.WithRegistry(nd.registry))
 	nd.buildRecords()
 	nd.peers = messenger.NewServer(messenger.HandlerFunc(nd.handlePeer))
 	nd.web = &http.Server{Handler: nd.buildServer(), ReadHeaderTimeout: 10 * time.Second}
@@ -175,10 +183,8 @@
 		return nd.jobs.Handle(tc), nil
 	case *messenger.Begin, *messenger.Finish:
 		return nd.recorder.Handle(ctx, call)
-	case *messenger.Ping:
-		return nd.prober.Answer(), nil
 	default:
-		return nil, errors.Errorf("no handler for message of kind %d", call.Kind())
+		return nd.handleMembership(ctx, call)
 	}
 }
 
@@ -187,6 +193,7 @@
 	var gr run.Group
 	nd.addContext(ctx, &gr)
 	nd.addLoop(&gr, nd.prober.Run)
+	nd.addLoop(&gr, nd.follower.Run)
 	nd.addLoop(&gr, nd.control)
 	nd.startJobs()
 	nd.addWeb(&gr)
@@ -199,6 +206,8 @@
 	ctx, cancel := context.WithCancel(ctx)
 	gr.Add(func() error {
 		<-ctx.Done()
+		nd.leaving.Store(true)
+		nd.leaveMembership()
 		nd.shutdown()
 		return nil
 	}, func(error) { cancel() })
--- a/internal/runner/stop_test.go
+++ b/internal/runner/stop_test.go
@@ -73,7 +73,7 @@
 	defer pool.Close()
 	answer, err := pool.Call(rg.t.Context(), rg.nodes[0].PeerAddress(), &messenger.Ping{})
 	require.NoError(rg.t, err)
-	require.True(rg.t, answer.(*messenger.Pong).Leaving)
+	require.True(rg.t, answer.(*messenger.Pong).Sender.Leaving)
 }
 
 // TestDrainTimeRunsOut breaks the promise of a planned stop on purpose.
