Order waiting requests in the node, by class, caller and deadline

Cause: every request went straight to an engine by power of two on the raw report, so that urgent work waited behind ordinary work in the engines and all nodes followed the same lagging report.

--- /dev/null
+++ b/internal/coordination/admitter/scheduler.go
@@ -0,0 +1,365 @@
+package admitter
+
+import (
+	"math/rand/v2"
+	"slices"
+	"sort"
+	"time"
+
+	"github.com/lagoonpass/lagoonpass/internal/checker"
+	"github.com/lagoonpass/lagoonpass/internal/coordination/router"
+	"github.com/lagoonpass/lagoonpass/internal/state/configurer"
+	"github.com/lagoonpass/lagoonpass/pkg/refuser"
+)
+
+// retryLater is what a caller is told to wait when no replica is ready.
+const retryLater = time.Second
+
+// Scheduler is the decision of admission: a state machine without locks, whose
+// callers pass in the time.
+type Scheduler struct {
+	random   *rand.Rand
+	policy   router.Policy
+	health   Health
+	quota    Quota
+	nodes    func() int
+	nodeID   string
+	zone     string
+	region   string
+	settings *configurer.Settings
+	table    *router.Table
+	classes  []*classState
+	queues   map[string]*modelQueue
+	servers  map[string]*serverState
+	services map[string]*average
+	requests int
+	bytes    int64
+	inFlight int
+	nextSeq  uint64
+	onGrant  func(*Entry)
+	roles    map[string]bool
+}
+
+// SchedulerOption changes a Scheduler that is being made.
+type SchedulerOption func(*Scheduler)
+
+// WithPolicy sets the routing policy.
+func WithPolicy(pl router.Policy) SchedulerOption {
+	return func(sc *Scheduler) { sc.policy = pl }
+}
+
+// WithHealth sets where the health of servers comes from.
+func WithHealth(hl Health) SchedulerOption { return func(sc *Scheduler) { sc.health = hl } }
+
+// WithQuota sets the limiter of callers.
+func WithQuota(qt Quota) SchedulerOption { return func(sc *Scheduler) { sc.quota = qt } }
+
+// WithLiveNodes tells the scheduler how many nodes are alive.
+func WithLiveNodes(fn func() int) SchedulerOption { return func(sc *Scheduler) { sc.nodes = fn } }
+
+// WithLocation sets the node's id, availability zone and region.
+func WithLocation(id, zone, region string) SchedulerOption {
+	return func(sc *Scheduler) { sc.nodeID, sc.zone, sc.region = id, zone, region }
+}
+
+// WithOnGrant makes the scheduler call fn for each entry that leaves the queue,
+// granted or refused.
+func WithOnGrant(fn func(*Entry)) SchedulerOption { return func(sc *Scheduler) { sc.onGrant = fn } }
+
+// NewScheduler returns a scheduler without settings; Revise and Update come
+// before the first Submit.
+func NewScheduler(random *rand.Rand, opts ...SchedulerOption) *Scheduler {
+	sc := &Scheduler{
+		random:   random,
+		nodes:    func() int { return 1 },
+		queues:   map[string]*modelQueue{},
+		servers:  map[string]*serverState{},
+		services: map[string]*average{},
+		table:    router.NewTable(nil, 1),
+		onGrant:  func(*Entry) {},
+		roles:    map[string]bool{},
+	}
+	for _, opt := range opts {
+		opt(sc)
+	}
+	if sc.policy == nil {
+		sc.policy = router.NewAffinity(random, func() int { return sc.nodes() })
+	}
+	if sc.quota == nil {
+		sc.quota = NewLocalQuota(func() int { return sc.nodes() })
+	}
+	return sc
+}
+
+// Waiting returns the number of waiting requests.
+func (sc *Scheduler) Waiting() int { return sc.requests }
+
+// WaitingBytes returns the bytes of their bodies.
+func (sc *Scheduler) WaitingBytes() int64 { return sc.bytes }
+
+// InFlight returns the number of grants not yet given back.
+func (sc *Scheduler) InFlight() int { return sc.inFlight }
+
+// Outstanding returns the requests of this node on each server in use.
+func (sc *Scheduler) Outstanding() map[string]int {
+	all := map[string]int{}
+	for _, tg := range sc.table.Targets() {
+		if own := tg.Load.Own(); own > 0 {
+			all[tg.Name] = own
+		}
+	}
+	return all
+}
+
+// Submit takes in a request: the entry that it returns is granted at once or
+// waits. The refusal has outcome not-run.
+func (sc *Scheduler) Submit(now time.Time, tk *Ticket) (*Entry, *refuser.Refusal) {
+	candidates := sc.table.Candidates(tk.Model.Name())
+	if rf := sc.check(now, tk, candidates); rf != nil {
+		return nil, rf
+	}
+	en := sc.newEntry(now, tk)
+	if tg := sc.choose(now, en, candidates); tg != nil {
+		cs := sc.classes[en.class]
+		cs.charge(cs.account(tk.Caller.Name()), en.cost)
+		sc.grant(now, en, tg)
+		return en, nil
+	}
+	if rf := sc.refuseWait(now, en); rf != nil {
+		return nil, rf
+	}
+	if rf := sc.makeRoom(now, en); rf != nil {
+		return nil, rf
+	}
+	sc.enqueue(now, en)
+	return en, nil
+}
+
+func (sc *Scheduler) check(now time.Time, tk *Ticket, candidates []*router.Target) *refuser.Refusal {
+	if sc.settings == nil || revised(sc.settings, tk) != nil {
+		return refuser.New(refuser.RevisionBehind, "the request was read under another revision than is in force").WithRetryAfter(retryLater)
+	}
+	if !now.Before(tk.Deadline) {
+		return refuser.New(refuser.DeadlinePassed, "the deadline passed before the request arrived")
+	}
+	if len(candidates) == 0 {
+		return refuser.New(refuser.NoWorker, "no replica of model %q is ready", tk.Model.Name()).WithRetryAfter(retryLater)
+	}
+	if tk.Resumed {
+		return nil
+	}
+	if ok, after := sc.quota.Take(tk.Caller.Name(), now); !ok {
+		return refuser.New(refuser.Quota, "caller %q is over its quota", tk.Caller.Name()).WithRetryAfter(after)
+	}
+	return nil
+}
+
+func (sc *Scheduler) newEntry(now time.Time, tk *Ticket) *Entry {
+	sc.nextSeq++
+	en := &Entry{
+		ticket:      tk,
+		seq:         sc.nextSeq,
+		stage:       stageWaiting,
+		arrived:     now,
+		onTimeUntil: now.Add(tk.Class.FirstToken()),
+		cost:        costOf(tk),
+		class:       sc.classIndex(tk.Class.Name()),
+	}
+	if tk.Resumed {
+		en.onTimeUntil = now.Add(time.Millisecond)
+	}
+	return en
+}
+
+// choose returns a target with room, or nil.
+func (sc *Scheduler) choose(now time.Time, en *Entry, candidates []*router.Target) *router.Target {
+	tk := en.ticket
+	rq := &router.Request{
+		Model:    tk.Model.Name(),
+		Zone:     sc.zone,
+		Region:   sc.region,
+		Prefixes: tk.Prefixes,
+		Avoid:    sc.avoid(tk, candidates),
+		Eligible: func(tg *router.Target) bool { return sc.fits(now, en, tg) },
+		Weight:   sc.weight,
+	}
+	if tk.Adapter != nil {
+		rq.Adapter = tk.Adapter.Name()
+	}
+	return sc.policy.Choose(rq, candidates, now)
+}
+
+// avoid returns the servers to be avoided, unless that would leave none.
+func (sc *Scheduler) avoid(tk *Ticket, candidates []*router.Target) []string {
+	if len(tk.Avoid) == 0 || len(tk.Avoid) < len(candidates) {
+		return tk.Avoid
+	}
+	for _, tg := range candidates {
+		if !slices.Contains(tk.Avoid, tg.Name) {
+			return tk.Avoid
+		}
+	}
+	return nil
+}
+
+func (sc *Scheduler) weight(tg *router.Target) float64 {
+	if sc.health == nil {
+		return 1
+	}
+	return sc.health.Weight(tg.Name)
+}
+
+func (sc *Scheduler) enqueue(now time.Time, en *Entry) {
+	en.ready = make(chan struct{})
+	sc.queue(en.ticket.Model.Name()).add(en, sc.classes[en.class], now)
+	sc.requests++
+	sc.bytes += int64(en.ticket.Bytes)
+	lm := sc.settings.Limits()
+	within := sc.requests <= lm.QueueRequests() && sc.bytes <= lm.QueueBytes()
+	checker.Assert(QueueBounded, within, "%d requests of %d bytes wait", sc.requests, sc.bytes)
+}
+
+func (sc *Scheduler) queue(model string) *modelQueue {
+	mq, ok := sc.queues[model]
+	if !ok {
+		mq = &modelQueue{model: model, lines: make([]*line, len(sc.classes))}
+		for ix := range mq.lines {
+			mq.lines[ix] = &line{}
+		}
+		sc.queues[model] = mq
+	}
+	return mq
+}
+
+// dequeue takes an entry out of the queue.
+func (sc *Scheduler) dequeue(now time.Time, en *Entry) {
+	sc.queues[en.ticket.Model.Name()].remove(en, sc.classes[en.class], now)
+	sc.requests--
+	sc.bytes -= int64(en.ticket.Bytes)
+}
+
+// grant counts the entry as sent to the target.
+func (sc *Scheduler) grant(now time.Time, en *Entry, tg *router.Target) {
+	window := sc.window(now, tg, en.ticket.Resumed)
+	checker.Assert(WindowKept, tg.Load.Own() < window, "%s has %d requests in a window of %d", tg.Name, tg.Load.Own(), window)
+	checker.Assert(checker.LeavingIdle, !tg.Leaving, "%s is leaving and was granted work", tg.Name)
+	en.stage = stageGranted
+	en.target = tg
+	en.grantedAt = now
+	tg.Load.Dispatched(now)
+	sc.inFlight++
+	sc.choosePrefill(now, en)
+	if en.ready == nil {
+		en.ready = closed
+		return
+	}
+	close(en.ready)
+	sc.onGrant(en)
+}
+
+// closed is the channel of entries that never waited.
+var closed = func() chan struct{} {
+	ch := make(chan struct{})
+	close(ch)
+	return ch
+}()
+
+// Finish gives a grant back and grants what has become possible by it.
+func (sc *Scheduler) Finish(now time.Time, en *Entry, rs Result) {
+	checker.Assert(GrantBalanced, en.stage == stageGranted, "the grant of %s was given back twice", en.ticket.ID)
+	if en.stage != stageGranted {
+		return
+	}
+	sc.finishPrefill(now, en)
+	en.stage = stageEnded
+	sc.inFlight--
+	en.target.Load.Finished(now)
+	if !rs.Failed && rs.Duration > 0 {
+		sc.service(en.ticket.Model.Name()).add(rs.Duration)
+	}
+	if tg, ok := sc.table.Target(en.target.Name); ok {
+		sc.pump(now, tg)
+	}
+}
+
+// Withdraw takes back an entry whose caller left; a grant that came meanwhile
+// stays granted and must be given back.
+func (sc *Scheduler) Withdraw(now time.Time, en *Entry) {
+	if en.stage != stageWaiting {
+		return
+	}
+	sc.dequeue(now, en)
+	en.stage = stageEnded
+	if !now.Before(en.ticket.Deadline) {
+		en.refusal = refuser.New(refuser.DeadlinePassed, "the deadline passed before the request could be sent")
+		return
+	}
+	en.refusal = refuser.New(refuser.Cancelled, "the caller left before the request could be sent")
+}
+
+// drop refuses a waiting entry.
+func (sc *Scheduler) drop(now time.Time, en *Entry, rf *refuser.Refusal) {
+	sc.dequeue(now, en)
+	en.stage = stageEnded
+	en.refusal = rf
+	close(en.ready)
+	sc.onGrant(en)
+}
+
+// Tick refuses what can't be sent any more and grants what has become possible
+// with time.
+func (sc *Scheduler) Tick(now time.Time) {
+	for _, cs := range sc.classes {
+		for el := cs.arrivals.Front(); el != nil; {
+			en := el.Value.(*Entry)
+			el = el.Next()
+			if !now.Before(en.ticket.Deadline) {
+				sc.drop(now, en, refuser.New(refuser.DeadlinePassed, "the deadline passed before the request could be sent"))
+			}
+		}
+	}
+	sc.pumpAll(now)
+}
+
+// Update puts a new table in force.
+func (sc *Scheduler) Update(now time.Time, tb *router.Table) {
+	sc.table = tb
+	sc.notePrefillRoles()
+	sc.pumpAll(now)
+}
+
+func (sc *Scheduler) pumpAll(now time.Time) {
+	if sc.requests == 0 {
+		return
+	}
+	targets := sc.table.Targets()
+	if len(targets) == 0 {
+		return
+	}
+	start := sc.random.IntN(len(targets))
+	for ix := range targets {
+		sc.pump(now, targets[(start+ix)%len(targets)])
+	}
+}
+
+func (sc *Scheduler) classIndex(name string) int {
+	for ix, cs := range sc.classes {
+		if cs.name == name {
+			return ix
+		}
+	}
+	return -1
+}
+
+func (sc *Scheduler) service(model string) *average {
+	av, ok := sc.services[model]
+	if !ok {
+		av = &average{}
+		sc.services[model] = av
+	}
+	return av
+}
+
+func sortClasses(all []*classState) {
+	sort.SliceStable(all, func(ix, jx int) bool { return all[ix].rank < all[jx].rank })
+}
--- /dev/null
+++ b/internal/coordination/admitter/tables.go
@@ -0,0 +1,88 @@
+package admitter
+
+import (
+	"slices"
+	"time"
+
+	"github.com/lagoonpass/lagoonpass/internal/coordination/router"
+	"github.com/lagoonpass/lagoonpass/internal/coordination/watcher"
+	"github.com/lagoonpass/lagoonpass/internal/state/configurer"
+)
+
+// tableBuilder makes router tables from what the watcher knows, and keeps the
+// loads and prefix memories from one table to the next.
+type tableBuilder struct {
+	loads    map[string]*router.Load
+	prefixes map[string]*router.PrefixMemory
+}
+
+func newTableBuilder() *tableBuilder {
+	return &tableBuilder{loads: map[string]*router.Load{}, prefixes: map[string]*router.PrefixMemory{}}
+}
+
+func (tb *tableBuilder) build(st *configurer.Settings, sn *watcher.Snapshot, nodes int, now time.Time) *router.Table {
+	var targets []*router.Target
+	for _, bs := range st.BackendServers() {
+		rp, ok := sn.Report(bs.Name())
+		if !ok {
+			continue
+		}
+		targets = append(targets, tb.target(bs, rp, now))
+	}
+	return router.NewTable(targets, nodes)
+}
+
+func (tb *tableBuilder) target(bs *configurer.BackendServer, rp watcher.Report, now time.Time) *router.Target {
+	ld := tb.load(bs.Name())
+	if rp.Digested {
+		ld.Digest(rp.Others, rp.Users, rp.Taken)
+	} else {
+		ld.Report(rp.Running+rp.Waiting, taken(rp, now))
+	}
+	tg := &router.Target{
+		Name:     bs.Name(),
+		Address:  rp.Address,
+		Zone:     bs.Zone(),
+		Slots:    bs.Slots(),
+		Role:     bs.Role(),
+		Leaving:  rp.Leaving,
+		Loading:  len(rp.Loading) > 0,
+		Adapters: map[string]bool{},
+		Load:     ld,
+		Prefixes: tb.memory(bs.Name(), rp),
+	}
+	for model := range rp.Models {
+		tg.Models = append(tg.Models, model)
+	}
+	slices.Sort(tg.Models)
+	for _, adapter := range rp.Adapters {
+		tg.Adapters[adapter] = true
+	}
+	return tg
+}
+
+func taken(rp watcher.Report, now time.Time) time.Time {
+	if rp.Taken.IsZero() {
+		return now
+	}
+	return rp.Taken
+}
+
+func (tb *tableBuilder) load(name string) *router.Load {
+	ld, ok := tb.loads[name]
+	if !ok {
+		ld = &router.Load{}
+		tb.loads[name] = ld
+	}
+	return ld
+}
+
+func (tb *tableBuilder) memory(name string, rp watcher.Report) *router.PrefixMemory {
+	pm, ok := tb.prefixes[name]
+	if !ok {
+		pm = router.NewPrefixMemory()
+		tb.prefixes[name] = pm
+	}
+	pm.Apply(rp.BootID, rp.CacheEvents)
+	return pm
+}
--- /dev/null
+++ b/internal/coordination/admitter/window.go
@@ -0,0 +1,223 @@
+package admitter
+
+import (
+	"slices"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+
+	"github.com/lagoonpass/lagoonpass/internal/coordination/router"
+	"github.com/lagoonpass/lagoonpass/internal/state/configurer"
+)
+
+const (
+	// lotInterval is how long a node keeps an indivisible part of a window.
+	lotInterval = time.Second
+	// resumeDivisor gives resumed requests this part of the slots on top.
+	resumeDivisor = 8
+	// maxCredit bounds, in tokens, what a class can save up of its least share.
+	maxCredit = 8192.0
+	// longPromptTokens is the length from which a prompt goes to a prefill
+	// server.
+	longPromptTokens = 1024
+)
+
+// serverState is what the scheduler keeps of one server between tables.
+type serverState struct {
+	// credits holds the unused least share of each class, in tokens.
+	credits []float64
+}
+
+// window returns how many requests this node may have on the target: what the
+// other nodes leave free, and at least its own part of the slots.
+func (sc *Scheduler) window(now time.Time, tg *router.Target, resumed bool) int {
+	extra := 0
+	if resumed {
+		extra = max(1, tg.Slots/resumeDivisor)
+	}
+	return max(sc.part(now, tg), tg.Slots-tg.Load.Others()) + extra
+}
+
+// part returns the node's own part of the slots. What can't be divided goes
+// around among the nodes by lot, so that the parts sum up to the slots.
+func (sc *Scheduler) part(now time.Time, tg *router.Target) int {
+	users := tg.Load.Users()
+	if users == 0 {
+		users = sc.table.Nodes()
+	}
+	part := tg.Slots / users
+	rest := tg.Slots % users
+	if rest == 0 {
+		return part
+	}
+	slice := now.UnixNano() / int64(lotInterval)
+	lot := xxhash.Sum64String(sc.nodeID+"\n"+tg.Name) + uint64(slice)
+	if int(lot%uint64(users)) < rest {
+		part++
+	}
+	return part
+}
+
+// fits reports whether the entry may go to the target now.
+func (sc *Scheduler) fits(now time.Time, en *Entry, tg *router.Target) bool {
+	return sc.roleFits(en, tg) && tg.Load.Own() < sc.window(now, tg, en.ticket.Resumed)
+}
+
+// roleFits reports whether the target's role takes the entry. Prompts that go
+// to a prefill server are continued by a decode server; other requests avoid
+// prefill servers.
+func (sc *Scheduler) roleFits(en *Entry, tg *router.Target) bool {
+	if len(sc.roles) == 0 {
+		return true
+	}
+	split := sc.roles[en.ticket.Model.Name()]
+	if split && en.ticket.PromptTokens >= longPromptTokens {
+		return tg.Role == configurer.RoleDecode
+	}
+	return tg.Role != configurer.RolePrefill
+}
+
+// notePrefillRoles finds the models that have servers for both roles.
+func (sc *Scheduler) notePrefillRoles() {
+	clear(sc.roles)
+	prefill, decode := map[string]bool{}, map[string]bool{}
+	for _, tg := range sc.table.Targets() {
+		for _, model := range tg.Models {
+			prefill[model] = prefill[model] || tg.Role == configurer.RolePrefill
+			decode[model] = decode[model] || tg.Role == configurer.RoleDecode
+		}
+	}
+	for model := range prefill {
+		if prefill[model] && decode[model] {
+			sc.roles[model] = true
+		}
+	}
+}
+
+// choosePrefill picks the prefill server of a long prompt.
+func (sc *Scheduler) choosePrefill(now time.Time, en *Entry) {
+	tk := en.ticket
+	if !sc.roles[tk.Model.Name()] || tk.PromptTokens < longPromptTokens {
+		return
+	}
+	rq := &router.Request{
+		Model:    tk.Model.Name(),
+		Zone:     sc.zone,
+		Region:   sc.region,
+		Prefixes: tk.Prefixes,
+		Avoid:    tk.Avoid,
+		Eligible: func(tg *router.Target) bool {
+			return tg.Role == configurer.RolePrefill && tg.Load.Own() < sc.window(now, tg, false)
+		},
+		Weight: sc.weight,
+	}
+	tg := sc.policy.Choose(rq, sc.table.Candidates(tk.Model.Name()), now)
+	if tg != nil {
+		en.prefill = tg
+		tg.Load.Dispatched(now)
+	}
+}
+
+// finishPrefill gives the prefill server's place back.
+func (sc *Scheduler) finishPrefill(now time.Time, en *Entry) {
+	if en.prefill == nil {
+		return
+	}
+	en.prefill.Load.Finished(now)
+	en.prefill = nil
+}
+
+// pump grants waiting requests to the target while it has room.
+func (sc *Scheduler) pump(now time.Time, tg *router.Target) {
+	if sc.requests == 0 || tg.Leaving || sc.weight(tg) <= 0 {
+		return
+	}
+	for tg.Load.Own() < sc.window(now, tg, true) {
+		en := sc.next(now, tg)
+		if en == nil {
+			return
+		}
+		sc.dequeue(now, en)
+		cs := sc.classes[en.class]
+		cs.charge(en.flow.account, en.cost)
+		en.flow.line.grants++
+		en.flow.line.meter.add(now)
+		sc.grant(now, en, tg)
+	}
+}
+
+// next returns the entry that the target should run next: of a class that is
+// owed part of its least share, else of the most urgent class.
+func (sc *Scheduler) next(now time.Time, tg *router.Target) *Entry {
+	heads := make([]*Entry, len(sc.classes))
+	for ix := range sc.classes {
+		heads[ix] = sc.head(now, tg, ix)
+	}
+	credits := sc.server(tg.Name).credits
+	chosen := -1
+	for ix, en := range heads {
+		if en == nil {
+			credits[ix] = 0
+			continue
+		}
+		if chosen < 0 {
+			chosen = ix
+		}
+	}
+	if chosen < 0 {
+		return nil
+	}
+	owed := false
+	for ix, en := range heads {
+		if en != nil && ix > chosen && credits[ix] >= en.cost && (!owed || credits[ix] > credits[chosen]) {
+			chosen, owed = ix, true
+		}
+	}
+	en := heads[chosen]
+	en.owed = owed
+	sc.credit(credits, heads, chosen)
+	return en
+}
+
+// credit charges the chosen class and credits those that wait.
+func (sc *Scheduler) credit(credits []float64, heads []*Entry, chosen int) {
+	cost := heads[chosen].cost
+	for ix, en := range heads {
+		if en == nil {
+			continue
+		}
+		credits[ix] = min(maxCredit+en.cost, credits[ix]+sc.classes[ix].minShare*cost)
+	}
+	credits[chosen] = max(0, credits[chosen]-cost)
+}
+
+// head returns the first entry of the class for the target, over all models
+// that are ready there.
+func (sc *Scheduler) head(now time.Time, tg *router.Target, class int) *Entry {
+	fits := func(en *Entry) bool {
+		avoid := sc.avoid(en.ticket, sc.table.Candidates(en.ticket.Model.Name()))
+		return sc.fits(now, en, tg) && !slices.Contains(avoid, tg.Name)
+	}
+	var best *Entry
+	for _, model := range tg.Models {
+		mq, ok := sc.queues[model]
+		if !ok || mq.lines[class].count == 0 {
+			continue
+		}
+		ln := mq.lines[class]
+		en := ln.best(now, fits)
+		if en != nil && (best == nil || precedes(en, best, false)) {
+			best = en
+		}
+	}
+	return best
+}
+
+func (sc *Scheduler) server(name string) *serverState {
+	ss, ok := sc.servers[name]
+	if !ok || len(ss.credits) != len(sc.classes) {
+		ss = &serverState{credits: make([]float64, len(sc.classes))}
+		sc.servers[name] = ss
+	}
+	return ss
+}
--- /dev/null
+++ b/internal/coordination/router/load.go
@@ -0,0 +1,127 @@
+package router
+
+import (
+	"math"
+	"time"
+)
+
+const (
+	// journalLength bounds the dispatches and ends that one load remembers.
+	journalLength = 256
+	// rateWindow is the time over which the rate of dispatches is averaged.
+	rateWindow = 10 * time.Second
+	// refreshInterval is the time until the next report may be expected.
+	refreshInterval = time.Second
+)
+
+// change is a dispatch or the end of one.
+type change struct {
+	at    time.Time
+	delta int
+}
+
+// Load is what a node knows of one server's load: its own requests exactly,
+// those of the others from the last report or digest. Nothing is counted
+// twice: from a report, the requests that were this node's own at the time
+// when it was taken are subtracted.
+type Load struct {
+	own      int
+	journal  [journalLength]change
+	next     int
+	reported int
+	others   int
+	users    int
+	asOf     time.Time
+	rate     float64
+	ratedAt  time.Time
+}
+
+// Own returns the requests that this node has on the server.
+func (ld *Load) Own() int { return ld.own }
+
+// Others returns the requests that other nodes are thought to have there.
+func (ld *Load) Others() int { return ld.others }
+
+// Users returns how many nodes use the server, or zero if that is not known.
+func (ld *Load) Users() int { return ld.users }
+
+// Total returns the corrected number of requests on the server.
+func (ld *Load) Total() int { return ld.own + ld.others }
+
+// Reported returns the uncorrected number of the last report.
+func (ld *Load) Reported() int { return ld.reported }
+
+// AsOf returns the time for which the number of the others' requests held.
+func (ld *Load) AsOf() time.Time { return ld.asOf }
+
+// Dispatched counts a request as sent to the server.
+func (ld *Load) Dispatched(now time.Time) {
+	ld.own++
+	ld.note(now, 1)
+	ld.rate = ld.rateAt(now) + 1/rateWindow.Seconds()
+	ld.ratedAt = now
+}
+
+// Finished counts a request as ended.
+func (ld *Load) Finished(now time.Time) {
+	ld.own--
+	ld.note(now, -1)
+}
+
+// Report takes in the number of requests that the server counted at the time
+// taken. A report that is older than what is known is ignored.
+func (ld *Load) Report(count int, taken time.Time) {
+	if !taken.After(ld.asOf) && !ld.asOf.IsZero() {
+		return
+	}
+	ld.reported = count
+	ld.others = max(0, count-ld.ownAt(taken))
+	ld.asOf = taken
+}
+
+// Digest takes in the requests of the other nodes as they told the server's
+// owner, and the number of nodes that use the server, this one included.
+func (ld *Load) Digest(others, users int, taken time.Time) {
+	ld.users = users
+	if taken.Before(ld.asOf) {
+		return
+	}
+	ld.others = others
+	ld.asOf = taken
+}
+
+func (ld *Load) note(now time.Time, delta int) {
+	ld.journal[ld.next%journalLength] = change{at: now, delta: delta}
+	ld.next++
+}
+
+// ownAt undoes the changes after the time.
+func (ld *Load) ownAt(at time.Time) int {
+	own := ld.own
+	for ix := ld.next - 1; ix >= max(0, ld.next-journalLength); ix-- {
+		ch := ld.journal[ix%journalLength]
+		if !ch.at.After(at) {
+			break
+		}
+		own -= ch.delta
+	}
+	return own
+}
+
+func (ld *Load) rateAt(now time.Time) float64 {
+	if ld.ratedAt.IsZero() {
+		return 0
+	}
+	return ld.rate * math.Exp(-now.Sub(ld.ratedAt).Seconds()/rateWindow.Seconds())
+}
+
+// unseen returns how many requests all nodes are expected to send to the server
+// between the time of the last knowledge and the next one, if each of them
+// sends as many as this one.
+func (ld *Load) unseen(nodes int, now time.Time) float64 {
+	stale := refreshInterval
+	if !ld.asOf.IsZero() {
+		stale += max(0, now.Sub(ld.asOf))
+	}
+	return (ld.rateAt(now) + 1/(2*rateWindow.Seconds())) * float64(nodes-1) * stale.Seconds()
+}
--- /dev/null
+++ b/internal/coordination/router/policies.go
@@ -0,0 +1,96 @@
+package router
+
+import (
+	"math/rand/v2"
+	"time"
+)
+
+// RoundRobin takes the candidates of a model in turn.
+type RoundRobin struct {
+	next map[string]int
+}
+
+// NewRoundRobin returns a policy that starts with the first candidate.
+func NewRoundRobin() *RoundRobin { return &RoundRobin{next: map[string]int{}} }
+
+// Choose implements Policy.
+func (rr *RoundRobin) Choose(rq *Request, candidates []*Target, _ time.Time) *Target {
+	for range candidates {
+		tg := candidates[rr.next[rq.Model]%len(candidates)]
+		rr.next[rq.Model]++
+		if rq.allowed(tg) && rq.weight(tg) > 0 {
+			return tg
+		}
+	}
+	return nil
+}
+
+// LeastReported takes the candidate with the least load in its last report,
+// uncorrected.
+type LeastReported struct{}
+
+// Choose implements Policy.
+func (LeastReported) Choose(rq *Request, candidates []*Target, _ time.Time) *Target {
+	var best *Target
+	for _, tg := range candidates {
+		if !rq.allowed(tg) || rq.weight(tg) <= 0 {
+			continue
+		}
+		if best == nil || tg.Load.Reported()*best.Slots < best.Load.Reported()*tg.Slots {
+			best = tg
+		}
+	}
+	return best
+}
+
+// PowerOfTwo draws two candidates and levels their corrected loads.
+type PowerOfTwo struct {
+	random *rand.Rand
+	nodes  func() int
+}
+
+// NewPowerOfTwo returns a policy that draws from random and knows by nodes how
+// many nodes choose among the same servers.
+func NewPowerOfTwo(random *rand.Rand, nodes func() int) *PowerOfTwo {
+	return &PowerOfTwo{random: random, nodes: nodes}
+}
+
+// Choose implements Policy.
+func (pt *PowerOfTwo) Choose(rq *Request, candidates []*Target, now time.Time) *Target {
+	if len(candidates) == 0 {
+		return nil
+	}
+	one := draw(rq, candidates, pt.random, nil)
+	if one == nil || len(candidates) == 1 {
+		return one
+	}
+	two := draw(rq, candidates, pt.random, one)
+	if two == nil {
+		return one
+	}
+	return level(one, two, 0, 0, pt.nodes(), now, pt.random)
+}
+
+// level chooses between two targets so that the choices of all nodes together
+// level their pressures. If no other node sent anything since the last
+// knowledge, the target with less pressure is best. If many do, and all know
+// the same, each must send the worse target its part of the requests: the
+// part that makes the pressures equal once all have arrived.
+func level(one, two *Target, extraOne, extraTwo float64, nodes int, now time.Time, random *rand.Rand) *Target {
+	slotsOne, slotsTwo := float64(max(one.Slots, 1)), float64(max(two.Slots, 1))
+	loadOne := float64(one.Load.Total()) + extraOne*slotsOne
+	loadTwo := float64(two.Load.Total()) + extraTwo*slotsTwo
+	unseen := one.Load.unseen(nodes, now) + two.Load.unseen(nodes, now)
+	gap := slotsOne*loadTwo - slotsTwo*loadOne
+	if unseen > 0 {
+		part := (gap + slotsOne*unseen) / (unseen * (slotsOne + slotsTwo))
+		if random.Float64() < part {
+			return one
+		}
+		return two
+	}
+	if gap > 0 || gap == 0 && random.IntN(2) == 0 {
+		return one
+	}
+	return two
+}
--- /dev/null
+++ b/internal/coordination/watcher/report.go
@@ -0,0 +1,63 @@
+package watcher
+
+import (
+	"encoding/json"
+	"io"
+	"time"
+
+	"github.com/go-faster/errors"
+
+	"github.com/lagoonpass/lagoonpass/internal/coordination/router"
+)
+
+// maxReportBytes bounds one report.
+const maxReportBytes = 1 << 20
+
+// wireReport is a report as an engine writes it.
+type wireReport struct {
+	BootID string `json:"boot-id"`
+	Models []struct {
+		Name    string `json:"name"`
+		Version string `json:"version"`
+	} `json:"models"`
+	Adapters    []string    `json:"adapters"`
+	Loading     []string    `json:"loading"`
+	Running     int         `json:"running"`
+	Waiting     int         `json:"waiting"`
+	Leaving     bool        `json:"leaving"`
+	Sequence    uint64      `json:"sequence"`
+	AgeMillis   int64       `json:"age-ms"`
+	CacheEvents []wireEvent `json:"cache-events"`
+}
+
+type wireEvent struct {
+	Sequence uint64 `json:"sequence"`
+	Hash     uint64 `json:"hash"`
+	Evicted  bool   `json:"evicted"`
+}
+
+// decodeReport reads a report that arrived at the time now.
+func decodeReport(rd io.Reader, now time.Time) (Report, error) {
+	var wire wireReport
+	if err := json.NewDecoder(io.LimitReader(rd, maxReportBytes)).Decode(&wire); err != nil {
+		return Report{}, errors.Wrap(err, "decode JSON")
+	}
+	rp := Report{
+		BootID:   wire.BootID,
+		Models:   map[string]string{},
+		Running:  wire.Running,
+		Waiting:  wire.Waiting,
+		Adapters: wire.Adapters,
+		Loading:  wire.Loading,
+		Leaving:  wire.Leaving,
+		Sequence: wire.Sequence,
+		Taken:    now.Add(-time.Duration(max(wire.AgeMillis, 0)) * time.Millisecond),
+	}
+	for _, md := range wire.Models {
+		rp.Models[md.Name] = md.Version
+	}
+	for _, ev := range wire.CacheEvents {
+		rp.CacheEvents = append(rp.CacheEvents, router.CacheEvent(ev))
+	}
+	return rp, nil
+}
--- a/internal/coordination/watcher/watcher.go
+++ b/internal/coordination/watcher/watcher.go
@@ -10,7 +10,6 @@
 
 import (
 	"context"
-	"encoding/json"
 	"net/http"
 	"sort"
 	"sync"
@@ -19,6 +18,7 @@
 
 	"github.com/go-faster/errors"
 
+	"github.com/lagoonpass/lagoonpass/internal/coordination/router"
 	"github.com/lagoonpass/lagoonpass/internal/state/configurer"
 )
 
@@ -37,6 +37,24 @@
 	Models map[string]string
 	// Running and Waiting count requests.
 	Running, Waiting int
+	// Adapters are the adapters that are ready.
+	Adapters []string
+	// Loading are the models and adapters that are being loaded.
+	Loading []string
+	// Leaving says that the server takes no new work.
+	Leaving bool
+	// Sequence counts the reports of one boot.
+	Sequence uint64
+	// Taken is when the report was taken, by this node's clock.
+	Taken time.Time
+	// CacheEvents are the latest changes of the prefix cache, in their order.
+	CacheEvents []router.CacheEvent
+	// Digested says that Others and Users come from the server's owner.
+	Digested bool
+	// Others counts the requests of other nodes on the server.
+	Others int
+	// Users counts the nodes that use the server, this one included.
+	Users int
 }
 
 // Snapshot is an immutable picture of all reports.
@@ -109,28 +127,11 @@
 		return Report{}, errors.Wrapf(err, "read report of %q", bs.Name())
 	}
 	defer func() { _ = rs.Body.Close() }()
-	var wire struct {
-		BootID string `json:"boot-id"`
-		Models []struct {
-			Name    string `json:"name"`
-			Version string `json:"version"`
-		} `json:"models"`
-		Running int `json:"running"`
-		Waiting int `json:"waiting"`
-	}
-	if err := json.NewDecoder(rs.Body).Decode(&wire); err != nil {
+	rp, err := decodeReport(rs.Body, time.Now())
+	if err != nil {
 		return Report{}, errors.Wrapf(err, "decode report of %q", bs.Name())
 	}
-	rp := Report{
-		Server:  bs.Name(),
-		Address: bs.Address(),
-		BootID:  wire.BootID,
-		Models:  map[string]string{},
-		Running: wire.Running,
-		Waiting: wire.Waiting,
-	}
-	for _, md := range wire.Models {
-		rp.Models[md.Name] = md.Version
-	}
+	rp.Server = bs.Name()
+	rp.Address = bs.Address()
 	return rp, nil
 }
--- a/internal/runner/control.go
+++ b/internal/runner/control.go
@@ -36,7 +36,9 @@
 	if rv == nil {
 		return
 	}
+	nd.admitter.Revise(rv.Settings())
 	nd.watcher.Poll(ctx, rv.Settings().BackendServers())
+	nd.admitter.Refresh(rv.Settings())
 	nd.placeModels(ctx, rv.Settings())
 }
 
--- a/internal/runner/runner.go
+++ b/internal/runner/runner.go
@@ -12,7 +12,6 @@
 
 import (
 	"context"
-	"math/rand/v2"
 	"net"
 	"net/http"
 	"sync/atomic"
@@ -52,6 +51,7 @@
 	prober    *prober.Prober
 	watcher   *watcher.Watcher
 	orderer   *orderer.Orderer
+	admitter  *admitter.Admitter
 	peers     *messenger.Server
 	web       *http.Server
 	callerNet net.Listener
@@ -101,11 +101,10 @@
 
 func (nd *Node) buildServer() http.Handler {
 	fw := forwarder.New()
-	random := rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64()))
-	am := admitter.New(nd.watcher, ejector.New(), random)
+	nd.admitter = nd.newAdmitter(ejector.New())
 	return server.New(server.Parts{
 		Holder:     nd.holder,
-		Dispatcher: dispatcher.New(am, fw, &orderer.Adapters{}),
+		Dispatcher: dispatcher.New(nd.admitter, fw, &orderer.Adapters{}),
 		Forwarder:  fw,
 		View:       nd.prober.View,
 		Zone:       nd.identity.Zone(),
--- a/internal/standin/engine/engine.go
+++ b/internal/standin/engine/engine.go
@@ -43,7 +43,8 @@
 	down        bool
 	runs        map[string]int
 
-	queue queue
+	queue   queue
+	reports reporter
 }
 
 // loaded is a model that holds memory.
--- /dev/null
+++ b/internal/standin/engine/report.go
@@ -0,0 +1,104 @@
+package engine
+
+import (
+	"net/http"
+	"sort"
+	"time"
+)
+
+// reportsKept bounds the reports that wait until their lag is over.
+const reportsKept = 256
+
+// report is what the engine says of itself at one time.
+type report struct {
+	taken    time.Time
+	sequence uint64
+	body     map[string]any
+}
+
+// reporter keeps reports back for the lag.
+type reporter struct {
+	lag      time.Duration
+	leaving  bool
+	sequence uint64
+	kept     []report
+	events   []CacheEvent
+}
+
+// CacheEvent says that the prefix cache took in or gave up a block.
+type CacheEvent struct {
+	// Sequence counts the events of one boot, from one.
+	Sequence uint64
+	// Hash is the hash of the prompt up to the end of the block.
+	Hash uint64
+	// Evicted says that the block was given up.
+	Evicted bool
+}
+
+// WithReportLag makes load reports as old as dn.
+func WithReportLag(dn time.Duration) Option { return func(eg *Engine) { eg.reports.lag = dn } }
+
+// SetLeaving makes the reports say that the engine's VM is leaving.
+func (eg *Engine) SetLeaving(leaving bool) {
+	eg.mu.Lock()
+	defer eg.mu.Unlock()
+	eg.reports.leaving = leaving
+}
+
+// SetCacheEvents sets the cache events that reports carry.
+func (eg *Engine) SetCacheEvents(events []CacheEvent) {
+	eg.mu.Lock()
+	defer eg.mu.Unlock()
+	eg.reports.events = events
+}
+
+func (eg *Engine) serveReport(wr http.ResponseWriter, _ *http.Request) {
+	free, waiting := eg.queue.lengths()
+	now := time.Now()
+	eg.mu.Lock()
+	defer eg.mu.Unlock()
+	rp := eg.reports.pass(report{taken: now, body: eg.describe(free, waiting)})
+	rp.body["sequence"] = rp.sequence
+	rp.body["age-ms"] = now.Sub(rp.taken).Milliseconds()
+	writeJSON(wr, http.StatusOK, rp.body)
+}
+
+// pass takes in the latest report and returns the latest one that is as old as
+// the lag, or the oldest.
+func (rt *reporter) pass(latest report) report {
+	rt.sequence++
+	latest.sequence = rt.sequence
+	rt.kept = append(rt.kept, latest)
+	due := latest.taken.Add(-rt.lag)
+	for len(rt.kept) > 1 && (!rt.kept[1].taken.After(due) || len(rt.kept) > reportsKept) {
+		rt.kept = rt.kept[1:]
+	}
+	return rt.kept[0]
+}
+
+// describe is called with the lock held.
+func (eg *Engine) describe(free, waiting int) map[string]any {
+	models := []map[string]string{}
+	loading := []string{}
+	for name, ld := range eg.models {
+		if ld.ready {
+			models = append(models, map[string]string{"name": name, "version": ld.version})
+		} else {
+			loading = append(loading, name)
+		}
+	}
+	sort.Strings(loading)
+	events := make([]map[string]any, 0, len(eg.reports.events))
+	for _, ev := range eg.reports.events {
+		events = append(events, map[string]any{"sequence": ev.Sequence, "hash": ev.Hash, "evicted": ev.Evicted})
+	}
+	return map[string]any{
+		"boot-id":      eg.bootID,
+		"models":       models,
+		"loading":      loading,
+		"running":      eg.slots - free,
+		"waiting":      waiting,
+		"leaving":      eg.reports.leaving,
+		"cache-events": events,
+	}
+}
