--- /dev/null
+++ b/internal/coordination/admitter/harness_test.go
@@ -0,0 +1,508 @@
+package admitter
+
+import (
+	"container/heap"
+	"math"
+	"math/rand/v2"
+	"slices"
+	"sort"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"github.com/lagoonpass/lagoonpass/examples"
+	"github.com/lagoonpass/lagoonpass/internal/coordination/router"
+	"github.com/lagoonpass/lagoonpass/internal/state/configurer"
+)
+
+// Shape of the harness's engines and arrivals.
+const (
+	simPrefill    = 200 * time.Millisecond
+	simTokenGap   = 20 * time.Millisecond
+	simHitSaves   = 0.8
+	simCacheSize  = 64
+	simBurstEvery = 20 * time.Second
+	simBurstFor   = 5 * time.Second
+	simBurstTimes = 3.0
+	simPrefixes   = 12
+	simNodes      = 4
+	simReportLag  = time.Second
+	simTickEvery  = 250 * time.Millisecond
+)
+
+var (
+	simMix    = []float64{0.25, 0.35, 0.40}
+	simTokens = []int{64, 96, 512}
+	simStart  = time.Unix(1_000_000, 0)
+)
+
+// simEvent is something that happens at a time.
+type simEvent struct {
+	at  time.Time
+	seq int
+	run func()
+}
+
+type simHeap []simEvent
+
+func (sh simHeap) Len() int { return len(sh) }
+func (sh simHeap) Less(ix, jx int) bool {
+	if !sh[ix].at.Equal(sh[jx].at) {
+		return sh[ix].at.Before(sh[jx].at)
+	}
+	return sh[ix].seq < sh[jx].seq
+}
+func (sh simHeap) Swap(ix, jx int) { sh[ix], sh[jx] = sh[jx], sh[ix] }
+func (sh *simHeap) Push(item any)  { *sh = append(*sh, item.(simEvent)) }
+func (sh *simHeap) Pop() any {
+	last := len(*sh) - 1
+	ev := (*sh)[last]
+	*sh = (*sh)[:last]
+	return ev
+}
+
+// simWork is one request in an engine.
+type simWork struct {
+	tk       *Ticket
+	priority int
+	arrived  time.Time
+	done     func(Result)
+}
+
+// simEngine runs slots requests at once and holds a small prefix cache.
+type simEngine struct {
+	bn      *simBench
+	slots   int
+	running int
+	waiting []simWork
+	cache   map[uint64]int
+	used    int
+	counts  []int
+}
+
+func (eg *simEngine) submit(wk simWork) {
+	at := sort.Search(len(eg.waiting), func(ix int) bool { return eg.waiting[ix].priority > wk.priority })
+	eg.waiting = append(eg.waiting, simWork{})
+	copy(eg.waiting[at+1:], eg.waiting[at:])
+	eg.waiting[at] = wk
+	eg.advance()
+}
+
+func (eg *simEngine) advance() {
+	for eg.running < eg.slots && len(eg.waiting) > 0 {
+		wk := eg.waiting[0]
+		eg.waiting = eg.waiting[1:]
+		if !eg.bn.now.Before(wk.tk.Deadline) {
+			wk.done(Result{Failed: true})
+			continue
+		}
+		eg.start(wk)
+	}
+}
+
+func (eg *simEngine) start(wk simWork) {
+	eg.running++
+	prefill := simPrefill
+	if len(wk.tk.Prefixes) > 0 && eg.touch(wk.tk.Prefixes[0]) {
+		prefill = time.Duration(float64(prefill) * (1 - simHitSaves))
+	}
+	first := eg.bn.now.Add(prefill)
+	end := first.Add(time.Duration(wk.tk.MaxTokens) * simTokenGap)
+	started := eg.bn.now
+	eg.bn.at(end, func() {
+		eg.running--
+		eg.bn.score(wk, first, end)
+		wk.done(Result{Duration: end.Sub(started), FirstToken: prefill, Tokens: wk.tk.MaxTokens})
+		eg.advance()
+	})
+}
+
+func (eg *simEngine) touch(hash uint64) bool {
+	_, hit := eg.cache[hash]
+	eg.used++
+	eg.cache[hash] = eg.used
+	if len(eg.cache) > simCacheSize {
+		var oldest uint64
+		for hs, at := range eg.cache {
+			if at < eg.cache[oldest] || eg.cache[oldest] == 0 {
+				oldest = hs
+			}
+		}
+		delete(eg.cache, oldest)
+	}
+	return hit
+}
+
+// simTally counts one class.
+type simTally struct{ sent, attained, finished, refused int }
+
+// simSetup is what is compared.
+type simSetup struct {
+	name   string
+	naive  bool
+	digest time.Duration
+	policy func(*rand.Rand) router.Policy
+}
+
+// simBench is one run.
+type simBench struct {
+	st      *configurer.Settings
+	now     time.Time
+	events  simHeap
+	seq     int
+	engines map[string]*simEngine
+	names   []string
+	nodes   []*simNode
+	tally   []simTally
+	from    time.Time
+	setup   simSetup
+}
+
+// simNode is one entry node.
+type simNode struct {
+	sc    *Scheduler
+	pl    router.Policy
+	table *router.Table
+	wait  map[*Entry]func(*Entry)
+}
+
+func simSettings(t testing.TB, deployment string) *configurer.Settings {
+	files, err := examples.Files(deployment)
+	require.NoError(t, err)
+	st, faults := configurer.Parse(files)
+	require.Empty(t, faults)
+	return st
+}
+
+// simPlace gives every model two replicas and then, while memory allows, one
+// more to the model with the most demand a replica, on the server with the
+// least.
+func simPlace(st *configurer.Settings) map[string][]string {
+	free, load := map[string]int64{}, map[string]float64{}
+	for _, bs := range st.BackendServers() {
+		free[bs.Name()] = bs.WeightMemory()
+	}
+	placed, count := map[string][]string{}, map[string]int{}
+	place := func(md *configurer.Model) bool {
+		best := ""
+		for _, bs := range st.BackendServers() {
+			name := bs.Name()
+			fits := free[name] >= md.Memory() && !slices.Contains(placed[name], md.Name())
+			if fits && (best == "" || load[name] < load[best]) {
+				best = name
+			}
+		}
+		if best == "" {
+			return false
+		}
+		count[md.Name()]++
+		free[best] -= md.Memory()
+		load[best] += md.Share() / float64(count[md.Name()])
+		placed[best] = append(placed[best], md.Name())
+		return true
+	}
+	models := st.Models()
+	for _, md := range models {
+		place(md)
+		place(md)
+	}
+	full := map[string]bool{}
+	for len(full) < len(models) {
+		var next *configurer.Model
+		for _, md := range models {
+			demand := md.Share() / float64(count[md.Name()])
+			if !full[md.Name()] && (next == nil || demand > next.Share()/float64(count[next.Name()])) {
+				next = md
+			}
+		}
+		full[next.Name()] = !place(next)
+		if !full[next.Name()] {
+			delete(full, next.Name())
+		}
+	}
+	return placed
+}
+
+func simTable(st *configurer.Settings, placed map[string][]string) *router.Table {
+	var targets []*router.Target
+	for _, bs := range st.BackendServers() {
+		targets = append(targets, &router.Target{
+			Name:     bs.Name(),
+			Zone:     bs.Zone(),
+			Slots:    bs.Slots(),
+			Models:   placed[bs.Name()],
+			Load:     &router.Load{},
+			Prefixes: router.NewPrefixMemory(),
+		})
+	}
+	return router.NewTable(targets, simNodes)
+}
+
+func newSimBench(st *configurer.Settings, su simSetup, seed uint64) *simBench {
+	bn := &simBench{st: st, now: simStart, engines: map[string]*simEngine{}, setup: su}
+	bn.tally = make([]simTally, len(simMix))
+	for _, bs := range st.BackendServers() {
+		bn.engines[bs.Name()] = &simEngine{bn: bn, slots: bs.Slots(), cache: map[uint64]int{}}
+		bn.names = append(bn.names, bs.Name())
+	}
+	placed := simPlace(st)
+	for ix := range simNodes {
+		bn.nodes = append(bn.nodes, bn.newNode(placed, seed, ix))
+	}
+	return bn
+}
+
+func (bn *simBench) newNode(placed map[string][]string, seed uint64, ix int) *simNode {
+	random := rand.New(rand.NewPCG(seed, uint64(ix)))
+	nd := &simNode{pl: bn.setup.policy(random), table: simTable(bn.st, placed), wait: map[*Entry]func(*Entry){}}
+	zone := string(rune('a' + ix%3))
+	nd.sc = NewScheduler(random,
+		WithPolicy(nd.pl),
+		WithLiveNodes(func() int { return simNodes }),
+		WithLocation(string(rune('1'+ix)), "zone-"+zone, ""),
+		WithOnGrant(func(en *Entry) {
+			settle := nd.wait[en]
+			delete(nd.wait, en)
+			settle(en)
+		}))
+	nd.sc.Revise(bn.now, bn.st)
+	nd.sc.Update(bn.now, nd.table)
+	return nd
+}
+
+func (bn *simBench) at(when time.Time, run func()) {
+	bn.seq++
+	heap.Push(&bn.events, simEvent{at: when, seq: bn.seq, run: run})
+}
+
+// run plays the arrivals of the seed; the same seed gives every setup the same.
+func (bn *simBench) run(load float64, warm, measured time.Duration, seed uint64) {
+	bn.from = simStart.Add(warm)
+	end := bn.from.Add(measured)
+	bn.arrive(load, end, rand.New(rand.NewPCG(seed, 1)))
+	for at := simStart; at.Before(end); at = at.Add(simTickEvery) {
+		bn.at(at, bn.tick)
+	}
+	for bn.events.Len() > 0 {
+		ev := heap.Pop(&bn.events).(simEvent)
+		bn.now = ev.at
+		ev.run()
+	}
+}
+
+func (bn *simBench) tick() {
+	whole := bn.now.Sub(simStart)%simReportLag == 0
+	for _, name := range bn.names {
+		eg := bn.engines[name]
+		if whole {
+			eg.counts = append(eg.counts, eg.running+len(eg.waiting))
+		}
+	}
+	for _, nd := range bn.nodes {
+		if whole && bn.setup.digest == 0 {
+			bn.report(nd)
+		}
+		if bn.setup.digest > 0 && bn.now.Sub(simStart)%bn.setup.digest == 0 {
+			bn.exchange(nd)
+		}
+		nd.sc.Tick(bn.now)
+	}
+}
+
+func (bn *simBench) report(nd *simNode) {
+	for _, tg := range nd.table.Targets() {
+		counts := bn.engines[tg.Name].counts
+		if len(counts) >= 2 {
+			tg.Load.Report(counts[len(counts)-2], bn.now.Add(-simReportLag))
+		}
+	}
+}
+
+// exchange gives the node what the owners told it: the requests of the others
+// one interval ago.
+func (bn *simBench) exchange(nd *simNode) {
+	for _, tg := range nd.table.Targets() {
+		others, users := 0, 0
+		for _, other := range bn.nodes {
+			there, _ := other.table.Target(tg.Name)
+			if other != nd {
+				others += there.Load.OwnAt(bn.now.Add(-bn.setup.digest))
+			}
+			users++
+		}
+		tg.Load.Digest(others, users, bn.now.Add(-bn.setup.digest))
+	}
+}
+
+// arrive makes the arrivals beforehand, Poisson with bursts of one model.
+func (bn *simBench) arrive(load float64, end time.Time, random *rand.Rand) {
+	slots := 0
+	for _, eg := range bn.engines {
+		slots += eg.slots
+	}
+	mean := 0.0
+	for ix, part := range simMix {
+		mean += part * (simPrefill + time.Duration(simTokens[ix])*simTokenGap).Seconds()
+	}
+	perSecond := load * float64(slots) / mean
+	models := bn.st.Models()
+	burst := models[0]
+	for at := simStart; at.Before(end); {
+		at = at.Add(time.Duration(-math.Log(1-random.Float64()) / perSecond * float64(time.Second)))
+		if since := at.Sub(simStart) % simBurstEvery; since < simBurstFor/100 {
+			burst = models[random.IntN(len(models))]
+		}
+		tk := bn.ticket(at, pickModel(models, burst, at, random), random)
+		nd := bn.nodes[random.IntN(len(bn.nodes))]
+		bn.at(at, func() { bn.submit(nd, tk) })
+	}
+}
+
+func pickModel(models []*configurer.Model, burst *configurer.Model, at time.Time, random *rand.Rand) *configurer.Model {
+	weight := func(md *configurer.Model) float64 {
+		if md == burst && at.Sub(simStart)%simBurstEvery < simBurstFor {
+			return simBurstTimes * md.Share()
+		}
+		return md.Share()
+	}
+	sum := 0.0
+	for _, md := range models {
+		sum += weight(md)
+	}
+	mark := random.Float64() * sum
+	for _, md := range models {
+		if mark -= weight(md); mark < 0 {
+			return md
+		}
+	}
+	return models[len(models)-1]
+}
+
+func (bn *simBench) ticket(at time.Time, md *configurer.Model, random *rand.Rand) *Ticket {
+	mark, ix := random.Float64(), 0
+	for ix < len(simMix)-1 && mark >= simMix[ix] {
+		mark -= simMix[ix]
+		ix++
+	}
+	class := bn.class(ix)
+	caller := bn.st.Callers()[0]
+	for _, cr := range bn.st.Callers() {
+		if cr.DefaultClass() == class.Name() {
+			caller = cr
+		}
+	}
+	prefix := uint64(random.IntN(simPrefixes)+1)<<32 + uint64(len(md.Name()))*31 + uint64(md.Name()[0])<<8 + uint64(md.Memory()>>30)<<16
+	return &Ticket{
+		Caller:    caller,
+		Class:     class,
+		Model:     md,
+		MaxTokens: simTokens[ix],
+		Prefixes:  []uint64{prefix},
+		Deadline:  at.Add(class.Deadline()),
+	}
+}
+
+func (bn *simBench) class(ix int) *configurer.Class {
+	for _, cs := range bn.st.Classes() {
+		if cs.Rank() == ix {
+			return cs
+		}
+	}
+	return nil
+}
+
+func (bn *simBench) submit(nd *simNode, tk *Ticket) {
+	tally := bn.tallyOf(tk, bn.now)
+	tally.sent++
+	if bn.setup.naive {
+		bn.submitNaive(nd, tk)
+		return
+	}
+	arrived := bn.now
+	send := func(en *Entry) {
+		if en.Refusal() != nil {
+			bn.tallyOf(tk, arrived).refused++
+			return
+		}
+		bn.engines[en.Target().Name].submit(simWork{
+			tk: tk, priority: en.Priority(), arrived: arrived,
+			done: func(rs Result) { nd.sc.Finish(bn.now, en, rs) },
+		})
+	}
+	en, rf := nd.sc.Submit(bn.now, tk)
+	switch {
+	case rf != nil:
+		tally.refused++
+	case en.Granted():
+		send(en)
+	default:
+		nd.wait[en] = send
+	}
+}
+
+// submitNaive sends at once; the engine's queue is first in, first out.
+func (bn *simBench) submitNaive(nd *simNode, tk *Ticket) {
+	tg := nd.pl.Choose(&router.Request{Model: tk.Model.Name()}, nd.table.Candidates(tk.Model.Name()), bn.now)
+	tg.Load.Dispatched(bn.now)
+	bn.engines[tg.Name].submit(simWork{
+		tk: tk, arrived: bn.now, done: func(Result) { tg.Load.Finished(bn.now) },
+	})
+}
+
+func (bn *simBench) tallyOf(tk *Ticket, arrived time.Time) *simTally {
+	if arrived.Before(bn.from) {
+		return &simTally{}
+	}
+	return &bn.tally[tk.Class.Rank()]
+}
+
+func (bn *simBench) score(wk simWork, first, end time.Time) {
+	tl := bn.tallyOf(wk.tk, wk.arrived)
+	tl.finished++
+	if first.Sub(wk.arrived) <= wk.tk.Class.FirstToken() && !end.After(wk.tk.Deadline) {
+		tl.attained++
+	}
+}
+
+// attained returns the share of all requests within their targets.
+func (bn *simBench) attained() float64 {
+	sent, good := 0, 0
+	for _, tl := range bn.tally {
+		sent += tl.sent
+		good += tl.attained
+	}
+	return float64(good) / float64(sent)
+}
+
+func (bn *simBench) attainedOf(class int) float64 {
+	return float64(bn.tally[class].attained) / float64(max(bn.tally[class].sent, 1))
+}
+
+func simSetups() []simSetup {
+	nodes := func() int { return simNodes }
+	roundRobin := func(*rand.Rand) router.Policy { return router.NewRoundRobin() }
+	leastReported := func(*rand.Rand) router.Policy { return router.LeastReported{} }
+	powerOfTwo := func(random *rand.Rand) router.Policy { return router.NewPowerOfTwo(random, nodes) }
+	affinity := func(random *rand.Rand) router.Policy { return router.NewAffinity(random, nodes) }
+	return []simSetup{
+		{"fifo, round robin", true, 0, roundRobin},
+		{"fifo, least reported", true, 0, leastReported},
+		{"fifo, affinity", true, 0, affinity},
+		{"classes, round robin", false, 0, roundRobin},
+		{"classes, least reported", false, 0, leastReported},
+		{"classes, power of two", false, 0, powerOfTwo},
+		{"classes, affinity", false, 0, affinity},
+		{"classes, affinity, digest 1s", false, time.Second, affinity},
+		{"classes, round robin, digest 250ms", false, 250 * time.Millisecond, roundRobin},
+		simBest(),
+	}
+}
+
+// simBest is what the nodes run.
+func simBest() simSetup {
+	affinity := func(random *rand.Rand) router.Policy {
+		return router.NewAffinity(random, func() int { return simNodes })
+	}
+	return simSetup{"classes, affinity, digest 250ms", false, 250 * time.Millisecond, affinity}
+}
--- a/internal/coordination/admitter/scheduler.go
+++ b/internal/coordination/admitter/scheduler.go
@@ -247,6 +247,8 @@
 	en.target = tg
 	en.grantedAt = now
 	tg.Load.Dispatched(now)
+	sc.server(tg.Name).add(now, en.class, 1)
+	sc.credit(tg, en)
 	sc.inFlight++
 	sc.choosePrefill(now, en)
 	if en.ready == nil {
@@ -274,6 +276,7 @@
 	en.stage = stageEnded
 	sc.inFlight--
 	en.target.Load.Finished(now)
+	sc.server(en.target.Name).add(now, en.class, -1)
 	if !rs.Failed && rs.Duration > 0 {
 		sc.service(en.ticket.Model.Name()).add(rs.Duration)
 	}
--- a/internal/coordination/admitter/window.go
+++ b/internal/coordination/admitter/window.go
@@ -15,19 +15,11 @@
 	lotInterval = time.Second
 	// resumeDivisor gives resumed requests this part of the slots on top.
 	resumeDivisor = 8
-	// maxCredit bounds, in tokens, what a class can save up of its least share.
-	maxCredit = 8192.0
 	// longPromptTokens is the length from which a prompt goes to a prefill
 	// server.
 	longPromptTokens = 1024
 )
 
-// serverState is what the scheduler keeps of one server between tables.
-type serverState struct {
-	// credits holds the unused least share of each class, in tokens.
-	credits []float64
-}
-
 // window returns how many requests this node may have on the target: what the
 // other nodes leave free, and at least its own part of the slots.
 func (sc *Scheduler) window(now time.Time, tg *router.Target, resumed bool) int {
@@ -35,23 +27,29 @@
 	if resumed {
 		extra = max(1, tg.Slots/resumeDivisor)
 	}
-	return max(sc.part(now, tg), tg.Slots-tg.Load.Others()) + extra
+	return max(sc.part(now, tg, tg.Slots), tg.Slots-tg.Load.Others()) + extra
+}
+
+// users returns how many nodes share the target.
+func (sc *Scheduler) users(tg *router.Target) int {
+	if users := tg.Load.Users(); users > 0 {
+		return users
+	}
+	return sc.table.Nodes()
 }
 
-// part returns the node's own part of the slots. What can't be divided goes
-// around among the nodes by lot, so that the parts sum up to the slots.
-func (sc *Scheduler) part(now time.Time, tg *router.Target) int {
-	users := tg.Load.Users()
-	if users == 0 {
-		users = sc.table.Nodes()
-	}
-	part := tg.Slots / users
-	rest := tg.Slots % users
+// part returns the node's own part of a number of the target's slots. What
+// can't be divided goes around among the nodes by lot, so that the parts sum up
+// to the whole.
+func (sc *Scheduler) part(now time.Time, tg *router.Target, slots int) int {
+	users := sc.users(tg)
+	part := slots / users
+	rest := slots % users
 	if rest == 0 {
 		return part
 	}
 	slice := now.UnixNano() / int64(lotInterval)
-	lot := xxhash.Sum64String(sc.nodeID+"\n"+tg.Name) + uint64(slice)
+	lot := xxhash.Sum64String(sc.nodeID) + xxhash.Sum64String(tg.Name) + uint64(slice)
 	if int(lot%uint64(users)) < rest {
 		part++
 	}
@@ -60,7 +58,10 @@
 
 // fits reports whether the entry may go to the target now.
 func (sc *Scheduler) fits(now time.Time, en *Entry, tg *router.Target) bool {
-	return sc.roleFits(en, tg) && tg.Load.Own() < sc.window(now, tg, en.ticket.Resumed)
+	if !sc.roleFits(en, tg) || tg.Load.Own() >= sc.window(now, tg, en.ticket.Resumed) {
+		return false
+	}
+	return en.ticket.Resumed || sc.classFits(now, tg, en.class)
 }
 
 // roleFits reports whether the target's role takes the entry. Prompts that go
@@ -147,56 +148,41 @@
 }
 
 // next returns the entry that the target should run next: of a class that is
-// owed part of its least share, else of the most urgent class.
+// owed part of its least share, else of the most urgent class that may take
+// another slot.
 func (sc *Scheduler) next(now time.Time, tg *router.Target) *Entry {
-	heads := make([]*Entry, len(sc.classes))
+	ss := sc.server(tg.Name)
+	var first, owed *Entry
 	for ix := range sc.classes {
-		heads[ix] = sc.head(now, tg, ix)
-	}
-	credits := sc.server(tg.Name).credits
-	chosen := -1
-	for ix, en := range heads {
+		en := sc.head(now, tg, ix)
 		if en == nil {
-			credits[ix] = 0
 			continue
 		}
-		if chosen < 0 {
-			chosen = ix
+		if first == nil && (en.ticket.Resumed || sc.classFits(now, tg, ix)) {
+			first = en
+			continue
 		}
-	}
-	if chosen < 0 {
-		return nil
-	}
-	owed := false
-	for ix, en := range heads {
-		if en != nil && ix > chosen && credits[ix] >= en.cost && (!owed || credits[ix] > credits[chosen]) {
-			chosen, owed = ix, true
+		if ss.credits[ix] >= en.cost && (owed == nil || ss.credits[ix] > ss.credits[owed.class]) {
+			owed = en
 		}
 	}
-	en := heads[chosen]
-	en.owed = owed
-	sc.credit(credits, heads, chosen)
-	return en
-}
-
-// credit charges the chosen class and credits those that wait.
-func (sc *Scheduler) credit(credits []float64, heads []*Entry, chosen int) {
-	cost := heads[chosen].cost
-	for ix, en := range heads {
-		if en == nil {
-			continue
-		}
-		credits[ix] = min(maxCredit+en.cost, credits[ix]+sc.classes[ix].minShare*cost)
+	if owed != nil {
+		owed.owed = true
+		return owed
 	}
-	credits[chosen] = max(0, credits[chosen]-cost)
+	return first
 }
 
 // head returns the first entry of the class for the target, over all models
 // that are ready there.
 func (sc *Scheduler) head(now time.Time, tg *router.Target, class int) *Entry {
+	room := tg.Load.Own() < sc.window(now, tg, false)
 	fits := func(en *Entry) bool {
+		if !room && !en.ticket.Resumed || !sc.roleFits(en, tg) {
+			return false
+		}
 		avoid := sc.avoid(en.ticket, sc.table.Candidates(en.ticket.Model.Name()))
-		return sc.fits(now, en, tg) && !slices.Contains(avoid, tg.Name)
+		return !slices.Contains(avoid, tg.Name)
 	}
 	var best *Entry
 	for _, model := range tg.Models {
@@ -204,20 +190,10 @@
 		if !ok || mq.lines[class].count == 0 {
 			continue
 		}
-		ln := mq.lines[class]
-		en := ln.best(now, fits)
+		en := mq.lines[class].best(now, fits)
 		if en != nil && (best == nil || precedes(en, best, false)) {
 			best = en
 		}
 	}
 	return best
 }
-
-func (sc *Scheduler) server(name string) *serverState {
-	ss, ok := sc.servers[name]
-	if !ok || len(ss.credits) != len(sc.classes) {
-		ss = &serverState{credits: make([]float64, len(sc.classes))}
-		sc.servers[name] = ss
-	}
-	return ss
-}
--- a/internal/coordination/router/load.go
+++ b/internal/coordination/router/load.go
@@ -75,7 +75,7 @@
 		return
 	}
 	ld.reported = count
-	ld.others = max(0, count-ld.ownAt(taken))
+	ld.others = max(0, count-ld.OwnAt(taken))
 	ld.asOf = taken
 }
 
@@ -95,8 +95,8 @@
 	ld.next++
 }
 
-// ownAt undoes the changes after the time.
-func (ld *Load) ownAt(at time.Time) int {
+// OwnAt returns the requests that this node had on the server at the time.
+func (ld *Load) OwnAt(at time.Time) int {
 	own := ld.own
 	for ix := ld.next - 1; ix >= max(0, ld.next-journalLength); ix-- {
 		ch := ld.journal[ix%journalLength]
