--- a/internal/coordination/admitter/admitter.go
+++ b/internal/coordination/admitter/admitter.go
@@ -126,7 +126,8 @@
 		return nil, ad.refuse(leftRefusal(err))
 	}
 	ad.registry.Inc("admission-grant", tk.Class.Name())
-	return &Grant{entry: en, admitter: ad}, nil
+	en.grant = Grant{entry: en, admitter: ad}
+	return &en.grant, nil
 }
 
 // Refresh takes in the latest load and configuration, and grants what has
--- a/internal/coordination/admitter/entry.go
+++ b/internal/coordination/admitter/entry.go
@@ -38,7 +38,7 @@
 	class       int
 	late        bool
 	heapIndex   int
-	grantedAt   time.Time
+	grant       Grant
 }
 
 // Ticket returns the ticket.
--- a/internal/coordination/admitter/estimate.go
+++ b/internal/coordination/admitter/estimate.go
@@ -21,7 +21,7 @@
 	if !known {
 		return nil
 	}
-	end := now.Add(wait + sc.service(en.ticket.Model.Name()).value)
+	end := now.Add(wait + sc.service(en.ticket.Model.Name()).whole.value)
 	over := end.Sub(en.ticket.Deadline)
 	if over <= 0 {
 		return nil
@@ -51,7 +51,7 @@
 	if ln.late > 0 {
 		wait = wait * lateEvery / (lateEvery - 1)
 	}
-	target := en.ticket.Class.FirstToken()
+	target := sc.patience(en.ticket)
 	if wait <= target {
 		return wait, true
 	}
--- a/internal/coordination/admitter/queue.go
+++ b/internal/coordination/admitter/queue.go
@@ -4,6 +4,8 @@
 	"container/heap"
 	"container/list"
 	"time"
+
+	"github.com/lagoonpass/lagoonpass/internal/state/configurer"
 )
 
 const (
@@ -27,6 +29,10 @@
 	name     string
 	rank     int
 	minShare float64
+	// firstToken is the class's target.
+	firstToken time.Duration
+	// hold is how long its requests hold their slots.
+	hold     average
 	accounts map[string]*account
 	clock    float64
 	// arrivals holds the waiting entries in the order of their arrival.
@@ -34,14 +40,15 @@
 	places   map[*Entry]*list.Element
 }
 
-func newClassState(name string, rank int, minShare float64) *classState {
+func newClassState(cl *configurer.Class) *classState {
 	return &classState{
-		name:     name,
-		rank:     rank,
-		minShare: minShare,
-		accounts: map[string]*account{},
-		arrivals: list.New(),
-		places:   map[*Entry]*list.Element{},
+		name:       cl.Name(),
+		rank:       cl.Rank(),
+		minShare:   cl.MinShare(),
+		firstToken: cl.FirstToken(),
+		accounts:   map[string]*account{},
+		arrivals:   list.New(),
+		places:     map[*Entry]*list.Element{},
 	}
 }
 
@@ -122,9 +129,11 @@
 // they advance as well.
 func (ln *line) best(now time.Time, fits func(*Entry) bool) *Entry {
 	var best *Entry
-	preferLate := ln.late > 0 && ln.grants%lateEvery == lateEvery-1
 	for _, fl := range ln.flows {
 		fl.age(now)
+	}
+	preferLate := ln.late > 0 && ln.grants%lateEvery == lateEvery-1
+	for _, fl := range ln.flows {
 		en := fl.choose(preferLate, fits)
 		if en != nil && (best == nil || precedes(en, best, preferLate)) {
 			best = en
--- a/internal/coordination/admitter/revise.go
+++ b/internal/coordination/admitter/revise.go
@@ -56,9 +56,9 @@
 	}
 	sc.classes = nil
 	for _, cl := range st.Classes() {
-		cs := newClassState(cl.Name(), cl.Rank(), cl.MinShare())
+		cs := newClassState(cl)
 		if was, ok := old[cl.Name()]; ok {
-			cs.clock = was.clock
+			cs.clock, cs.hold = was.clock, was.hold
 			cs.keepAccounts(was, st)
 		}
 		sc.classes = append(sc.classes, cs)
--- a/internal/coordination/admitter/scheduler.go
+++ b/internal/coordination/admitter/scheduler.go
@@ -15,6 +15,15 @@
 // retryLater is what a caller is told to wait when no replica is ready.
 const retryLater = time.Second
 
+// marginDivisor is the part of a first-token target that is kept as a margin.
+const marginDivisor = 10
+
+// modelService is how long the requests of a model take.
+type modelService struct {
+	whole      average
+	firstToken average
+}
+
 // Scheduler is the decision of admission: a state machine without locks, whose
 // callers pass in the time.
 type Scheduler struct {
@@ -31,13 +40,18 @@
 	classes  []*classState
 	queues   map[string]*modelQueue
 	servers  map[string]*serverState
-	services map[string]*average
+	services map[string]*modelService
 	requests int
 	bytes    int64
 	inFlight int
 	nextSeq  uint64
 	onGrant  func(*Entry)
 	roles    map[string]bool
+	request  router.Request
+	asking   *Entry
+	askedAt  time.Time
+	eligible func(*router.Target) bool
+	prefills func(*router.Target) bool
 }
 
 // SchedulerOption changes a Scheduler that is being made.
@@ -74,7 +88,7 @@
 		nodes:    func() int { return 1 },
 		queues:   map[string]*modelQueue{},
 		servers:  map[string]*serverState{},
-		services: map[string]*average{},
+		services: map[string]*modelService{},
 		table:    router.NewTable(nil, 1),
 		onGrant:  func(*Entry) {},
 		roles:    map[string]bool{},
@@ -82,6 +96,9 @@
 	for _, opt := range opts {
 		opt(sc)
 	}
+	sc.request.Weight = sc.weight
+	sc.eligible = func(tg *router.Target) bool { return sc.fits(sc.askedAt, sc.asking, tg) }
+	sc.prefills = func(tg *router.Target) bool { return sc.prefillFits(sc.askedAt, tg) }
 	if sc.policy == nil {
 		sc.policy = router.NewAffinity(random, func() int { return sc.nodes() })
 	}
@@ -161,7 +178,7 @@
 		seq:         sc.nextSeq,
 		stage:       stageWaiting,
 		arrived:     now,
-		onTimeUntil: now.Add(tk.Class.FirstToken()),
+		onTimeUntil: now.Add(sc.patience(tk)),
 		cost:        costOf(tk),
 		class:       sc.classIndex(tk.Class.Name()),
 	}
@@ -171,22 +188,36 @@
 	return en
 }
 
+// patience returns how long the request can wait and still be on time: its
+// target, less a margin and the time that the engine takes to the first token.
+func (sc *Scheduler) patience(tk *Ticket) time.Duration {
+	target := tk.Class.FirstToken()
+	wait := target - target/marginDivisor - sc.service(tk.Model.Name()).firstToken.value
+	return max(wait, time.Millisecond)
+}
+
 // choose returns a target with room, or nil.
 func (sc *Scheduler) choose(now time.Time, en *Entry, candidates []*router.Target) *router.Target {
-	tk := en.ticket
-	rq := &router.Request{
-		Model:    tk.Model.Name(),
-		Zone:     sc.zone,
-		Region:   sc.region,
-		Prefixes: tk.Prefixes,
-		Avoid:    sc.avoid(tk, candidates),
-		Eligible: func(tg *router.Target) bool { return sc.fits(now, en, tg) },
-		Weight:   sc.weight,
-	}
+	sc.asking, sc.askedAt = en, now
+	sc.fill(en.ticket, candidates)
+	sc.request.Eligible = sc.eligible
+	tg := sc.policy.Choose(&sc.request, candidates, now)
+	sc.asking = nil
+	return tg
+}
+
+// fill makes the scheduler's one routing request that of the ticket. It is used
+// again and again, so that a decision allocates little.
+func (sc *Scheduler) fill(tk *Ticket, candidates []*router.Target) {
+	sc.request.Model = tk.Model.Name()
+	sc.request.Zone = sc.zone
+	sc.request.Region = sc.region
+	sc.request.Prefixes = tk.Prefixes
+	sc.request.Avoid = sc.avoid(tk, candidates)
+	sc.request.Adapter = ""
 	if tk.Adapter != nil {
-		rq.Adapter = tk.Adapter.Name()
+		sc.request.Adapter = tk.Adapter.Name()
 	}
-	return sc.policy.Choose(rq, candidates, now)
 }
 
 // avoid returns the servers to be avoided, unless that would leave none.
@@ -240,12 +271,9 @@
 
 // grant counts the entry as sent to the target.
 func (sc *Scheduler) grant(now time.Time, en *Entry, tg *router.Target) {
-	window := sc.window(now, tg, en.ticket.Resumed)
-	checker.Assert(WindowKept, tg.Load.Own() < window, "%s has %d requests in a window of %d", tg.Name, tg.Load.Own(), window)
-	checker.Assert(checker.LeavingIdle, !tg.Leaving, "%s is leaving and was granted work", tg.Name)
+	sc.assertGrant(tg, sc.window(now, tg, en.ticket.Resumed))
 	en.stage = stageGranted
 	en.target = tg
-	en.grantedAt = now
 	tg.Load.Dispatched(now)
 	sc.server(tg.Name).add(now, en.class, 1)
 	sc.credit(tg, en)
@@ -259,6 +287,17 @@
 	sc.onGrant(en)
 }
 
+// assertGrant asserts the invariants of a grant. The arguments are built only
+// when one is broken, as building them allocates.
+func (*Scheduler) assertGrant(tg *router.Target, window int) {
+	if tg.Load.Own() >= window {
+		checker.Assert(WindowKept, false, "%s has %d requests in a window of %d", tg.Name, tg.Load.Own(), window)
+	}
+	if tg.Leaving {
+		checker.Assert(checker.LeavingIdle, false, "%s is leaving and was granted work", tg.Name)
+	}
+}
+
 // closed is the channel of entries that never waited.
 var closed = func() chan struct{} {
 	ch := make(chan struct{})
@@ -277,14 +316,27 @@
 	sc.inFlight--
 	en.target.Load.Finished(now)
 	sc.server(en.target.Name).add(now, en.class, -1)
-	if !rs.Failed && rs.Duration > 0 {
-		sc.service(en.ticket.Model.Name()).add(rs.Duration)
-	}
+	sc.learn(en, rs)
 	if tg, ok := sc.table.Target(en.target.Name); ok {
 		sc.pump(now, tg)
 	}
 }
 
+// learn takes in how long a request took.
+func (sc *Scheduler) learn(en *Entry, rs Result) {
+	if rs.Failed || rs.Duration <= 0 {
+		return
+	}
+	ms := sc.service(en.ticket.Model.Name())
+	ms.whole.add(rs.Duration)
+	if rs.FirstToken > 0 {
+		ms.firstToken.add(rs.FirstToken)
+	}
+	if en.class < len(sc.classes) {
+		sc.classes[en.class].hold.add(rs.Duration)
+	}
+}
+
 // Withdraw takes back an entry whose caller left; a grant that came meanwhile
 // stays granted and must be given back.
 func (sc *Scheduler) Withdraw(now time.Time, en *Entry) {
@@ -354,13 +406,13 @@
 	return -1
 }
 
-func (sc *Scheduler) service(model string) *average {
-	av, ok := sc.services[model]
+func (sc *Scheduler) service(model string) *modelService {
+	ms, ok := sc.services[model]
 	if !ok {
-		av = &average{}
-		sc.services[model] = av
+		ms = &modelService{}
+		sc.services[model] = ms
 	}
-	return av
+	return ms
 }
 
 func sortClasses(all []*classState) {
--- a/internal/coordination/admitter/share.go
+++ b/internal/coordination/admitter/share.go
@@ -16,6 +16,9 @@
 	// reserveDeviations is how many standard deviations of the more urgent
 	// use are kept free on top of its mean.
 	reserveDeviations = 2.5
+	// patienceFactor is how many first-token targets of the most urgent class
+	// a request may hold its slot before the whole reserve counts.
+	patienceFactor = 4.0
 	// leastUse is the mean use from which a class is counted as present.
 	leastUse = 0.01
 )
@@ -54,7 +57,8 @@
 // classFits reports whether one more request of the class leaves enough of the
 // target's slots to the more urgent classes. Requests can't be taken back from
 // an engine, so that slots must be kept free beforehand: the mean use of the
-// more urgent classes by all nodes, and some deviations of it.
+// more urgent classes by all nodes, and some deviations of it. The class keeps
+// its least share, and one slot at least.
 func (sc *Scheduler) classFits(now time.Time, tg *router.Target, class int) bool {
 	if class == 0 {
 		return true
@@ -75,11 +79,24 @@
 	others := float64(tg.Load.Others())
 	urgentOthers := min(urgent*float64(sc.users(tg)-1), others)
 	all := urgent + urgentOthers
-	left := float64(tg.Slots) - all - reserveDeviations*math.Sqrt(all)
+	left := float64(tg.Slots) - all - sc.deviations(class)*math.Sqrt(all)
+	left = max(left, 1, sc.classes[class].minShare*float64(tg.Slots))
 	part := sc.part(now, tg, max(0, int(left)))
 	return low < max(part, int(left-(others-urgentOthers)))
 }
 
+// deviations returns how many deviations of the more urgent use are kept free
+// of the class: all of them if its requests hold their slots for much longer
+// than the most urgent class can wait, fewer if slots come free soon anyway.
+func (sc *Scheduler) deviations(class int) float64 {
+	cs := sc.classes[class]
+	if !cs.hold.known {
+		return reserveDeviations
+	}
+	patience := patienceFactor * sc.classes[0].firstToken.Seconds()
+	return reserveDeviations * min(1, cs.hold.value.Seconds()/patience)
+}
+
 // credit gives the classes that wait for the target their least share of a
 // grant, and charges the class that got it.
 func (sc *Scheduler) credit(tg *router.Target, en *Entry) {
--- a/internal/coordination/admitter/window.go
+++ b/internal/coordination/admitter/window.go
@@ -101,24 +101,21 @@
 	if !sc.roles[tk.Model.Name()] || tk.PromptTokens < longPromptTokens {
 		return
 	}
-	rq := &router.Request{
-		Model:    tk.Model.Name(),
-		Zone:     sc.zone,
-		Region:   sc.region,
-		Prefixes: tk.Prefixes,
-		Avoid:    tk.Avoid,
-		Eligible: func(tg *router.Target) bool {
-			return tg.Role == configurer.RolePrefill && tg.Load.Own() < sc.window(now, tg, false)
-		},
-		Weight: sc.weight,
-	}
-	tg := sc.policy.Choose(rq, sc.table.Candidates(tk.Model.Name()), now)
+	candidates := sc.table.Candidates(tk.Model.Name())
+	sc.askedAt = now
+	sc.fill(tk, candidates)
+	sc.request.Eligible = sc.prefills
+	tg := sc.policy.Choose(&sc.request, candidates, now)
 	if tg != nil {
 		en.prefill = tg
 		tg.Load.Dispatched(now)
 	}
 }
 
+func (sc *Scheduler) prefillFits(now time.Time, tg *router.Target) bool {
+	return tg.Role == configurer.RolePrefill && tg.Load.Own() < sc.window(now, tg, false)
+}
+
 // finishPrefill gives the prefill server's place back.
 func (sc *Scheduler) finishPrefill(now time.Time, en *Entry) {
 	if en.prefill == nil {
--- a/internal/coordination/router/affinity.go
+++ b/internal/coordination/router/affinity.go
@@ -2,6 +2,7 @@
 
 import (
 	"math/rand/v2"
+	"slices"
 	"time"
 )
 
@@ -15,23 +16,30 @@
 )
 
 // affinityDraws is how many candidates are compared at random.
-const affinityDraws = 3
+const affinityDraws = 2
 
 // recentPrefixes bounds the memory of where prefixes went.
 const recentPrefixes = 8192
 
+// place is where a prefix went: a server and its index among the candidates of
+// its model. After the candidates changed, a wrong index makes it a miss.
+type place struct {
+	name  string
+	index int
+}
+
 // Affinity compares a few candidates by pressure, by the prompt's leading
 // blocks that they hold, by adapters, by what they are loading and by distance.
 type Affinity struct {
 	random *rand.Rand
 	nodes  func() int
-	recent *lru[uint64, string]
+	recent *lru[uint64, place]
 }
 
 // NewAffinity returns a policy that draws from random and knows by nodes how
 // many nodes choose among the same servers.
 func NewAffinity(random *rand.Rand, nodes func() int) *Affinity {
-	return &Affinity{random: random, nodes: nodes, recent: newLRU[uint64, string](recentPrefixes)}
+	return &Affinity{random: random, nodes: nodes, recent: newLRU[uint64, place](recentPrefixes)}
 }
 
 // Choose implements Policy.
@@ -47,7 +55,7 @@
 	if second != nil {
 		chosen = level(best, second, cost(rq, best), cost(rq, second), af.nodes(), now, af.random)
 	}
-	af.remember(rq, chosen)
+	af.remember(rq, candidates, chosen)
 	return chosen
 }
 
@@ -72,6 +80,9 @@
 	for range draws {
 		consider(draw(rq, candidates, af.random, best))
 	}
+	if second != nil && second.Loading && !best.Loading {
+		second = nil
+	}
 	return best, second
 }
 
@@ -79,22 +90,24 @@
 // prefix of the prompt.
 func (af *Affinity) holder(rq *Request, candidates []*Target) *Target {
 	for ix := len(rq.Prefixes) - 1; ix >= 0; ix-- {
-		name, ok := af.recent.get(rq.Prefixes[ix])
-		if !ok {
+		pc, ok := af.recent.get(rq.Prefixes[ix])
+		if !ok || pc.index >= len(candidates) {
 			continue
 		}
-		for jx := range min(len(candidates), scanLimit) {
-			if tg := candidates[jx]; tg.Name == name && rq.allowed(tg) && rq.weight(tg) >= 1 {
-				return tg
-			}
+		if tg := candidates[pc.index]; tg.Name == pc.name && !tg.Loading && rq.allowed(tg) && rq.weight(tg) >= 1 {
+			return tg
 		}
 	}
 	return nil
 }
 
-func (af *Affinity) remember(rq *Request, tg *Target) {
+func (af *Affinity) remember(rq *Request, candidates []*Target, tg *Target) {
+	if len(rq.Prefixes) == 0 {
+		return
+	}
+	pc := place{name: tg.Name, index: slices.Index(candidates, tg)}
 	for _, hash := range rq.Prefixes {
-		af.recent.put(hash, tg.Name)
+		af.recent.put(hash, pc)
 	}
 	if tg.Prefixes != nil {
 		tg.Prefixes.Sent(rq.Prefixes)
--- a/internal/coordination/router/load.go
+++ b/internal/coordination/router/load.go
@@ -8,8 +8,11 @@
 const (
 	// journalLength bounds the dispatches and ends that one load remembers.
 	journalLength = 256
-	// rateWindow is the time over which the rate of dispatches is averaged.
-	rateWindow = 10 * time.Second
+	// slowWindow and fastWindow are the times over which the rate of
+	// dispatches is averaged; the greater of the two rates counts, so that a
+	// burst is seen at once and a rare request is not forgotten at once.
+	slowWindow = 10 * time.Second
+	fastWindow = time.Second
 	// refreshInterval is the time until the next report may be expected.
 	refreshInterval = time.Second
 )
@@ -32,7 +35,8 @@
 	others   int
 	users    int
 	asOf     time.Time
-	rate     float64
+	slow     float64
+	fast     float64
 	ratedAt  time.Time
 }
 
@@ -58,8 +62,9 @@
 func (ld *Load) Dispatched(now time.Time) {
 	ld.own++
 	ld.note(now, 1)
-	ld.rate = ld.rateAt(now) + 1/rateWindow.Seconds()
-	ld.ratedAt = now
+	ld.fade(now)
+	ld.slow += 1 / slowWindow.Seconds()
+	ld.fast += 1 / fastWindow.Seconds()
 }
 
 // Finished counts a request as ended.
@@ -108,11 +113,15 @@
 	return own
 }
 
-func (ld *Load) rateAt(now time.Time) float64 {
-	if ld.ratedAt.IsZero() {
-		return 0
+// fade lets the rates fall with the time since they were brought up to date.
+func (ld *Load) fade(now time.Time) {
+	passed := now.Sub(ld.ratedAt).Seconds()
+	ld.ratedAt = now
+	if passed <= 0 {
+		return
 	}
-	return ld.rate * math.Exp(-now.Sub(ld.ratedAt).Seconds()/rateWindow.Seconds())
+	ld.slow *= math.Exp(-passed / slowWindow.Seconds())
+	ld.fast *= math.Exp(-passed / fastWindow.Seconds())
 }
 
 // unseen returns how many requests all nodes are expected to send to the server
@@ -123,5 +132,7 @@
 	if !ld.asOf.IsZero() {
 		stale += max(0, now.Sub(ld.asOf))
 	}
-	return (ld.rateAt(now) + 1/(2*rateWindow.Seconds())) * float64(nodes-1) * stale.Seconds()
+	ld.fade(now)
+	rate := max(ld.slow, ld.fast) + 1/(2*slowWindow.Seconds())
+	return rate * float64(nodes-1) * stale.Seconds()
 }
--- a/internal/coordination/router/router.go
+++ b/internal/coordination/router/router.go
@@ -157,20 +157,26 @@
 // draw returns a random candidate that may take the request. A target with
 // less than its full weight is accepted with that probability. If a bounded
 // number of draws finds none, a bounded scan takes the first that has any
-// weight at all.
+// weight at all. A target that loads something is taken only if there is no
+// other, so that a request doesn't wait for a load that others caused.
 func draw(rq *Request, candidates []*Target, random *rand.Rand, not *Target) *Target {
 	for range sampleDraws {
 		tg := candidates[random.IntN(len(candidates))]
-		if tg != not && rq.allowed(tg) && random.Float64() < rq.weight(tg) {
+		if tg != not && !tg.Loading && rq.allowed(tg) && random.Float64() < rq.weight(tg) {
 			return tg
 		}
 	}
 	start := random.IntN(len(candidates))
+	var loading *Target
 	for ix := range min(len(candidates), scanLimit) {
 		tg := candidates[(start+ix)%len(candidates)]
-		if tg != not && rq.allowed(tg) && rq.weight(tg) > 0 {
+		if tg == not || !rq.allowed(tg) || rq.weight(tg) <= 0 {
+			continue
+		}
+		if !tg.Loading {
 			return tg
 		}
+		loading = tg
 	}
-	return nil
+	return loading
 }
