Exchange load between the users and the owners of backend servers

Cause: with lagging reports alone, urgent classes stayed under 99 in 100 within target at the load that fits.

--- a/internal/coordination/admitter/admitter.go
+++ b/internal/coordination/admitter/admitter.go
@@ -154,7 +154,7 @@
 func (ad *Admitter) Outstanding() map[string]int {
 	ad.mu.Lock()
 	defer ad.mu.Unlock()
-	return ad.scheduler.Outstanding()
+	return ad.scheduler.Outstanding(ad.now())
 }
 
 // refresh takes in a new snapshot or new settings, with the lock held.
--- a/internal/coordination/admitter/scheduler.go
+++ b/internal/coordination/admitter/scheduler.go
@@ -117,12 +117,13 @@
 // InFlight returns the number of grants not yet given back.
 func (sc *Scheduler) InFlight() int { return sc.inFlight }
 
-// Outstanding returns the requests of this node on each server in use.
-func (sc *Scheduler) Outstanding() map[string]int {
+// Outstanding returns the requests of this node on each server that it uses or
+// used lately.
+func (sc *Scheduler) Outstanding(now time.Time) map[string]int {
 	all := map[string]int{}
 	for _, tg := range sc.table.Targets() {
-		if own := tg.Load.Own(); own > 0 {
-			all[tg.Name] = own
+		if tg.Load.Used(now) {
+			all[tg.Name] = tg.Load.Own()
 		}
 	}
 	return all
--- a/internal/coordination/router/load.go
+++ b/internal/coordination/router/load.go
@@ -13,6 +13,8 @@
 	// burst is seen at once and a rare request is not forgotten at once.
 	slowWindow = 10 * time.Second
 	fastWindow = time.Second
+	// usedLately is how long a server counts as in use after the last request.
+	usedLately = 5 * time.Second
 	// refreshInterval is the time until the next report may be expected.
 	refreshInterval = time.Second
 )
@@ -38,11 +40,17 @@
 	slow     float64
 	fast     float64
 	ratedAt  time.Time
+	usedAt   time.Time
 }
 
 // Own returns the requests that this node has on the server.
 func (ld *Load) Own() int { return ld.own }
 
+// Used reports whether this node has or lately had requests on the server.
+func (ld *Load) Used(now time.Time) bool {
+	return ld.own > 0 || !ld.usedAt.IsZero() && now.Sub(ld.usedAt) < usedLately
+}
+
 // Others returns the requests that other nodes are thought to have there.
 func (ld *Load) Others() int { return ld.others }
 
@@ -61,6 +69,7 @@
 // Dispatched counts a request as sent to the server.
 func (ld *Load) Dispatched(now time.Time) {
 	ld.own++
+	ld.usedAt = now
 	ld.note(now, 1)
 	ld.fade(now)
 	ld.slow += 1 / slowWindow.Seconds()
@@ -70,6 +79,7 @@
 // Finished counts a request as ended.
 func (ld *Load) Finished(now time.Time) {
 	ld.own--
+	ld.usedAt = now
 	ld.note(now, -1)
 }
 
--- /dev/null
+++ b/internal/coordination/watcher/exchange.go
@@ -0,0 +1,159 @@
+package watcher
+
+import (
+	"context"
+	"maps"
+	"slices"
+	"sync"
+	"time"
+
+	"github.com/lagoonpass/lagoonpass/internal/protocol/messenger"
+)
+
+const (
+	// useForgotten is the time after which a node that told nothing of a
+	// server no longer counts as its user.
+	useForgotten = 3 * time.Second
+	// exchangeTimeout bounds one call to an owner.
+	exchangeTimeout = 200 * time.Millisecond
+	// viewTrusted is how long an owner's answer counts; after that the node
+	// falls back on the server's own report.
+	viewTrusted = 2 * time.Second
+)
+
+// Caller calls peers.
+type Caller interface {
+	// Call sends a message to the peer at the address.
+	Call(ctx context.Context, address string, call messenger.Message) (messenger.Message, error)
+}
+
+// Owner names the owner of a server: its address, and whether it is this node.
+type Owner func(server string) (address string, self, ok bool)
+
+// use is what one node told of one server.
+type use struct {
+	outstanding int
+	at          time.Time
+}
+
+// state is what an owner told of one server.
+type state struct {
+	messenger.LoadState
+	at time.Time
+}
+
+// Exchange keeps the load that nodes tell each other: as the owner of some
+// servers it sums up what the nodes use of them; as a user of others it asks
+// their owners. Only the servers in use are asked for, in one call an owner.
+type Exchange struct {
+	node  string
+	mu    sync.Mutex
+	uses  map[string]map[string]use
+	views map[string]state
+}
+
+// NewExchange returns the exchange of the node of that id.
+func NewExchange(node string) *Exchange {
+	return &Exchange{node: node, uses: map[string]map[string]use{}, views: map[string]state{}}
+}
+
+// Answer takes in what a peer uses and returns the load of these servers.
+func (ex *Exchange) Answer(now time.Time, ld *messenger.LoadDigest) *messenger.LoadView {
+	ex.mu.Lock()
+	defer ex.mu.Unlock()
+	lv := &messenger.LoadView{}
+	for _, lu := range ld.Uses {
+		ex.note(now, ld.Node, lu)
+		lv.States = append(lv.States, ex.sum(now, ld.Node, lu.Server))
+	}
+	return lv
+}
+
+func (ex *Exchange) note(now time.Time, node string, lu messenger.LoadUse) {
+	if ex.uses[lu.Server] == nil {
+		ex.uses[lu.Server] = map[string]use{}
+	}
+	ex.uses[lu.Server][node] = use{outstanding: lu.Outstanding, at: now}
+}
+
+// sum adds up the other nodes' requests and forgets nodes that fell silent.
+func (ex *Exchange) sum(now time.Time, node, server string) messenger.LoadState {
+	ls := messenger.LoadState{Server: server, Users: 1}
+	for id, us := range ex.uses[server] {
+		if now.Sub(us.at) > useForgotten {
+			delete(ex.uses[server], id)
+			continue
+		}
+		if id == node {
+			continue
+		}
+		ls.Others += us.outstanding
+		ls.Users++
+		ls.Age = max(ls.Age, now.Sub(us.at))
+	}
+	return ls
+}
+
+// Round tells each owner what this node uses of its servers and takes in the
+// answers. An owner that can't be reached is left out: its servers fall back on
+// their own reports.
+func (ex *Exchange) Round(ctx context.Context, now func() time.Time, outstanding map[string]int, owner Owner, caller Caller) {
+	ctx, cancel := context.WithTimeout(ctx, exchangeTimeout)
+	defer cancel()
+	var wg sync.WaitGroup
+	for address, digest := range ex.digests(now(), outstanding, owner) {
+		wg.Go(func() {
+			sent := now()
+			answer, err := caller.Call(ctx, address, digest)
+			if lv, ok := answer.(*messenger.LoadView); ok && err == nil {
+				ex.take(sent, lv)
+			}
+		})
+	}
+	wg.Wait()
+}
+
+// digests groups the uses by owner and answers those of this node itself.
+func (ex *Exchange) digests(now time.Time, outstanding map[string]int, owner Owner) map[string]*messenger.LoadDigest {
+	calls := map[string]*messenger.LoadDigest{}
+	own := &messenger.LoadDigest{Node: ex.node}
+	for _, server := range slices.Sorted(maps.Keys(outstanding)) {
+		address, self, ok := owner(server)
+		if !ok {
+			continue
+		}
+		digest := own
+		if !self {
+			if calls[address] == nil {
+				calls[address] = &messenger.LoadDigest{Node: ex.node}
+			}
+			digest = calls[address]
+		}
+		digest.Uses = append(digest.Uses, messenger.LoadUse{Server: server, Outstanding: outstanding[server]})
+	}
+	ex.take(now, ex.Answer(now, own))
+	return calls
+}
+
+func (ex *Exchange) take(at time.Time, lv *messenger.LoadView) {
+	ex.mu.Lock()
+	defer ex.mu.Unlock()
+	for _, ls := range lv.States {
+		ex.views[ls.Server] = state{LoadState: ls, at: at}
+	}
+}
+
+// apply puts what the owner told into a report, if it is recent.
+func (ex *Exchange) apply(rp Report, now time.Time) Report {
+	ex.mu.Lock()
+	defer ex.mu.Unlock()
+	st, ok := ex.views[rp.Server]
+	if !ok || now.Sub(st.at) > viewTrusted {
+		return rp
+	}
+	rp.Digested = true
+	rp.Others, rp.Users = st.Others, st.Users
+	rp.Leaving = rp.Leaving || st.Leaving
+	rp.Taken = st.at.Add(-st.Age)
+	return rp
+}
--- a/internal/coordination/watcher/watcher.go
+++ b/internal/coordination/watcher/watcher.go
@@ -76,11 +76,21 @@
 type Watcher struct {
 	http     *http.Client
 	snapshot atomic.Pointer[Snapshot]
+	exchange *Exchange
 }
 
+// Option changes a Watcher that is being made.
+type Option func(*Watcher)
+
+// WithExchange adds what the owners of servers tell to the reports.
+func WithExchange(ex *Exchange) Option { return func(wt *Watcher) { wt.exchange = ex } }
+
 // New returns a watcher with an empty snapshot.
-func New() *Watcher {
+func New(opts ...Option) *Watcher {
 	wt := &Watcher{http: &http.Client{Timeout: reportTimeout}}
+	for _, opt := range opts {
+		opt(wt)
+	}
 	wt.snapshot.Store(&Snapshot{})
 	return wt
 }
@@ -106,6 +116,12 @@
 		})
 	}
 	wg.Wait()
+	if wt.exchange != nil {
+		now := time.Now()
+		for name, rp := range sn.reports {
+			sn.reports[name] = wt.exchange.apply(rp, now)
+		}
+	}
 	for name, rp := range sn.reports {
 		for model := range rp.Models {
 			sn.replicas[model] = append(sn.replicas[model], name)
--- a/internal/protocol/messenger/kinds.go
+++ b/internal/protocol/messenger/kinds.go
@@ -23,4 +23,7 @@
 var builders = map[Kind]func() Message{
 	KindPing: func() Message { return &Ping{} },
 	KindPong: func() Message { return &Pong{} },
+
+	KindLoadDigest: func() Message { return &LoadDigest{} },
+	KindLoadView:   func() Message { return &LoadView{} },
 }
--- a/internal/runner/control.go
+++ b/internal/runner/control.go
@@ -37,6 +37,7 @@
 		return
 	}
 	nd.admitter.Revise(rv.Settings())
+	nd.exchangeLoad(ctx)
 	nd.watcher.Poll(ctx, rv.Settings().BackendServers())
 	nd.admitter.Refresh(rv.Settings())
 	nd.placeModels(ctx, rv.Settings())
--- a/internal/runner/load.go
+++ b/internal/runner/load.go
@@ -1,7 +1,9 @@
 package runner
 
 import (
+	"context"
 	"math/rand/v2"
+	"time"
 
 	"github.com/lagoonpass/lagoonpass/internal/coordination/admitter"
 	"github.com/lagoonpass/lagoonpass/internal/coordination/prober"
@@ -28,3 +30,14 @@
 	}
 	return max(count, 1)
 }
+
+// exchangeLoad tells the owners of the backend servers in use what this node
+// has there, and learns what the others have.
+func (nd *Node) exchangeLoad(ctx context.Context) {
+	vw := nd.prober.View()
+	owner := func(server string) (address string, self, ok bool) {
+		mb, ok := vw.Owner("worker/" + server)
+		return mb.PeerAddress, mb.ID == vw.Self(), ok
+	}
+	nd.exchange.Round(ctx, time.Now, nd.admitter.Outstanding(), owner, nd.pool)
+}
--- a/internal/runner/runner.go
+++ b/internal/runner/runner.go
@@ -50,6 +50,7 @@
 	pool      *messenger.Pool
 	prober    *prober.Prober
 	watcher   *watcher.Watcher
+	exchange  *watcher.Exchange
 	orderer   *orderer.Orderer
 	admitter  *admitter.Admitter
 	peers     *messenger.Server
@@ -74,8 +75,9 @@
 		store:    storer.NewClient(id.Store()),
 		holder:   &publisher.Holder{},
 		pool:     messenger.NewPool(),
-		watcher:  watcher.New(),
+		exchange: watcher.NewExchange(id.ID()),
 	}
+	nd.watcher = watcher.New(watcher.WithExchange(nd.exchange))
 	for _, opt := range opts {
 		opt(nd)
 	}
@@ -137,9 +139,11 @@
 }
 
 func (nd *Node) handlePeer(_ context.Context, call messenger.Message) (messenger.Message, error) {
-	switch call.(type) {
+	switch cl := call.(type) {
 	case *messenger.Ping:
 		return nd.prober.Answer(), nil
+	case *messenger.LoadDigest:
+		return nd.exchange.Answer(time.Now(), cl), nil
 	default:
 		return nil, errors.Errorf("no handler for message of kind %d", call.Kind())
 	}
