--- a/internal/coordination/watcher/exchange.go
+++ b/internal/coordination/watcher/exchange.go
@@ -13,12 +13,18 @@
 const (
 	// useForgotten is the time after which a node that told nothing of a
 	// server no longer counts as its user.
-	useForgotten = 3 * time.Second
+	useForgotten = 8 * time.Second
 	// exchangeTimeout bounds one call to an owner.
 	exchangeTimeout = 200 * time.Millisecond
 	// viewTrusted is how long an owner's answer counts; after that the node
 	// falls back on the server's own report.
-	viewTrusted = 2 * time.Second
+	viewTrusted = 6 * time.Second
+	// budgetBytes bounds what the exchange sends and receives a second.
+	budgetBytes = 2000.0
+	// ownerBytes and serverBytes are the size of one call and its answer, by
+	// owner and by server.
+	ownerBytes  = 35.0
+	serverBytes = 19.0
 )
 
 // Caller calls peers.
@@ -50,6 +56,8 @@
 	mu    sync.Mutex
 	uses  map[string]map[string]use
 	views map[string]state
+	// next is when the budget lets the next round begin.
+	next time.Time
 }
 
 // NewExchange returns the exchange of the node of that id.
@@ -95,13 +103,18 @@
 }
 
 // Round tells each owner what this node uses of its servers and takes in the
-// answers. An owner that can't be reached is left out: its servers fall back on
+// answers, as often as the budget allows. It is called by one goroutine. An owner that can't be reached is left out: its servers fall back on
 // their own reports.
 func (ex *Exchange) Round(ctx context.Context, now func() time.Time, outstanding map[string]int, owner Owner, caller Caller) {
+	if now().Before(ex.next) {
+		return
+	}
 	ctx, cancel := context.WithTimeout(ctx, exchangeTimeout)
 	defer cancel()
+	digests := ex.digests(now(), outstanding, owner)
+	ex.next = now().Add(roundInterval(digests))
 	var wg sync.WaitGroup
-	for address, digest := range ex.digests(now(), outstanding, owner) {
+	for address, digest := range digests {
 		wg.Go(func() {
 			sent := now()
 			answer, err := caller.Call(ctx, address, digest)
@@ -113,6 +126,15 @@
 	wg.Wait()
 }
 
+// roundInterval is how long the budget takes to pay for the calls.
+func roundInterval(digests map[string]*messenger.LoadDigest) time.Duration {
+	sum := 0.0
+	for _, digest := range digests {
+		sum += ownerBytes + serverBytes*float64(len(digest.Uses))
+	}
+	return time.Duration(sum / budgetBytes * float64(time.Second))
+}
+
 // digests groups the uses by owner and answers those of this node itself.
 func (ex *Exchange) digests(now time.Time, outstanding map[string]int, owner Owner) map[string]*messenger.LoadDigest {
 	calls := map[string]*messenger.LoadDigest{}
--- a/internal/coordination/watcher/exchange_test.go
+++ b/internal/coordination/watcher/exchange_test.go
@@ -19,9 +19,11 @@
 type memoryCaller struct {
 	now   func() time.Time
 	peers map[string]*Exchange
+	calls int
 }
 
 func (mc *memoryCaller) Call(_ context.Context, address string, call messenger.Message) (messenger.Message, error) {
+	mc.calls++
 	peer, ok := mc.peers[address]
 	if !ok {
 		return nil, errors.New("unreachable")
@@ -46,6 +48,9 @@
 	require.Equal(t, 2, rp.Users)
 	require.Equal(t, 5, one.apply(Report{Server: "w1"}, now).Others)
 
+	sent := caller.calls
+	two.Round(t.Context(), clock, map[string]int{"w1": 6}, ownedBy1(false), caller)
+	require.Equal(t, sent, caller.calls, "the budget lets no second round begin at once")
 	delete(caller.peers, "a1")
 	now = now.Add(viewTrusted + time.Millisecond)
 	two.Round(t.Context(), clock, map[string]int{"w1": 5}, ownedBy1(false), caller)
