--- a/internal/coordination/admitter/admitter.go
+++ b/internal/coordination/admitter/admitter.go
@@ -126,7 +126,7 @@
 		return nil, ad.refuse(leftRefusal(err))
 	}
 	ad.registry.Inc("admission-grant", tk.Class.Name())
-	en.grant = Grant{entry: en, admitter: ad}
+	en.grant = Grant{server: en.target.Name, address: en.target.Address, entry: en, admitter: ad}
 	return &en.grant, nil
 }
 
--- a/internal/protocol/messenger/kinds.go
+++ b/internal/protocol/messenger/kinds.go
@@ -24,6 +24,8 @@
 	KindPing: func() Message { return &Ping{} },
 	KindPong: func() Message { return &Pong{} },
 
-	KindLoadDigest: func() Message { return &LoadDigest{} },
-	KindLoadView:   func() Message { return &LoadView{} },
+	KindLoadDigest:   func() Message { return &LoadDigest{} },
+	KindLoadView:     func() Message { return &LoadView{} },
+	KindShareRequest: func() Message { return &ShareRequest{} },
+	KindShareGrant:   func() Message { return &ShareGrant{} },
 }
