--- a/internal/protocol/messenger/kinds.go
+++ b/internal/protocol/messenger/kinds.go
@@ -36,6 +36,8 @@
 	KindRelease:  func() Message { return &Release{} },
 	KindReleased: func() Message { return &Released{} },
 
+	KindLoadDigest:   func() Message { return &LoadDigest{} },
+	KindLoadView:     func() Message { return &LoadView{} },
 	KindShareRequest: func() Message { return &ShareRequest{} },
 	KindShareGrant:   func() Message { return &ShareGrant{} },
 }
--- a/internal/runner/runner.go
+++ b/internal/runner/runner.go
@@ -12,7 +12,6 @@
 
 import (
 	"context"
-	"math/rand/v2"
 	"net"
 	"net/http"
 	"sync"
@@ -53,7 +52,9 @@
 	claimer   *claimer.Claimer
 	follower  *publisher.Follower
 	watcher   *watcher.Watcher
+	exchange  *watcher.Exchange
 	orderer   *orderer.Orderer
+	admitter  *admitter.Admitter
 	peers     *messenger.Server
 	web       *http.Server
 	callerNet net.Listener
@@ -88,11 +89,12 @@
 		store:    storer.NewClient(id.Store()),
 		holder:   publisher.NewHolder(),
 		pool:     messenger.NewPool(),
-		watcher:  watcher.New(),
+		exchange: watcher.NewExchange(id.ID()),
 		pause:    time.After,
 		drained:  make(chan struct{}),
 		aborted:  make(chan struct{}),
 	}
+	nd.watcher = watcher.New(watcher.WithExchange(nd.exchange))
 	for _, opt := range opts {
 		opt(nd)
 	}
@@ -123,10 +125,9 @@
 
 func (nd *Node) buildServer() http.Handler {
 	fw := forwarder.New()
-	random := rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64()))
 	ej := ejector.New(ejector.WithReplicas(nd.replicas), ejector.WithRegistry(nd.registry))
-	am := admitter.New(nd.watcher, ej, random)
-	ds := dispatcher.New(am, fw, &orderer.Adapters{}, dispatcher.WithRegistry(nd.registry), dispatcher.WithEjector(ej))
+	nd.admitter = nd.newAdmitter(ej)
+	ds := dispatcher.New(nd.admitter, fw, &orderer.Adapters{}, dispatcher.WithRegistry(nd.registry), dispatcher.WithEjector(ej))
 	iv := nd.buildInvoker(fw)
 	nd.server = server.New(server.Parts{
 		Holder:     nd.holder,
@@ -183,6 +184,8 @@
 		return nd.jobs.Handle(tc), nil
 	case *messenger.Begin, *messenger.Finish:
 		return nd.recorder.Handle(ctx, call)
+	case *messenger.LoadDigest:
+		return nd.exchange.Answer(time.Now(), tc), nil
 	default:
 		return nd.handleMembership(ctx, call)
 	}
--- a/internal/standin/engine/engine.go
+++ b/internal/standin/engine/engine.go
@@ -44,7 +44,8 @@
 	runs        map[string]int
 
 	faults
-	queue queue
+	queue   queue
+	reports reporter
 }
 
 // loaded is a model that holds memory.
