Keep a memory ledger for each backend server and order by it

The record of a server held a bare fencing number; intents, unanswered orders and memory were known to no next owner. Each server now has a ledger in the store, written before an order goes out; each model has a record of the replicas that count, left before an unload.

--- a/internal/coordination/orderer/orderer.go
+++ b/internal/coordination/orderer/orderer.go
@@ -1,111 +1,156 @@
-// Package orderer sends orders to backend servers and keeps their records.
+// Package orderer brings backend servers to what the plan wants of them: it
+// sends orders to load and unload models and to change roles, and loads
+// adapters on demand.
+//
+// Each backend server has a record in the platform's store with its fencing
+// number and its memory ledger. The node that owns the server takes the record
+// over by compare-and-swap, writes every intent before the order goes out, and
+// forgets the record as soon as one of its writes does not certainly take
+// effect. Each model has a record of the replicas that count; a replica leaves
+// it before it is unloaded, and only if enough others stay.
+//
+// The decisions are in keepers, one a server, which take the time and the
+// results of their tasks as arguments. All keepers belong to the goroutine that
+// calls Pursue and Handle; tasks run in goroutines of their own and post their
+// results to Events.
 //
 // # Usage
 //
-//	od := orderer.New(store)
-//	err := od.Ensure(ctx, server, models)
+//	od := orderer.New(nodeID, store, orderer.WithCounters(registry))
+//	od.Pursue(ctx, time.Now(), goals) // the goals of the servers that are owned
+//	for ev := range od.Events() {
+//		od.Handle(ctx, time.Now(), ev)
+//	}
 package orderer
 
 import (
-	"bytes"
 	"context"
-	"encoding/json"
-	"io"
-	"net/http"
-	"strconv"
+	"math/rand/v2"
 	"time"
 
-	"github.com/go-faster/errors"
-
+	"github.com/lagoonpass/lagoonpass/internal/counter"
 	"github.com/lagoonpass/lagoonpass/internal/state/configurer"
 	"github.com/lagoonpass/lagoonpass/internal/state/storer"
+	"github.com/lagoonpass/lagoonpass/internal/transport/forwarder"
 )
 
-// orderTimeout bounds the wait for an engine's answer to an order.
-const orderTimeout = 30 * time.Second
+// eventBuffer is the number of results that wait for the control goroutine.
+const eventBuffer = 64
+
+// Event is the result of a task for the goroutine that owns the orderer.
+type Event struct {
+	keeper *keeper
+	result result
+}
 
 // Orderer sends orders for the backend servers that its node owns.
 type Orderer struct {
-	store  storer.Store
-	http   *http.Client
-	fences map[string]int64
-	done   map[string]bool
+	self    string
+	tools   tools
+	random  *rand.Rand
+	serving func(model, server string) bool
+	keepers map[string]*keeper
+	events  chan Event
+}
+
+// Option changes an Orderer that is being made.
+type Option func(*Orderer)
+
+// WithCounters makes the orderer count in rg.
+func WithCounters(rg *counter.Registry) Option {
+	return func(od *Orderer) { od.tools.counters = rg }
 }
 
-// New returns an orderer that owns nothing yet.
-func New(st storer.Store) *Orderer {
-	return &Orderer{
-		store:  st,
-		http:   &http.Client{Timeout: orderTimeout},
-		fences: map[string]int64{},
-		done:   map[string]bool{},
+// WithEngines sets how engines are reached.
+func WithEngines(eg Engines) Option { return func(od *Orderer) { od.tools.engines = eg } }
+
+// WithTokens sets the limits that all nodes share.
+func WithTokens(tk Tokens) Option { return func(od *Orderer) { od.tools.tokens = tk } }
+
+// WithRandom sets the source of jitter and batch ids.
+func WithRandom(random *rand.Rand) Option { return func(od *Orderer) { od.random = random } }
+
+// WithServing sets how to tell whether a server is known and serves a model, by
+// its load reports. Only such servers count when a replica is to be unloaded.
+func WithServing(serving func(model, server string) bool) Option {
+	return func(od *Orderer) { od.serving = serving }
+}
+
+// New returns the orderer of the node self, which owns nothing yet.
+func New(self string, st storer.Store, opts ...Option) *Orderer {
+	od := &Orderer{
+		self: self,
+		tools: tools{
+			store:   st,
+			engines: NewHTTPEngines(forwarder.New()),
+			tokens:  NewLocalTokens(1, 1),
+			now:     time.Now,
+		},
+		random:  rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64())),
+		serving: func(string, string) bool { return true },
+		keepers: map[string]*keeper{},
+		events:  make(chan Event, eventBuffer),
+	}
+	for _, opt := range opts {
+		opt(od)
 	}
+	return od
 }
 
-// Ensure loads the models that the backend server does not have yet.
-func (od *Orderer) Ensure(ctx context.Context, bs *configurer.BackendServer, models []*configurer.Model) error {
-	fence, err := od.claim(ctx, bs.Name())
-	if err != nil {
-		return err
+// Pursue sets the goals of the servers that the node owns now and starts the
+// tasks that are due. It does not wait for any of them.
+func (od *Orderer) Pursue(ctx context.Context, now time.Time, goals []*Goal) {
+	owned := map[string]bool{}
+	for _, gl := range goals {
+		owned[gl.server] = true
+		od.keeper(gl).goal = gl
 	}
-	for _, md := range models {
-		id := bs.Name() + "/" + md.Name() + "/" + md.Version()
-		if od.done[id] {
+	for server, kp := range od.keepers {
+		if !owned[server] {
+			delete(od.keepers, server)
+			kp.abandon()
 			continue
 		}
-		if err := od.send(ctx, bs, md, id, fence); err != nil {
-			return err
-		}
-		od.done[id] = true
+		od.advance(ctx, now, kp)
 	}
-	return nil
 }
 
-// claim takes ownership of the server's record and returns its fencing number.
-func (od *Orderer) claim(ctx context.Context, server string) (int64, error) {
-	if fence, ok := od.fences[server]; ok {
-		return fence, nil
+func (od *Orderer) keeper(gl *Goal) *keeper {
+	kp, ok := od.keepers[gl.server]
+	if !ok {
+		kp = newKeeper(od.self, gl, od.random, od.tools.counters)
+		kp.serving = od.serving
+		od.keepers[gl.server] = kp
 	}
-	key := "worker/" + server
-	en, err := od.store.Get(ctx, key)
-	if err != nil && !storer.Is(err, storer.NotFound) {
-		return 0, errors.Wrapf(err, "claim backend server %q", server)
-	}
-	old, _ := strconv.ParseInt(string(en.Value), 10, 64)
-	fence := old + 1
-	if _, err := od.store.Swap(ctx, key, []byte(strconv.FormatInt(fence, 10)), en.Revision); err != nil {
-		return 0, errors.Wrapf(err, "claim backend server %q", server)
-	}
-	od.fences[server] = fence
-	return fence, nil
+	return kp
 }
 
-func (od *Orderer) send(ctx context.Context, bs *configurer.BackendServer, md *configurer.Model, id string, fence int64) error {
-	body, err := json.Marshal(map[string]any{
-		"id":      id,
-		"fence":   fence,
-		"action":  "load-model",
-		"model":   md.Name(),
-		"version": md.Version(),
-		"memory":  md.Memory(),
-	})
-	if err != nil {
-		return errors.Wrap(err, "encode order")
-	}
-	url := "http://" + bs.Address() + "/control/orders"
-	rq, err := http.NewRequestWithContext(ctx, http.MethodPost, url, io.NopCloser(bytes.NewReader(body)))
-	if err != nil {
-		return errors.Wrap(err, "build order")
-	}
-	rs, err := od.http.Do(rq)
-	if err != nil {
-		return errors.Wrapf(err, "send order %s", id)
+// Events returns the results that have to be given to Handle.
+func (od *Orderer) Events() <-chan Event { return od.events }
+
+// Handle takes the result of a task and starts the next one.
+func (od *Orderer) Handle(ctx context.Context, now time.Time, ev Event) {
+	ev.keeper.done(now, ev.result)
+	if od.keepers[ev.keeper.goal.server] != ev.keeper {
+		ev.keeper.abandon()
+		return
 	}
-	defer func() { _ = rs.Body.Close() }()
-	if rs.StatusCode != http.StatusOK {
-		return errors.Errorf("send order %s: status %d", id, rs.StatusCode)
+	od.advance(ctx, now, ev.keeper)
+}
+
+// advance starts the keeper's next task in a goroutine of its own.
+func (od *Orderer) advance(ctx context.Context, now time.Time, kp *keeper) {
+	tk := kp.next(now)
+	if tk == nil {
+		return
 	}
-	return nil
+	go func() {
+		rs := tk.perform(ctx, &od.tools)
+		select {
+		case od.events <- Event{kp, rs}:
+		case <-ctx.Done():
+		}
+	}()
 }
 
 // Adapters makes adapters ready on backend servers, through the node that owns
--- a/internal/demonstrator/demonstrator.go
+++ b/internal/demonstrator/demonstrator.go
@@ -131,7 +131,8 @@
 func (dm *Demo) startEngine(st *configurer.Settings, bs *configurer.BackendServer) (string, error) {
 	ek, _ := st.EngineKind(bs.Kind())
 	eg := engine.New(bs.Name(),
-		engine.WithMemory(bs.WeightMemory()),
+		engine.WithMemory(bs.WeightMemory()+bs.CacheReserve()),
+		engine.WithAdapterMemory(bs.AdapterReserve()),
 		engine.WithSlots(bs.Slots()),
 		engine.WithFencing(ek.ChecksFencing()))
 	dm.engines[bs.Name()] = eg
--- a/internal/runner/control.go
+++ b/internal/runner/control.go
@@ -7,9 +7,7 @@
 	"github.com/apex/log"
 	"github.com/go-faster/errors"
 
-	"github.com/lagoonpass/lagoonpass/internal/coordination/planner"
 	"github.com/lagoonpass/lagoonpass/internal/coordination/publisher"
-	"github.com/lagoonpass/lagoonpass/internal/state/configurer"
 	"github.com/lagoonpass/lagoonpass/internal/state/storer"
 )
 
@@ -20,12 +18,15 @@
 func (nd *Node) control(ctx context.Context) error {
 	tk := time.NewTicker(controlInterval)
 	defer tk.Stop()
+	nd.pass(ctx)
 	for {
-		nd.pass(ctx)
 		select {
 		case <-ctx.Done():
 			return nil
 		case <-tk.C:
+			nd.pass(ctx)
+		case ev := <-nd.orderer.Events():
+			nd.orderer.Handle(ctx, time.Now(), ev)
 		}
 	}
 }
@@ -53,20 +54,3 @@
 		log.WithField("revision", rv.Number()).Info("configuration revision in force")
 	}
 }
-
-func (nd *Node) placeModels(ctx context.Context, st *configurer.Settings) {
-	pl := planner.Initial(st)
-	for _, bs := range st.BackendServers() {
-		if !nd.prober.View().Owns("worker/" + bs.Name()) {
-			continue
-		}
-		var models []*configurer.Model
-		for _, name := range pl.Models(bs.Name()) {
-			md, _ := st.Model(name)
-			models = append(models, md)
-		}
-		if err := nd.orderer.Ensure(ctx, bs, models); err != nil {
-			log.WithError(err).WithField("server", bs.Name()).Warn("models were not placed; will try again")
-		}
-	}
-}
--- a/internal/runner/runner.go
+++ b/internal/runner/runner.go
@@ -83,7 +83,9 @@
 	if err := nd.listen(); err != nil {
 		return nil, err
 	}
-	nd.orderer = orderer.New(nd.meter.For(storer.PurposeOrder))
+	nd.orderer = orderer.New(id.ID(), nd.meter.For(storer.PurposeOrder),
+		orderer.WithCounters(nd.registry),
+		orderer.WithServing(nd.serving))
 	nd.prober = prober.New(nd.presence, lister.New(id.VMList()), nd.pool)
 	nd.peers = messenger.NewServer(messenger.HandlerFunc(nd.handlePeer))
 	nd.web = &http.Server{Handler: nd.buildServer(), ReadHeaderTimeout: 10 * time.Second}
--- a/internal/standin/engine/engine.go
+++ b/internal/standin/engine/engine.go
@@ -19,6 +19,7 @@
 // Defaults of an engine.
 const (
 	defaultMemory   int64 = 80 << 30
+	defaultAdapters int64 = 8 << 30
 	defaultSlots          = 16
 	defaultTokenGap       = 20 * time.Millisecond
 	defaultPrefill        = 50 * time.Millisecond
@@ -28,6 +29,7 @@
 type Engine struct {
 	name     string
 	memory   int64
+	adapters int64
 	slots    int
 	tokenGap time.Duration
 	prefill  time.Duration
@@ -38,8 +40,10 @@
 	bootID      string
 	models      map[string]loaded
 	highFence   int64
-	overcommits int
 	staleOrders int
+	usage       memory
+	faults      []OrderFault
+	held        []order
 	down        bool
 	runs        map[string]int
 
@@ -59,6 +63,9 @@
 // WithMemory sets the bytes that may hold weights.
 func WithMemory(count int64) Option { return func(eg *Engine) { eg.memory = count } }
 
+// WithAdapterMemory sets the bytes that may hold adapters.
+func WithAdapterMemory(count int64) Option { return func(eg *Engine) { eg.adapters = count } }
+
 // WithSlots sets the requests that run at once at full speed.
 func WithSlots(count int) Option { return func(eg *Engine) { eg.slots = count } }
 
@@ -79,6 +86,7 @@
 	eg := &Engine{
 		name:     name,
 		memory:   defaultMemory,
+		adapters: defaultAdapters,
 		slots:    defaultSlots,
 		tokenGap: defaultTokenGap,
 		prefill:  defaultPrefill,
@@ -90,6 +98,7 @@
 		opt(eg)
 	}
 	eg.queue.free = eg.slots
+	eg.usage = newMemory(eg.memory, eg.adapters)
 	return eg
 }
 
@@ -119,7 +128,7 @@
 func (eg *Engine) Overcommits() int {
 	eg.mu.Lock()
 	defer eg.mu.Unlock()
-	return eg.overcommits
+	return eg.usage.overcommits
 }
 
 // Runs returns how often a request with that id was started.
