Cause the hazards of orders and memory in tests

A changeover without room counted its replica again after it had been taken out of the model's record, and so never unloaded it: found by TestVersionChangeLosesAnswerAndOwner, which ran without end. A replica is now counted again only if the wanted version is the one that serves.

--- a/internal/coordination/orderer/replicas.go
+++ b/internal/coordination/orderer/replicas.go
@@ -43,8 +43,8 @@
 	case counted:
 		return false, !safe
 	case uncounted:
-		_, wanted := kp.goal.want(model)
-		return true, safe && wanted
+		wn, wanted := kp.goal.want(model)
+		return true, wanted && kp.ledger.Safe(wn.Copy)
 	default:
 		return safe, true
 	}
--- a/internal/standin/engine/orders.go
+++ b/internal/standin/engine/orders.go
@@ -51,6 +51,13 @@
 	eg.faults = append(eg.faults, faults...)
 }
 
+// ClearFaults makes the next orders arrive unharmed.
+func (eg *Engine) ClearFaults() {
+	eg.mu.Lock()
+	defer eg.mu.Unlock()
+	eg.faults = nil
+}
+
 // HeldOrders returns the number of orders that are held.
 func (eg *Engine) HeldOrders() int {
 	eg.mu.Lock()
