--- a/internal/coordination/orderer/random_test.go
+++ b/internal/coordination/orderer/random_test.go
@@ -111,6 +111,16 @@
 	}
 }
 
+// moveAny advances the present owner, or now and then an older one.
+func (wd *world) moveAny(server string) {
+	latest := len(wd.owners[server]) - 1
+	if wd.random.IntN(4) == 0 {
+		wd.move(server, wd.random.IntN(latest+1))
+		return
+	}
+	wd.move(server, latest)
+}
+
 // pass lets time go by; orders that were held for half of the bound are lost.
 func (wd *world) pass(dn time.Duration) {
 	wd.now = wd.now.Add(dn)
@@ -140,17 +150,18 @@
 		wd.takeOver(server)
 	case 6:
 		wd.owners[server] = wd.owners[server][len(wd.owners[server])-1:]
-	case 7:
+	case 7, 10:
 		wd.wish()
+		eg.FaultOrders(engine.OrderFault(wd.random.IntN(4)), engine.OrderHeld)
 	case 8:
-		wd.pass(time.Duration(wd.random.Int64N(int64(wd.bound))))
+		wd.pass(time.Duration(wd.random.Int64N(int64(wd.bound / 4))))
 	case 9:
 		if wd.restart {
 			eg.Restart()
 		}
 	default:
 		for range 120 {
-			wd.move(worldServers[wd.random.IntN(len(worldServers))], wd.random.IntN(2))
+			wd.moveAny(worldServers[wd.random.IntN(len(worldServers))])
 		}
 		wd.pass(300 * time.Millisecond)
 	}
@@ -206,7 +217,7 @@
 		restart := rapid.Bool().Draw(rt, "restart")
 		wd := newWorld(t, fencing, restart, rapid.Uint64().Draw(rt, "seed"))
 		wd.wish()
-		numbers := rapid.SliceOfN(rapid.IntRange(0, 14), 50, 150).Draw(rt, "acts")
+		numbers := rapid.SliceOfN(rapid.IntRange(0, 14), 100, 400).Draw(rt, "acts")
 		for _, number := range numbers {
 			wd.act(number)
 			wd.check(rt)
