--- a/internal/runner/orders.go
+++ b/internal/runner/orders.go
@@ -12,7 +12,7 @@
 
 // placeModels pursues the plan on the backend servers that the node owns.
 func (nd *Node) placeModels(ctx context.Context, st *configurer.Settings) {
-	pl := planner.Initial(st)
+	pl := planner.Initial(st, planner.All)
 	vw := nd.prober.View()
 	var goals []*orderer.Goal
 	for _, bs := range st.BackendServers() {
--- a/internal/standin/engine/engine.go
+++ b/internal/standin/engine/engine.go
@@ -42,11 +42,12 @@
 	highFence   int64
 	staleOrders int
 	usage       memory
-	faults      []OrderFault
+	orderFaults []OrderFault
 	held        []order
 	down        bool
 	runs        map[string]int
 
+	faults
 	queue queue
 }
 
--- a/internal/standin/engine/orders.go
+++ b/internal/standin/engine/orders.go
@@ -48,14 +48,14 @@
 func (eg *Engine) FaultOrders(faults ...OrderFault) {
 	eg.mu.Lock()
 	defer eg.mu.Unlock()
-	eg.faults = append(eg.faults, faults...)
+	eg.orderFaults = append(eg.orderFaults, faults...)
 }
 
 // ClearFaults makes the next orders arrive unharmed.
 func (eg *Engine) ClearFaults() {
 	eg.mu.Lock()
 	defer eg.mu.Unlock()
-	eg.faults = nil
+	eg.orderFaults = nil
 }
 
 // HeldOrders returns the number of orders that are held.
@@ -118,7 +118,7 @@
 		refuse(wr, http.StatusBadRequest, "malformed")
 		return
 	}
-	fault := eg.nextFault(od)
+	fault := eg.nextOrderFault(od)
 	if fault == OrderLost || fault == OrderHeld {
 		panic(http.ErrAbortHandler)
 	}
@@ -145,15 +145,15 @@
 	writeJSON(wr, http.StatusOK, body)
 }
 
-// nextFault takes the fault of the order that arrives, and keeps a held one.
-func (eg *Engine) nextFault(od order) OrderFault {
+// nextOrderFault takes the fault of the order that arrives, and keeps a held one.
+func (eg *Engine) nextOrderFault(od order) OrderFault {
 	eg.mu.Lock()
 	defer eg.mu.Unlock()
-	if len(eg.faults) == 0 {
+	if len(eg.orderFaults) == 0 {
 		return 0
 	}
-	fault := eg.faults[0]
-	eg.faults = eg.faults[1:]
+	fault := eg.orderFaults[0]
+	eg.orderFaults = eg.orderFaults[1:]
 	if fault == OrderHeld {
 		eg.held = append(eg.held, od)
 	}
