Follow an uncertain count of a replica with another write

A write that counts a replica could seem lost, the replica go with its engine, the owner find the record as it should be and spare its write, and the first write land then: the record counted a replica that was gone. The test that causes this failed without the change and passes with it.

--- a/internal/coordination/orderer/hazards_test.go
+++ b/internal/coordination/orderer/hazards_test.go
@@ -9,6 +9,7 @@
 	"github.com/lagoonpass/lagoonpass/internal/checker"
 	"github.com/lagoonpass/lagoonpass/internal/standin/engine"
 	"github.com/lagoonpass/lagoonpass/internal/state/accountant"
+	"github.com/lagoonpass/lagoonpass/internal/state/storer"
 )
 
 func TestPausedOwnerSendsAfterTakeover(t *testing.T) {
@@ -206,3 +207,57 @@
 	require.Equal(t, checker.MemoryWithin, checker.Violations()[0].Invariant)
 	require.Equal(t, 1, rg.overcommits())
 }
+
+func TestFenceForwardFiresOnOldNumber(t *testing.T) {
+	rg := newRig(t, true, "w1")
+	kp := rg.owner("n1", "w1", holding(true, 0, 0, "a"))
+	kp.sentFence = 100
+	rg.run(kp)
+	require.Equal(t, checker.FenceForward, checker.Violations()[0].Invariant)
+}
+
+// TestDelayedCountLandsAfterRestart lets the write that counts a replica seem
+// lost, the engine lose the replica, and the write land then.
+func TestDelayedCountLandsAfterRestart(t *testing.T) {
+	rg := newRig(t, true, "w1")
+	kp := rg.owner("n1", "w1", holding(true, 0, 1, "a"))
+	rg.settle(3*time.Second, kp)
+	rg.engines["w1"].Restart()
+	kp.inspected = false
+	var write task
+	for writes := 0; writes < 2; {
+		write = kp.next(rg.now)
+		if wt, ok := write.(writeTask); ok && wt.key == "model/a" {
+			writes++
+		}
+		if writes < 2 {
+			kp.done(rg.now, rg.perform(write))
+		}
+	}
+	kp.done(rg.now, result{err: &storer.Error{Op: "swap", Key: "model/a", Kind: storer.Uncertain}})
+	kp.pursue()
+	rg.engines["w1"].Restart()
+	kp.inspected = false
+	rg.settle(time.Minute, kp)
+	rg.perform(write)
+	en, err := rg.store.Get(t.Context(), "model/a")
+	require.NoError(t, err)
+	rp, err := accountant.DecodeReplicas(en.Value)
+	require.NoError(t, err)
+	require.Empty(t, rp.Servers())
+}
+
+func TestOrdererLoadsThroughItsGoroutines(t *testing.T) {
+	rg := newRig(t, true, "w1")
+	od := New("n1", rg.store, WithEngines(rg.tools.engines), WithRandom(rg.random), WithCounters(rg.counters))
+	gl := holding(true, 0, 0, "a")
+	gl.server, gl.address, gl.limit = "w1", "w1", testMemory
+	od.Pursue(t.Context(), rg.now, []*Goal{&gl})
+	for !rg.engines["w1"].Ready("a", "1") {
+		od.Handle(t.Context(), rg.now, <-od.Events())
+	}
+	od.Handle(t.Context(), rg.now, <-od.Events())
+	od.Pursue(t.Context(), rg.now, nil)
+	require.Empty(t, od.keepers)
+	require.Equal(t, int64(1), rg.counters.Values()["order-sent.load-model"])
+}
--- a/internal/coordination/orderer/keeper.go
+++ b/internal/coordination/orderer/keeper.go
@@ -55,6 +55,7 @@
 
 	standing map[string]standing
 	permits  map[string]bool
+	unsure   map[string]bool
 	denied   map[string]time.Time
 	refused  map[accountant.Copy]string
 
@@ -156,6 +157,7 @@
 	kp.inspected = false
 	kp.standing = map[string]standing{}
 	kp.permits = map[string]bool{}
+	kp.unsure = map[string]bool{}
 }
 
 // record writes the ledger and goes on only if that certainly took effect.
--- a/internal/coordination/orderer/replicas.go
+++ b/internal/coordination/orderer/replicas.go
@@ -50,10 +50,13 @@
 	}
 }
 
-// count writes whether the server's replica of the model counts.
+// count writes whether the server's replica of the model counts. It spares the
+// write only if no earlier one, of this or an older owner, can still take
+// effect on the record as it was read.
 func (kp *keeper) count(model string, counts bool) *step {
 	return kp.readReplicas(model, func(now time.Time, rp *accountant.Replicas, revision int64) {
-		if rp.Counts(kp.goal.server) == counts && rp.Fence(kp.goal.server) >= kp.claimFence {
+		fresh := rp.Fence(kp.goal.server) >= kp.claimFence && !kp.unsure[model]
+		if fresh && rp.Counts(kp.goal.server) == counts {
 			kp.stand(model, counts)
 			return
 		}
@@ -95,12 +98,14 @@
 		return err == nil && found.Batch() == batch
 	}
 	kp.standing[model] = 0
+	kp.unsure[model] = true
 	return &step{writeTask{modelPrefix + model, value, revision, mine}, func(now time.Time, rs result) {
 		if rs.err != nil {
 			kp.fail(now, "store", rs.err)
 			return
 		}
 		kp.failures = 0
+		delete(kp.unsure, model)
 		kp.stand(model, counts)
 	}}
 }
