--- a/internal/runner/control.go
+++ b/internal/runner/control.go
@@ -3,11 +3,6 @@
 import (
 	"context"
 	"time"
-
-	"github.com/apex/log"
-
-	"github.com/lagoonpass/lagoonpass/internal/coordination/planner"
-	"github.com/lagoonpass/lagoonpass/internal/state/configurer"
 )
 
 // controlInterval is the time between two passes of the control loop.
@@ -17,12 +12,15 @@
 func (nd *Node) control(ctx context.Context) error {
 	tk := time.NewTicker(controlInterval)
 	defer tk.Stop()
+	nd.pass(ctx)
 	for {
-		nd.pass(ctx)
 		select {
 		case <-ctx.Done():
 			return nil
 		case <-tk.C:
+			nd.pass(ctx)
+		case ev := <-nd.orderer.Events():
+			nd.orderer.Handle(ctx, time.Now(), ev)
 		}
 	}
 }
@@ -39,20 +37,3 @@
 	nd.admitter.Refresh(rv.Settings())
 	nd.placeModels(ctx, rv.Settings())
 }
-
-func (nd *Node) placeModels(ctx context.Context, st *configurer.Settings) {
-	pl := planner.Initial(st, planner.All)
-	for _, bs := range st.BackendServers() {
-		if !nd.prober.View().Owns("worker/" + bs.Name()) {
-			continue
-		}
-		var models []*configurer.Model
-		for _, name := range pl.Models(bs.Name()) {
-			md, _ := st.Model(name)
-			models = append(models, md)
-		}
-		if err := nd.orderer.Ensure(ctx, bs, models); err != nil {
-			log.WithError(err).WithField("server", bs.Name()).Warn("models were not placed; will try again")
-		}
-	}
-}
--- a/internal/runner/runner.go
+++ b/internal/runner/runner.go
@@ -12,6 +12,7 @@
 
 import (
 	"context"
+	"math/rand/v2"
 	"net"
 	"net/http"
 	"sync"
@@ -103,7 +104,9 @@
 	if err := nd.listen(); err != nil {
 		return nil, err
 	}
-	nd.orderer = orderer.New(nd.meter.For(storer.PurposeOrder))
+	nd.orderer = orderer.New(id.ID(), nd.meter.For(storer.PurposeOrder),
+		orderer.WithCounters(nd.registry),
+		orderer.WithServing(nd.serving))
 	nd.prober = prober.New(nd.presence, lister.New(id.VMList()), nd.pool, prober.WithRegistry(nd.registry))
 	nd.claimer = claimer.New(nd.meter.For(storer.PurposeOwnership), nd.prober.View, nd.pool, claimer.WithRegistry(nd.registry))
 	nd.follower = publisher.NewFollower(nd.holder, nd.meter.For(storer.PurposeConfiguration),
--- a/internal/standin/engine/report.go
+++ b/internal/standin/engine/report.go
@@ -81,13 +81,19 @@
 	models := []map[string]string{}
 	loading := []string{}
 	for name, ld := range eg.models {
-		if ld.ready {
-			models = append(models, map[string]string{"name": name, "version": ld.version})
-		} else {
-			loading = append(loading, name)
+		models = append(models, map[string]string{"name": name, "version": ld.version})
+	}
+	for wt := range eg.usage.weights {
+		if !eg.usage.ready[wt] {
+			loading = append(loading, wt.model)
 		}
 	}
 	sort.Strings(loading)
+	adapters := make([]string, 0, len(eg.usage.adapters))
+	for name := range eg.usage.adapters {
+		adapters = append(adapters, name)
+	}
+	sort.Strings(adapters)
 	events := make([]map[string]any, 0, len(eg.reports.events))
 	for _, ev := range eg.reports.events {
 		events = append(events, map[string]any{"sequence": ev.Sequence, "hash": ev.Hash, "evicted": ev.Evicted})
@@ -96,6 +102,7 @@
 		"boot-id":      eg.bootID,
 		"models":       models,
 		"loading":      loading,
+		"adapters":     adapters,
 		"running":      eg.slots - free,
 		"waiting":      waiting,
 		"leaving":      eg.reports.leaving,
