Measure service times and send the grant's priority

Service times were learned from refusals under load, resumed rests and callers that left, all of which end early; an answer that is no stream told no tokens. Only whole answers of one server now give a duration, and tokens count per sending. The empty result in execution.go stays: nothing was sent under that grant, and a result without a duration teaches nothing.

X-Priority is the grant's priority, so that a request granted by the least share of its class is not overtaken in the engine; the stand-in honours it.

The stand-in has a real prefix cache: a hit shortens its prefill, and its events carry the hashes of prefixer, which the dispatcher and the server use too, late by the report lag and with gaps on demand. The test of Prefixes moved with it. admitter uses configurer.Permitted in place of its copy.

--- a/internal/coordination/admitter/grant.go
+++ b/internal/coordination/admitter/grant.go
@@ -4,8 +4,9 @@
 type Grant struct {
 	server  string
 	address string
-	// done ends a grant that another admission made.
-	done func(Result)
+	// done and priority belong to a grant that another admission made.
+	done     func(Result)
+	priority int
 	// entry and admitter are set in the admitter's own grants.
 	entry    *Entry
 	admitter *Admitter
@@ -18,6 +19,12 @@
 	return &Grant{server: server, address: address, done: done}
 }
 
+// WithPriority sets the priority of a grant made by NewGrant.
+func (gr *Grant) WithPriority(priority int) *Grant {
+	gr.priority = priority
+	return gr
+}
+
 // Server returns the name of the backend server.
 func (gr *Grant) Server() string { return gr.server }
 
@@ -29,7 +36,7 @@
 // so that it isn't overtaken for ever in the engine.
 func (gr *Grant) Priority() int {
 	if gr.entry == nil {
-		return 0
+		return gr.priority
 	}
 	return gr.entry.Priority()
 }
--- a/internal/coordination/admitter/revise.go
+++ b/internal/coordination/admitter/revise.go
@@ -1,7 +1,6 @@
 package admitter
 
 import (
-	"strings"
 	"time"
 
 	"github.com/lagoonpass/lagoonpass/internal/state/configurer"
@@ -106,7 +105,7 @@
 	if !ok {
 		return refuser.New(refuser.Removed, "a new revision removed caller %q", tk.Caller.Name())
 	}
-	if !allows(cr.Models(), tk.Model.Name()) || !allows(cr.Classes(), tk.Class.Name()) {
+	if !configurer.Permitted(cr.Models(), tk.Model.Name()) || !configurer.Permitted(cr.Classes(), tk.Class.Name()) {
 		return refuser.New(refuser.Removed, "a new revision took a right from caller %q", cr.Name())
 	}
 	if tk.Adapter == nil {
@@ -115,19 +114,8 @@
 	if _, ok := st.Adapter(tk.Adapter.Name()); !ok {
 		return refuser.New(refuser.Removed, "a new revision removed adapter %q", tk.Adapter.Name())
 	}
-	if !allows(cr.Adapters(), tk.Adapter.Name()) {
+	if !configurer.Permitted(cr.Adapters(), tk.Adapter.Name()) {
 		return refuser.New(refuser.Removed, "a new revision took a right from caller %q", cr.Name())
 	}
 	return nil
 }
-
-// allows reports whether a name matches one of the patterns.
-func allows(patterns []string, name string) bool {
-	for _, pattern := range patterns {
-		prefix, open := strings.CutSuffix(pattern, "*")
-		if pattern == name || open && strings.HasPrefix(name, prefix) {
-			return true
-		}
-	}
-	return false
-}
--- a/internal/coordination/dispatcher/attempt.go
+++ b/internal/coordination/dispatcher/attempt.go
@@ -37,6 +37,7 @@
 	began    time.Time
 	watchdog *time.Timer
 	result   admitter.Result
+	priority int
 }
 
 // attempt sends the request once. It returns nil if the answer is whole.
@@ -45,10 +46,16 @@
 	if fl != nil {
 		return fl
 	}
-	sn := &sending{execution: ex, server: gr.Server(), address: gr.Address(), began: time.Now()}
+	sn := &sending{execution: ex, server: gr.Server(), address: gr.Address(), priority: gr.Priority(), began: time.Now()}
+	resumed := ex.progress.begun()
 	fl = sn.send(ctx)
-	sn.result.Duration = time.Since(sn.began)
 	sn.result.Failed = fl != nil && fl.blamesServer()
+	if fl == nil && !resumed {
+		// Only a whole answer from one server tells how long the model's
+		// requests take: a refusal under load, a caller that left and the rest
+		// of a broken stream end much sooner.
+		sn.result.Duration = time.Since(sn.began)
+	}
 	gr.Done(sn.result)
 	if fl == nil {
 		ex.ds.ejector.Succeeded(sn.server)
@@ -165,7 +172,7 @@
 	hd := http.Header{}
 	hd.Set("Content-Type", "application/json")
 	hd.Set("X-Request-Id", rq.ID)
-	hd.Set("X-Priority", strconv.Itoa(rq.Class.Rank()))
+	hd.Set("X-Priority", strconv.Itoa(sn.priority))
 	if sn.progress.begun() {
 		sn.ds.registry.Inc("stream", "resumed")
 		hd.Set(HeaderResumeFrom, strconv.Itoa(sn.progress.next))
--- a/internal/coordination/dispatcher/dispatcher_test.go
+++ b/internal/coordination/dispatcher/dispatcher_test.go
@@ -8,12 +8,14 @@
 	"net/http"
 	"net/http/httptest"
 	"strings"
+	"sync"
 	"testing"
 	"testing/synctest"
 	"time"
 
 	"github.com/stretchr/testify/require"
 
+	"github.com/lagoonpass/lagoonpass/internal/coordination/admitter"
 	"github.com/lagoonpass/lagoonpass/internal/standin/engine"
 	"github.com/lagoonpass/lagoonpass/pkg/refuser"
 )
@@ -311,3 +313,57 @@
 		require.Zero(t, rg.dispatch.Buffered())
 	})
 }
+
+// TestGrantIsGivenBackWithWhatWasMeasured checks what admission learns service
+// times from: only whole answers of one server count.
+func TestGrantIsGivenBackWithWhatWasMeasured(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		rg := newRig(t, 1, "yes")
+		defer rg.stop()
+		rg.earn(40)
+		rg.results = nil
+		_, rf := rg.run(rg.request("A", 5, false, ""))
+		require.Nil(t, rf)
+		_, rf = rg.run(rg.request("B", 5, true, ""))
+		require.Nil(t, rf)
+		rg.engines["w1"].Inject(engine.Fault{Kind: engine.FaultRefuse}, engine.Fault{Kind: engine.FaultEnd, At: 3})
+		_, rf = rg.run(rg.request("C", 5, true, ""))
+		require.Nil(t, rf)
+		whole := 130 * time.Millisecond // 50 ms prefill and 4 gaps of 20 ms.
+		require.Equal(t, []admitter.Result{
+			{Duration: whole, Tokens: 5},
+			{Duration: whole, Tokens: 5, FirstToken: 50 * time.Millisecond},
+			{},
+			{Failed: true, Tokens: 3, FirstToken: 50 * time.Millisecond},
+			{Tokens: 2, FirstToken: 50 * time.Millisecond},
+		}, rg.results)
+	})
+}
+
+// TestEngineServesByTheGrantsPriority fills the one slot and lets two requests
+// of one class wait, the second one with a more urgent grant.
+func TestEngineServesByTheGrantsPriority(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		rg := newRig(t, 1, "yes", engine.WithSlots(1))
+		defer rg.stop()
+		var mu sync.Mutex
+		var ended []string
+		var wg sync.WaitGroup
+		for _, id := range []string{"first", "later", "owed"} {
+			rg.priority = 1
+			if id == "owed" {
+				rg.priority = 0
+			}
+			wg.Go(func() {
+				_, rf := rg.run(rg.request(id, 5, true, ""))
+				require.Nil(t, rf)
+				mu.Lock()
+				defer mu.Unlock()
+				ended = append(ended, id)
+			})
+			synctest.Wait()
+		}
+		wg.Wait()
+		require.Equal(t, []string{"first", "owed", "later"}, ended)
+	})
+}
--- a/internal/coordination/dispatcher/invariants_test.go
+++ b/internal/coordination/dispatcher/invariants_test.go
@@ -56,13 +56,3 @@
 	batch, _ := rl.take()
 	require.Equal(t, "data: {\"id\":\"A\"}\n\n", string(batch))
 }
-
-func TestPrefixesExtendEachOther(t *testing.T) {
-	long := make([]byte, 100*prefixBlockBytes)
-	short := Prefixes(string(long[:3*prefixBlockBytes+10]))
-	require.Len(t, short, 3)
-	require.Equal(t, short, Prefixes(string(long))[:3])
-	require.Len(t, Prefixes(string(long)), maxPrefixBlocks)
-	long[0] = 'x'
-	require.NotEqual(t, short[2], Prefixes(string(long))[2])
-}
--- a/internal/coordination/dispatcher/progress.go
+++ b/internal/coordination/dispatcher/progress.go
@@ -21,6 +21,11 @@
 	TokenIndex *int            `json:"token_index"`
 	Error      json.RawMessage `json:"error"`
 	Choices    []choice        `json:"choices"`
+	Usage      usage           `json:"usage"`
+}
+
+type usage struct {
+	CompletionTokens json.Number `json:"completion_tokens"`
 }
 
 type choice struct {
--- a/internal/coordination/dispatcher/receive.go
+++ b/internal/coordination/dispatcher/receive.go
@@ -45,7 +45,6 @@
 	if !sn.progress.finished() {
 		return &failure{reason: refuser.StreamBroken, detail: "stream ended without a finish reason"}
 	}
-	sn.result.Tokens = sn.progress.next
 	if err := sn.relay.finishStream(); err != nil {
 		return slowCaller(err)
 	}
@@ -64,15 +63,24 @@
 	if !keep {
 		return nil
 	}
-	if sn.result.FirstToken == 0 && ck.hasContent() {
-		sn.result.FirstToken = time.Since(sn.began)
-	}
+	sn.countToken(&ck)
 	if err := sn.relay.pushChunk(&ck, ev.Data); err != nil {
 		return slowCaller(err)
 	}
 	return nil
 }
 
+// countToken notes the tokens of this sending and the time of its first one.
+func (sn *sending) countToken(ck *chunk) {
+	if !ck.hasContent() {
+		return
+	}
+	if sn.result.Tokens == 0 {
+		sn.result.FirstToken = time.Since(sn.began)
+	}
+	sn.result.Tokens++
+}
+
 func (sn *sending) badChunk(err error) *failure {
 	fl := &failure{reason: refuser.BackendFailed, detail: err.Error()}
 	if sn.progress.begun() {
@@ -110,6 +118,8 @@
 	if len(ck.Error) > 0 || !ck.hasFinish() {
 		return &failure{reason: refuser.BackendFailed, detail: "answer has no finish reason"}
 	}
+	tokens, _ := ck.Usage.CompletionTokens.Int64()
+	sn.result.Tokens = int(tokens)
 	if err := sn.relay.pushAnswer(&ck, body); err != nil {
 		return slowCaller(err)
 	}
--- a/internal/coordination/dispatcher/rig_test.go
+++ b/internal/coordination/dispatcher/rig_test.go
@@ -58,13 +58,15 @@
 	forward  *forwarder.Forwarder
 	dispatch *dispatcher.Dispatcher
 
-	mu      sync.Mutex
-	granted int
-	open    int
-	tickets []admitter.Ticket
+	mu       sync.Mutex
+	granted  int
+	open     int
+	tickets  []admitter.Ticket
+	results  []admitter.Result
+	priority int
 }
 
-func newRig(t require.TestingT, servers int, resumes string) *rig {
+func newRig(t require.TestingT, servers int, resumes string, opts ...engine.Option) *rig {
 	checker.Reset()
 	rg := &rig{t: t, engines: map[string]*engine.Engine{}, pipes: map[string]*pipeListener{}, registry: counter.NewRegistry()}
 	text := fmt.Sprintf(settingsText, resumes)
@@ -72,7 +74,7 @@
 		name := fmt.Sprintf("w%d", ix+1)
 		rg.names = append(rg.names, name)
 		text += fmt.Sprintf("[backend-server.%s]\nkind = k\naddress = 127.0.0.1:%d\nzone = zone-a\naccelerators = 1\nmemory = 80GiB\ncache-reserve = 20GiB\nadapter-reserve = 4GiB\nslots = 16\n", name, ix+1)
-		rg.startEngine(name)
+		rg.startEngine(name, opts...)
 	}
 	st, faults := configurer.Parse([]configurer.File{{Name: "10.ini", Text: text}})
 	require.Empty(t, faults)
@@ -85,8 +87,8 @@
 	return rg
 }
 
-func (rg *rig) startEngine(name string) {
-	eg := engine.New(name)
+func (rg *rig) startEngine(name string, opts ...engine.Option) {
+	eg := engine.New(name, opts...)
 	load := httptest.NewRequest(http.MethodPost, "/control/orders",
 		strings.NewReader(`{"id":"o1","fence":1,"action":"load-model","model":"m","version":"v1","memory":1}`))
 	eg.Handler().ServeHTTP(httptest.NewRecorder(), load)
@@ -128,11 +130,13 @@
 			rg.granted++
 		}
 		rg.open++
-		return admitter.NewGrant(name, name+":80", func(admitter.Result) {
+		gr := admitter.NewGrant(name, name+":80", func(rs admitter.Result) {
 			rg.mu.Lock()
 			defer rg.mu.Unlock()
 			rg.open--
-		}), nil
+			rg.results = append(rg.results, rs)
+		})
+		return gr.WithPriority(rg.priority), nil
 	}
 	return nil, refuser.New(refuser.NoWorker, "none left")
 }
--- a/internal/server/completions.go
+++ b/internal/server/completions.go
@@ -10,6 +10,7 @@
 	"github.com/labstack/echo/v4"
 
 	"github.com/lagoonpass/lagoonpass/internal/coordination/dispatcher"
+	"github.com/lagoonpass/lagoonpass/internal/protocol/prefixer"
 	"github.com/lagoonpass/lagoonpass/internal/state/configurer"
 	"github.com/lagoonpass/lagoonpass/pkg/refuser"
 )
@@ -64,14 +65,11 @@
 
 func parseCompletion(sc *scope, hd http.Header, body []byte) (*dispatcher.Request, error) {
 	var wire struct {
-		Model     string          `json:"model"`
-		Stream    bool            `json:"stream"`
-		MaxTokens int             `json:"max_tokens"`
-		Prompt    json.RawMessage `json:"prompt"`
-		Messages  []struct {
-			Role    string          `json:"role"`
-			Content json.RawMessage `json:"content"`
-		} `json:"messages"`
+		Model     string             `json:"model"`
+		Stream    bool               `json:"stream"`
+		MaxTokens int                `json:"max_tokens"`
+		Prompt    json.RawMessage    `json:"prompt"`
+		Messages  []prefixer.Message `json:"messages"`
 	}
 	if err := json.Unmarshal(body, &wire); err != nil {
 		return nil, refuser.New(refuser.Malformed, "body is not a completions request: %v", err)
@@ -80,14 +78,11 @@
 		ID:        newRequestID(),
 		Caller:    sc.caller,
 		Body:      body,
-		Prompt:    text(wire.Prompt),
+		Prompt:    prefixer.Prompt(wire.Prompt, wire.Messages),
 		Stream:    wire.Stream,
 		MaxTokens: wire.MaxTokens,
 		Once:      hd.Get(headerRetries) == retriesNone,
 	}
-	for _, ms := range wire.Messages {
-		rq.Prompt += ms.Role + "\n" + text(ms.Content) + "\n"
-	}
 	if rq.MaxTokens <= 0 {
 		rq.MaxTokens = defaultMaxTokens
 	}
@@ -100,15 +95,6 @@
 	return rq, findClass(sc, rq, hd)
 }
 
-// text returns the value of a JSON string, or other JSON as it is.
-func text(raw json.RawMessage) string {
-	var tx string
-	if json.Unmarshal(raw, &tx) == nil {
-		return tx
-	}
-	return string(raw)
-}
-
 // findResumption reads which broken stream the request continues.
 func findResumption(rq *dispatcher.Request, hd http.Header) error {
 	tx := hd.Get(dispatcher.HeaderResumeFrom)
--- a/internal/standin/engine/engine.go
+++ b/internal/standin/engine/engine.go
@@ -50,6 +50,7 @@
 	faults
 	queue   queue
 	reports reporter
+	cache   prefixCache
 }
 
 // loaded is a model that holds memory.
@@ -95,6 +96,7 @@
 		bootID:   name + "-1",
 		models:   map[string]loaded{},
 		runs:     map[string]int{},
+		cache:    prefixCache{limit: defaultCacheBlocks, used: map[uint64]uint64{}},
 	}
 	for _, opt := range opts {
 		opt(eg)
--- a/internal/standin/engine/generate.go
+++ b/internal/standin/engine/generate.go
@@ -7,6 +7,8 @@
 	"net/http"
 	"strconv"
 	"time"
+
+	"github.com/lagoonpass/lagoonpass/internal/protocol/prefixer"
 )
 
 // defaultMaxTokens is the length of an answer to a request that sets none.
@@ -14,11 +16,13 @@
 
 // completionCall is the part of a completions request that matters here.
 type completionCall struct {
-	Model     string `json:"model"`
-	MaxTokens int    `json:"max_tokens"`
-	Stream    bool   `json:"stream"`
-	Priority  int    `json:"priority"`
-	User      string `json:"user"`
+	Model     string             `json:"model"`
+	Prompt    json.RawMessage    `json:"prompt"`
+	Messages  []prefixer.Message `json:"messages"`
+	MaxTokens int                `json:"max_tokens"`
+	Stream    bool               `json:"stream"`
+	Priority  int                `json:"priority"`
+	User      string             `json:"user"`
 }
 
 // Token returns the text of token number ix of the answer to a request, so that
@@ -44,6 +48,9 @@
 		refuse(wr, http.StatusNotFound, "model-not-loaded")
 		return
 	}
+	if priority, err := strconv.Atoi(rq.Header.Get(headerPriority)); err == nil {
+		call.Priority = priority
+	}
 	if err := eg.queue.enter(rq.Context(), call.Priority); err != nil {
 		return
 	}
@@ -56,7 +63,7 @@
 	}
 	eg.countRun(gn.id)
 	eg.crashIfMarked(string(body))
-	if !eg.pause(rq, eg.prefill) {
+	if !eg.pause(rq, eg.prefillTime(&call)) {
 		return
 	}
 	if call.Stream {
@@ -66,6 +73,9 @@
 	gn.answer(wr, rq)
 }
 
+// headerPriority carries the request's priority; zero is the most urgent.
+const headerPriority = "X-Priority"
+
 // headerResumeFrom carries the number of tokens of a stream that its receiver
 // has already.
 const headerResumeFrom = "Lagoonpass-Resume-From"
--- a/internal/standin/engine/report.go
+++ b/internal/standin/engine/report.go
@@ -22,17 +22,6 @@
 	leaving  bool
 	sequence uint64
 	kept     []report
-	events   []CacheEvent
-}
-
-// CacheEvent says that the prefix cache took in or gave up a block.
-type CacheEvent struct {
-	// Sequence counts the events of one boot, from one.
-	Sequence uint64
-	// Hash is the hash of the prompt up to the end of the block.
-	Hash uint64
-	// Evicted says that the block was given up.
-	Evicted bool
 }
 
 // WithReportLag makes load reports as old as dn.
@@ -45,13 +34,6 @@
 	eg.reports.leaving = leaving
 }
 
-// SetCacheEvents sets the cache events that reports carry.
-func (eg *Engine) SetCacheEvents(events []CacheEvent) {
-	eg.mu.Lock()
-	defer eg.mu.Unlock()
-	eg.reports.events = events
-}
-
 func (eg *Engine) serveReport(wr http.ResponseWriter, _ *http.Request) {
 	free, waiting := eg.queue.lengths()
 	now := time.Now()
@@ -94,8 +76,8 @@
 		adapters = append(adapters, name)
 	}
 	sort.Strings(adapters)
-	events := make([]map[string]any, 0, len(eg.reports.events))
-	for _, ev := range eg.reports.events {
+	events := make([]map[string]any, 0, len(eg.cache.events))
+	for _, ev := range eg.cache.events {
 		events = append(events, map[string]any{"sequence": ev.Sequence, "hash": ev.Hash, "evicted": ev.Evicted})
 	}
 	return map[string]any{
