Poll each backend server by its owner alone

Every node polled every server four times a second from the control loop, which waited for the answers and for the exchange of load. What is ready where is spread as versioned entries on change. Servers of which nothing is known, and servers in use whose owner is silent, are polled directly, bounded.

Backend VMs that the platform's list names as leaving are taken from the reading that the prober makes anyway, and spread with their boot id.

--- a/internal/coordination/admitter/tables.go
+++ b/internal/coordination/admitter/tables.go
@@ -34,9 +34,10 @@
 
 func (tb *tableBuilder) target(bs *configurer.BackendServer, rp watcher.Report, now time.Time) *router.Target {
 	ld := tb.load(bs.Name())
-	if rp.Digested {
+	switch {
+	case rp.Digested:
 		ld.Digest(rp.Others, rp.Users, rp.Taken)
-	} else {
+	case !rp.Unmeasured:
 		ld.Report(rp.Running+rp.Waiting, taken(rp, now))
 	}
 	tg := &router.Target{
--- a/internal/coordination/prober/contact.go
+++ b/internal/coordination/prober/contact.go
@@ -23,7 +23,7 @@
 // listInterval grows with the list. With many nodes some node reads it every
 // second all the same, and tells the others who is leaving.
 func (pb *Prober) listInterval() time.Duration {
-	bytes := len(pb.vms) * listLineBytes
+	bytes := pb.listLines * listLineBytes
 	dn := time.Duration(bytes) * time.Second / listBytesPerSecond
 	return min(max(dn, minListInterval), maxListInterval)
 }
@@ -40,12 +40,7 @@
 		pb.registry.Inc("membership", "list-unread")
 		return
 	}
-	pb.vms = pb.vms[:0]
-	for _, vm := range vms {
-		if vm.Kind == lister.KindEntry {
-			pb.vms = append(pb.vms, vm)
-		}
-	}
+	pb.takeList(vms)
 	if !pb.listed {
 		pb.rounds = 0
 		pb.startContacts(context.WithoutCancel(ctx), pb.listedAt)
@@ -59,6 +54,40 @@
 	pb.publish(time.Now())
 }
 
+// takeList keeps the entry nodes, and the backend VMs that are leaving. A line
+// that names a live VM at the same address outweighs one that is leaving: a
+// replacement took the address over.
+func (pb *Prober) takeList(vms []lister.VM) {
+	pb.listLines = len(vms)
+	pb.vms = pb.vms[:0]
+	live := map[string]bool{}
+	for _, vm := range vms {
+		if vm.Kind == lister.KindEntry {
+			pb.vms = append(pb.vms, vm)
+		}
+		if vm.Kind == lister.KindBackend && vm.State == lister.StateLive {
+			live[vm.Address] = true
+		}
+	}
+	var departing []lister.VM
+	for _, vm := range vms {
+		if vm.Kind == lister.KindBackend && vm.State == lister.StateLeaving && !live[vm.Address] {
+			departing = append(departing, vm)
+		}
+	}
+	pb.departing.Store(&departing)
+}
+
+// Departing returns the backend VMs that the list named as leaving when it was
+// last read. The slice is shared and may not be changed.
+func (pb *Prober) Departing() []lister.VM {
+	departing := pb.departing.Load()
+	if departing == nil {
+		return nil
+	}
+	return *departing
+}
+
 // startContacts tries listed VMs that are not known as members, and members
 // that are dead: some at once while the node is alone, one now and then later.
 func (pb *Prober) startContacts(ctx context.Context, now time.Time) {
--- a/internal/coordination/prober/prober.go
+++ b/internal/coordination/prober/prober.go
@@ -90,19 +90,21 @@
 
 // Prober finds and watches the peers of one node.
 type Prober struct {
-	presence func() messenger.Presence
-	list     VMList
-	caller   Caller
-	interval time.Duration
-	random   *rand.Rand
-	spread   *spreader.Spreader
-	registry *counter.Registry
-	view     atomic.Pointer[View]
-	probes   sync.WaitGroup
+	presence  func() messenger.Presence
+	list      VMList
+	caller    Caller
+	interval  time.Duration
+	random    *rand.Rand
+	spread    *spreader.Spreader
+	registry  *counter.Registry
+	view      atomic.Pointer[View]
+	departing atomic.Pointer[[]lister.VM]
+	probes    sync.WaitGroup
 
 	mu        sync.Mutex
 	table     *table
 	vms       []lister.VM
+	listLines int
 	listed    bool
 	listedAt  time.Time
 	listing   bool
--- a/internal/coordination/watcher/exchange.go
+++ b/internal/coordination/watcher/exchange.go
@@ -56,13 +56,25 @@
 	mu    sync.Mutex
 	uses  map[string]map[string]use
 	views map[string]state
+	// asked is since when servers in use have been asked for.
+	asked map[string]time.Time
+	// fresh says that views changed.
+	fresh bool
+	// leaving reports whether a server takes no new work.
+	leaving func(server string) bool
 	// next is when the budget lets the next round begin.
 	next time.Time
 }
 
 // NewExchange returns the exchange of the node of that id.
 func NewExchange(node string) *Exchange {
-	return &Exchange{node: node, uses: map[string]map[string]use{}, views: map[string]state{}}
+	return &Exchange{
+		node:    node,
+		uses:    map[string]map[string]use{},
+		views:   map[string]state{},
+		asked:   map[string]time.Time{},
+		leaving: func(string) bool { return false },
+	}
 }
 
 // Answer takes in what a peer uses and returns the load of these servers.
@@ -86,7 +98,7 @@
 
 // sum adds up the other nodes' requests and forgets nodes that fell silent.
 func (ex *Exchange) sum(now time.Time, node, server string) messenger.LoadState {
-	ls := messenger.LoadState{Server: server, Users: 1}
+	ls := messenger.LoadState{Server: server, Users: 1, Leaving: ex.leaving(server)}
 	for id, us := range ex.uses[server] {
 		if now.Sub(us.at) > useForgotten {
 			delete(ex.uses[server], id)
@@ -111,6 +123,7 @@
 	}
 	ctx, cancel := context.WithTimeout(ctx, exchangeTimeout)
 	defer cancel()
+	ex.ask(now(), outstanding)
 	digests := ex.digests(now(), outstanding, owner)
 	ex.next = now().Add(roundInterval(digests))
 	var wg sync.WaitGroup
@@ -126,6 +139,45 @@
 	wg.Wait()
 }
 
+// ask notes since when servers have been in use.
+func (ex *Exchange) ask(now time.Time, outstanding map[string]int) {
+	ex.mu.Lock()
+	defer ex.mu.Unlock()
+	for server := range outstanding {
+		if _, ok := ex.asked[server]; !ok {
+			ex.asked[server] = now
+		}
+	}
+	for server := range ex.asked {
+		if _, ok := outstanding[server]; !ok {
+			delete(ex.asked, server)
+			delete(ex.views, server)
+		}
+	}
+}
+
+// unanswered returns the servers in use whose owner has not answered lately.
+func (ex *Exchange) unanswered(now time.Time) map[string]bool {
+	ex.mu.Lock()
+	defer ex.mu.Unlock()
+	servers := map[string]bool{}
+	for server, since := range ex.asked {
+		if now.Sub(since) > viewTrusted && now.Sub(ex.views[server].at) > viewTrusted {
+			servers[server] = true
+		}
+	}
+	return servers
+}
+
+// changed reports whether an answer came since it was last asked.
+func (ex *Exchange) changed() bool {
+	ex.mu.Lock()
+	defer ex.mu.Unlock()
+	fresh := ex.fresh
+	ex.fresh = false
+	return fresh
+}
+
 // roundInterval is how long the budget takes to pay for the calls.
 func roundInterval(digests map[string]*messenger.LoadDigest) time.Duration {
 	sum := 0.0
@@ -160,6 +212,7 @@
 func (ex *Exchange) take(at time.Time, lv *messenger.LoadView) {
 	ex.mu.Lock()
 	defer ex.mu.Unlock()
+	ex.fresh = true
 	for _, ls := range lv.States {
 		ex.views[ls.Server] = state{LoadState: ls, at: at}
 	}
--- a/internal/coordination/watcher/report.go
+++ b/internal/coordination/watcher/report.go
@@ -1,15 +1,21 @@
 package watcher
 
 import (
+	"context"
 	"encoding/json"
 	"io"
+	"net/http"
 	"time"
 
 	"github.com/go-faster/errors"
 
 	"github.com/lagoonpass/lagoonpass/internal/coordination/router"
+	"github.com/lagoonpass/lagoonpass/internal/state/configurer"
 )
 
+// reportTimeout bounds the reading of one report.
+const reportTimeout = time.Second
+
 // maxReportBytes bounds one report.
 const maxReportBytes = 1 << 20
 
@@ -61,3 +67,27 @@
 	}
 	return rp, nil
 }
+
+// reader reads reports over HTTP.
+type reader struct{ http *http.Client }
+
+func newReader() *reader { return &reader{http: &http.Client{Timeout: reportTimeout}} }
+
+func (rd *reader) read(ctx context.Context, bs *configurer.BackendServer) (Report, error) {
+	rq, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+bs.Address()+"/control/report", http.NoBody)
+	if err != nil {
+		return Report{}, errors.Wrap(err, "build report call")
+	}
+	rs, err := rd.http.Do(rq)
+	if err != nil {
+		return Report{}, errors.Wrapf(err, "read report of %q", bs.Name())
+	}
+	defer func() { _ = rs.Body.Close() }()
+	rp, err := decodeReport(rs.Body, time.Now())
+	if err != nil {
+		return Report{}, errors.Wrapf(err, "decode report of %q", bs.Name())
+	}
+	rp.Server = bs.Name()
+	rp.Address = bs.Address()
+	return rp, nil
+}
--- /dev/null
+++ b/internal/coordination/watcher/spread.go
@@ -0,0 +1,108 @@
+package watcher
+
+import (
+	"bytes"
+	"strings"
+
+	"github.com/lagoonpass/lagoonpass/internal/coordination/spreader"
+)
+
+// leaves reports whether the platform's list says that this boot is leaving.
+func (tr *tracked) leaves(boot string) bool { return boot != "" && boot == tr.leavingBoot }
+
+// publish spreads a server's residency if this node owns the server and others
+// know something else. The version follows the one that is known, whoever
+// published it, so that a new owner is not outranked by the last one's entries.
+func (wt *Watcher) publish(tr *tracked, rs residency) {
+	if !tr.owned || wt.spreader == nil {
+		return
+	}
+	payload, full := rs.payload()
+	key := residencyPrefix + tr.server.Name()
+	held, known, ok := wt.spreader.Get(key)
+	if ok && bytes.Equal(known, payload) {
+		return
+	}
+	if !full {
+		wt.registry.Inc("residency", "truncated")
+	}
+	next := spreader.Version{Epoch: held.Epoch + 1, Seq: 1}
+	if !held.Newer(tr.version) && tr.version.Epoch > 0 {
+		next = spreader.Version{Epoch: tr.version.Epoch, Seq: tr.version.Seq + 1}
+	}
+	tr.version, tr.spread = next, &rs
+	wt.registry.Inc("residency", "published")
+	wt.send(key, next, payload)
+}
+
+// send hands an entry to the spreader, whose subscribers take the lock.
+func (wt *Watcher) send(key string, vn spreader.Version, payload []byte) {
+	wt.polls.Go(func() { wt.spreader.Publish(key, vn, payload) })
+}
+
+// hear takes in an entry that was spread.
+func (wt *Watcher) hear(key string, _ spreader.Version, _ []byte) {
+	name, ok := strings.CutPrefix(key, residencyPrefix)
+	if !ok {
+		name, ok = strings.CutPrefix(key, leavingPrefix)
+	}
+	if !ok {
+		return
+	}
+	wt.mu.Lock()
+	defer wt.mu.Unlock()
+	if tr, ok := wt.servers[name]; ok {
+		wt.recall(name, tr)
+		wt.changed = true
+	}
+}
+
+// recall reads what was spread about a server.
+func (wt *Watcher) recall(name string, tr *tracked) {
+	if wt.spreader == nil {
+		return
+	}
+	if _, payload, ok := wt.spreader.Get(residencyPrefix + name); ok {
+		rs, err := decodeResidency(payload)
+		if err != nil {
+			wt.registry.Inc("residency", "unreadable")
+			return
+		}
+		tr.spread = &rs
+	}
+	if _, payload, ok := wt.spreader.Get(leavingPrefix + name); ok {
+		tr.leavingBoot = string(payload)
+	}
+}
+
+// noteDeparting takes in which VMs the platform's list names as leaving, and
+// tells the other nodes at once. The entry names the boot, so that it says
+// nothing of a process that takes over the name.
+func (wt *Watcher) noteDeparting() {
+	if wt.departing == nil {
+		return
+	}
+	for _, vm := range wt.departing() {
+		for name, tr := range wt.servers {
+			if vm.Name == name || vm.Address == tr.server.Address() {
+				wt.depart(name, tr)
+			}
+		}
+	}
+}
+
+func (wt *Watcher) depart(name string, tr *tracked) {
+	rp, ok := tr.compose()
+	if !ok || rp.BootID == "" || rp.BootID == tr.leavingBoot {
+		return
+	}
+	tr.leavingBoot = rp.BootID
+	wt.changed = true
+	wt.registry.Inc("residency", "leaving")
+	if wt.spreader == nil {
+		return
+	}
+	key := leavingPrefix + name
+	held, _, _ := wt.spreader.Get(key)
+	wt.send(key, spreader.Version{Epoch: held.Epoch + 1, Seq: 1}, []byte(rp.BootID))
+}
--- a/internal/coordination/watcher/watcher.go
+++ b/internal/coordination/watcher/watcher.go
@@ -1,30 +1,34 @@
-// Package watcher reads the load reports of backend servers and keeps what
-// they serve as a snapshot.
+// Package watcher knows what backend servers serve and how loaded they are.
+//
+// Each server is polled by its owner alone. What is ready on it, and whether it
+// leaves, is spread to all nodes as a versioned entry when it changes; its load
+// goes to the nodes that use it, in answers to their digests (Exchange). A node
+// polls a server that it does not own only while nothing was spread about it
+// yet, or while the owner of a server in use does not answer.
 //
 // # Usage
 //
-//	wt := watcher.New()
-//	wt.Poll(ctx, settings.BackendServers())
+//	ex := watcher.NewExchange(node)
+//	wt := watcher.New(watcher.WithExchange(ex), watcher.WithOwns(owns), watcher.WithSpreader(sp))
+//	go wt.Run(ctx, settings.BackendServers)
 //	replicas := wt.Snapshot().Replicas("route-summary")
 package watcher
 
 import (
 	"context"
-	"net/http"
+	"math/rand/v2"
 	"sort"
 	"sync"
 	"sync/atomic"
 	"time"
 
-	"github.com/go-faster/errors"
-
 	"github.com/lagoonpass/lagoonpass/internal/coordination/router"
+	"github.com/lagoonpass/lagoonpass/internal/coordination/spreader"
+	"github.com/lagoonpass/lagoonpass/internal/counter"
 	"github.com/lagoonpass/lagoonpass/internal/state/configurer"
+	"github.com/lagoonpass/lagoonpass/internal/state/lister"
 )
 
-// reportTimeout bounds the reading of one report.
-const reportTimeout = time.Second
-
 // Report is what a backend server says of itself.
 type Report struct {
 	// Server is the backend server's name.
@@ -55,6 +59,9 @@
 	Others int
 	// Users counts the nodes that use the server, this one included.
 	Users int
+	// Unmeasured says that the report came from the server's owner by way of
+	// other nodes and tells nothing of load.
+	Unmeasured bool
 }
 
 // Snapshot is an immutable picture of all reports.
@@ -72,25 +79,72 @@
 	return rp, ok
 }
 
-// Watcher polls reports.
+// Watcher polls the servers that its node owns, and takes in what the owners
+// of the others spread.
 type Watcher struct {
-	http     *http.Client
-	snapshot atomic.Pointer[Snapshot]
-	exchange *Exchange
+	read      Read
+	owns      func(server string) bool
+	spreader  *spreader.Spreader
+	departing func() []lister.VM
+	exchange  *Exchange
+	registry  *counter.Registry
+	random    *rand.Rand
+	snapshot  atomic.Pointer[Snapshot]
+	polls     sync.WaitGroup
+
+	mu         sync.Mutex
+	servers    map[string]*tracked
+	began      time.Time
+	nextReview time.Time
+	changed    bool
 }
 
+// Read reads the report of one server.
+type Read func(ctx context.Context, bs *configurer.BackendServer) (Report, error)
+
 // Option changes a Watcher that is being made.
 type Option func(*Watcher)
 
 // WithExchange adds what the owners of servers tell to the reports.
 func WithExchange(ex *Exchange) Option { return func(wt *Watcher) { wt.exchange = ex } }
 
+// WithOwns makes the watcher poll only the servers for which fn is true.
+func WithOwns(fn func(server string) bool) Option { return func(wt *Watcher) { wt.owns = fn } }
+
+// WithSpreader makes the watcher spread what the servers of this node hold, and
+// take in what was spread of the others.
+func WithSpreader(sp *spreader.Spreader) Option { return func(wt *Watcher) { wt.spreader = sp } }
+
+// WithDeparting tells the watcher which VMs the platform's list names as
+// leaving.
+func WithDeparting(fn func() []lister.VM) Option { return func(wt *Watcher) { wt.departing = fn } }
+
+// WithRegistry counts what the watcher does.
+func WithRegistry(rg *counter.Registry) Option { return func(wt *Watcher) { wt.registry = rg } }
+
+// WithRandom replaces the source of the jitter.
+func WithRandom(random *rand.Rand) Option { return func(wt *Watcher) { wt.random = random } }
+
+// WithRead replaces the reading of reports over HTTP.
+func WithRead(read Read) Option { return func(wt *Watcher) { wt.read = read } }
+
 // New returns a watcher with an empty snapshot.
 func New(opts ...Option) *Watcher {
-	wt := &Watcher{http: &http.Client{Timeout: reportTimeout}}
+	wt := &Watcher{
+		read:    newReader().read,
+		owns:    func(string) bool { return true },
+		random:  rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64())),
+		servers: map[string]*tracked{},
+	}
 	for _, opt := range opts {
 		opt(wt)
 	}
+	if wt.spreader != nil {
+		wt.spreader.Subscribe(wt.hear)
+	}
+	if wt.exchange != nil {
+		wt.exchange.leaving = wt.leaving
+	}
 	wt.snapshot.Store(&Snapshot{})
 	return wt
 }
@@ -98,31 +152,43 @@
 // Snapshot returns the latest snapshot.
 func (wt *Watcher) Snapshot() *Snapshot { return wt.snapshot.Load() }
 
-// Poll reads the reports of all servers once, side by side. A server that does
-// not answer is absent from the snapshot.
+// leaving reports whether a server takes no new work.
+func (wt *Watcher) leaving(server string) bool {
+	rp, _ := wt.Snapshot().Report(server)
+	return rp.Leaving
+}
+
+// Poll reads the reports of all servers that this node owns once, side by side,
+// and waits for them.
 func (wt *Watcher) Poll(ctx context.Context, servers []*configurer.BackendServer) {
-	var mu sync.Mutex
-	var wg sync.WaitGroup
-	sn := &Snapshot{reports: map[string]Report{}, replicas: map[string][]string{}}
-	for _, bs := range servers {
-		wg.Go(func() {
-			rp, err := wt.read(ctx, bs)
-			if err != nil {
-				return
-			}
-			mu.Lock()
-			defer mu.Unlock()
-			sn.reports[bs.Name()] = rp
-		})
-	}
-	wg.Wait()
-	if wt.exchange != nil {
-		now := time.Now()
-		for name, rp := range sn.reports {
-			sn.reports[name] = wt.exchange.apply(rp, now)
+	wt.mu.Lock()
+	wt.review(time.Now(), servers)
+	for _, tr := range wt.servers {
+		if tr.owned && !tr.busy {
+			wt.begin(ctx, tr)
 		}
 	}
-	for name, rp := range sn.reports {
+	wt.mu.Unlock()
+	wt.polls.Wait()
+	wt.mu.Lock()
+	defer wt.mu.Unlock()
+	wt.rebuild(time.Now())
+}
+
+// rebuild puts a new snapshot in place.
+func (wt *Watcher) rebuild(now time.Time) {
+	wt.changed = false
+	sn := &Snapshot{reports: make(map[string]Report, len(wt.servers)), replicas: map[string][]string{}}
+	for name, tr := range wt.servers {
+		rp, ok := tr.compose()
+		if !ok {
+			continue
+		}
+		rp.Leaving = rp.Leaving || tr.leaves(rp.BootID)
+		if wt.exchange != nil {
+			rp = wt.exchange.apply(rp, now)
+		}
+		sn.reports[name] = rp
 		for model := range rp.Models {
 			sn.replicas[model] = append(sn.replicas[model], name)
 		}
@@ -132,22 +198,3 @@
 	}
 	wt.snapshot.Store(sn)
 }
-
-func (wt *Watcher) read(ctx context.Context, bs *configurer.BackendServer) (Report, error) {
-	rq, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+bs.Address()+"/control/report", http.NoBody)
-	if err != nil {
-		return Report{}, errors.Wrap(err, "build report call")
-	}
-	rs, err := wt.http.Do(rq)
-	if err != nil {
-		return Report{}, errors.Wrapf(err, "read report of %q", bs.Name())
-	}
-	defer func() { _ = rs.Body.Close() }()
-	rp, err := decodeReport(rs.Body, time.Now())
-	if err != nil {
-		return Report{}, errors.Wrapf(err, "decode report of %q", bs.Name())
-	}
-	rp.Server = bs.Name()
-	rp.Address = bs.Address()
-	return rp, nil
-}
--- a/internal/runner/control.go
+++ b/internal/runner/control.go
@@ -32,8 +32,6 @@
 	}
 	nd.shareStore(rv.Settings().Limits())
 	nd.admitter.Revise(rv.Settings())
-	nd.exchangeLoad(ctx)
-	nd.watcher.Poll(ctx, rv.Settings().BackendServers())
 	nd.admitter.Refresh(rv.Settings())
 	nd.placeModels(ctx, rv.Settings())
 }
--- a/internal/runner/load.go
+++ b/internal/runner/load.go
@@ -7,8 +7,13 @@
 
 	"github.com/lagoonpass/lagoonpass/internal/coordination/admitter"
 	"github.com/lagoonpass/lagoonpass/internal/coordination/prober"
+	"github.com/lagoonpass/lagoonpass/internal/coordination/watcher"
+	"github.com/lagoonpass/lagoonpass/internal/state/configurer"
 )
 
+// workerPrefix precedes a backend server's name in the name of its resource.
+const workerPrefix = "worker/"
+
 // newAdmitter returns the node's admitter.
 func (nd *Node) newAdmitter(hl admitter.Health) *admitter.Admitter {
 	random := rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64()))
@@ -31,12 +36,50 @@
 	return max(count, 1)
 }
 
+// newWatcher returns the node's watcher, which polls what the node owns.
+func (nd *Node) newWatcher() *watcher.Watcher {
+	return watcher.New(
+		watcher.WithExchange(nd.exchange),
+		watcher.WithOwns(func(server string) bool { return nd.prober.View().Owns(workerPrefix + server) }),
+		watcher.WithSpreader(nd.prober.Spreader()),
+		watcher.WithDeparting(nd.prober.Departing),
+		watcher.WithRegistry(nd.registry),
+	)
+}
+
+// watch polls servers until the context ends.
+func (nd *Node) watch(ctx context.Context) error {
+	return nd.watcher.Run(ctx, func() []*configurer.BackendServer {
+		rv := nd.holder.Current()
+		if rv == nil {
+			return nil
+		}
+		return rv.Settings().BackendServers()
+	})
+}
+
+// exchangeLoads exchanges load until the context ends.
+func (nd *Node) exchangeLoads(ctx context.Context) error {
+	tk := time.NewTicker(controlInterval)
+	defer tk.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return nil
+		case <-tk.C:
+		}
+		if nd.holder.Current() != nil {
+			nd.exchangeLoad(ctx)
+		}
+	}
+}
+
 // exchangeLoad tells the owners of the backend servers in use what this node
 // has there, and learns what the others have.
 func (nd *Node) exchangeLoad(ctx context.Context) {
 	vw := nd.prober.View()
 	owner := func(server string) (address string, self, ok bool) {
-		mb, ok := vw.Owner("worker/" + server)
+		mb, ok := vw.Owner(workerPrefix + server)
 		return mb.PeerAddress, mb.ID == vw.Self(), ok
 	}
 	nd.exchange.Round(ctx, time.Now, nd.admitter.Outstanding(), owner, nd.pool)
--- a/internal/runner/runner.go
+++ b/internal/runner/runner.go
@@ -95,7 +95,6 @@
 		drained:  make(chan struct{}),
 		aborted:  make(chan struct{}),
 	}
-	nd.watcher = watcher.New(watcher.WithExchange(nd.exchange))
 	for _, opt := range opts {
 		opt(nd)
 	}
@@ -108,6 +107,7 @@
 		orderer.WithCounters(nd.registry),
 		orderer.WithServing(nd.serving))
 	nd.prober = prober.New(nd.presence, lister.New(id.VMList()), nd.pool, prober.WithRegistry(nd.registry))
+	nd.watcher = nd.newWatcher()
 	nd.claimer = claimer.New(nd.meter.For(storer.PurposeOwnership), nd.prober.View, nd.pool, claimer.WithRegistry(nd.registry))
 	nd.follower = publisher.NewFollower(nd.holder, nd.meter.For(storer.PurposeConfiguration),
 		nd.prober.View, nd.pool, nd.prober.Spreader(), publisher.WithRegistry(nd.registry))
@@ -200,6 +200,8 @@
 	nd.addContext(ctx, &gr)
 	nd.addLoop(&gr, nd.prober.Run)
 	nd.addLoop(&gr, nd.follower.Run)
+	nd.addLoop(&gr, nd.watch)
+	nd.addLoop(&gr, nd.exchangeLoads)
 	nd.addLoop(&gr, nd.control)
 	nd.startJobs()
 	nd.addWeb(&gr)
