--- /dev/null
+++ b/internal/coordination/watcher/watcher_test.go
@@ -0,0 +1,178 @@
+package watcher_test
+
+import (
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/stretchr/testify/require"
+)
+
+const settled = 20 * time.Second
+
+func TestEachServerIsPolledByItsOwnerAlone(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		fl := newFleet(t, 4, 18)
+		defer fl.end()
+		t.Logf("4 nodes know 18 servers after %v", fl.await(settled, fl.allKnown))
+		time.Sleep(5 * time.Second)
+		for name := range fl.servers {
+			fl.change(name, func(be *backend) { clear(be.readers) })
+		}
+		time.Sleep(10 * time.Second)
+		for name := range fl.servers {
+			owner := fl.owner(name).ID
+			fl.change(name, func(be *backend) {
+				require.Len(t, be.readers, 1, name)
+				require.InDelta(t, 10, be.readers[owner], 3, name)
+			})
+		}
+	})
+}
+
+// TestLeavingServerGetsNoNewWork lets four nodes send work while a server
+// begins to leave, without a store: by its own report, by the platform's list,
+// and by its report alone while the list lags.
+func TestLeavingServerGetsNoNewWork(t *testing.T) {
+	const bound = 3 * time.Second
+	for name, leave := range map[string]func(*fleet, string){
+		"by its report":         func(fl *fleet, sv string) { fl.change(sv, func(be *backend) { be.report.Leaving = true }) },
+		"by the platforms list": func(fl *fleet, sv string) { fl.leaveList(sv) },
+	} {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				fl := newFleet(t, 4, 3)
+				defer fl.end()
+				fl.await(settled, fl.allKnown)
+				for _, nd := range fl.nodes {
+					fl.work(nd, 20*time.Millisecond)
+				}
+				var longest time.Duration
+				for _, server := range []string{"w0000", "w0001"} {
+					time.Sleep(5 * time.Second)
+					began := time.Now()
+					leave(fl, server)
+					time.Sleep(20 * time.Second)
+					fl.change(server, func(be *backend) {
+						require.Positive(t, be.works)
+						longest = max(longest, be.lastWork.Sub(began))
+					})
+				}
+				t.Logf("last new request %v after the change", longest)
+				require.Less(t, longest, bound)
+				fl.change("w0002", func(be *backend) { require.Less(t, time.Since(be.lastWork), time.Second) })
+			})
+		})
+	}
+}
+
+// TestOwnerDiesAndTheNextOneIsHeard gives the first owner many versions, so that
+// a new owner that counted from one would be outranked by them.
+func TestOwnerDiesAndTheNextOneIsHeard(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		fl := newFleet(t, 4, 8)
+		defer fl.end()
+		fl.await(settled, fl.allKnown)
+		boot := func(id string) func() bool {
+			return func() bool {
+				for _, nd := range fl.nodes {
+					if rp, ok := nd.watch.Snapshot().Report("w0000"); !ok || rp.BootID != id {
+						return false
+					}
+				}
+				return true
+			}
+		}
+		for _, id := range []string{"b2", "b3", "b4", "b5"} {
+			fl.change("w0000", func(be *backend) { be.report.BootID = id })
+			t.Logf("a change is known to all after %v", fl.await(5*time.Second, boot(id)))
+		}
+		fl.kill(fl.owner("w0000"))
+		require.True(t, boot("b5")(), "knowledge stays when its owner dies")
+		fl.change("w0000", func(be *backend) { be.report.BootID = "b6" })
+		t.Logf("a change at its death is known to all after %v", fl.await(10*time.Second, boot("b6")))
+	})
+}
+
+func TestLostReportsAreNoOutage(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		fl := newFleet(t, 4, 4)
+		defer fl.end()
+		fl.await(settled, fl.allKnown)
+		down := func(down bool) {
+			fl.change("w0000", func(be *backend) { be.down = down; clear(be.readers) })
+		}
+		polls := func(count int) func() bool {
+			return func() (reached bool) {
+				fl.change("w0000", func(be *backend) {
+					for _, reads := range be.readers {
+						reached = reached || reads >= count
+					}
+				})
+				return reached
+			}
+		}
+		down(true)
+		fl.await(settled, polls(2))
+		require.True(t, fl.allKnown(), "two lost reports change nothing")
+		down(false)
+		fl.await(settled, polls(2))
+		down(true)
+		gone := func() bool {
+			for _, nd := range fl.nodes {
+				if len(nd.watch.Snapshot().Replicas("m")) != 3 {
+					return false
+				}
+			}
+			return true
+		}
+		t.Logf("a silent server is not ready anywhere after %v", fl.await(5*time.Second, gone))
+	})
+}
+
+// TestOwnerAnswersNobody cuts a node off from the owner of a server in use,
+// while its other peers still reach the owner.
+func TestOwnerAnswersNobody(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		fl := newFleet(t, 4, 8)
+		defer fl.end()
+		fl.await(settled, fl.allKnown)
+		owner := fl.owner("w0000")
+		user := fl.nodes[0]
+		if user == owner {
+			user = fl.nodes[1]
+		}
+		fl.work(user, 50*time.Millisecond)
+		time.Sleep(3 * time.Second)
+		fl.Cut(user.Address, owner.Address)
+		direct := func() bool {
+			reads := 0
+			fl.change("w0000", func(be *backend) { reads = be.readers[user.ID] })
+			return reads > 0
+		}
+		t.Logf("polled directly after %v", fl.await(12*time.Second, direct))
+		rp, _ := user.watch.Snapshot().Report("w0000")
+		fl.await(2*time.Second, func() bool {
+			rp, _ = user.watch.Snapshot().Report("w0000")
+			return !rp.Unmeasured
+		})
+		require.False(t, rp.Digested)
+	})
+}
+
+// TestNewNodeGetsTheTable measures how long a fresh node does not know all
+// servers, with the entries of as many servers as stand before 4 and 64 nodes.
+func TestNewNodeGetsTheTable(t *testing.T) {
+	for _, servers := range []int{18, 260} {
+		synctest.Test(t, func(t *testing.T) {
+			fl := newFleet(t, 4, servers)
+			defer fl.end()
+			t.Logf("%d servers: known to 4 nodes that start at once after %v", servers, fl.await(2*time.Minute, fl.allKnown))
+			time.Sleep(30 * time.Second)
+			fresh := fl.add()
+			some := func() bool { return len(fresh.watch.Snapshot().Replicas("m")) > 0 }
+			t.Logf("%d servers: a fresh node knows the first after %v", servers, fl.await(5*time.Second, some))
+			t.Logf("%d servers: and the rest %v later", servers, fl.await(30*time.Second, func() bool { return fl.known(fresh) }))
+		})
+	}
+}
