Spread residency by hashes and pay for both ends of the exchange

The exchange's 2 KB/s counted only a node's own calls; as an owner it answers as many bytes again: 3,124 B/s for 4 nodes and 18 servers with 20 requests/s a node, membership included. Its budget is 1,000 B/s now, a view names no servers (19 to 13 B a server), and an owner's word counts for three rounds at least.

Entries with names cost 2,687 B/s at 16 idle nodes and 72 servers a minute after the start.

--- a/internal/coordination/spreader/spreader.go
+++ b/internal/coordination/spreader/spreader.go
@@ -35,6 +35,9 @@
 	// sendsPerDoubling is how often an item is sent for each doubling of the
 	// number of members.
 	sendsPerDoubling = 3
+	// bulkBytes is the length of a payload from which an entry is sent less
+	// often: comparing checksums finds what was missed.
+	bulkBytes = 32
 	// entryOverheadBytes is what the encoding adds to key and payload.
 	entryOverheadBytes = 16
 )
@@ -157,7 +160,7 @@
 	defer sp.mu.Unlock()
 	var keys []string
 	for key, en := range sp.entries {
-		if en.sends < Sends(members) {
+		if en.sends < en.limit(members) {
 			keys = append(keys, key)
 		}
 	}
@@ -179,6 +182,14 @@
 	return out
 }
 
+// limit returns how often the entry is sent among that many members.
+func (en *entry) limit(members int) int {
+	if len(en.payload) > bulkBytes {
+		return Sends(members) / sendsPerDoubling
+	}
+	return Sends(members)
+}
+
 // Sends returns how often an item is sent among that many members.
 func Sends(members int) int { return sendsPerDoubling * (bits.Len(uint(members)) + 1) }
 
--- a/internal/coordination/watcher/exchange.go
+++ b/internal/coordination/watcher/exchange.go
@@ -13,18 +13,21 @@
 const (
 	// useForgotten is the time after which a node that told nothing of a
 	// server no longer counts as its user.
-	useForgotten = 8 * time.Second
+	useForgotten = 12 * time.Second
 	// exchangeTimeout bounds one call to an owner.
 	exchangeTimeout = 200 * time.Millisecond
-	// viewTrusted is how long an owner's answer counts; after that the node
-	// falls back on the server's own report.
+	// viewTrusted is how long an owner's answer counts at least; after that the
+	// node falls back on the server's own report.
 	viewTrusted = 6 * time.Second
-	// budgetBytes bounds what the exchange sends and receives a second.
-	budgetBytes = 2000.0
+	// trustedRounds is the same in rounds, if these are far apart.
+	trustedRounds = 3
+	// budgetBytes bounds what the calls of one node take a second. The node
+	// answers about as many bytes of calls of others.
+	budgetBytes = 1000.0
 	// ownerBytes and serverBytes are the size of one call and its answer, by
 	// owner and by server.
 	ownerBytes  = 35.0
-	serverBytes = 19.0
+	serverBytes = 13.0
 )
 
 // Caller calls peers.
@@ -58,6 +61,8 @@
 	views map[string]state
 	// asked is since when servers in use have been asked for.
 	asked map[string]time.Time
+	// trusted is how long an owner's answer counts.
+	trusted time.Duration
 	// fresh says that views changed.
 	fresh bool
 	// leaving reports whether a server takes no new work.
@@ -70,6 +75,7 @@
 func NewExchange(node string) *Exchange {
 	return &Exchange{
 		node:    node,
+		trusted: viewTrusted,
 		uses:    map[string]map[string]use{},
 		views:   map[string]state{},
 		asked:   map[string]time.Time{},
@@ -98,7 +104,7 @@
 
 // sum adds up the other nodes' requests and forgets nodes that fell silent.
 func (ex *Exchange) sum(now time.Time, node, server string) messenger.LoadState {
-	ls := messenger.LoadState{Server: server, Users: 1, Leaving: ex.leaving(server)}
+	ls := messenger.LoadState{Users: 1, Leaving: ex.leaving(server)}
 	for id, us := range ex.uses[server] {
 		if now.Sub(us.at) > useForgotten {
 			delete(ex.uses[server], id)
@@ -125,14 +131,16 @@
 	defer cancel()
 	ex.ask(now(), outstanding)
 	digests := ex.digests(now(), outstanding, owner)
-	ex.next = now().Add(roundInterval(digests))
+	interval := roundInterval(digests)
+	ex.next = now().Add(interval)
+	ex.trust(max(viewTrusted, trustedRounds*interval))
 	var wg sync.WaitGroup
 	for address, digest := range digests {
 		wg.Go(func() {
 			sent := now()
 			answer, err := caller.Call(ctx, address, digest)
 			if lv, ok := answer.(*messenger.LoadView); ok && err == nil {
-				ex.take(sent, lv)
+				ex.take(sent, digest, lv)
 			}
 		})
 	}
@@ -162,7 +170,7 @@
 	defer ex.mu.Unlock()
 	servers := map[string]bool{}
 	for server, since := range ex.asked {
-		if now.Sub(since) > viewTrusted && now.Sub(ex.views[server].at) > viewTrusted {
+		if now.Sub(since) > ex.trusted && now.Sub(ex.views[server].at) > ex.trusted {
 			servers[server] = true
 		}
 	}
@@ -178,6 +186,13 @@
 	return fresh
 }
 
+// trust sets how long an owner's answer counts.
+func (ex *Exchange) trust(dn time.Duration) {
+	ex.mu.Lock()
+	defer ex.mu.Unlock()
+	ex.trusted = dn
+}
+
 // roundInterval is how long the budget takes to pay for the calls.
 func roundInterval(digests map[string]*messenger.LoadDigest) time.Duration {
 	sum := 0.0
@@ -205,16 +220,20 @@
 		}
 		digest.Uses = append(digest.Uses, messenger.LoadUse{Server: server, Outstanding: outstanding[server]})
 	}
-	ex.take(now, ex.Answer(now, own))
+	ex.take(now, own, ex.Answer(now, own))
 	return calls
 }
 
-func (ex *Exchange) take(at time.Time, lv *messenger.LoadView) {
+// take takes in the answer to a digest; one that does not match it is dropped.
+func (ex *Exchange) take(at time.Time, ld *messenger.LoadDigest, lv *messenger.LoadView) {
+	if len(ld.Uses) != len(lv.States) {
+		return
+	}
 	ex.mu.Lock()
 	defer ex.mu.Unlock()
 	ex.fresh = true
-	for _, ls := range lv.States {
-		ex.views[ls.Server] = state{LoadState: ls, at: at}
+	for ix, lu := range ld.Uses {
+		ex.views[lu.Server] = state{LoadState: lv.States[ix], at: at}
 	}
 }
 
@@ -223,7 +242,7 @@
 	ex.mu.Lock()
 	defer ex.mu.Unlock()
 	st, ok := ex.views[rp.Server]
-	if !ok || now.Sub(st.at) > viewTrusted {
+	if !ok || now.Sub(st.at) > ex.trusted {
 		return rp
 	}
 	rp.Digested = true
--- a/internal/coordination/watcher/exchange_test.go
+++ b/internal/coordination/watcher/exchange_test.go
@@ -98,7 +98,7 @@
 		for ix := range servers {
 			name := fmt.Sprintf("w%04d", ix)
 			ld.Uses = append(ld.Uses, messenger.LoadUse{Server: name, Outstanding: 3})
-			lv.States = append(lv.States, messenger.LoadState{Server: name, Others: 40, Users: 30, Age: 400 * time.Millisecond})
+			lv.States = append(lv.States, messenger.LoadState{Others: 40, Users: 30, Age: 400 * time.Millisecond})
 		}
 		return encodedBytes(t, ld), encodedBytes(t, lv)
 	}
--- a/internal/coordination/watcher/fleet_test.go
+++ b/internal/coordination/watcher/fleet_test.go
@@ -111,7 +111,7 @@
 		admitter.WithNodes(func() int { return len(nd.View().Members()) }))
 	var ctx context.Context
 	ctx, nd.stop = context.WithCancel(fl.t.Context())
-	go func() { _ = nd.watch.Run(ctx, fl.settings.BackendServers) }()
+	go func() { _ = nd.watch.Run(ctx, func() *configurer.Settings { return fl.settings }) }()
 	go fl.control(ctx, nd)
 	fl.nodes = append(fl.nodes, nd)
 	return nd
--- a/internal/coordination/watcher/poll.go
+++ b/internal/coordination/watcher/poll.go
@@ -17,6 +17,9 @@
 	pollInterval = time.Second
 	// quickInterval is the same for a server that failed or loads something.
 	quickInterval = 250 * time.Millisecond
+	// adapterInterval is the time between two entries about a server that change
+	// its adapters alone, for each server that there is.
+	adapterInterval = 2 * time.Second
 	// jitterShare is how far an interval is drawn up or down.
 	jitterShare = 0.25
 	// failuresAllowed is how many polls in a row have to fail before a server
@@ -51,6 +54,7 @@
 	spread *residency
 	// version is that of the last entry that this node published.
 	version     spreader.Version
+	publishedAt time.Time
 	leavingBoot string
 }
 
@@ -58,7 +62,7 @@
 func (tr *tracked) lost() bool { return tr.failures >= failuresAllowed }
 
 // compose returns the report that counts for the node.
-func (tr *tracked) compose() (Report, bool) {
+func (tr *tracked) compose(names map[nameHash]string) (Report, bool) {
 	if tr.owned && tr.lost() {
 		return Report{}, false
 	}
@@ -68,17 +72,20 @@
 	if tr.spread == nil || !tr.spread.ready {
 		return Report{}, false
 	}
-	return tr.spread.report(tr.server.Name()), true
+	return tr.spread.report(tr.server.Name(), tr.server.Address(), names), true
 }
 
 // Run polls what this node owns until the context ends, and keeps the snapshot
 // up to date. It waits for no server.
-func (wt *Watcher) Run(ctx context.Context, servers func() []*configurer.BackendServer) error {
+func (wt *Watcher) Run(ctx context.Context, settings func() *configurer.Settings) error {
 	defer wt.polls.Wait()
 	tk := time.NewTicker(tickInterval)
 	defer tk.Stop()
 	for {
-		wt.tick(ctx, time.Now(), servers())
+		if st := settings(); st != nil {
+			wt.resolve(st)
+			wt.tick(ctx, time.Now(), st.BackendServers())
+		}
 		select {
 		case <-ctx.Done():
 			return nil
@@ -87,6 +94,24 @@
 	}
 }
 
+// resolve takes in the names that the settings know.
+func (wt *Watcher) resolve(st *configurer.Settings) {
+	wt.mu.Lock()
+	defer wt.mu.Unlock()
+	if wt.settings == st {
+		return
+	}
+	wt.settings = st
+	wt.changed = true
+	wt.names = map[nameHash]string{}
+	for _, md := range st.Models() {
+		wt.names[hashName(md.Name())] = md.Name()
+	}
+	for _, ad := range st.Adapters() {
+		wt.names[hashName(ad.Name())] = ad.Name()
+	}
+}
+
 // tick begins the polls that are due and puts a new snapshot in place if
 // something changed.
 func (wt *Watcher) tick(ctx context.Context, now time.Time, servers []*configurer.BackendServer) {
@@ -203,7 +228,7 @@
 		tr.next = now.Add(wt.jitter(quickInterval))
 		if tr.lost() {
 			tr.polled = false
-			wt.publish(tr, residency{address: tr.server.Address()})
+			wt.publish(now, tr, residency{})
 		}
 		return
 	}
@@ -213,9 +238,14 @@
 		interval = quickInterval
 	}
 	tr.next = now.Add(wt.jitter(interval))
+	rp.BootID = shortBoot(rp.BootID)
 	tr.failures, tr.polled, tr.report = 0, true, rp
 	rp.Leaving = rp.Leaving || tr.leaves(rp.BootID)
-	wt.publish(tr, residencyOf(rp))
+	rs, full := residencyOf(rp)
+	if !full {
+		wt.registry.Inc("residency", "truncated")
+	}
+	wt.publish(now, tr, rs)
 }
 
 func (wt *Watcher) jitter(dn time.Duration) time.Duration {
--- a/internal/coordination/watcher/residency.go
+++ b/internal/coordination/watcher/residency.go
@@ -2,13 +2,15 @@
 
 import (
 	"bytes"
+	"encoding/binary"
 	"maps"
 	"slices"
+	"strconv"
 
+	"github.com/cespare/xxhash/v2"
 	"github.com/go-faster/errors"
 	"github.com/vmihailenco/msgpack/v5"
 
-	"github.com/lagoonpass/lagoonpass/internal/coordination/spreader"
 	"github.com/lagoonpass/lagoonpass/internal/protocol/messenger"
 )
 
@@ -21,85 +23,106 @@
 	leavingPrefix = "leaving/"
 )
 
+const (
+	// nameBytes is the length of the hash that stands for a name.
+	nameBytes = 6
+	// maxNames bounds the models and the adapters in an entry, together.
+	maxNames = 64
+	// longBootID is the length from which a boot id is shortened.
+	longBootID = 12
+)
+
+// nameHash stands for the name of a model or an adapter.
+type nameHash [nameBytes]byte
+
+func hashName(name string) nameHash {
+	var whole [8]byte
+	binary.BigEndian.PutUint64(whole[:], xxhash.Sum64String(name))
+	return nameHash(whole[:nameBytes])
+}
+
+// shortBoot returns a boot id, or its hash if it is long. All nodes have to
+// name a boot alike.
+func shortBoot(id string) string {
+	if len(id) <= longBootID {
+		return id
+	}
+	return strconv.FormatUint(xxhash.Sum64String(id), 36)
+}
+
 // residency is the part of a report that all nodes have to know.
 type residency struct {
-	address  string
 	bootID   string
 	ready    bool
 	leaving  bool
 	loading  bool
-	models   map[string]string
-	adapters []string
+	models   []nameHash
+	adapters []nameHash
 }
 
-// residencyOf returns what all nodes have to know of a report.
-func residencyOf(rp Report) residency {
-	return residency{
-		address:  rp.Address,
+// residencyOf returns what all nodes have to know of a report, and whether all
+// of it has room.
+func residencyOf(rp Report) (rs residency, full bool) {
+	rs = residency{
 		bootID:   rp.BootID,
 		ready:    true,
 		leaving:  rp.Leaving,
 		loading:  len(rp.Loading) > 0,
-		models:   rp.Models,
-		adapters: slices.Sorted(slices.Values(rp.Adapters)),
+		models:   hashNames(slices.Collect(maps.Keys(rp.Models))),
+		adapters: hashNames(rp.Adapters),
 	}
+	full = len(rs.models)+len(rs.adapters) <= maxNames
+	rs.models = rs.models[:min(len(rs.models), maxNames)]
+	rs.adapters = rs.adapters[:min(len(rs.adapters), maxNames-len(rs.models))]
+	return rs, full
 }
 
-// report returns the residency as a report that says nothing of load.
-func (rs residency) report(server string) Report {
+func hashNames(names []string) []nameHash {
+	hashes := make([]nameHash, 0, len(names))
+	for _, name := range slices.Sorted(slices.Values(names)) {
+		hashes = append(hashes, hashName(name))
+	}
+	return hashes
+}
+
+// differsOnlyInAdapters reports whether two residencies are alike otherwise.
+func (rs residency) differsOnlyInAdapters(other residency) bool {
+	rs.adapters = other.adapters
+	return bytes.Equal(rs.encode(), other.encode())
+}
+
+// report returns the residency as a report that says nothing of load. Names
+// that the settings do not have are left out.
+func (rs residency) report(server, address string, names map[nameHash]string) Report {
 	rp := Report{
 		Server:     server,
-		Address:    rs.address,
+		Address:    address,
 		BootID:     rs.bootID,
-		Models:     rs.models,
-		Adapters:   rs.adapters,
+		Models:     make(map[string]string, len(rs.models)),
 		Leaving:    rs.leaving,
 		Unmeasured: true,
 	}
+	for _, nh := range rs.models {
+		if name, ok := names[nh]; ok {
+			rp.Models[name] = ""
+		}
+	}
+	for _, nh := range rs.adapters {
+		if name, ok := names[nh]; ok {
+			rp.Adapters = append(rp.Adapters, name)
+		}
+	}
 	if rs.loading {
 		rp.Loading = []string{""}
 	}
 	return rp
 }
 
-// payload encodes the residency. If it is too long for the spreader, adapters
-// are left out, and then models: full says whether all is in.
-func (rs residency) payload() (payload []byte, full bool) {
-	names := slices.Sorted(maps.Keys(rs.models))
-	adapters := rs.adapters
-	full = true
-	for {
-		payload = rs.encode(names, adapters)
-		if len(payload) <= spreader.MaxPayloadBytes {
-			return payload, full
-		}
-		full = false
-		if len(adapters) > 0 {
-			adapters = adapters[:len(adapters)-1]
-			continue
-		}
-		if len(names) == 0 {
-			return residency{}.encode(nil, nil), false
-		}
-		names = names[:len(names)-1]
-	}
-}
-
-func (rs residency) encode(names, adapters []string) []byte {
+func (rs residency) encode() []byte {
 	var buf bytes.Buffer
 	en := msgpack.NewEncoder(&buf)
 	en.UseCompactInts(true)
-	err := messenger.EncodeAll(en, rs.address, rs.bootID, rs.ready, rs.leaving, rs.loading)
-	if err == nil {
-		err = messenger.EncodeList(en, names, func(en *msgpack.Encoder, name string) error {
-			return messenger.EncodeAll(en, name, rs.models[name])
-		})
-	}
-	if err == nil {
-		err = messenger.EncodeList(en, adapters, func(en *msgpack.Encoder, name string) error {
-			return messenger.EncodeAll(en, name)
-		})
-	}
+	err := messenger.EncodeAll(en, rs.bootID, rs.ready, rs.leaving, rs.loading, pack(rs.models), pack(rs.adapters))
 	if err != nil {
 		return nil
 	}
@@ -107,27 +130,31 @@
 }
 
 func decodeResidency(payload []byte) (residency, error) {
-	rs := residency{models: map[string]string{}}
+	var rs residency
+	var models, adapters []byte
 	de := msgpack.NewDecoder(bytes.NewReader(payload))
-	if err := messenger.DecodeAll(de, &rs.address, &rs.bootID, &rs.ready, &rs.leaving, &rs.loading); err != nil {
+	err := messenger.DecodeAll(de, &rs.bootID, &rs.ready, &rs.leaving, &rs.loading, &models, &adapters)
+	if err != nil {
 		return residency{}, errors.Wrap(err, "decode residency")
 	}
-	_, err := messenger.DecodeList(de, func(de *msgpack.Decoder) (string, error) {
-		var name, version string
-		err := messenger.DecodeAll(de, &name, &version)
-		rs.models[name] = version
-		return name, err
-	})
-	if err != nil {
-		return residency{}, errors.Wrap(err, "decode models of residency")
+	rs.models, rs.adapters = unpack(models), unpack(adapters)
+	return rs, nil
+}
+
+func pack(hashes []nameHash) []byte {
+	packed := make([]byte, 0, nameBytes*len(hashes))
+	for _, nh := range hashes {
+		packed = append(packed, nh[:]...)
 	}
-	rs.adapters, err = messenger.DecodeList(de, func(de *msgpack.Decoder) (string, error) {
-		var name string
-		err := messenger.DecodeAll(de, &name)
-		return name, err
-	})
-	if err != nil {
-		return residency{}, errors.Wrap(err, "decode adapters of residency")
+	return packed
+}
+
+func unpack(packed []byte) []nameHash {
+	hashes := make([]nameHash, 0, len(packed)/nameBytes)
+	for part := range slices.Chunk(packed, nameBytes) {
+		if len(part) == nameBytes {
+			hashes = append(hashes, nameHash(part))
+		}
 	}
-	return rs, nil
+	return hashes
 }
--- a/internal/coordination/watcher/spread.go
+++ b/internal/coordination/watcher/spread.go
@@ -3,6 +3,7 @@
 import (
 	"bytes"
 	"strings"
+	"time"
 
 	"github.com/lagoonpass/lagoonpass/internal/coordination/spreader"
 )
@@ -13,19 +14,17 @@
 // publish spreads a server's residency if this node owns the server and others
 // know something else. The version follows the one that is known, whoever
 // published it, so that a new owner is not outranked by the last one's entries.
-func (wt *Watcher) publish(tr *tracked, rs residency) {
+func (wt *Watcher) publish(now time.Time, tr *tracked, rs residency) {
 	if !tr.owned || wt.spreader == nil {
 		return
 	}
-	payload, full := rs.payload()
+	payload := rs.encode()
 	key := residencyPrefix + tr.server.Name()
 	held, known, ok := wt.spreader.Get(key)
-	if ok && bytes.Equal(known, payload) {
+	if ok && bytes.Equal(known, payload) || tr.spread != nil && wt.early(now, tr, rs) {
 		return
 	}
-	if !full {
-		wt.registry.Inc("residency", "truncated")
-	}
+	tr.publishedAt = now
 	next := spreader.Version{Epoch: held.Epoch + 1, Seq: 1}
 	if !held.Newer(tr.version) && tr.version.Epoch > 0 {
 		next = spreader.Version{Epoch: tr.version.Epoch, Seq: tr.version.Seq + 1}
@@ -35,6 +34,14 @@
 	wt.send(key, next, payload)
 }
 
+// early reports whether a change has to wait: those of adapters alone, which
+// are many and may be learned late, are spread at a rate that does not grow
+// with the number of servers.
+func (wt *Watcher) early(now time.Time, tr *tracked, rs residency) bool {
+	return rs.differsOnlyInAdapters(*tr.spread) &&
+		now.Sub(tr.publishedAt) < adapterInterval*time.Duration(len(wt.servers))
+}
+
 // send hands an entry to the spreader, whose subscribers take the lock.
 func (wt *Watcher) send(key string, vn spreader.Version, payload []byte) {
 	wt.polls.Go(func() { wt.spreader.Publish(key, vn, payload) })
@@ -92,7 +99,7 @@
 }
 
 func (wt *Watcher) depart(name string, tr *tracked) {
-	rp, ok := tr.compose()
+	rp, ok := tr.compose(wt.names)
 	if !ok || rp.BootID == "" || rp.BootID == tr.leavingBoot {
 		return
 	}
--- a/internal/coordination/watcher/watcher.go
+++ b/internal/coordination/watcher/watcher.go
@@ -10,7 +10,7 @@
 //
 //	ex := watcher.NewExchange(node)
 //	wt := watcher.New(watcher.WithExchange(ex), watcher.WithOwns(owns), watcher.WithSpreader(sp))
-//	go wt.Run(ctx, settings.BackendServers)
+//	go wt.Run(ctx, settings)
 //	replicas := wt.Snapshot().Replicas("route-summary")
 package watcher
 
@@ -37,7 +37,8 @@
 	Address string
 	// BootID changes when the engine's process does.
 	BootID string
-	// Models are the models that are ready, by name, with their versions.
+	// Models are the models that are ready, by name, with their versions; only
+	// the server's owner knows the versions.
 	Models map[string]string
 	// Running and Waiting count requests.
 	Running, Waiting int
@@ -94,6 +95,8 @@
 
 	mu         sync.Mutex
 	servers    map[string]*tracked
+	settings   *configurer.Settings
+	names      map[nameHash]string
 	began      time.Time
 	nextReview time.Time
 	changed    bool
@@ -180,7 +183,7 @@
 	wt.changed = false
 	sn := &Snapshot{reports: make(map[string]Report, len(wt.servers)), replicas: map[string][]string{}}
 	for name, tr := range wt.servers {
-		rp, ok := tr.compose()
+		rp, ok := tr.compose(wt.names)
 		if !ok {
 			continue
 		}
--- a/internal/protocol/messenger/load.go
+++ b/internal/protocol/messenger/load.go
@@ -54,8 +54,6 @@
 
 // LoadState is the load of one backend server as its owner knows it.
 type LoadState struct {
-	// Server is the backend server's name.
-	Server string
 	// Others counts the requests of all nodes but the asking one.
 	Others int
 	// Users counts the nodes that use the server, the asking one included.
@@ -68,7 +66,7 @@
 
 // LoadView answers a LoadDigest.
 type LoadView struct {
-	// States are the loads of the servers that the answering node owns.
+	// States are the loads of the servers that the digest named, in its order.
 	States []LoadState
 }
 
@@ -78,7 +76,7 @@
 // Encode implements Message.
 func (lv *LoadView) Encode(en *msgpack.Encoder) error {
 	return EncodeList(en, lv.States, func(en *msgpack.Encoder, ls LoadState) error {
-		return EncodeAll(en, ls.Server, ls.Others, ls.Users, ls.Leaving, ls.Age.Milliseconds())
+		return EncodeAll(en, ls.Others, ls.Users, ls.Leaving, ls.Age.Milliseconds())
 	})
 }
 
@@ -87,7 +85,7 @@
 	lv.States, err = DecodeList(de, func(de *msgpack.Decoder) (LoadState, error) {
 		var ls LoadState
 		var millis int64
-		err := DecodeAll(de, &ls.Server, &ls.Others, &ls.Users, &ls.Leaving, &millis)
+		err := DecodeAll(de, &ls.Others, &ls.Users, &ls.Leaving, &millis)
 		ls.Age = time.Duration(millis) * time.Millisecond
 		return ls, err
 	})
--- a/internal/runner/load.go
+++ b/internal/runner/load.go
@@ -49,12 +49,12 @@
 
 // watch polls servers until the context ends.
 func (nd *Node) watch(ctx context.Context) error {
-	return nd.watcher.Run(ctx, func() []*configurer.BackendServer {
+	return nd.watcher.Run(ctx, func() *configurer.Settings {
 		rv := nd.holder.Current()
 		if rv == nil {
 			return nil
 		}
-		return rv.Settings().BackendServers()
+		return rv.Settings()
 	})
 }
 
