Send bulk entries at least eight times and leaving ones in full

A third of the sends is four among four nodes, so that now and then a node missed an entry until checksums were compared, and polled the server itself. Bulk entries are sent eight times at least now. The test waits for the comparison first, as the fallback may be in use until then; it asserts the same.

--- a/internal/coordination/spreader/spreader.go
+++ b/internal/coordination/spreader/spreader.go
@@ -38,6 +38,9 @@
 	// bulkBytes is the length of a payload from which an entry is sent less
 	// often: comparing checksums finds what was missed.
 	bulkBytes = 32
+	// bulkSends is how often such an entry is sent at least, so that few nodes
+	// miss it until checksums are compared.
+	bulkSends = 8
 	// entryOverheadBytes is what the encoding adds to key and payload.
 	entryOverheadBytes = 16
 )
@@ -185,7 +188,7 @@
 // limit returns how often the entry is sent among that many members.
 func (en *entry) limit(members int) int {
 	if len(en.payload) > bulkBytes {
-		return Sends(members) / sendsPerDoubling
+		return max(Sends(members)/sendsPerDoubling, bulkSends)
 	}
 	return Sends(members)
 }
--- a/internal/coordination/watcher/poll.go
+++ b/internal/coordination/watcher/poll.go
@@ -246,6 +246,9 @@
 		wt.registry.Inc("residency", "truncated")
 	}
 	wt.publish(now, tr, rs)
+	if rp.Leaving && tr.owned {
+		wt.depart(tr.server.Name(), tr)
+	}
 }
 
 func (wt *Watcher) jitter(dn time.Duration) time.Duration {
--- a/internal/coordination/watcher/residency.go
+++ b/internal/coordination/watcher/residency.go
@@ -18,8 +18,8 @@
 const (
 	// residencyPrefix is followed by a server's name: what is ready there.
 	residencyPrefix = "server/"
-	// leavingPrefix is followed by a server's name: the boot that is leaving
-	// by the platform's list.
+	// leavingPrefix is followed by a server's name: the boot that is leaving.
+	// These entries are short, so that they are sent more often.
 	leavingPrefix = "leaving/"
 )
 
--- a/internal/coordination/watcher/watcher_test.go
+++ b/internal/coordination/watcher/watcher_test.go
@@ -15,7 +15,9 @@
 		fl := newFleet(t, 4, 18)
 		defer fl.end()
 		t.Logf("4 nodes know 18 servers after %v", fl.await(settled, fl.allKnown))
-		time.Sleep(5 * time.Second)
+		// Until checksums were compared, a node may have missed an entry and poll
+		// that server itself.
+		time.Sleep(time.Minute)
 		for name := range fl.servers {
 			fl.change(name, func(be *backend) { clear(be.readers) })
 		}
