Let prefill servers read long prompts and hand over their KV cache

Admission named a prefill server that the dispatcher never asked: long prompts of models with both roles ran plainly on decode servers. Now the dispatcher asks it to export, if both engine kinds transfer KV cache, and the decode server imports by handle. A failed export or import ends in a plain run.

--- a/internal/coordination/admitter/grant.go
+++ b/internal/coordination/admitter/grant.go
@@ -7,6 +7,7 @@
 	// done and priority belong to a grant that another admission made.
 	done     func(Result)
 	priority int
+	prefill  [2]string
 	// entry and admitter are set in the admitter's own grants.
 	entry    *Entry
 	admitter *Admitter
@@ -25,6 +26,12 @@
 	return gr
 }
 
+// WithPrefill sets the prefill server of a grant made by NewGrant.
+func (gr *Grant) WithPrefill(server, address string) *Grant {
+	gr.prefill = [2]string{server, address}
+	return gr
+}
+
 // Server returns the name of the backend server.
 func (gr *Grant) Server() string { return gr.server }
 
@@ -44,7 +51,10 @@
 // Prefill returns the server that should read the prompt and export its KV
 // cache, if the prompt is long and the model has servers for that role.
 func (gr *Grant) Prefill() (server, address string, ok bool) {
-	if gr.entry == nil || gr.entry.prefill == nil {
+	if gr.entry == nil {
+		return gr.prefill[0], gr.prefill[1], gr.prefill[0] != ""
+	}
+	if gr.entry.prefill == nil {
 		return "", "", false
 	}
 	return gr.entry.prefill.Name, gr.entry.prefill.Address, true
--- a/internal/coordination/dispatcher/attempt.go
+++ b/internal/coordination/dispatcher/attempt.go
@@ -38,6 +38,7 @@
 	watchdog *time.Timer
 	result   admitter.Result
 	priority int
+	handle   string
 }
 
 // attempt sends the request once. It returns nil if the answer is whole.
@@ -48,7 +49,10 @@
 	}
 	sn := &sending{execution: ex, server: gr.Server(), address: gr.Address(), priority: gr.Priority(), began: time.Now()}
 	resumed := ex.progress.begun()
-	fl = sn.send(ctx)
+	fl = sn.prefill(ctx, gr)
+	if fl == nil {
+		fl = sn.send(ctx)
+	}
 	sn.result.Failed = fl != nil && fl.blamesServer()
 	if fl == nil && !resumed {
 		// Only a whole answer from one server tells how long the model's
@@ -173,6 +177,9 @@
 	hd.Set("Content-Type", "application/json")
 	hd.Set("X-Request-Id", rq.ID)
 	hd.Set("X-Priority", strconv.Itoa(sn.priority))
+	if sn.handle != "" {
+		hd.Set(HeaderCacheHandle, sn.handle)
+	}
 	if sn.progress.begun() {
 		sn.ds.registry.Inc("stream", "resumed")
 		hd.Set(HeaderResumeFrom, strconv.Itoa(sn.progress.next))
--- a/internal/coordination/dispatcher/dispatcher_test.go
+++ b/internal/coordination/dispatcher/dispatcher_test.go
@@ -367,3 +367,35 @@
 		require.Equal(t, []string{"first", "owed", "later"}, ended)
 	})
 }
+
+// TestPromptIsReadByThePrefillServer runs a request whose grant names a prefill
+// server, which works, is down, or exports what cannot be imported.
+func TestPromptIsReadByThePrefillServer(t *testing.T) {
+	for name, tc := range map[string]struct {
+		fault            func(prefill, decode *engine.Engine)
+		exports, imports int
+	}{
+		"exported and imported":  {func(_, _ *engine.Engine) {}, 1, 1},
+		"import fails":           {func(_, decode *engine.Engine) { decode.FailImports(true) }, 1, 0},
+		"prefill server is down": {func(prefill, _ *engine.Engine) { prefill.SetDown(true) }, 0, 0},
+	} {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				rg := newRig(t, 2, "yes")
+				defer rg.stop()
+				rg.prefill = "w2"
+				decode, prefill := rg.engines["w1"], rg.engines["w2"]
+				tc.fault(prefill, decode)
+				wr, rf := rg.run(rg.request("A", 5, true, ""))
+				require.Nil(t, rf)
+				text, whole := streamText(t, wr)
+				require.True(t, whole)
+				require.Equal(t, wantText("A", 0, 5), text)
+				exports, _ := prefill.Transfers()
+				_, imports := decode.Transfers()
+				require.Equal(t, []int{tc.exports, tc.imports}, []int{exports, imports})
+				require.Zero(t, prefill.Runs("A"))
+			})
+		})
+	}
+}
--- a/internal/coordination/dispatcher/rig_test.go
+++ b/internal/coordination/dispatcher/rig_test.go
@@ -43,6 +43,7 @@
 [engine-kind.k]
 checks-fencing = yes
 resumes = %s
+transfers-cache = yes
 `
 
 // rig is a dispatcher before stand-in engines, connected by pipes.
@@ -64,6 +65,7 @@
 	tickets  []admitter.Ticket
 	results  []admitter.Result
 	priority int
+	prefill  string
 }
 
 func newRig(t require.TestingT, servers int, resumes string, opts ...engine.Option) *rig {
@@ -136,6 +138,9 @@
 			rg.open--
 			rg.results = append(rg.results, rs)
 		})
+		if rg.prefill != "" {
+			gr.WithPrefill(rg.prefill, rg.prefill+":80")
+		}
 		return gr.WithPriority(rg.priority), nil
 	}
 	return nil, refuser.New(refuser.NoWorker, "none left")
--- a/internal/standin/engine/engine.go
+++ b/internal/standin/engine/engine.go
@@ -48,9 +48,10 @@
 	runs        map[string]int
 
 	faults
-	queue   queue
-	reports reporter
-	cache   prefixCache
+	queue     queue
+	reports   reporter
+	cache     prefixCache
+	transfers transfers
 }
 
 // loaded is a model that holds memory.
@@ -112,6 +113,7 @@
 	mux.HandleFunc("POST /v1/chat/completions", eg.serveCompletion)
 	mux.HandleFunc("POST /v1/completions", eg.serveCompletion)
 	mux.HandleFunc("POST /control/orders", eg.serveOrder)
+	mux.HandleFunc("POST /control/export", eg.serveExport)
 	mux.HandleFunc("GET /control/report", eg.serveReport)
 	return http.HandlerFunc(func(wr http.ResponseWriter, rq *http.Request) {
 		if eg.isDown() {
--- a/internal/standin/engine/generate.go
+++ b/internal/standin/engine/generate.go
@@ -63,7 +63,7 @@
 	}
 	eg.countRun(gn.id)
 	eg.crashIfMarked(string(body))
-	if !eg.pause(rq, eg.prefillTime(&call)) {
+	if !eg.imports(rq) && !eg.pause(rq, eg.prefillTime(&call)) {
 		return
 	}
 	if call.Stream {
