Add the operators' commands and their endpoints

check, apply, diff, show, history, settings, status and drain print text or JSON, with documented exit codes and golden files. apply prints every fault, and for a race every key that changed; it also refuses settings whose models cannot be placed, which it did not before. /v1/status, /v1/counters and /v1/drain want the key of a caller with operator = yes; before, anyone could read /v1/status.

--- a/internal/commander/apply.go
+++ b/internal/commander/apply.go
@@ -3,27 +3,23 @@
 import (
 	"context"
 	"flag"
-	"fmt"
 	"os/user"
 
 	"github.com/go-faster/errors"
 	"github.com/google/subcommands"
 
+	"github.com/lagoonpass/lagoonpass/internal/coordination/planner"
 	"github.com/lagoonpass/lagoonpass/internal/coordination/publisher"
 	"github.com/lagoonpass/lagoonpass/internal/state/configurer"
 	"github.com/lagoonpass/lagoonpass/internal/state/storer"
 )
 
-// defaultStore is where the stand-in platform listens.
-const defaultStore = "http://127.0.0.1:2379"
-
-// latest asks for the revision in the store as the base of a new one.
-const latest = -1
-
 // applyCommand writes a folder of settings as a new revision.
 type applyCommand struct {
-	store string
-	base  int64
+	storeFlag
+	outputFlag
+	base   int64
+	author string
 }
 
 // Name implements subcommands.Command.
@@ -33,41 +29,100 @@
 func (*applyCommand) Synopsis() string { return "put a folder of settings in force" }
 
 // Usage implements subcommands.Command.
-func (*applyCommand) Usage() string { return "apply [-store URL] [-base REVISION] FOLDER\n" }
+func (*applyCommand) Usage() string {
+	return "apply [-store URL] [-base REVISION] [-author NAME] [-output text|json] FOLDER\n"
+}
 
 // SetFlags implements subcommands.Command.
 func (ac *applyCommand) SetFlags(fs *flag.FlagSet) {
-	fs.StringVar(&ac.store, "store", defaultStore, "base URL of the platform's store")
+	ac.setStore(fs)
+	ac.setOutput(fs)
 	fs.Int64Var(&ac.base, "base", latest, "revision that the change was made from; -1 for the latest")
+	fs.StringVar(&ac.author, "author", author(), "who the history names")
 }
 
 // Execute implements subcommands.Command.
 func (ac *applyCommand) Execute(ctx context.Context, fs *flag.FlagSet, _ ...any) subcommands.ExitStatus {
-	if fs.NArg() != 1 {
-		return complain(subcommands.ExitUsageError, "apply wants one folder")
+	if fs.NArg() != 1 || !ac.valid() {
+		return misuse(ac)
 	}
 	files, err := configurer.Files(fs.Arg(0))
 	if err != nil {
-		return complain(subcommands.ExitFailure, "%v", err)
+		return ac.fail(subcommands.ExitFailure, err)
 	}
-	st := storer.NewClient(ac.store)
+	if faults := verify(files); len(faults) > 0 {
+		return ac.explain(&publisher.InvalidError{Faults: faults})
+	}
+	st := ac.client()
 	base, err := ac.findBase(ctx, st)
 	if err != nil {
-		return complain(ExitUnreachable, "%v", err)
+		return ac.fail(storeCode(err), err)
 	}
-	rv, err := publisher.Apply(ctx, st, files, author(), base)
-	switch {
-	case errors.Is(err, publisher.ErrRaced):
-		return complain(ExitRaced, "%v", err)
-	case errors.Is(err, publisher.ErrInvalid):
-		return complain(ExitFaults, "%v", err)
-	case err != nil:
-		return complain(ExitUnreachable, "%v", err)
-	}
-	fmt.Printf("revision %d applied\n", rv.Number())
+	rv, err := publisher.Apply(ctx, st, files, ac.author, base)
+	if err != nil {
+		return ac.explain(err)
+	}
+	if ac.json() {
+		printJSON(map[string]any{"revision": rv.Number(), "author": rv.Author(), "hash": rv.Hash()})
+		return subcommands.ExitSuccess
+	}
+	printf("revision %d applied\n", rv.Number())
 	return subcommands.ExitSuccess
 }
 
+// explain prints why a revision was not applied, as far as that is known.
+func (ac *applyCommand) explain(err error) subcommands.ExitStatus {
+	var invalid *publisher.InvalidError
+	var race *publisher.RacedError
+	switch {
+	case errors.As(err, &invalid):
+		return ac.explainFaults(invalid)
+	case errors.As(err, &race):
+		return ac.explainRace(race)
+	case errors.Is(err, publisher.ErrUnsettled):
+		return ac.fail(ExitUnsettled, errors.Wrap(err, "look at history before you apply again"))
+	default:
+		return ac.fail(ExitUnreachable, err)
+	}
+}
+
+func (ac *applyCommand) explainFaults(er *publisher.InvalidError) subcommands.ExitStatus {
+	if ac.json() {
+		printJSON(map[string]any{"error": "invalid", "faults": faultFields(er.Faults)})
+	}
+	for _, ft := range er.Faults {
+		complain(ExitFaults, "%s", ft.Error())
+	}
+	return complain(ExitFaults, "%d faults; nothing was applied", len(er.Faults))
+}
+
+func (ac *applyCommand) explainRace(er *publisher.RacedError) subcommands.ExitStatus {
+	if ac.json() {
+		printJSON(map[string]any{
+			"error":    "raced",
+			"base":     er.Base,
+			"revision": er.Number,
+			"author":   er.Author,
+			"changes":  changeFields(er.Changes),
+		})
+	}
+	complain(ExitRaced, "%v; nothing was applied", er)
+	for _, ch := range er.Changes {
+		complain(ExitRaced, "%s", ch)
+	}
+	return ExitRaced
+}
+
+// verify returns the faults of the files, or, if there are none, what makes
+// their models impossible to place.
+func verify(files []configurer.File) []configurer.Fault {
+	st, faults := configurer.Parse(files)
+	if st == nil {
+		return faults
+	}
+	return planner.Verify(st)
+}
+
 func (ac *applyCommand) findBase(ctx context.Context, st storer.Store) (int64, error) {
 	if ac.base != latest {
 		return ac.base, nil
--- a/internal/commander/check.go
+++ b/internal/commander/check.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"flag"
-	"fmt"
 
 	"github.com/google/subcommands"
 
@@ -12,7 +11,9 @@
 )
 
 // checkCommand checks a folder of settings.
-type checkCommand struct{}
+type checkCommand struct {
+	outputFlag
+}
 
 // Name implements subcommands.Command.
 func (*checkCommand) Name() string { return "check" }
@@ -21,30 +22,40 @@
 func (*checkCommand) Synopsis() string { return "check a folder of settings" }
 
 // Usage implements subcommands.Command.
-func (*checkCommand) Usage() string { return "check FOLDER\n" }
+func (*checkCommand) Usage() string { return "check [-output text|json] FOLDER\n" }
 
 // SetFlags implements subcommands.Command.
-func (*checkCommand) SetFlags(*flag.FlagSet) {}
+func (cc *checkCommand) SetFlags(fs *flag.FlagSet) { cc.setOutput(fs) }
 
 // Execute implements subcommands.Command.
-func (*checkCommand) Execute(_ context.Context, fs *flag.FlagSet, _ ...any) subcommands.ExitStatus {
-	if fs.NArg() != 1 {
-		return complain(subcommands.ExitUsageError, "check wants one folder")
+func (cc *checkCommand) Execute(_ context.Context, fs *flag.FlagSet, _ ...any) subcommands.ExitStatus {
+	if fs.NArg() != 1 || !cc.valid() {
+		return misuse(cc)
 	}
 	st, faults, err := configurer.ReadFolder(fs.Arg(0))
 	if err != nil {
-		return complain(subcommands.ExitFailure, "%v", err)
+		return cc.fail(subcommands.ExitFailure, err)
 	}
 	if st != nil {
 		faults = planner.Verify(st)
 	}
-	for _, ft := range faults {
-		fmt.Println(ft.Error())
-	}
+	cc.print(fs.Arg(0), st, faults)
 	if len(faults) > 0 {
 		return ExitFaults
 	}
-	fmt.Printf("%s: %d models, %d adapters, %d backend servers, %d callers: no fault\n",
-		fs.Arg(0), len(st.Models()), len(st.Adapters()), len(st.BackendServers()), len(st.Callers()))
 	return subcommands.ExitSuccess
 }
+
+func (cc *checkCommand) print(folder string, st *configurer.Settings, faults []configurer.Fault) {
+	if cc.json() {
+		printJSON(map[string]any{"faults": faultFields(faults)})
+		return
+	}
+	for _, ft := range faults {
+		printf("%s\n", ft.Error())
+	}
+	if len(faults) == 0 {
+		printf("%s: %d models, %d adapters, %d backend servers, %d callers: no fault\n",
+			folder, len(st.Models()), len(st.Adapters()), len(st.BackendServers()), len(st.Callers()))
+	}
+}
--- a/internal/commander/commander.go
+++ b/internal/commander/commander.go
@@ -5,12 +5,13 @@
 //	commander.Register(subcommands.DefaultCommander)
 //	os.Exit(int(subcommands.Execute(ctx)))
 //
-// Every command ends with one of the exit codes below.
+// Every command ends with one of the exit codes below. With -output json a
+// command prints one JSON value on the standard output, also when it fails;
+// messages for people go to the standard error.
 package commander
 
 import (
 	"fmt"
-	"os"
 
 	"github.com/google/subcommands"
 )
@@ -26,6 +27,10 @@
 	ExitUnreachable subcommands.ExitStatus = 5
 	// ExitInvariant means that a promise was broken in a run.
 	ExitInvariant subcommands.ExitStatus = 6
+	// ExitUnsettled means that a revision may or may not have been applied.
+	ExitUnsettled subcommands.ExitStatus = 7
+	// ExitDiffers means that a folder differs from the revision.
+	ExitDiffers subcommands.ExitStatus = 8
 )
 
 // Register adds all commands to cm.
@@ -35,6 +40,12 @@
 	cm.Register(cm.CommandsCommand(), "")
 	cm.Register(&checkCommand{}, "settings")
 	cm.Register(&applyCommand{}, "settings")
+	cm.Register(&diffCommand{}, "settings")
+	cm.Register(&showCommand{}, "settings")
+	cm.Register(&historyCommand{}, "settings")
+	cm.Register(&settingsCommand{}, "settings")
+	cm.Register(&statusCommand{}, "entry nodes")
+	cm.Register(&drainCommand{}, "entry nodes")
 	cm.Register(&jobsCommand{}, "requests")
 	cm.Register(&demoCommand{}, "trying out")
 	cm.Register(&standinCommand{}, "trying out")
@@ -42,6 +53,6 @@
 
 // complain prints an error for people and returns the exit code.
 func complain(code subcommands.ExitStatus, format string, args ...any) subcommands.ExitStatus {
-	fmt.Fprintf(os.Stderr, "lagoonpass: "+format+"\n", args...)
+	_, _ = fmt.Fprintf(stderr, "lagoonpass: "+format+"\n", args...)
 	return code
 }
--- /dev/null
+++ b/internal/commander/commander_test.go
@@ -0,0 +1,206 @@
+package commander
+
+import (
+	"bytes"
+	"context"
+	"flag"
+	"fmt"
+	"net/http"
+	"net/http/httptest"
+	"os"
+	"path/filepath"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/google/subcommands"
+	"github.com/stretchr/testify/require"
+
+	"github.com/lagoonpass/lagoonpass/internal/standin/platform"
+)
+
+var update = flag.Bool("update", false, "write the golden files anew")
+
+const (
+	oldText = `[model.m]
+memory = 1GiB
+[class.c]
+rank = 0
+[engine-kind.k]
+[backend-server.w]
+kind = k
+address = 127.0.0.1:1
+zone = z
+memory = 2GiB
+[backend-server.v]
+kind = k
+address = 127.0.0.1:2
+zone = y
+memory = 2GiB
+[caller.t]
+key-sha256 = 9f86d081884c7d659a2feaa0c55ad015a3bf4f1b2b0b822cd15d6c15b0f00a08
+`
+	newText    = "[limits]\nqueue-requests = 10\n"
+	faultyText = "[model.m]\nmemroy = 1GiB\nversion = two words\n[modle.x]\n"
+	largeText  = "[model.m]\nmemory = 3GiB\n"
+)
+
+// folder writes settings files whose names begin with their places.
+func folder(t *testing.T, texts ...string) string {
+	dir := filepath.Join(t.TempDir(), "settings")
+	require.NoError(t, os.Mkdir(dir, 0o755))
+	for ix, text := range texts {
+		name := filepath.Join(dir, fmt.Sprintf("%d.ini", ix+1))
+		require.NoError(t, os.WriteFile(name, []byte(text), 0o600))
+	}
+	return dir
+}
+
+// run executes one command line and returns what it printed and its exit code.
+func run(args ...string) string {
+	var out, errs bytes.Buffer
+	oldOut, oldErr := stdout, stderr
+	stdout, stderr = &out, &errs
+	defer func() { stdout, stderr = oldOut, oldErr }()
+	fs := flag.NewFlagSet("lagoonpass", flag.ContinueOnError)
+	cm := subcommands.NewCommander(fs, "lagoonpass")
+	Register(cm)
+	_ = fs.Parse(args)
+	code := cm.Execute(context.Background())
+	return fmt.Sprintf("exit %d\n--- stdout\n%s--- stderr\n%s", code, out.String(), errs.String())
+}
+
+// requireGolden compares with a golden file after the replacements.
+func requireGolden(t *testing.T, name, got string, replacements ...string) {
+	got = strings.NewReplacer(replacements...).Replace(got)
+	path := filepath.Join("testdata", name+".golden")
+	if *update {
+		require.NoError(t, os.WriteFile(path, []byte(got), 0o600))
+	}
+	want, err := os.ReadFile(path)
+	require.NoError(t, err)
+	require.Equal(t, string(want), got, "run go test ./internal/commander -update")
+}
+
+func TestSettingsCommandsPrintWhatTheGoldenFilesHold(t *testing.T) {
+	store := platform.NewMemory()
+	web := httptest.NewServer(platform.Handler(store, func() []platform.VM { return nil }))
+	defer web.Close()
+	old, changed := folder(t, oldText), folder(t, oldText, newText)
+	faulty, large := folder(t, oldText, faultyText), folder(t, oldText, largeText)
+	written := filepath.Join(t.TempDir(), "written")
+	for _, tc := range []struct{ name, line string }{
+		{"history-none", "history"},
+		{"check-good", "check OLD"},
+		{"check-faults", "check FAULTY"},
+		{"check-arithmetic", "check LARGE"},
+		{"check-missing", "check /nowhere"},
+		{"apply-faults", "apply FAULTY"},
+		{"apply-arithmetic", "apply LARGE"},
+		{"apply-first", "apply -author ann OLD"},
+		{"diff", "diff NEW"},
+		{"apply-second", "apply -author ben -base 1 NEW"},
+		{"apply-raced", "apply -author ann -base 1 OLD"},
+		{"diff-same", "diff NEW"},
+		{"show", "show"},
+		{"show-old", "show -revision 1"},
+		{"show-gone", "show -revision 9"},
+		{"show-folder", "show -revision 1 -folder WRITTEN"},
+		{"apply-back", "apply -author ann WRITTEN"},
+		{"history", "history"},
+		{"usage", "diff OLD NEW"},
+	} {
+		for _, output := range []string{"text", "json"} {
+			words := strings.Fields(strings.NewReplacer("OLD", old, "NEW", changed, "FAULTY", faulty, "LARGE", large, "WRITTEN", written).Replace(tc.line))
+			if output == "json" && (tc.name == "apply-first" || tc.name == "apply-second" || tc.name == "show-folder") {
+				continue // It would be another revision, or another folder.
+			}
+			args := append([]string{words[0], "-output", output}, words[1:]...)
+			if words[0] != "check" {
+				args = append([]string{words[0], "-store", web.URL}, args[1:]...)
+			}
+			requireGolden(t, tc.name+"-"+output, run(args...), old, "OLD", web.URL, "STORE")
+		}
+	}
+	store.SetDown(true)
+	require.Contains(t, run("history", "-store", web.URL), "exit 5\n")
+}
+
+// standinNode is an entry node that knows three members, of which the last is
+// dead and, if cut is set, the second does not answer.
+func standinNode(t *testing.T, cut bool) (address string, drained *[]string) {
+	drained = &[]string{}
+	mux := http.NewServeMux()
+	web := httptest.NewServer(mux)
+	t.Cleanup(web.Close)
+	address = web.Listener.Addr().String()
+	second := address
+	if cut {
+		gone := httptest.NewServer(http.NotFoundHandler())
+		second = gone.Listener.Addr().String()
+		gone.Close()
+	}
+	mux.HandleFunc("/", func(wr http.ResponseWriter, rq *http.Request) {
+		if rq.Header.Get("Authorization") != "Bearer secret" {
+			wr.WriteHeader(http.StatusUnauthorized)
+			_, _ = wr.Write([]byte(`{"error":{"reason":"bad-credentials","outcome":"not-run","message":"no such key"}}`))
+			return
+		}
+		switch rq.Method + " " + rq.URL.Path {
+		case "GET /v1/status":
+			_, _ = fmt.Fprintf(wr, `{"id":"n1","revision":7,"corrupt-configuration":1,"stale":false,"in-flight":3,"members":[
+				{"id":"n2","zone":"b","region":"r","state":"suspect","revision":6,"caller-address":%q},
+				{"id":"n1","zone":"a","region":"r","state":"alive","revision":7,"caller-address":%q},
+				{"id":"n3","zone":"a","region":"r","state":"dead","revision":5,"caller-address":"127.0.0.1:1"}]}`, second, address)
+		case "GET /v1/counters":
+			_, _ = wr.Write([]byte(`{"id":"n1","counters":{"refusal.queue-full":2,"retry.backend-failed":1}}`))
+		case "POST /v1/drain":
+			*drained = append(*drained, rq.Host)
+			wr.WriteHeader(http.StatusAccepted)
+			_, _ = wr.Write([]byte(`{"id":"n1","leaving":true}`))
+		case "GET /v1/jobs":
+			_, _ = wr.Write([]byte(`{"jobs":[{"id":"j1","state":"done","path":"/p","created":"2026-01-01T00:00:00Z","attempts":1}],"next":"j1"}`))
+		}
+	})
+	return address, drained
+}
+
+func TestNodeCommandsPrintWhatTheGoldenFilesHold(t *testing.T) {
+	t.Setenv(keyVariable, "secret")
+	whole, drained := standinNode(t, false)
+	part, _ := standinNode(t, true)
+	for _, tc := range []struct{ name, node, line string }{
+		{"status", whole, "status -counters"},
+		{"status-wrong-key", whole, "status -key wrong"},
+		{"drain", whole, "drain n1"},
+		{"drain-unknown", whole, "drain n9"},
+		{"drain-server", whole, "drain -server w1"},
+		{"jobs", whole, "jobs list"},
+	} {
+		for _, output := range []string{"text", "json"} {
+			words := strings.Fields(tc.line)
+			args := append([]string{words[0], "-node", tc.node, "-output", output}, words[1:]...)
+			requireGolden(t, tc.name+"-"+output, run(args...), tc.node, "NODE")
+		}
+	}
+	require.Equal(t, []string{whole, whole}, *drained)
+	got := run("status", "-node", part)
+	require.Contains(t, got, "exit 5\n")
+	require.Contains(t, got, "n2               b          r          suspect         -")
+}
+
+func TestNodeThatIsNotReachedEndsWithItsOwnExitCode(t *testing.T) {
+	gone := httptest.NewServer(http.NotFoundHandler())
+	gone.Close()
+	for _, command := range []string{"status", "drain", "jobs"} {
+		args := map[string][]string{"drain": {"n1"}, "jobs": {"list"}}[command]
+		ended := make(chan string, 1)
+		go func() { ended <- run(append([]string{command, "-node", gone.Listener.Addr().String()}, args...)...) }()
+		select {
+		case got := <-ended:
+			require.Contains(t, got, "exit 5\n")
+		case <-time.After(time.Minute):
+			t.Fatal(command)
+		}
+	}
+}
--- /dev/null
+++ b/internal/commander/history.go
@@ -0,0 +1,61 @@
+package commander
+
+import (
+	"context"
+	"flag"
+
+	"github.com/google/subcommands"
+
+	"github.com/lagoonpass/lagoonpass/internal/coordination/publisher"
+)
+
+// shortHash is how many digits of a hash are shown to people.
+const shortHash = 12
+
+// historyCommand lists the revisions that the store keeps.
+type historyCommand struct {
+	storeFlag
+	outputFlag
+}
+
+// Name implements subcommands.Command.
+func (*historyCommand) Name() string { return "history" }
+
+// Synopsis implements subcommands.Command.
+func (*historyCommand) Synopsis() string { return "list the revisions that are kept, the latest first" }
+
+// Usage implements subcommands.Command.
+func (*historyCommand) Usage() string { return "history [-store URL] [-output text|json]\n" }
+
+// SetFlags implements subcommands.Command.
+func (hc *historyCommand) SetFlags(fs *flag.FlagSet) {
+	hc.setStore(fs)
+	hc.setOutput(fs)
+}
+
+// Execute implements subcommands.Command.
+func (hc *historyCommand) Execute(ctx context.Context, fs *flag.FlagSet, _ ...any) subcommands.ExitStatus {
+	if fs.NArg() != 0 || !hc.valid() {
+		return misuse(hc)
+	}
+	lines, err := publisher.History(ctx, hc.client())
+	if err != nil {
+		return hc.fail(storeCode(err), err)
+	}
+	hc.print(lines)
+	return subcommands.ExitSuccess
+}
+
+func (hc *historyCommand) print(lines []publisher.Summary) {
+	if hc.json() {
+		list := []map[string]any{}
+		for _, sm := range lines {
+			list = append(list, map[string]any{"revision": sm.Number, "author": sm.Author, "hash": sm.Hash})
+		}
+		printJSON(map[string]any{"revisions": list})
+		return
+	}
+	for _, sm := range lines {
+		printf("%6d  %.*s  %s\n", sm.Number, shortHash, sm.Hash, sm.Author)
+	}
+}
--- /dev/null
+++ b/internal/commander/show.go
@@ -0,0 +1,98 @@
+package commander
+
+import (
+	"context"
+	"flag"
+	"os"
+	"path/filepath"
+
+	"github.com/go-faster/errors"
+	"github.com/google/subcommands"
+
+	"github.com/lagoonpass/lagoonpass/internal/coordination/publisher"
+	"github.com/lagoonpass/lagoonpass/internal/state/configurer"
+)
+
+// Permissions of the files that show writes.
+const (
+	folderMode = 0o755
+	fileMode   = 0o644
+)
+
+// showCommand prints the settings files of a revision.
+type showCommand struct {
+	storeFlag
+	outputFlag
+	revision int64
+	folder   string
+}
+
+// Name implements subcommands.Command.
+func (*showCommand) Name() string { return "show" }
+
+// Synopsis implements subcommands.Command.
+func (*showCommand) Synopsis() string { return "print or write the settings files of a revision" }
+
+// Usage implements subcommands.Command.
+func (*showCommand) Usage() string {
+	return "show [-store URL] [-revision N] [-folder NEW-FOLDER] [-output text|json]\n"
+}
+
+// SetFlags implements subcommands.Command.
+func (sc *showCommand) SetFlags(fs *flag.FlagSet) {
+	sc.setStore(fs)
+	sc.setOutput(fs)
+	fs.Int64Var(&sc.revision, "revision", latest, "revision to show; -1 for the latest")
+	fs.StringVar(&sc.folder, "folder", "", "write the files into this new folder, from which they can be applied")
+}
+
+// Execute implements subcommands.Command.
+func (sc *showCommand) Execute(ctx context.Context, fs *flag.FlagSet, _ ...any) subcommands.ExitStatus {
+	if fs.NArg() != 0 || !sc.valid() {
+		return misuse(sc)
+	}
+	rv, err := sc.load(ctx, sc.revision)
+	if err != nil {
+		return sc.fail(storeCode(err), err)
+	}
+	if sc.folder == "" {
+		sc.print(rv)
+		return subcommands.ExitSuccess
+	}
+	if err := writeFiles(sc.folder, rv.Files()); err != nil {
+		return sc.fail(subcommands.ExitFailure, err)
+	}
+	return subcommands.ExitSuccess
+}
+
+func (sc *showCommand) print(rv *publisher.Revision) {
+	if sc.json() {
+		files := []map[string]any{}
+		for _, fl := range rv.Files() {
+			files = append(files, map[string]any{"name": fl.Name, "text": fl.Text})
+		}
+		printJSON(map[string]any{"revision": rv.Number(), "author": rv.Author(), "hash": rv.Hash(), "files": files})
+		return
+	}
+	printf("; revision %d by %s\n", rv.Number(), rv.Author())
+	for _, fl := range rv.Files() {
+		printf("\n; file %s\n%s", fl.Name, fl.Text)
+	}
+}
+
+// writeFiles writes into a folder that must not exist, so that no other file
+// is applied along with them.
+func writeFiles(folder string, files []configurer.File) error {
+	if err := os.Mkdir(folder, folderMode); err != nil {
+		return errors.Wrap(err, "make folder")
+	}
+	for _, fl := range files {
+		if fl.Name != filepath.Base(fl.Name) {
+			return errors.Errorf("file name %q leads out of the folder", fl.Name)
+		}
+		if err := os.WriteFile(filepath.Join(folder, fl.Name), []byte(fl.Text), fileMode); err != nil {
+			return errors.Wrap(err, "write settings file")
+		}
+	}
+	return nil
+}
--- a/internal/runner/runner.go
+++ b/internal/runner/runner.go
@@ -67,6 +67,7 @@
 	aborted   chan struct{}
 	abortOnce sync.Once
 	records
+	*drainer
 }
 
 // Option changes a Node that is being made.
@@ -94,6 +95,7 @@
 		pause:    time.After,
 		drained:  make(chan struct{}),
 		aborted:  make(chan struct{}),
+		drainer:  newDrainer(),
 	}
 	nd.watcher = watcher.New(watcher.WithExchange(nd.exchange))
 	for _, opt := range opts {
@@ -141,6 +143,7 @@
 		Zone:       nd.identity.Zone(),
 		Registry:   nd.registry,
 		Leaving:    nd.leaving.Load,
+		Drain:      nd.Drain,
 	})
 	return nd.server
 }
@@ -211,7 +214,10 @@
 func (nd *Node) addContext(ctx context.Context, gr *run.Group) {
 	ctx, cancel := context.WithCancel(ctx)
 	gr.Add(func() error {
-		<-ctx.Done()
+		select {
+		case <-ctx.Done():
+		case <-nd.requested:
+		}
 		nd.leaving.Store(true)
 		nd.leaveMembership()
 		nd.shutdown()
--- a/internal/server/addresses.go
+++ b/internal/server/addresses.go
@@ -139,22 +139,3 @@
 func jitterLifetime(lifetime time.Duration, draw float64) time.Duration {
 	return time.Duration(float64(lifetime) * (1 - lifetimeJitter + 2*lifetimeJitter*draw))
 }
-
-func (sv *Server) status(ec echo.Context) error {
-	members := []map[string]any{}
-	for _, mb := range sv.View().Members() {
-		members = append(members, map[string]any{
-			"id":       mb.ID,
-			"zone":     mb.Zone,
-			"region":   mb.Region,
-			"state":    mb.State.String(),
-			"revision": mb.Revision,
-		})
-	}
-	return ec.JSON(http.StatusOK, map[string]any{
-		"revision":              sv.Holder.Number(),
-		"corrupt-configuration": sv.Holder.Corrupt(),
-		"stale":                 sv.View().Stale(),
-		"members":               members,
-	})
-}
--- a/internal/server/server.go
+++ b/internal/server/server.go
@@ -45,6 +45,8 @@
 	Registry *counter.Registry
 	// Leaving reports whether a planned stop has begun; nil means never.
 	Leaving func() bool
+	// Drain begins a planned stop; nil means that it cannot be asked for.
+	Drain func()
 }
 
 // Server serves callers and operators.
@@ -86,7 +88,7 @@
 	sv.echo.Any("/services/:service/*", sv.callService)
 	sv.jobRoutes()
 	sv.echo.GET("/v1/addresses", sv.listAddresses)
-	sv.echo.GET("/v1/status", sv.status)
+	sv.operatorRoutes()
 }
 
 // handleError writes every error as a refusal of the closed list.
--- a/internal/state/configurer/domain.go
+++ b/internal/state/configurer/domain.go
@@ -57,6 +57,7 @@
 	quota        float64
 	burst        int
 	defaultClass string
+	operator     bool
 }
 
 // KeyHash returns the lower-case hexadecimal SHA-256 of the caller's API key.
@@ -83,6 +84,10 @@
 // DefaultClass returns the class of requests that name none.
 func (cr *Caller) DefaultClass() string { return cr.defaultClass }
 
+// Operator reports whether the caller may read the state of nodes and drain
+// them.
+func (cr *Caller) Operator() bool { return cr.operator }
+
 // Class is a priority class with its targets.
 type Class struct {
 	named
--- a/internal/state/configurer/schema.go
+++ b/internal/state/configurer/schema.go
@@ -52,6 +52,7 @@
 		floatKey("quota", "1000", 0.001, 1e6, "requests a second over all nodes", func(cr *Caller) *float64 { return &cr.quota }),
 		intKey("burst", "200", 1, 1000000, "requests at once over all nodes", func(cr *Caller) *int { return &cr.burst }),
 		textKey("default-class", "", "class of requests that name none", func(cr *Caller) *string { return &cr.defaultClass }),
+		boolKey("operator", "no", "may read the state and counters of nodes and drain them", func(cr *Caller) *bool { return &cr.operator }),
 	)
 }
 
