Serve callers by TLS and entry nodes by mutual TLS

TLS 1.3 from the [tls] section of a node's settings. Files that change are read again at a handshake, at most every 10 s; a pair that cannot be read leaves the former one in use, and at the start it stops the node. Faults of node.ini are listed all at once with the nearest known name. Request heads are bounded to 64 KiB.

--- a/internal/runner/runner.go
+++ b/internal/runner/runner.go
@@ -40,9 +40,17 @@
 	"github.com/lagoonpass/lagoonpass/internal/transport/forwarder"
 )
 
+const (
+	// headTimeout bounds the time in which a caller sends the head of a request.
+	headTimeout = 10 * time.Second
+	// headBytes bounds the head of a request.
+	headBytes = 64 << 10
+)
+
 // Node is one entry node.
 type Node struct {
 	identity  *identifier.Node
+	security  *security
 	registry  *counter.Registry
 	store     storer.Store
 	meter     *storer.Meter
@@ -85,12 +93,17 @@
 
 // New opens the node's listeners and returns it ready to run.
 func New(id *identifier.Node, opts ...Option) (*Node, error) {
+	sc, err := newSecurity(id, time.Now)
+	if err != nil {
+		return nil, err
+	}
 	nd := &Node{
 		identity: id,
+		security: sc,
 		registry: counter.NewRegistry(),
 		store:    storer.NewClient(id.Store()),
 		holder:   publisher.NewHolder(),
-		pool:     messenger.NewPool(),
+		pool:     sc.newPool(),
 		exchange: watcher.NewExchange(id.ID()),
 		pause:    time.After,
 		drained:  make(chan struct{}),
@@ -115,7 +128,7 @@
 		nd.prober.View, nd.pool, nd.prober.Spreader(), publisher.WithRegistry(nd.registry))
 	nd.buildRecords()
 	nd.peers = messenger.NewServer(messenger.HandlerFunc(nd.handlePeer))
-	nd.web = &http.Server{Handler: nd.buildServer(), ReadHeaderTimeout: 10 * time.Second}
+	nd.web = &http.Server{Handler: nd.buildServer(), ReadHeaderTimeout: headTimeout, MaxHeaderBytes: headBytes}
 	return nd, nil
 }
 
@@ -168,6 +181,8 @@
 		_ = nd.callerNet.Close()
 		return errors.Wrap(err, "listen for peers")
 	}
+	nd.callerNet = wrap(nd.callerNet, nd.security.callers)
+	nd.peerNet = wrap(nd.peerNet, nd.security.peers)
 	return nil
 }
 
--- a/internal/state/configurer/read.go
+++ b/internal/state/configurer/read.go
@@ -106,7 +106,7 @@
 		rd.faults = append(rd.faults, syntaxFault(fl))
 		return
 	}
-	lines := indexLines(fl.Text)
+	lines := Lines(fl.Text)
 	rd.rejectRepeats(fl)
 	for _, sc := range doc.Sections() {
 		if sc.Name() == ini.DefaultSection && len(sc.Keys()) == 0 {
@@ -169,8 +169,8 @@
 	}
 }
 
-// indexLines returns the line of each section and of each "section\nkey".
-func indexLines(text string) map[string]int {
+// Lines returns the line of each section and of each "section\nkey".
+func Lines(text string) map[string]int {
 	lines := map[string]int{}
 	current := ini.DefaultSection
 	for ix, line := range strings.Split(text, "\n") {
@@ -254,7 +254,7 @@
 	}
 	sort.Strings(unknown)
 	for _, key := range unknown {
-		rd.fault(sc, key, sc.keys[key].value, "a known key"+nearest(key, known))
+		rd.fault(sc, key, sc.keys[key].value, "a known key"+Nearest(key, known))
 	}
 }
 
@@ -298,8 +298,8 @@
 	return fmt.Sprintf("; the nearest is %q", specs[name].title())
 }
 
-// nearest returns a hint with the known name at the least edit distance.
-func nearest(found string, known []string) string {
+// Nearest returns a hint with the known name at the least edit distance.
+func Nearest(found string, known []string) string {
 	best := nearestName(found, known)
 	if best == "" {
 		return ""
--- a/internal/state/configurer/references.go
+++ b/internal/state/configurer/references.go
@@ -88,7 +88,7 @@
 		for _, name := range names {
 			matches = matches || Permitted([]string{pattern}, name)
 		}
-		rd.refer(section, key, pattern, matches, "a name that is configured, or a prefix of one with *"+nearest(pattern, names))
+		rd.refer(section, key, pattern, matches, "a name that is configured, or a prefix of one with *"+Nearest(pattern, names))
 	}
 }
 
--- a/internal/state/identifier/identifier.go
+++ b/internal/state/identifier/identifier.go
@@ -1,17 +1,14 @@
 // Package identifier reads what one process has to know of itself: its id, its
-// addresses and availability zone, and where the platform is.
+// addresses and availability zone, where the platform is, and its certificates.
 //
 // # Usage
 //
 //	nd, err := identifier.Read("node.ini")
 //	fmt.Println(nd.ID(), nd.Zone())
+//
+// The error of a file with faults lists all of them.
 package identifier
 
-import (
-	"github.com/go-faster/errors"
-	"gopkg.in/ini.v1"
-)
-
 // Node is the identity of one entry node.
 type Node struct {
 	id            string
@@ -21,11 +18,55 @@
 	peerAddress   string
 	store         string
 	vmList        string
+	callerTLS     KeyPair
+	peerTLS       KeyPair
+	peerAuthority string
+}
+
+// KeyPair names the files of a certificate and its private key, in PEM.
+type KeyPair struct {
+	certificate string
+	key         string
+}
+
+// Certificate returns the file of the certificate chain.
+func (kp KeyPair) Certificate() string { return kp.certificate }
+
+// Key returns the file of the private key.
+func (kp KeyPair) Key() string { return kp.key }
+
+// Set reports whether there is a key pair.
+func (kp KeyPair) Set() bool { return kp.certificate != "" }
+
+// Option changes a Node that is being made.
+type Option func(*Node)
+
+// WithCallerTLS makes the node serve callers by TLS.
+func WithCallerTLS(certificate, key string) Option {
+	return func(nd *Node) { nd.callerTLS = KeyPair{certificate, key} }
+}
+
+// WithPeerTLS makes the node speak mutual TLS with other entry nodes, which
+// have to have certificates of the authority.
+func WithPeerTLS(certificate, key, authority string) Option {
+	return func(nd *Node) { nd.peerTLS, nd.peerAuthority = KeyPair{certificate, key}, authority }
 }
 
 // New returns an identity; Read fills one from a file.
-func New(id, zone, region, callerAddress, peerAddress, store, vmList string) *Node {
-	return &Node{id, zone, region, callerAddress, peerAddress, store, vmList}
+func New(id, zone, region, callerAddress, peerAddress, store, vmList string, opts ...Option) *Node {
+	nd := &Node{
+		id:            id,
+		zone:          zone,
+		region:        region,
+		callerAddress: callerAddress,
+		peerAddress:   peerAddress,
+		store:         store,
+		vmList:        vmList,
+	}
+	for _, opt := range opts {
+		opt(nd)
+	}
+	return nd
 }
 
 // ID returns the node's id, unique to this life of the VM.
@@ -49,30 +90,12 @@
 // VMList returns the URL of the platform's list of VMs.
 func (nd *Node) VMList() string { return nd.vmList }
 
-// Read reads a node's settings file.
-func Read(path string) (*Node, error) {
-	doc, err := ini.Load(path)
-	if err != nil {
-		return nil, errors.Wrapf(err, "read node settings %q", path)
-	}
-	nd := &Node{}
-	targets := []struct {
-		section, key string
-		value        *string
-	}{
-		{"node", "id", &nd.id},
-		{"node", "zone", &nd.zone},
-		{"node", "region", &nd.region},
-		{"node", "caller-address", &nd.callerAddress},
-		{"node", "peer-address", &nd.peerAddress},
-		{"platform", "store", &nd.store},
-		{"platform", "vm-list", &nd.vmList},
-	}
-	for _, tg := range targets {
-		*tg.value = doc.Section(tg.section).Key(tg.key).String()
-		if *tg.value == "" {
-			return nil, errors.Errorf("read node settings %q: [%s] %s must be set", path, tg.section, tg.key)
-		}
-	}
-	return nd, nil
-}
+// CallerTLS returns the key pair for callers, which need not be set.
+func (nd *Node) CallerTLS() KeyPair { return nd.callerTLS }
+
+// PeerTLS returns the key pair for other entry nodes, which need not be set.
+func (nd *Node) PeerTLS() KeyPair { return nd.peerTLS }
+
+// PeerAuthority returns the file of the authority that signs the certificates
+// of all entry nodes.
+func (nd *Node) PeerAuthority() string { return nd.peerAuthority }
