Refuse bad requests by reason before anything is sent

A body that says it is no JSON, has a key twice, or spells a key that the node reads in another case is malformed: the body is passed on as it is, so that an engine could have taken another model than the permitted one. A body that takes over 30 s is refused and its connection closed; before, it was waited for without bound. A panic is answered as internal; causes go to the log only. Names in messages are cut at 100 characters.

--- a/internal/server/authenticate.go
+++ b/internal/server/authenticate.go
@@ -42,6 +42,7 @@
 	return configurer.Permitted(patterns, name)
 }
 
+// asRefusal turns any error into a refusal.
 func asRefusal(err error) *refuser.Refusal {
 	var rf *refuser.Refusal
 	if errors.As(err, &rf) {
@@ -51,5 +52,6 @@
 	if errors.As(err, &he) && (he.Code == http.StatusNotFound || he.Code == http.StatusMethodNotAllowed) {
 		return refuser.New(refuser.NotFound, "no such path or method")
 	}
-	return refuser.New(refuser.Internal, "%v", err).WithOutcome(refuser.Unknown)
+	// The cause goes to the log only.
+	return refuser.New(refuser.Internal, "the node failed to handle the request").WithOutcome(refuser.Unknown)
 }
--- a/internal/server/completions.go
+++ b/internal/server/completions.go
@@ -40,7 +40,10 @@
 	if err != nil {
 		return err
 	}
-	body, err := readBody(ec, sc.settings.Limits().BodyBytes())
+	if err := checkContentType(ec.Request().Header); err != nil {
+		return err
+	}
+	body, err := sv.readBody(ec, sc.settings.Limits().BodyBytes())
 	if err != nil {
 		return err
 	}
@@ -73,8 +76,11 @@
 			Content json.RawMessage `json:"content"`
 		} `json:"messages"`
 	}
+	if err := checkKeys(body); err != nil {
+		return nil, err
+	}
 	if err := json.Unmarshal(body, &wire); err != nil {
-		return nil, refuser.New(refuser.Malformed, "body is not a completions request: %v", err)
+		return nil, refuser.New(refuser.Malformed, "body is not a completions request: %.200v", err)
 	}
 	rq := &dispatcher.Request{
 		ID:        newRequestID(),
@@ -117,11 +123,11 @@
 	}
 	from, err := strconv.Atoi(tx)
 	if err != nil || from < 0 || from > rq.MaxTokens {
-		return refuser.New(refuser.Malformed, "%s: found %q; allowed: a number of tokens up to max_tokens", dispatcher.HeaderResumeFrom, tx)
+		return refuser.New(refuser.Malformed, "%s: found %.100q; allowed: a number of tokens up to max_tokens", dispatcher.HeaderResumeFrom, tx)
 	}
 	id := hd.Get(headerRequestID)
 	if !validRequestID(id) {
-		return refuser.New(refuser.Malformed, "%s: found %q; allowed: the id that the broken answer carried", headerRequestID, id)
+		return refuser.New(refuser.Malformed, "%s: found %.100q; allowed: the id that the broken answer carried", headerRequestID, id)
 	}
 	if !rq.Stream {
 		return refuser.New(refuser.Malformed, "%s: allowed only with \"stream\": true", dispatcher.HeaderResumeFrom)
@@ -143,17 +149,17 @@
 func findModel(sc *scope, rq *dispatcher.Request, name string) error {
 	if ad, ok := sc.settings.Adapter(name); ok {
 		if !permitted(sc.caller.Adapters(), name) {
-			return refuser.New(refuser.Forbidden, "caller %q may not use adapter %q", sc.caller.Name(), name)
+			return refuser.New(refuser.Forbidden, "caller %.100q may not use adapter %.100q", sc.caller.Name(), name)
 		}
 		rq.Adapter = ad
 		name = ad.Model()
 	}
 	md, ok := sc.settings.Model(name)
 	if !ok {
-		return refuser.New(refuser.UnknownModel, "no model or adapter %q", name)
+		return refuser.New(refuser.UnknownModel, "no model or adapter %.100q", name)
 	}
 	if !permitted(sc.caller.Models(), name) {
-		return refuser.New(refuser.Forbidden, "caller %q may not use model %q", sc.caller.Name(), name)
+		return refuser.New(refuser.Forbidden, "caller %.100q may not use model %.100q", sc.caller.Name(), name)
 	}
 	rq.Model = md
 	return nil
@@ -169,7 +175,7 @@
 	if tx := hd.Get(headerDeadline); tx != "" {
 		within, err = time.ParseDuration(tx)
 		if err != nil || within <= 0 {
-			return refuser.New(refuser.Malformed, "%s: found %q; allowed: a duration such as 1500ms", headerDeadline, tx)
+			return refuser.New(refuser.Malformed, "%s: found %.100q; allowed: a duration such as 1500ms", headerDeadline, tx)
 		}
 	}
 	rq.Deadline = time.Now().Add(within)
@@ -185,10 +191,10 @@
 	}
 	cs, ok := sc.settings.Class(name)
 	if !ok {
-		return nil, refuser.New(refuser.UnknownClass, "no priority class %q", name)
+		return nil, refuser.New(refuser.UnknownClass, "no priority class %.100q", name)
 	}
 	if !permitted(sc.caller.Classes(), name) {
-		return nil, refuser.New(refuser.Forbidden, "caller %q may not use class %q", sc.caller.Name(), name)
+		return nil, refuser.New(refuser.Forbidden, "caller %.100q may not use class %.100q", sc.caller.Name(), name)
 	}
 	return cs, nil
 }
--- a/internal/server/executor.go
+++ b/internal/server/executor.go
@@ -54,7 +54,7 @@
 	}
 	cr, ok := rv.Settings().Caller(jb.Caller())
 	if !ok {
-		return jobrunner.Result{}, refuser.New(refuser.Removed, "caller %q was removed", jb.Caller())
+		return jobrunner.Result{}, refuser.New(refuser.Removed, "caller %.100q was removed", jb.Caller())
 	}
 	sc := &scope{settings: rv.Settings(), caller: cr}
 	if err := check(sc, jb.Request()); err != nil {
@@ -82,7 +82,7 @@
 		return err
 	}
 	if rq.Path != "/v1/chat/completions" && rq.Path != "/v1/completions" {
-		return refuser.New(refuser.Malformed, "path: found %q; allowed: a path of completions or of a plain service", rq.Path)
+		return refuser.New(refuser.Malformed, "path: found %.100q; allowed: a path of completions or of a plain service", rq.Path)
 	}
 	parsed, err := parseCompletion(sc, classHeader(rq), rq.Body)
 	if err != nil {
--- a/internal/server/jobs.go
+++ b/internal/server/jobs.go
@@ -37,7 +37,10 @@
 	if err != nil {
 		return err
 	}
-	body, err := readBody(ec, sc.settings.Records().JobBytes()+jobEnvelopeBytes)
+	if err := checkContentType(ec.Request().Header); err != nil {
+		return err
+	}
+	body, err := sv.readBody(ec, sc.settings.Records().JobBytes()+jobEnvelopeBytes)
 	if err != nil {
 		return err
 	}
@@ -72,7 +75,7 @@
 		Deadline string `json:"deadline"`
 	}
 	if err := json.Unmarshal(body, &wire); err != nil {
-		return jobrunner.Order{}, refuser.New(refuser.Malformed, "body is not a job: %v", err)
+		return jobrunner.Order{}, refuser.New(refuser.Malformed, "body is not a job: %.200v", err)
 	}
 	od := jobrunner.Order{Request: jobrunner.Request{
 		Method:      wire.Request.Method,
@@ -90,7 +93,7 @@
 	if wire.Deadline != "" {
 		within, err := time.ParseDuration(wire.Deadline)
 		if err != nil || within <= 0 {
-			return od, refuser.New(refuser.Malformed, "deadline: found %q; allowed: a duration such as 8h", wire.Deadline)
+			return od, refuser.New(refuser.Malformed, "deadline: found %.100q; allowed: a duration such as 8h", wire.Deadline)
 		}
 		od.Within = within
 	}
@@ -130,7 +133,7 @@
 	}
 	wait, err := time.ParseDuration(text)
 	if err != nil || wait < 0 || wait > maxJobWait {
-		return time.Time{}, refuser.New(refuser.Malformed, "wait: found %q; allowed: a duration up to %v", text, maxJobWait)
+		return time.Time{}, refuser.New(refuser.Malformed, "wait: found %.100q; allowed: a duration up to %v", text, maxJobWait)
 	}
 	return time.Now().Add(wait), nil
 }
@@ -144,7 +147,7 @@
 	if tx := ec.QueryParam("limit"); tx != "" {
 		limit, err = strconv.Atoi(tx)
 		if err != nil || limit < 1 || limit > maxPage {
-			return refuser.New(refuser.Malformed, "limit: found %q; allowed: a number from 1 to %d", tx, maxPage)
+			return refuser.New(refuser.Malformed, "limit: found %.100q; allowed: a number from 1 to %d", tx, maxPage)
 		}
 	}
 	page, next, rf := sv.Jobs.List(ec.Request().Context(), sc.caller.Name(), ec.QueryParam("after"), limit)
--- a/internal/server/operators.go
+++ b/internal/server/operators.go
@@ -21,7 +21,7 @@
 		return err
 	}
 	if !sc.caller.Operator() {
-		return refuser.New(refuser.Forbidden, "caller %q is no operator", sc.caller.Name())
+		return refuser.New(refuser.Forbidden, "caller %.100q is no operator", sc.caller.Name())
 	}
 	return nil
 }
--- a/internal/server/revision.go
+++ b/internal/server/revision.go
@@ -27,7 +27,7 @@
 	}
 	seen, err := strconv.ParseInt(text, 10, 64)
 	if err != nil || seen < 0 {
-		return refuser.New(refuser.Malformed, "%s: found %q; allowed: a revision number", headerRevision, text)
+		return refuser.New(refuser.Malformed, "%s: found %.100q; allowed: a revision number", headerRevision, text)
 	}
 	if seen > inForce {
 		return refuser.New(refuser.RevisionBehind, "revision %d is in force here, not yet %d", inForce, seen).
--- a/internal/server/server.go
+++ b/internal/server/server.go
@@ -9,12 +9,12 @@
 
 import (
 	"crypto/rand"
-	"io"
 	"net/http"
 	"strconv"
 	"sync/atomic"
 	"time"
 
+	"github.com/apex/log"
 	"github.com/labstack/echo/v4"
 
 	"github.com/lagoonpass/lagoonpass/internal/coordination/dispatcher"
@@ -47,6 +47,9 @@
 	Leaving func() bool
 	// Drain begins a planned stop; nil means that it cannot be asked for.
 	Drain func()
+	// BodyTimeout bounds the time in which a caller sends a body; zero means
+	// 30 s.
+	BodyTimeout time.Duration
 }
 
 // Server serves callers and operators.
@@ -61,6 +64,7 @@
 	sv := &Server{Parts: pt, echo: echo.New()}
 	sv.echo.HideBanner = true
 	sv.echo.HTTPErrorHandler = sv.handleError
+	sv.echo.Use(recoverPanic)
 	sv.routes()
 	return sv
 }
@@ -97,6 +101,9 @@
 		return
 	}
 	rf := asRefusal(err)
+	if rf.Reason() == refuser.Internal {
+		log.WithError(err).WithField("request", ec.Response().Header().Get(headerRequestID)).Error("request failed")
+	}
 	sv.countRefusal(rf)
 	if rf.RetryAfter() > 0 {
 		seconds := int64((rf.RetryAfter() + time.Second - 1) / time.Second)
@@ -130,15 +137,4 @@
 	return &scope{settings: rv.Settings(), caller: cr}, nil
 }
 
-func readBody(ec echo.Context, limit int64) ([]byte, error) {
-	body, err := io.ReadAll(io.LimitReader(ec.Request().Body, limit+1))
-	if err != nil {
-		return nil, refuser.New(refuser.Malformed, "read body: %v", err)
-	}
-	if int64(len(body)) > limit {
-		return nil, refuser.New(refuser.TooLarge, "body exceeds %d bytes", limit)
-	}
-	return body, nil
-}
-
 func newRequestID() string { return rand.Text() }
--- a/internal/server/services.go
+++ b/internal/server/services.go
@@ -31,7 +31,7 @@
 	if err != nil {
 		return err
 	}
-	cl, err := readCall(ec, sc, svc)
+	cl, err := sv.readCall(ec, sc, svc)
 	if err != nil {
 		return err
 	}
@@ -53,16 +53,16 @@
 func findService(sc *scope, name string) (*configurer.Service, error) {
 	svc, ok := sc.settings.Service(name)
 	if !ok {
-		return nil, refuser.New(refuser.UnknownService, "no service %q", name)
+		return nil, refuser.New(refuser.UnknownService, "no service %.100q", name)
 	}
 	if !permitted(sc.caller.Services(), name) {
-		return nil, refuser.New(refuser.Forbidden, "caller %q may not use service %q", sc.caller.Name(), name)
+		return nil, refuser.New(refuser.Forbidden, "caller %.100q may not use service %.100q", sc.caller.Name(), name)
 	}
 	return svc, nil
 }
 
-func readCall(ec echo.Context, sc *scope, svc *configurer.Service) (invoker.Call, error) {
-	body, err := readBody(ec, sc.settings.Limits().BodyBytes())
+func (sv *Server) readCall(ec echo.Context, sc *scope, svc *configurer.Service) (invoker.Call, error) {
+	body, err := sv.readBody(ec, sc.settings.Limits().BodyBytes())
 	if err != nil {
 		return invoker.Call{}, err
 	}
@@ -92,7 +92,7 @@
 	if tx := ec.Request().Header.Get(headerDeadline); tx != "" {
 		dn, err := time.ParseDuration(tx)
 		if err != nil || dn <= 0 {
-			return nil, nil, refuser.New(refuser.Malformed, "%s: found %q; allowed: a duration such as 1500ms", headerDeadline, tx)
+			return nil, nil, refuser.New(refuser.Malformed, "%s: found %.100q; allowed: a duration such as 1500ms", headerDeadline, tx)
 		}
 		within = dn
 	}
