--- a/internal/demonstrator/demonstrator.go
+++ b/internal/demonstrator/demonstrator.go
@@ -6,7 +6,9 @@
 //
 //	dm, err := demonstrator.Start(ctx, "qurum", demonstrator.WithNodes(4))
 //	defer dm.Stop()
-//	result, err := dm.Drive(ctx)
+//	err = dm.AwaitReady(ctx, progress)
+//	result, err := dm.Drive(ctx, bencher.WithRate(100))
+//	result.WriteTable(os.Stdout)
 package demonstrator
 
 import (
@@ -26,6 +28,7 @@
 	"github.com/lagoonpass/lagoonpass/internal/standin/engine"
 	"github.com/lagoonpass/lagoonpass/internal/standin/platform"
 	"github.com/lagoonpass/lagoonpass/internal/standin/service"
+	"github.com/lagoonpass/lagoonpass/internal/standin/weightstore"
 	"github.com/lagoonpass/lagoonpass/internal/state/configurer"
 	"github.com/lagoonpass/lagoonpass/internal/state/identifier"
 )
@@ -41,8 +44,10 @@
 type Demo struct {
 	deployment string
 	nodeCount  int
+	instant    bool
 	settings   *configurer.Settings
 	store      *platform.Memory
+	weights    *weightstore.Store
 	engines    map[string]*engine.Engine
 	services   map[string]*service.Service
 	servers    []*http.Server
@@ -64,6 +69,9 @@
 // WithNodes sets the number of entry nodes.
 func WithNodes(count int) Option { return func(dm *Demo) { dm.nodeCount = count } }
 
+// WithInstantLoads makes loads of models take no time.
+func WithInstantLoads() Option { return func(dm *Demo) { dm.instant = true } }
+
 // Start starts a deployment of the examples.
 func Start(ctx context.Context, deployment string, opts ...Option) (*Demo, error) {
 	dm := &Demo{
@@ -105,6 +113,7 @@
 	if len(faults) > 0 {
 		return nil, errors.Wrap(faults[0], "read settings")
 	}
+	dm.weights = dm.newWeightStore(st.Limits())
 	var override strings.Builder
 	for _, bs := range st.BackendServers() {
 		address, err := dm.startEngine(st, bs)
@@ -128,12 +137,23 @@
 	return files, nil
 }
 
+// newWeightStore returns the deployment's weight store at the rates of its
+// settings.
+func (dm *Demo) newWeightStore(lm *configurer.Limits) *weightstore.Store {
+	perSecond := lm.WeightLoadsPerSecond()
+	if dm.instant {
+		perSecond = 0
+	}
+	return weightstore.New(perSecond, lm.WeightLoadsAtOnce(), lm.AdaptersInTransit())
+}
+
 func (dm *Demo) startEngine(st *configurer.Settings, bs *configurer.BackendServer) (string, error) {
 	ek, _ := st.EngineKind(bs.Kind())
 	eg := engine.New(bs.Name(),
 		engine.WithMemory(bs.WeightMemory()+bs.CacheReserve()),
 		engine.WithAdapterMemory(bs.AdapterReserve()),
 		engine.WithSlots(bs.Slots()),
+		engine.WithWeightStore(dm.weights),
 		engine.WithFencing(ek.ChecksFencing()))
 	dm.engines[bs.Name()] = eg
 	return dm.serve(eg.Handler())
--- a/internal/standin/engine/engine.go
+++ b/internal/standin/engine/engine.go
@@ -34,6 +34,7 @@
 	tokenGap time.Duration
 	prefill  time.Duration
 	loadTime time.Duration
+	store    WeightStore
 	fencing  bool
 
 	mu          sync.Mutex
--- a/pkg/caller/caller.go
+++ b/pkg/caller/caller.go
@@ -38,6 +38,8 @@
 	dialTimeout     = time.Second
 	idleTimeout     = 15 * time.Second
 	idlePerHost     = 64
+	// fixedLifetime is the lifetime of addresses that were given.
+	fixedLifetime = 100 * 365 * 24 * time.Hour
 )
 
 // Client calls lagoonpass. It may be used by several goroutines.
@@ -62,6 +64,13 @@
 // WithKey sets the caller's API key.
 func WithKey(key string) Option { return func(cl *Client) { cl.key = key } }
 
+// WithAddresses makes the client use these base URLs and ask for no others.
+func WithAddresses(addresses ...string) Option {
+	return func(cl *Client) {
+		cl.book = addressBook{addresses: addresses, until: time.Now().Add(fixedLifetime), failed: map[string]time.Time{}}
+	}
+}
+
 // WithZone sets the availability zone whose entry nodes come first.
 func WithZone(zone string) Option { return func(cl *Client) { cl.zone = zone } }
 
