--- a/internal/commander/commander.go
+++ b/internal/commander/commander.go
@@ -36,6 +36,7 @@
 	cm.Register(&checkCommand{}, "settings")
 	cm.Register(&applyCommand{}, "settings")
 	cm.Register(&jobsCommand{}, "requests")
+	cm.Register(&benchCommand{}, "trying out")
 	cm.Register(&demoCommand{}, "trying out")
 	cm.Register(&standinCommand{}, "trying out")
 }
