--- a/internal/commander/commander.go
+++ b/internal/commander/commander.go
@@ -47,6 +47,7 @@
 	cm.Register(&statusCommand{}, "entry nodes")
 	cm.Register(&drainCommand{}, "entry nodes")
 	cm.Register(&jobsCommand{}, "requests")
+	cm.Register(&benchCommand{}, "trying out")
 	cm.Register(&demoCommand{}, "trying out")
 	cm.Register(&standinCommand{}, "trying out")
 }
