Make the callers' client honest about repeated keys and resume elsewhere

A repeat of a key whose first sending may have run carries Lagoonpass-Attempt, and no later refusal is taken as a word for the first sending: client and node both answer unknown. Before, a lost connection followed by a not-run refusal was told to the caller as not run. A broken stream goes on at another node and only if that helps; a repeated or skipped token is an error. A failed node is marked at once, and the lifetime of addresses counts from the question.

--- a/internal/server/requests_test.go
+++ b/internal/server/requests_test.go
@@ -163,6 +163,10 @@
 		requireRefusal(t, wr, rn)
 		require.Equal(t, "2", wr.Header().Get("Retry-After"))
 	}
+	wr := rg.do("POST", "/services/orders/book", "", "Authorization", "Bearer x", invoker.HeaderKey, "k", headerAttempt, "2")
+	rf, err := refuser.Decode(wr.Body.Bytes())
+	require.NoError(t, err)
+	require.Equal(t, refuser.Unknown, rf.Outcome(), "the first attempt may have run")
 	require.Zero(t, rg.drained)
 	empty := &rig{Server: New(Parts{Holder: publisher.NewHolder(), Registry: counter.NewRegistry()})}
 	requireRefusal(t, empty.do("POST", path, good), refuser.NotConfigured)
--- a/internal/server/server.go
+++ b/internal/server/server.go
@@ -104,6 +104,9 @@
 	if rf.Reason() == refuser.Internal {
 		log.WithError(err).WithField("request", ec.Response().Header().Get(headerRequestID)).Error("request failed")
 	}
+	if repeatsKey(ec.Request()) && rf.Reason() != refuser.KeyConflict {
+		rf = rf.WithOutcome(refuser.Unknown)
+	}
 	sv.countRefusal(rf)
 	if rf.RetryAfter() > 0 {
 		seconds := int64((rf.RetryAfter() + time.Second - 1) / time.Second)
--- a/internal/server/services.go
+++ b/internal/server/services.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"net/http"
 	"time"
 
 	"github.com/labstack/echo/v4"
@@ -71,7 +72,6 @@
 	if rq.URL.RawQuery != "" {
 		path += "?" + rq.URL.RawQuery
 	}
-	attempt := rq.Header.Get(headerAttempt)
 	return invoker.Call{
 		Caller:      sc.caller.Name(),
 		Service:     svc,
@@ -81,10 +81,18 @@
 		Body:        body,
 		Key:         rq.Header.Get(invoker.HeaderKey),
 		KeyTime:     rq.Header.Get(headerKeyTime),
-		Repeated:    attempt != "" && attempt != "1",
+		Repeated:    repeatsKey(rq),
 	}, nil
 }
 
+// repeatsKey reports whether the caller says that it sent the key before and
+// doesn't know what became of it. Then no refusal, for whatever reason, can
+// vouch that the earlier request was not run.
+func repeatsKey(rq *http.Request) bool {
+	attempt := rq.Header.Get(headerAttempt)
+	return rq.Header.Get(invoker.HeaderKey) != "" && attempt != "" && attempt != "1"
+}
+
 // callContext returns the context of a call. One that may not be repeated goes
 // on when its caller hangs up: its result then waits in the record.
 func callContext(ec echo.Context, cl invoker.Call) (context.Context, context.CancelFunc, error) {
--- a/pkg/caller/addresses.go
+++ b/pkg/caller/addresses.go
@@ -68,8 +68,9 @@
 	for _, base := range append(known, cl.shuffledSeeds()...) {
 		var found []string
 		var lifetime time.Duration
+		asked := time.Now()
 		if found, lifetime, err = cl.ask(ctx, base); err == nil {
-			cl.keep(found, lifetime)
+			cl.keep(found, asked.Add(lifetime))
 			return nil
 		}
 		if ctx.Err() != nil {
@@ -133,14 +134,16 @@
 	return out
 }
 
-func (cl *Client) keep(addresses []string, lifetime time.Duration) {
+// keep replaces the answer. Its lifetime counts from the question, so that it
+// never ends after the system takes it for ended.
+func (cl *Client) keep(addresses []string, until time.Time) {
 	cl.mu.Lock()
 	defer cl.mu.Unlock()
 	failed := cl.book.failed
 	if failed == nil {
 		failed = map[string]time.Time{}
 	}
-	cl.book = addressBook{addresses: addresses, until: time.Now().Add(lifetime), failed: failed}
+	cl.book = addressBook{addresses: addresses, until: until, failed: failed}
 }
 
 // markFailed makes an entry node the last to be tried for a while.
--- a/pkg/caller/complete.go
+++ b/pkg/caller/complete.go
@@ -40,7 +40,7 @@
 	if err != nil {
 		return "", err
 	}
-	rs, err := cl.send(ctx, ms)
+	rs, _, err := cl.send(ctx, ms)
 	if err != nil {
 		return "", err
 	}
@@ -69,11 +69,11 @@
 	if err != nil {
 		return nil, err
 	}
-	rs, err := cl.send(ctx, ms)
+	rs, base, err := cl.send(ctx, ms)
 	if err != nil {
 		return nil, err
 	}
-	return newStream(ctx, cl, ms, rs), nil
+	return newStream(ctx, cl, ms, rs, base), nil
 }
 
 func (cl *Client) completionMessage(cn Completion, stream bool) (message, error) {
@@ -125,6 +125,9 @@
 	Key string
 	// Repeatable says that the call may run more than once.
 	Repeatable bool
+	// Repeated says that the key was sent in an earlier call whose outcome is
+	// unknown, so that no refusal can vouch that it did not run then.
+	Repeated bool
 }
 
 // CallService returns the body of a service's answer.
@@ -136,13 +139,17 @@
 	if sc.Key != "" {
 		hd.Set(headerKey, sc.Key)
 	}
-	rs, err := cl.send(ctx, message{
+	ms := message{
 		method:     sc.Method,
 		path:       "/services/" + sc.Service + sc.Path,
 		header:     hd,
 		body:       sc.Body,
 		repeatable: sc.Repeatable || sc.Key != "" || sc.Method == http.MethodGet,
-	})
+	}
+	if sc.Repeated {
+		ms.doubts = 1
+	}
+	rs, _, err := cl.send(ctx, ms)
 	if err != nil {
 		return nil, err
 	}
--- a/pkg/caller/send.go
+++ b/pkg/caller/send.go
@@ -22,6 +22,7 @@
 	headerRequestID = "Lagoonpass-Request-Id"
 	headerResume    = "Lagoonpass-Resume-From"
 	headerKey       = "Idempotency-Key"
+	headerAttempt   = "Lagoonpass-Attempt"
 )
 
 const (
@@ -35,6 +36,9 @@
 // errBrokenOff means that an answer ended early.
 var errBrokenOff = errors.New("the answer broke off")
 
+// errMisnumbered means that a token was repeated or skipped.
+var errMisnumbered = errors.New("the answer repeats or skips a token")
+
 // message is one HTTP request that may be sent several times.
 type message struct {
 	method string
@@ -44,31 +48,62 @@
 	// repeatable says that the request may be sent again although it can have
 	// run: it is idempotent, or its key makes it run at most once.
 	repeatable bool
+	// doubts is how many sendings may have run, as far as is known.
+	doubts int
+	// avoid is the base URL of the node that failed before, or empty.
+	avoid string
 }
 
-// send sends a message until it is answered or may not be sent again.
-func (cl *Client) send(ctx context.Context, ms message) (*http.Response, error) {
+// send sends a message until it is answered or may not be sent again. It also
+// returns the base URL of the node that answered.
+func (cl *Client) send(ctx context.Context, ms message) (*http.Response, string, error) {
 	var tried []string
+	if ms.avoid != "" {
+		tried = append(tried, ms.avoid)
+	}
 	for attempt := 1; ; attempt++ {
 		base, err := cl.choose(ctx, tried)
 		if err != nil {
-			return nil, err
+			return nil, "", err
 		}
 		rs, err := cl.sendOnce(ctx, base, ms)
 		if err == nil {
-			return rs, nil
+			return rs, base, nil
+		}
+		err = doubt(err, ms.doubts)
+		if mayHaveRun(err) {
+			ms.doubts++
 		}
 		tried = append(tried, base)
+		if isNetwork(err) && ctx.Err() == nil {
+			cl.markFailed(base)
+		}
 		wait, again := cl.again(err, ms, attempt)
 		if !again || !sleep(ctx, wait) {
-			return nil, err
-		}
-		if isNetwork(err) {
-			cl.markFailed(base)
+			return nil, "", err
 		}
 	}
 }
 
+// mayHaveRun reports whether a request that failed so can have run.
+func mayHaveRun(err error) bool {
+	var rf *refuser.Refusal
+	if errors.As(err, &rf) {
+		return rf.Outcome() != refuser.NotRun
+	}
+	return !neverConnected(err)
+}
+
+// doubt takes back what a refusal vouches for if an earlier sending may have
+// run. A key that belongs to another request never ran for this one.
+func doubt(err error, doubts int) error {
+	var rf *refuser.Refusal
+	if doubts > 0 && errors.As(err, &rf) && rf.Reason() != refuser.KeyConflict {
+		return rf.WithOutcome(refuser.Unknown)
+	}
+	return err
+}
+
 func (cl *Client) sendOnce(ctx context.Context, base string, ms message) (*http.Response, error) {
 	// The body cannot be rewound, so that net/http never sends it again.
 	rq, err := http.NewRequestWithContext(ctx, ms.method, base+ms.path, io.NopCloser(bytes.NewReader(ms.body)))
@@ -79,6 +114,9 @@
 	for name, values := range ms.header {
 		rq.Header[name] = values
 	}
+	if ms.doubts > 0 {
+		rq.Header.Set(headerAttempt, strconv.Itoa(ms.doubts+1))
+	}
 	cl.authorize(rq)
 	rs, err := cl.http.Do(rq)
 	if err != nil {
--- a/pkg/caller/stream.go
+++ b/pkg/caller/stream.go
@@ -7,6 +7,7 @@
 	"encoding/json"
 	"io"
 	"net/http"
+	"time"
 
 	"github.com/go-faster/errors"
 
@@ -31,6 +32,7 @@
 	client   *Client
 	request  message
 	id       string
+	base     string
 	body     io.ReadCloser
 	lines    *bufio.Scanner
 	tokens   int
@@ -38,8 +40,8 @@
 	finished bool
 }
 
-func newStream(ctx context.Context, cl *Client, ms message, rs *http.Response) *Stream {
-	sm := &Stream{ctx: ctx, client: cl, request: ms, id: rs.Header.Get(headerRequestID)}
+func newStream(ctx context.Context, cl *Client, ms message, rs *http.Response, base string) *Stream {
+	sm := &Stream{ctx: ctx, client: cl, request: ms, base: base, id: rs.Header.Get(headerRequestID)}
 	sm.attach(rs)
 	return sm
 }
@@ -97,6 +99,7 @@
 			} `json:"delta"`
 			FinishReason string `json:"finish_reason"`
 		} `json:"choices"`
+		TokenIndex *int `json:"token_index"`
 	}
 	if err := json.Unmarshal(data, &wire); err != nil {
 		return "", errors.Wrap(err, "decode event")
@@ -108,30 +111,53 @@
 		sm.finished = true
 	}
 	text := wire.Choices[0].Delta.Content
-	if text != "" {
-		sm.tokens++
+	if text == "" {
+		return "", nil
+	}
+	if wire.TokenIndex != nil && *wire.TokenIndex != sm.tokens {
+		return "", errors.Wrapf(errMisnumbered, "token %d in place of %d", *wire.TokenIndex, sm.tokens)
 	}
+	sm.tokens++
 	return text, nil
 }
 
-// resume continues the stream, or returns the error that ends it.
+// resume continues the stream at another node if there is one, or returns the
+// error that ends it.
 func (sm *Stream) resume(cause error) error {
-	if sm.resumes >= maxResumes || sm.id == "" || sm.ctx.Err() != nil {
+	wait, helps := sm.resumable(cause)
+	if !helps || sm.resumes >= maxResumes || sm.id == "" || !sleep(sm.ctx, wait) {
 		return cause
 	}
 	sm.resumes++
 	_ = sm.body.Close()
 	next := sm.request
 	next.header = resumeHeader(next.header, sm.id, sm.tokens)
-	rs, err := sm.client.send(sm.ctx, next)
+	next.avoid = sm.base
+	rs, base, err := sm.client.send(sm.ctx, next)
 	if err != nil {
 		return errors.Wrap(err, "resume stream")
 	}
-	sm.finished = false
+	sm.finished, sm.base = false, base
 	sm.attach(rs)
 	return nil
 }
 
+// resumable reports whether it helps to continue after the error, and when. A
+// stream that broke off without a refusal has lost its node.
+func (sm *Stream) resumable(cause error) (time.Duration, bool) {
+	var rf *refuser.Refusal
+	switch {
+	case errors.As(cause, &rf):
+		return rf.RetryAfter() + sm.client.upTo(rf.RetryAfter()/2), rf.RetryAfter() > 0
+	case errors.Is(cause, errMisnumbered):
+		return 0, false
+	}
+	if sm.ctx.Err() == nil {
+		sm.client.markFailed(sm.base)
+	}
+	return sm.client.upTo(sm.client.spread), true
+}
+
 // Tokens returns the number of tokens read.
 func (sm *Stream) Tokens() int { return sm.tokens }
 
