--- a/internal/server/requests_test.go
+++ b/internal/server/requests_test.go
@@ -151,6 +151,7 @@
 		{"untimed key", "POST", "/services/orders/book", "", refuser.KeyUntimed, []string{invoker.HeaderKey, "k"}},
 		{"not an operator", "GET", "/v1/status", "", refuser.Forbidden, nil},
 		{"not an operator", "GET", "/v1/counters", "", refuser.Forbidden, nil},
+		{"not an operator", "GET", "/v1/metrics", "", refuser.Forbidden, nil},
 		{"not an operator", "POST", "/v1/drain", "", refuser.Forbidden, nil},
 	} {
 		t.Run(tc.name, func(t *testing.T) {
@@ -180,8 +181,14 @@
 	require.JSONEq(t, `{"id":"n1","leaving":false,"revision":1,"corrupt-configuration":0,"stale":false,"in-flight":1,
 		"members":[{"id":"n1","zone":"z","region":"","state":"alive","revision":0,"caller-address":"10.0.0.1:80"}]}`, wr.Body.String())
 	require.JSONEq(t, `{"id":"n1","counters":{"refusal.not-found":1}}`, rg.do("GET", "/v1/counters", "", operator...).Body.String())
+	require.Equal(t, "# TYPE lagoonpass untyped\nlagoonpass{node=\"n1\",name=\"refusal.not-found\"} 1\n",
+		rg.do("GET", "/v1/metrics", "", operator...).Body.String())
+	require.Equal(t, http.StatusOK, rg.do("GET", "/v1/health", "", "Authorization", "").Code)
+	require.Equal(t, http.StatusOK, rg.do("GET", "/v1/ready", "", "Authorization", "").Code)
 	require.Equal(t, http.StatusAccepted, rg.do("POST", "/v1/drain", "", operator...).Code)
 	require.Equal(t, 1, rg.drained)
+	rg.Leaving = func() bool { return true }
+	requireRefusal(t, rg.do("GET", "/v1/ready", "", "Authorization", ""), refuser.Leaving)
 }
 
 func TestPanicIsAnsweredWithoutItsCause(t *testing.T) {
--- a/internal/server/server.go
+++ b/internal/server/server.go
@@ -93,6 +93,7 @@
 	sv.jobRoutes()
 	sv.echo.GET("/v1/addresses", sv.listAddresses)
 	sv.operatorRoutes()
+	sv.healthRoutes()
 }
 
 // handleError writes every error as a refusal of the closed list.
