--- a/internal/state/configurer/references.go
+++ b/internal/state/configurer/references.go
@@ -56,15 +56,17 @@
 
 func (rd *reader) checkCallers(st *Settings) {
 	owners := map[string]string{}
+	models, adapters := namesOf(st.models), namesOf(st.adapters)
+	services, classes := namesOf(st.services), namesOf(st.classes)
 	for _, cr := range st.Callers() {
 		section := "caller." + cr.name
 		other := owners[cr.keyHash]
 		rd.refer(section, "key-sha256", cr.keyHash, other == "", "a key of its own; it is that of "+other)
 		owners[cr.keyHash] = cr.name
-		rd.checkPatterns(section, "models", cr.models, namesOf(st.models))
-		rd.checkPatterns(section, "adapters", cr.adapters, namesOf(st.adapters))
-		rd.checkPatterns(section, "services", cr.services, namesOf(st.services))
-		rd.checkPatterns(section, "classes", cr.classes, namesOf(st.classes))
+		rd.checkPatterns(section, "models", cr.models, models)
+		rd.checkPatterns(section, "adapters", cr.adapters, adapters)
+		rd.checkPatterns(section, "services", cr.services, services)
+		rd.checkPatterns(section, "classes", cr.classes, classes)
 		rd.checkDefaultClass(st, cr)
 	}
 }
@@ -88,7 +90,9 @@
 		for _, name := range names {
 			matches = matches || Permitted([]string{pattern}, name)
 		}
-		rd.refer(section, key, pattern, matches, "a name that is configured, or a prefix of one with *"+nearest(pattern, names))
+		if !matches {
+			rd.refer(section, key, pattern, false, "a name that is configured, or a prefix of one with *"+nearest(pattern, names))
+		}
 	}
 }
 
