--- a/internal/coordination/publisher/apply.go
+++ b/internal/coordination/publisher/apply.go
@@ -4,6 +4,7 @@
 	"context"
 	"crypto/rand"
 	"fmt"
+	"slices"
 
 	"github.com/go-faster/errors"
 
@@ -74,7 +75,7 @@
 	for _, part := range parts {
 		next.parts = append(next.parts, hashOf(part))
 	}
-	if err := write(ctx, st, next, parts, storeRevision); err != nil {
+	if err := write(ctx, st, next, parts, old, storeRevision); err != nil {
 		return nil, err
 	}
 	collect(ctx, st, next)
@@ -82,8 +83,9 @@
 }
 
 // write writes the record first, so that the parts are always named by one,
-// and the head last.
-func write(ctx context.Context, st storer.Store, next head, parts [][]byte, storeRevision int64) error {
+// and the head last. Parts of the old head are there: a collection leaves them
+// alone for as long as the head can still be replaced.
+func write(ctx context.Context, st storer.Store, next head, parts [][]byte, old head, storeRevision int64) error {
 	value, err := next.encode()
 	if err != nil {
 		return err
@@ -92,6 +94,9 @@
 		return errors.Wrap(err, "write configuration record")
 	}
 	for ix, part := range parts {
+		if slices.Contains(old.parts, next.parts[ix]) {
+			continue
+		}
 		if err := writeOnce(ctx, st, partPrefix+next.parts[ix], part); err != nil {
 			return errors.Wrap(err, "write configuration part")
 		}
@@ -176,7 +181,7 @@
 // raced tells an operator what the other changed.
 func raced(ctx context.Context, st storer.Store, base int64, found head) error {
 	er := &RacedError{Base: base, Number: found.number, Author: found.author}
-	theirs, err := loadHead(ctx, st, found)
+	theirs, err := loadHead(ctx, st, found, nil)
 	if err != nil {
 		return er
 	}
--- a/internal/coordination/publisher/codec.go
+++ b/internal/coordination/publisher/codec.go
@@ -16,12 +16,12 @@
 )
 
 const (
-	// maxUnpackedBytes bounds the settings text of one revision.
-	maxUnpackedBytes = 64 << 20
-	// partBytes is the size of all parts of a revision but the last.
-	partBytes = 512 << 10
+	// pieceBytes is the longest text in one part.
+	pieceBytes = 512 << 10
+	// maxUnpackedBytes bounds what a part is unpacked to.
+	maxUnpackedBytes = 2 * pieceBytes
 	// maxParts bounds the parts of a revision.
-	maxParts = 16
+	maxParts = 256
 )
 
 // head names a revision and its parts. The store holds it twice: in the
@@ -66,41 +66,74 @@
 	return hd, nil
 }
 
-// packFiles returns the compressed files in parts. Equal files give equal
+// packFiles returns each file as a part of its own, and a long one in several,
+// so that a node fetches only what a revision changed. Equal files give equal
 // bytes.
 func packFiles(files []configurer.File) ([][]byte, error) {
-	var buf bytes.Buffer
-	zw := gzip.NewWriter(&buf)
-	one := func(en *msgpack.Encoder, fl configurer.File) error {
-		return messenger.EncodeAll(en, fl.Name, fl.Text)
+	var parts [][]byte
+	for _, fl := range files {
+		for _, piece := range pieces(fl) {
+			part, err := packPiece(piece)
+			if err != nil {
+				return nil, err
+			}
+			parts = append(parts, part)
+		}
 	}
-	if err := messenger.EncodeList(msgpack.NewEncoder(zw), files, one); err != nil {
-		return nil, errors.Wrap(err, "encode settings files")
+	if len(parts) > maxParts {
+		return nil, errors.Errorf("settings take %d parts, over %d", len(parts), maxParts)
 	}
-	if err := zw.Close(); err != nil {
-		return nil, errors.Wrap(err, "compress settings files")
+	return parts, nil
+}
+
+// pieces cuts a file into pieces of its name.
+func pieces(fl configurer.File) []configurer.File {
+	var all []configurer.File
+	text := fl.Text
+	for len(text) > pieceBytes {
+		all = append(all, configurer.File{Name: fl.Name, Text: text[:pieceBytes]})
+		text = text[pieceBytes:]
 	}
-	if buf.Len() > maxParts*partBytes {
-		return nil, errors.Errorf("settings take %d bytes when compressed, over %d", buf.Len(), maxParts*partBytes)
+	return append(all, configurer.File{Name: fl.Name, Text: text})
+}
+
+func packPiece(piece configurer.File) ([]byte, error) {
+	var buf bytes.Buffer
+	zw := gzip.NewWriter(&buf)
+	if err := messenger.EncodeAll(msgpack.NewEncoder(zw), piece.Name, piece.Text); err != nil {
+		return nil, errors.Wrap(err, "encode settings file")
 	}
-	var parts [][]byte
-	for buf.Len() > 0 {
-		parts = append(parts, bytes.Clone(buf.Next(partBytes)))
+	if err := zw.Close(); err != nil {
+		return nil, errors.Wrap(err, "compress settings file")
 	}
-	return parts, nil
+	return buf.Bytes(), nil
 }
 
+// unpackFiles puts pieces that follow each other under one name together.
 func unpackFiles(parts [][]byte) ([]configurer.File, error) {
-	zr, err := gzip.NewReader(bytes.NewReader(bytes.Join(parts, nil)))
-	if err != nil {
-		return nil, errors.Wrap(err, "decompress settings files")
+	var files []configurer.File
+	for _, part := range parts {
+		piece, err := unpackPiece(part)
+		if err != nil {
+			return nil, err
+		}
+		if last := len(files) - 1; last >= 0 && files[last].Name == piece.Name {
+			files[last].Text += piece.Text
+			continue
+		}
+		files = append(files, piece)
 	}
-	one := func(de *msgpack.Decoder) (configurer.File, error) {
-		var fl configurer.File
-		err := messenger.DecodeAll(de, &fl.Name, &fl.Text)
-		return fl, err
+	return files, nil
+}
+
+func unpackPiece(part []byte) (configurer.File, error) {
+	var piece configurer.File
+	zr, err := gzip.NewReader(bytes.NewReader(part))
+	if err != nil {
+		return piece, errors.Wrap(err, "decompress settings file")
 	}
-	return messenger.DecodeList(msgpack.NewDecoder(io.LimitReader(zr, maxUnpackedBytes)), one)
+	de := msgpack.NewDecoder(io.LimitReader(zr, maxUnpackedBytes))
+	return piece, messenger.DecodeAll(de, &piece.Name, &piece.Text)
 }
 
 // checkPart compares a part with the hash under which it is stored.
--- a/internal/coordination/publisher/fetch.go
+++ b/internal/coordination/publisher/fetch.go
@@ -17,25 +17,44 @@
 	if rv == nil || rv.Number() < ft.AtLeast {
 		return &messenger.Fetched{}, nil
 	}
-	if ft.Part < 0 || ft.Part >= len(rv.packed) {
-		return nil, errors.Errorf("revision %d has no part %d", rv.Number(), ft.Part)
-	}
 	value, err := rv.head.encode()
 	if err != nil {
 		return nil, err
 	}
+	if ft.Part == messenger.HeadOnly {
+		return &messenger.Fetched{Head: value}, nil
+	}
+	if ft.Part < 0 || ft.Part >= len(rv.packed) {
+		return nil, errors.Errorf("revision %d has no part %d", rv.Number(), ft.Part)
+	}
 	return &messenger.Fetched{Head: value, Part: rv.packed[ft.Part]}, nil
 }
 
-// download fetches a revision part by part. It fails if the peer puts another
-// revision in force meanwhile.
+// parts returns the parts of the revision in force by their hashes.
+func (hd *Holder) parts() map[string][]byte {
+	held := map[string][]byte{}
+	if rv := hd.Current(); rv != nil {
+		for ix, part := range rv.packed {
+			held[rv.head.parts[ix]] = part
+		}
+	}
+	return held
+}
+
+// download fetches those parts of a revision that the one in force does not
+// have. It fails if the peer puts another revision in force meanwhile.
 func (fo *Follower) download(ctx context.Context, address string, atLeast int64) (*Revision, error) {
-	hd, first, err := fo.downloadPart(ctx, address, atLeast, 0)
+	hd, _, err := fo.downloadPart(ctx, address, atLeast, messenger.HeadOnly)
 	if err != nil {
 		return nil, err
 	}
-	parts := [][]byte{first}
-	for ix := 1; ix < len(hd.parts); ix++ {
+	held := fo.holder.parts()
+	var parts [][]byte
+	for ix, hash := range hd.parts {
+		if part, ok := held[hash]; ok {
+			parts = append(parts, part)
+			continue
+		}
 		next, part, err := fo.downloadPart(ctx, address, hd.number, ix)
 		if err != nil {
 			return nil, err
@@ -66,5 +85,8 @@
 	if hd.number < atLeast || part >= len(hd.parts) {
 		return head{}, nil, errBehind
 	}
+	if part == messenger.HeadOnly {
+		return hd, nil, nil
+	}
 	return hd, fetched.Part, checkPart(hd.parts[part], fetched.Part)
 }
--- a/internal/coordination/publisher/follower.go
+++ b/internal/coordination/publisher/follower.go
@@ -204,7 +204,7 @@
 }
 
 func (fo *Follower) load(ctx context.Context, hd head) {
-	rv, err := loadHead(ctx, fo.store, hd)
+	rv, err := loadHead(ctx, fo.store, hd, fo.holder.parts())
 	if err != nil {
 		fo.fail(err)
 		return
--- a/internal/coordination/publisher/history.go
+++ b/internal/coordination/publisher/history.go
@@ -27,7 +27,7 @@
 	if err != nil {
 		return nil, err
 	}
-	return loadHead(ctx, st, hd)
+	return loadHead(ctx, st, hd, nil)
 }
 
 // LoadRevision reads one revision that is still kept from the store.
@@ -38,7 +38,7 @@
 	}
 	for _, hd := range chain {
 		if hd.number == number {
-			return loadHead(ctx, st, hd)
+			return loadHead(ctx, st, hd, nil)
 		}
 	}
 	return nil, errors.Wrapf(ErrGone, "revision %d", number)
@@ -84,10 +84,14 @@
 	return chain, nil
 }
 
-// loadHead reads the parts of a head.
-func loadHead(ctx context.Context, st storer.Store, hd head) (*Revision, error) {
+// loadHead reads the parts of a head that are not held already.
+func loadHead(ctx context.Context, st storer.Store, hd head, held map[string][]byte) (*Revision, error) {
 	var parts [][]byte
 	for _, hash := range hd.parts {
+		if part, ok := held[hash]; ok {
+			parts = append(parts, part)
+			continue
+		}
 		en, err := st.Get(ctx, partPrefix+hash)
 		if storer.Is(err, storer.NotFound) {
 			return nil, errors.Wrapf(ErrCorrupt, "part %.12s of revision %d is missing", hash, hd.number)
--- a/internal/protocol/messenger/fetch.go
+++ b/internal/protocol/messenger/fetch.go
@@ -2,11 +2,14 @@
 
 import "github.com/vmihailenco/msgpack/v5"
 
+// HeadOnly is the part of a Fetch that wants no part.
+const HeadOnly = -1
+
 // Fetch asks a peer for one part of the configuration in force there.
 type Fetch struct {
 	// AtLeast is the lowest revision number that is wanted.
 	AtLeast int64
-	// Part is the index of the part.
+	// Part is the index of the part, or HeadOnly.
 	Part int
 }
 
