--- a/internal/state/storer/settle.go
+++ b/internal/state/storer/settle.go
@@ -7,8 +7,11 @@
 // effect. mine is given the stored value and has to look for a batch id that
 // only this write carries.
 //
-// It returns an error of kind Conflict only if the write did not and never will
-// take effect, and of kind Uncertain if that could not be found out.
+// It returns an error of kind Conflict if another's value stands there: the
+// write will not take effect any more. If its own answer was lost, it may have
+// taken effect before the other's did, so that a caller whose value others
+// build on has to look for its traces there. It returns an error of kind
+// Uncertain if the write may still take effect.
 func SwapSettled(ctx context.Context, st Store, key string, value []byte, revision int64, mine func([]byte) bool) (int64, error) {
 	written, err := st.Swap(ctx, key, value, revision)
 	if err == nil || !Is(err, Conflict) && !Is(err, Uncertain) {
