--- a/internal/server/body.go
+++ b/internal/server/body.go
@@ -52,10 +52,11 @@
 	return refuser.New(refuser.TooLarge, "body exceeds %d bytes", limit)
 }
 
-// checkContentType refuses a body that says it is no JSON.
+// checkContentType refuses a body that says it is no JSON. The type that curl
+// sends by itself says nothing.
 func checkContentType(hd http.Header) error {
 	text := hd.Get(echo.HeaderContentType)
-	if text == "" {
+	if text == "" || text == echo.MIMEApplicationForm {
 		return nil
 	}
 	kind, _, err := mime.ParseMediaType(text)
--- a/internal/server/requests_test.go
+++ b/internal/server/requests_test.go
@@ -137,6 +137,7 @@
 		{"key in another case", "POST", path, `{"model":"m","MODEL":"hidden"}`, refuser.Malformed, nil},
 		{"deadline", "POST", path, good, refuser.Malformed, []string{headerDeadline, "soon"}},
 		{"content type", "POST", path, good, refuser.Malformed, []string{echo.HeaderContentType, "text/plain"}},
+		{"content type of curl", "POST", path, good, refuser.NoWorker, []string{echo.HeaderContentType, echo.MIMEApplicationForm}},
 		{"content type in full", "POST", path, good, refuser.NoWorker, []string{echo.HeaderContentType, "application/json; charset=utf-8"}},
 		{"too large", "POST", path, strings.Repeat(" ", 3000), refuser.TooLarge, nil},
 		{"long model", "POST", path, `{"model":"` + long + `"}`, refuser.UnknownModel, nil},
