Measure demand by model and give the plan a record

Cause: each node computed the first plan for itself and demand was not collected. This adds the messages of kinds 50 to 53, the record of a plan with the planner's state, and the admitter's demand by model. The planner no longer counts on replicas that are planned and do not serve yet. No measurement.

--- a/internal/coordination/admitter/scheduler.go
+++ b/internal/coordination/admitter/scheduler.go
@@ -22,6 +22,7 @@
 type modelService struct {
 	whole      average
 	firstToken average
+	demand     demandMeter
 }
 
 // Scheduler is the decision of admission: a state machine without locks, whose
@@ -90,9 +91,11 @@
 		return en, nil
 	}
 	if rf := sc.refuseWait(now, en); rf != nil {
+		sc.noteRefused(en)
 		return nil, rf
 	}
 	if rf := sc.makeRoom(now, en); rf != nil {
+		sc.noteRefused(en)
 		return nil, rf
 	}
 	sc.enqueue(now, en)
@@ -225,6 +228,7 @@
 	sc.server(tg.Name).add(now, en.class, 1)
 	sc.credit(tg, en)
 	sc.inFlight++
+	sc.service(en.ticket.Model.Name()).demand.running++
 	sc.choosePrefill(now, en)
 	if en.ready == nil {
 		en.ready = closed
@@ -261,6 +265,7 @@
 	sc.finishPrefill(now, en)
 	en.stage = stageEnded
 	sc.inFlight--
+	sc.service(en.ticket.Model.Name()).demand.running--
 	en.target.Load.Finished(now)
 	sc.server(en.target.Name).add(now, en.class, -1)
 	sc.learn(en, rs)
--- a/internal/coordination/planner/planner.go
+++ b/internal/coordination/planner/planner.go
@@ -51,6 +51,9 @@
 	Demand Demand
 	// Current is the plan in force.
 	Current *Plan
+	// Serving says which replicas serve by their reports; a model's last that
+	// do are not given up. If it is nil, all do.
+	Serving func(model, server string) bool
 	// Now is the time of the pass; only elapsed time counts.
 	Now time.Time
 }
--- a/internal/coordination/planner/repair.go
+++ b/internal/coordination/planner/repair.go
@@ -128,13 +128,28 @@
 // without the one on the server.
 func (wk *work) dispensable(mi, si int) bool {
 	md := &wk.models[mi]
-	if len(md.replicas) <= md.least {
+	if len(md.replicas) <= md.least || wk.lastServing(mi, si) {
 		return false
 	}
 	zones := wk.zonesOf(mi)
 	return len(zones) == 1 || len(zones) > 2 || zones[wk.servers[si].zone] > 1
 }
 
+// lastServing reports whether a replica serves and too few others do.
+func (wk *work) lastServing(mi, si int) bool {
+	md := &wk.models[mi]
+	if wk.serving == nil || !wk.serving(md.name, wk.servers[si].name) {
+		return false
+	}
+	others := 0
+	for _, rp := range md.replicas {
+		if rp.server != si && wk.serving(md.name, wk.servers[rp.server].name) {
+			others++
+		}
+	}
+	return others < md.serving
+}
+
 // regret returns the demand, now or in the long term, that each replica of a
 // model would have to serve if there were one less.
 func (wk *work) regret(mi int) float64 {
--- a/internal/coordination/planner/work.go
+++ b/internal/coordination/planner/work.go
@@ -22,6 +22,7 @@
 	servers []workServer
 	byName  map[string]int
 	weights weights
+	serving func(model, server string) bool
 }
 
 // weights are the settings that decide what a move is worth.
@@ -35,6 +36,7 @@
 	name     string
 	memory   int64
 	least    int
+	serving  int
 	most     int
 	demand   float64
 	mean     float64
@@ -64,6 +66,7 @@
 	wk := &work{
 		byName:  map[string]int{},
 		weights: weights{move: pn.MoveWeight(), attainment: pn.AttainmentWeight()},
+		serving: in.Serving,
 	}
 	wk.addServers(in)
 	wk.addModels(in, demand)
@@ -88,11 +91,12 @@
 func (wk *work) addModels(in Input, demand Demand) {
 	for _, md := range in.Settings.Models() {
 		wk.models = append(wk.models, workModel{
-			name:   md.Name(),
-			memory: md.Memory(),
-			least:  leastReplicas(md),
-			most:   mostReplicas(md, len(wk.servers)),
-			demand: demand[md.Name()],
+			name:    md.Name(),
+			memory:  md.Memory(),
+			least:   leastReplicas(md),
+			serving: max(md.MinReplicas(), 1),
+			most:    mostReplicas(md, len(wk.servers)),
+			demand:  demand[md.Name()],
 		})
 	}
 }
--- a/internal/protocol/messenger/kinds.go
+++ b/internal/protocol/messenger/kinds.go
@@ -2,26 +2,30 @@
 
 // The kinds of messages. A number is never given to another message.
 const (
-	KindPing         Kind = 1
-	KindPong         Kind = 2
-	KindFetch        Kind = 3
-	KindFetched      Kind = 4
-	KindRelay        Kind = 5
-	KindSync         Kind = 6
-	KindSynced       Kind = 7
-	KindRelease      Kind = 8
-	KindReleased     Kind = 9
-	KindBegin        Kind = 10
-	KindBegun        Kind = 11
-	KindFinish       Kind = 12
-	KindFinished     Kind = 13
-	KindJobNotice    Kind = 14
-	KindShareRequest Kind = 20
-	KindShareGrant   Kind = 21
-	KindLoadDigest   Kind = 30
-	KindLoadView     Kind = 31
-	KindAdapterLoad  Kind = 40
-	KindAdapterState Kind = 41
+	KindPing           Kind = 1
+	KindPong           Kind = 2
+	KindFetch          Kind = 3
+	KindFetched        Kind = 4
+	KindRelay          Kind = 5
+	KindSync           Kind = 6
+	KindSynced         Kind = 7
+	KindRelease        Kind = 8
+	KindReleased       Kind = 9
+	KindBegin          Kind = 10
+	KindBegun          Kind = 11
+	KindFinish         Kind = 12
+	KindFinished       Kind = 13
+	KindJobNotice      Kind = 14
+	KindShareRequest   Kind = 20
+	KindShareGrant     Kind = 21
+	KindLoadDigest     Kind = 30
+	KindLoadView       Kind = 31
+	KindAdapterLoad    Kind = 40
+	KindAdapterState   Kind = 41
+	KindDemandReport   Kind = 50
+	KindDemandReceived Kind = 51
+	KindPlanFetch      Kind = 52
+	KindPlanFetched    Kind = 53
 )
 
 // builders makes an empty message of each kind for decoding.
@@ -40,4 +44,9 @@
 	KindLoadView:     func() Message { return &LoadView{} },
 	KindShareRequest: func() Message { return &ShareRequest{} },
 	KindShareGrant:   func() Message { return &ShareGrant{} },
+
+	KindDemandReport:   func() Message { return &DemandReport{} },
+	KindDemandReceived: func() Message { return &DemandReceived{} },
+	KindPlanFetch:      func() Message { return &PlanFetch{} },
+	KindPlanFetched:    func() Message { return &PlanFetched{} },
 }
