Run the planner on one node and spread its plan

Cause: every node computed the first plan for itself, and demand never changed it. One node now holds the plan by a claim, plans from the sum of the reported demand, and writes each new plan by compare-and-swap; the others fetch it from peers. Applying settings in which a model cannot have its replicas is refused. The runner's test settings have one backend server, so their model says max-replicas = 1; the check is not eased.

--- a/internal/coordination/planner/plan.go
+++ b/internal/coordination/planner/plan.go
@@ -1,6 +1,10 @@
 package planner
 
-import "sort"
+import (
+	"maps"
+	"slices"
+	"sort"
+)
 
 // Plan assigns models to backend servers. It is immutable.
 type Plan struct {
@@ -57,3 +61,14 @@
 	}
 	return moves
 }
+
+// Has reports whether the plan says anything of the backend server.
+func (pl *Plan) Has(server string) bool {
+	_, ok := pl.byServer[server]
+	return ok
+}
+
+// Equal reports whether both plans put the same models on the same servers.
+func (pl *Plan) Equal(other *Plan) bool {
+	return maps.EqualFunc(pl.byServer, other.byServer, slices.Equal[[]string])
+}
--- a/internal/coordination/publisher/apply.go
+++ b/internal/coordination/publisher/apply.go
@@ -7,6 +7,7 @@
 
 	"github.com/go-faster/errors"
 
+	"github.com/lagoonpass/lagoonpass/internal/coordination/planner"
 	"github.com/lagoonpass/lagoonpass/internal/state/configurer"
 	"github.com/lagoonpass/lagoonpass/internal/state/storer"
 )
@@ -53,12 +54,15 @@
 
 // Apply checks files and writes them as the next revision. It fails with a
 // *RacedError if the latest revision is not base, and with an *InvalidError if
-// the settings hold faults.
+// the settings hold faults or some model cannot have its replicas.
 func Apply(ctx context.Context, st storer.Store, files []configurer.File, author string, base int64) (*Revision, error) {
 	settings, faults := configurer.Parse(files)
 	if len(faults) > 0 {
 		return nil, &InvalidError{Faults: faults}
 	}
+	if faults = planner.Verify(settings); len(faults) > 0 {
+		return nil, &InvalidError{Faults: faults}
+	}
 	old, storeRevision, err := readHead(ctx, st)
 	if err != nil && !errors.Is(err, ErrNone) {
 		return nil, err
--- a/internal/runner/orders.go
+++ b/internal/runner/orders.go
@@ -6,25 +6,37 @@
 	"time"
 
 	"github.com/lagoonpass/lagoonpass/internal/coordination/orderer"
-	"github.com/lagoonpass/lagoonpass/internal/coordination/planner"
 	"github.com/lagoonpass/lagoonpass/internal/state/configurer"
 )
 
-// placeModels pursues the plan on the backend servers that the node owns.
+// placeModels pursues the plan in force on the backend servers that the node
+// owns. Nothing is ordered without a plan, and nothing of servers that leave or
+// that the plan does not know yet.
 func (nd *Node) placeModels(ctx context.Context, st *configurer.Settings) {
-	pl := planner.Initial(st, planner.All)
+	rc := nd.placer.Current()
+	if rc == nil {
+		return
+	}
 	vw := nd.prober.View()
+	leaving := nd.leavingServers()
 	var goals []*orderer.Goal
 	for _, bs := range st.BackendServers() {
-		if vw.Owns("worker/" + bs.Name()) {
-			goals = append(goals, orderer.GoalOf(st, bs, pl.Models(bs.Name())))
+		if vw.Owns("worker/"+bs.Name()) && rc.Plan().Has(bs.Name()) && !nd.isLeaving(bs.Name(), leaving) {
+			goals = append(goals, orderer.GoalOf(st, bs, rc.Plan().Models(bs.Name())))
 		}
 	}
 	nd.orderer.Pursue(ctx, time.Now(), goals)
 }
 
-// serving reports whether the server is configured and its latest report says
-// that it has the model.
+// isLeaving reports whether the server leaves, by its own report or by the list
+// of VMs.
+func (nd *Node) isLeaving(server string, listed []string) bool {
+	rp, _ := nd.watcher.Snapshot().Report(server)
+	return rp.Leaving || slices.Contains(listed, server)
+}
+
+// serving reports whether the server is configured and stays, and its latest
+// report says that it has the model.
 func (nd *Node) serving(model, server string) bool {
 	rv := nd.holder.Current()
 	if rv == nil {
@@ -33,5 +45,5 @@
 	if _, ok := rv.Settings().BackendServer(server); !ok {
 		return false
 	}
-	return slices.Contains(nd.watcher.Snapshot().Replicas(model), server)
+	return slices.Contains(nd.watcher.Snapshot().Replicas(model), server) && !nd.isLeaving(server, nd.leavingServers())
 }
--- a/internal/runner/rig_test.go
+++ b/internal/runner/rig_test.go
@@ -30,6 +30,7 @@
 	settingsText = `
 [model.m]
 memory = 1GiB
+max-replicas = 1
 [class.c]
 rank = 0
 deadline = 5m
--- a/internal/runner/runner.go
+++ b/internal/runner/runner.go
@@ -28,6 +28,7 @@
 	"github.com/lagoonpass/lagoonpass/internal/coordination/dispatcher"
 	"github.com/lagoonpass/lagoonpass/internal/coordination/ejector"
 	"github.com/lagoonpass/lagoonpass/internal/coordination/orderer"
+	"github.com/lagoonpass/lagoonpass/internal/coordination/placer"
 	"github.com/lagoonpass/lagoonpass/internal/coordination/prober"
 	"github.com/lagoonpass/lagoonpass/internal/coordination/publisher"
 	"github.com/lagoonpass/lagoonpass/internal/coordination/watcher"
@@ -55,6 +56,8 @@
 	watcher   *watcher.Watcher
 	exchange  *watcher.Exchange
 	orderer   *orderer.Orderer
+	placer    *placer.Placer
+	backends  *backends
 	admitter  *admitter.Admitter
 	peers     *messenger.Server
 	web       *http.Server
@@ -111,6 +114,7 @@
 	nd.claimer = claimer.New(nd.meter.For(storer.PurposeOwnership), nd.prober.View, nd.pool, claimer.WithRegistry(nd.registry))
 	nd.follower = publisher.NewFollower(nd.holder, nd.meter.For(storer.PurposeConfiguration),
 		nd.prober.View, nd.pool, nd.prober.Spreader(), publisher.WithRegistry(nd.registry))
+	nd.buildPlacer()
 	nd.buildRecords()
 	nd.peers = messenger.NewServer(messenger.HandlerFunc(nd.handlePeer))
 	nd.web = &http.Server{Handler: nd.buildServer(), ReadHeaderTimeout: 10 * time.Second}
@@ -189,6 +193,8 @@
 		return nd.recorder.Handle(ctx, call)
 	case *messenger.LoadDigest:
 		return nd.exchange.Answer(time.Now(), tc), nil
+	case *messenger.DemandReport, *messenger.PlanFetch:
+		return nd.placer.Handle(call)
 	default:
 		return nd.handleMembership(ctx, call)
 	}
@@ -201,6 +207,7 @@
 	nd.addLoop(&gr, nd.prober.Run)
 	nd.addLoop(&gr, nd.follower.Run)
 	nd.addLoop(&gr, nd.control)
+	nd.addLoop(&gr, nd.placement)
 	nd.startJobs()
 	nd.addWeb(&gr)
 	nd.addPeers(&gr)
