--- /dev/null
+++ b/internal/coordination/planner/record_test.go
@@ -0,0 +1,87 @@
+package planner_test
+
+import (
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"github.com/lagoonpass/lagoonpass/internal/coordination/planner"
+)
+
+func TestRecordSurvivesItsCodec(t *testing.T) {
+	pl := planner.NewPlan(map[string][]string{"w1": {"a", "b"}, "w2": {"b"}, "w3": nil})
+	st := planner.State{
+		Ages:   []time.Duration{time.Minute, 3 * time.Second},
+		Demand: planner.Demand{"a": 1.5, "c": 70},
+		Mean:   planner.Demand{"a": 2, "c": 7.1},
+	}
+	value, err := planner.NewRecord(3, 9, "x", pl, st).Encode()
+	require.NoError(t, err)
+	rc, err := planner.DecodeRecord(value)
+	require.NoError(t, err)
+	require.EqualValues(t, []any{int64(3), int64(9), "x"}, []any{rc.Epoch(), rc.Number(), rc.Batch()})
+	require.True(t, pl.Equal(rc.Plan()))
+	require.True(t, rc.Plan().Has("w3"))
+	require.Equal(t, st.Ages, rc.State().Ages)
+	require.InDelta(t, 70, rc.State().Demand["c"], 0.1)
+	require.InDelta(t, 7.1, rc.State().Mean["c"], 0.1)
+	for cut := range value {
+		_, err := planner.DecodeRecord(value[:cut])
+		require.ErrorIs(t, err, planner.ErrCorrupt)
+	}
+}
+
+// TestResumedBudgetErrsTowardsFewerMoves lets a state lie for two hours.
+func TestResumedBudgetErrsTowardsFewerMoves(t *testing.T) {
+	st := fleet(t, 9, 14, func(int) int { return 12 })
+	now := time.Unix(7200, 0)
+	state := planner.State{Ages: []time.Duration{59 * time.Minute, time.Minute}}
+	pl := planner.Resume(st, state, now)
+	require.Equal(t, state.Ages, pl.State(now).Ages, "the time between does not count")
+	later := pl.State(now.Add(2 * time.Minute)).Ages
+	require.Equal(t, []time.Duration{3 * time.Minute}, later)
+}
+
+// TestServingReplicaIsNotGivenUpForPlannedOnes causes hazard 14 in the plan:
+// only one replica of each cold model serves yet.
+func TestServingReplicaIsNotGivenUpForPlannedOnes(t *testing.T) {
+	st := fleet(t, 9, 14, func(int) int { return 12 })
+	first := planner.Initial(st, planner.All)
+	plan := first
+	serving := func(model, server string) bool {
+		held := first.Servers(model)
+		return server == held[len(held)-1]
+	}
+	pl := planner.New(st)
+	for pass := range 60 {
+		plan = pl.Next(planner.Input{
+			Settings: st, Usable: planner.All, Demand: planner.Demand{"m0003": 200}, Current: plan,
+			Serving: serving, Now: time.Unix(int64(10*pass), 0),
+		})
+		for _, md := range st.Models() {
+			held := first.Servers(md.Name())
+			require.Contains(t, plan.Servers(md.Name()), held[len(held)-1])
+		}
+	}
+	require.Positive(t, plan.Moves(first))
+}
+
+// BenchmarkRecord encodes and decodes the plan of 1,300 servers and 650 models.
+func BenchmarkRecord(b *testing.B) {
+	st := fleet(b, 1300, 650, func(model int) int { return 6 + model%7 })
+	state := planner.State{Demand: planner.Demand{}, Mean: planner.Demand{}}
+	for _, md := range st.Models() {
+		state.Demand[md.Name()], state.Mean[md.Name()] = 23.4, 22.1
+	}
+	rc := planner.NewRecord(1, 1, "batch", planner.Initial(st, planner.All), state)
+	size := 0
+	for b.Loop() {
+		value, err := rc.Encode()
+		require.NoError(b, err)
+		_, err = planner.DecodeRecord(value)
+		require.NoError(b, err)
+		size = len(value)
+	}
+	b.ReportMetric(float64(size), "bytes")
+}
--- a/internal/coordination/publisher/apply_test.go
+++ b/internal/coordination/publisher/apply_test.go
@@ -147,6 +147,14 @@
 	require.Len(t, er.Faults, 2)
 }
 
+func TestSettingsWithoutRoomForAModelAreRefused(t *testing.T) {
+	files := append(settings(t, 1), configurer.File{Name: "99-large.ini", Text: "[model.giant]\nmemory = 100TiB\n"})
+	_, err := publisher.Apply(t.Context(), platform.NewMemory(), files, "op", 0)
+	var er *publisher.InvalidError
+	require.ErrorAs(t, err, &er)
+	require.Contains(t, er.Error(), "model.giant")
+}
+
 func TestHistoryKeepsTheLatestAndCollectsTheRest(t *testing.T) {
 	me := platform.NewMemory()
 	const count = 60
--- a/internal/protocol/messenger/messenger_test.go
+++ b/internal/protocol/messenger/messenger_test.go
@@ -33,6 +33,10 @@
 		&Fetched{Head: []byte("h"), Part: []byte("p")},
 		&Release{Resource: "planner", Epoch: 2, Requester: "n1"},
 		&Released{Done: true},
+		&DemandReport{Node: "n1", Models: []ModelDemand{{Model: "m", Load: 2.5}}},
+		&DemandReceived{Epoch: 2, Number: 7},
+		&PlanFetch{Epoch: 2, Number: 7},
+		&PlanFetched{Record: []byte("r")},
 	}
 }
 
