Look for waiting servers among what each one holds

Cause: the search for servers that wait for each other asked for every model on every server. go test ./internal/coordination/placer -run xxx -bench .

--- a/internal/coordination/placer/placer.go
+++ b/internal/coordination/placer/placer.go
@@ -76,6 +76,8 @@
 	Usable planner.Usable
 	// Serving says by the reports which replicas serve.
 	Serving func(model, server string) bool
+	// Held returns the models that serve on a server.
+	Held func(server string) []string
 	// Demand measures what the node's own callers want. It is called once
 	// in a planning interval.
 	Demand func() planner.Demand
--- a/internal/coordination/placer/release.go
+++ b/internal/coordination/placer/release.go
@@ -75,25 +75,39 @@
 // blocked returns the models that the server has to give up for what it is to
 // load, and may not as too few others serve.
 func blocked(pl *planner.Plan, sn Situation, bs *configurer.BackendServer) []string {
-	var held []string
+	planned := pl.Models(bs.Name())
 	taken, missing := int64(0), false
-	for _, md := range sn.Settings.Models() {
-		serves := sn.Serving(md.Name(), bs.Name())
-		planned := slices.Contains(pl.Models(bs.Name()), md.Name())
-		if serves || planned {
-			taken += md.Memory()
+	for _, model := range planned {
+		taken += memoryOf(sn, model)
+		missing = missing || !sn.Serving(model, bs.Name())
+	}
+	if !missing || !sn.Usable(bs.Name()) {
+		return nil
+	}
+	var held []string
+	for _, model := range sn.Held(bs.Name()) {
+		if slices.Contains(planned, model) {
+			continue
 		}
-		missing = missing || planned && !serves
-		if serves && !planned && needed(sn, md, bs.Name()) {
-			held = append(held, md.Name())
+		taken += memoryOf(sn, model)
+		if md, ok := sn.Settings.Model(model); ok && needed(sn, md, bs.Name()) {
+			held = append(held, model)
 		}
 	}
-	if !missing || taken <= bs.WeightMemory() || !sn.Usable(bs.Name()) {
+	if taken <= bs.WeightMemory() {
 		return nil
 	}
 	return held
 }
 
+func memoryOf(sn Situation, model string) int64 {
+	md, ok := sn.Settings.Model(model)
+	if !ok {
+		return 0
+	}
+	return md.Memory()
+}
+
 // needed reports whether too few other servers serve the model.
 func needed(sn Situation, md *configurer.Model, server string) bool {
 	others := 0
--- a/internal/coordination/placer/rig_test.go
+++ b/internal/coordination/placer/rig_test.go
@@ -179,6 +179,14 @@
 		Settings: rg.settings,
 		Usable:   func(server string) bool { return !rg.unusable[server] },
 		Serving:  func(model, server string) bool { return rg.serves[place{model, server}] },
+		Held: func(server string) (all []string) {
+			for _, md := range rg.settings.Models() {
+				if rg.serves[place{md.Name(), server}] {
+					all = append(all, md.Name())
+				}
+			}
+			return all
+		},
 		Demand: func() planner.Demand {
 			part := planner.Demand{}
 			for model, load := range rg.demand {
--- a/internal/runner/placement.go
+++ b/internal/runner/placement.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"maps"
 	"slices"
 	"strings"
 	"sync"
@@ -68,8 +69,16 @@
 	return placer.Situation{
 		Settings: st,
 		Usable:   func(server string) bool { return usable[server] },
-		Serving:  func(model, server string) bool { return slices.Contains(sn.Replicas(model), server) },
-		Demand:   func() planner.Demand { return nd.admitter.Demand() },
+		Serving: func(model, server string) bool {
+			rp, _ := sn.Report(server)
+			_, ok := rp.Models[model]
+			return ok
+		},
+		Held: func(server string) []string {
+			rp, _ := sn.Report(server)
+			return slices.Sorted(maps.Keys(rp.Models))
+		},
+		Demand: func() planner.Demand { return nd.admitter.Demand() },
 	}
 }
 
