--- a/internal/coordination/placer/placer_test.go
+++ b/internal/coordination/placer/placer_test.go
@@ -238,3 +238,25 @@
 		}
 	}
 }
+
+// TestSettingsChange adds a model, removes one and makes one larger.
+func TestSettingsChange(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		rg := settled(t)
+		rg.settings = fleet(t, 9, 15, 12, 9, "[model.m00]\nmemory = 30GiB\n")
+		rg.run(2)
+		require.GreaterOrEqual(t, len(rg.newest().Servers("m14")), 2, "a new model is placed at once")
+		for _, bs := range rg.settings.BackendServers() {
+			used := int64(0)
+			for _, model := range rg.newest().Models(bs.Name()) {
+				md, _ := rg.settings.Model(model)
+				used += md.Memory()
+			}
+			require.LessOrEqual(t, used, bs.WeightMemory())
+		}
+		rg.settings = fleet(t, 9, 13, 12, 9)
+		rg.run(60)
+		require.Empty(t, rg.newest().Servers("m13"), "removed models leave")
+		rg.requireReached()
+	})
+}
--- a/internal/coordination/placer/rig_test.go
+++ b/internal/coordination/placer/rig_test.go
@@ -80,7 +80,7 @@
 	return written, err
 }
 
-func fleet(tb testing.TB, servers, models, memory, replicas int) *configurer.Settings {
+func fleet(tb testing.TB, servers, models, memory, replicas int, refine ...string) *configurer.Settings {
 	var text strings.Builder
 	text.WriteString("[engine-kind.k]\nchecks-fencing = yes\n[planning]\nmove-weight = 1\nattainment-weight = 4\nmoves-per-hour = 1000\n")
 	for ix := range servers {
@@ -89,7 +89,11 @@
 	for ix := range models {
 		fmt.Fprintf(&text, "[model.m%02d]\nmemory = %dGiB\nmax-replicas = %d\n", ix, memory, replicas)
 	}
-	st, faults := configurer.Parse([]configurer.File{{Name: "fleet.ini", Text: text.String()}})
+	files := []configurer.File{{Name: "fleet.ini", Text: text.String()}}
+	for ix, more := range refine {
+		files = append(files, configurer.File{Name: fmt.Sprintf("refine-%d.ini", ix), Text: more})
+	}
+	st, faults := configurer.Parse(files)
 	require.Empty(tb, faults)
 	return st
 }
