--- a/internal/coordination/placer/placer_test.go
+++ b/internal/coordination/placer/placer_test.go
@@ -260,3 +260,19 @@
 		rg.requireReached()
 	})
 }
+
+func TestHolderThatSeesFewServersPlansNothing(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		rg := settled(t)
+		before := rg.newest()
+		for ix := range 5 {
+			rg.unusable[fmt.Sprintf("w%d", ix)] = true
+		}
+		rg.run(60)
+		require.True(t, before.Equal(rg.newest()))
+		require.Positive(t, rg.holder().count.Values()["plan.most-servers-unseen"])
+		delete(rg.unusable, "w0")
+		rg.run(60)
+		require.Empty(t, rg.newest().Models("w1"))
+	})
+}
--- a/internal/runner/placement.go
+++ b/internal/runner/placement.go
@@ -52,6 +52,7 @@
 	for {
 		if rv := nd.holder.Current(); rv != nil {
 			nd.listLeaving(ctx, time.Now())
+			nd.registry.Set(int64(len(nd.leavingServers())), "plan", "leaving-servers")
 			nd.placer.Tick(ctx, time.Now(), nd.situation(rv.Settings(), time.Now()))
 		}
 		select {
--- a/internal/runner/rig_test.go
+++ b/internal/runner/rig_test.go
@@ -9,6 +9,7 @@
 	"net/http/httptest"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -71,6 +72,7 @@
 	gate    chan struct{}
 	open    func()
 	backend string
+	leaving atomic.Bool
 }
 
 // gatedWriter holds token 20 back until the gate is open.
@@ -141,6 +143,9 @@
 	for _, nd := range rg.nodes {
 		all = append(all, platform.VM{Name: nd.PeerAddress(), Address: nd.PeerAddress(), Zone: "zone-a", Kind: "entry", State: "live"})
 	}
+	if rg.leaving.Load() {
+		all = append(all, platform.VM{Name: "w1", Address: rg.backend, Zone: "zone-a", Kind: "backend", State: "leaving"})
+	}
 	return all
 }
 
