--- a/internal/runner/runner.go
+++ b/internal/runner/runner.go
@@ -28,6 +28,7 @@
 	"github.com/lagoonpass/lagoonpass/internal/coordination/dispatcher"
 	"github.com/lagoonpass/lagoonpass/internal/coordination/ejector"
 	"github.com/lagoonpass/lagoonpass/internal/coordination/orderer"
+	"github.com/lagoonpass/lagoonpass/internal/coordination/placer"
 	"github.com/lagoonpass/lagoonpass/internal/coordination/prober"
 	"github.com/lagoonpass/lagoonpass/internal/coordination/publisher"
 	"github.com/lagoonpass/lagoonpass/internal/coordination/watcher"
@@ -40,9 +41,17 @@
 	"github.com/lagoonpass/lagoonpass/internal/transport/forwarder"
 )
 
+const (
+	// headTimeout bounds the time in which a caller sends the head of a request.
+	headTimeout = 10 * time.Second
+	// headBytes bounds the head of a request.
+	headBytes = 64 << 10
+)
+
 // Node is one entry node.
 type Node struct {
 	identity  *identifier.Node
+	security  *security
 	registry  *counter.Registry
 	store     storer.Store
 	meter     *storer.Meter
@@ -55,6 +64,8 @@
 	watcher   *watcher.Watcher
 	exchange  *watcher.Exchange
 	orderer   *orderer.Orderer
+	placer    *placer.Placer
+	backends  *backends
 	admitter  *admitter.Admitter
 	peers     *messenger.Server
 	web       *http.Server
@@ -67,6 +78,7 @@
 	aborted   chan struct{}
 	abortOnce sync.Once
 	records
+	*drainer
 }
 
 // Option changes a Node that is being made.
@@ -84,16 +96,22 @@
 
 // New opens the node's listeners and returns it ready to run.
 func New(id *identifier.Node, opts ...Option) (*Node, error) {
+	sc, err := newSecurity(id, time.Now)
+	if err != nil {
+		return nil, err
+	}
 	nd := &Node{
 		identity: id,
+		security: sc,
 		registry: counter.NewRegistry(),
 		store:    storer.NewClient(id.Store()),
 		holder:   publisher.NewHolder(),
-		pool:     messenger.NewPool(),
+		pool:     sc.newPool(),
 		exchange: watcher.NewExchange(id.ID()),
 		pause:    time.After,
 		drained:  make(chan struct{}),
 		aborted:  make(chan struct{}),
+		drainer:  newDrainer(),
 	}
 	for _, opt := range opts {
 		opt(nd)
@@ -111,9 +129,10 @@
 	nd.claimer = claimer.New(nd.meter.For(storer.PurposeOwnership), nd.prober.View, nd.pool, claimer.WithRegistry(nd.registry))
 	nd.follower = publisher.NewFollower(nd.holder, nd.meter.For(storer.PurposeConfiguration),
 		nd.prober.View, nd.pool, nd.prober.Spreader(), publisher.WithRegistry(nd.registry))
+	nd.buildPlacer()
 	nd.buildRecords()
 	nd.peers = messenger.NewServer(messenger.HandlerFunc(nd.handlePeer))
-	nd.web = &http.Server{Handler: nd.buildServer(), ReadHeaderTimeout: 10 * time.Second}
+	nd.web = &http.Server{Handler: nd.buildServer(), ReadHeaderTimeout: headTimeout, MaxHeaderBytes: headBytes}
 	return nd, nil
 }
 
@@ -141,6 +160,7 @@
 		Zone:       nd.identity.Zone(),
 		Registry:   nd.registry,
 		Leaving:    nd.leaving.Load,
+		Drain:      nd.Drain,
 	})
 	return nd.server
 }
@@ -165,6 +185,8 @@
 		_ = nd.callerNet.Close()
 		return errors.Wrap(err, "listen for peers")
 	}
+	nd.callerNet = wrap(nd.callerNet, nd.security.callers)
+	nd.peerNet = wrap(nd.peerNet, nd.security.peers)
 	return nil
 }
 
@@ -189,6 +211,8 @@
 		return nd.recorder.Handle(ctx, call)
 	case *messenger.LoadDigest:
 		return nd.exchange.Answer(time.Now(), tc), nil
+	case *messenger.DemandReport, *messenger.PlanFetch:
+		return nd.placer.Handle(call)
 	default:
 		return nd.handleMembership(ctx, call)
 	}
@@ -203,6 +227,7 @@
 	nd.addLoop(&gr, nd.watch)
 	nd.addLoop(&gr, nd.exchangeLoads)
 	nd.addLoop(&gr, nd.control)
+	nd.addLoop(&gr, nd.placement)
 	nd.startJobs()
 	nd.addWeb(&gr)
 	nd.addPeers(&gr)
@@ -213,7 +238,10 @@
 func (nd *Node) addContext(ctx context.Context, gr *run.Group) {
 	ctx, cancel := context.WithCancel(ctx)
 	gr.Add(func() error {
-		<-ctx.Done()
+		select {
+		case <-ctx.Done():
+		case <-nd.requested:
+		}
 		nd.leaving.Store(true)
 		nd.leaveMembership()
 		nd.shutdown()
--- a/internal/server/services.go
+++ b/internal/server/services.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"net/http"
 	"time"
 
 	"github.com/labstack/echo/v4"
@@ -31,7 +32,7 @@
 	if err != nil {
 		return err
 	}
-	cl, err := readCall(ec, sc, svc)
+	cl, err := sv.readCall(ec, sc, svc)
 	if err != nil {
 		return err
 	}
@@ -53,16 +54,16 @@
 func findService(sc *scope, name string) (*configurer.Service, error) {
 	svc, ok := sc.settings.Service(name)
 	if !ok {
-		return nil, refuser.New(refuser.UnknownService, "no service %q", name)
+		return nil, refuser.New(refuser.UnknownService, "no service %.100q", name)
 	}
 	if !permitted(sc.caller.Services(), name) {
-		return nil, refuser.New(refuser.Forbidden, "caller %q may not use service %q", sc.caller.Name(), name)
+		return nil, refuser.New(refuser.Forbidden, "caller %.100q may not use service %.100q", sc.caller.Name(), name)
 	}
 	return svc, nil
 }
 
-func readCall(ec echo.Context, sc *scope, svc *configurer.Service) (invoker.Call, error) {
-	body, err := readBody(ec, sc.settings.Limits().BodyBytes())
+func (sv *Server) readCall(ec echo.Context, sc *scope, svc *configurer.Service) (invoker.Call, error) {
+	body, err := sv.readBody(ec, sc.settings.Limits().BodyBytes())
 	if err != nil {
 		return invoker.Call{}, err
 	}
@@ -71,7 +72,6 @@
 	if rq.URL.RawQuery != "" {
 		path += "?" + rq.URL.RawQuery
 	}
-	attempt := rq.Header.Get(headerAttempt)
 	return invoker.Call{
 		Caller:      sc.caller.Name(),
 		Service:     svc,
@@ -81,10 +81,18 @@
 		Body:        body,
 		Key:         rq.Header.Get(invoker.HeaderKey),
 		KeyTime:     rq.Header.Get(headerKeyTime),
-		Repeated:    attempt != "" && attempt != "1",
+		Repeated:    repeatsKey(rq),
 	}, nil
 }
 
+// repeatsKey reports whether the caller says that it sent the key before and
+// doesn't know what became of it. Then no refusal, for whatever reason, can
+// vouch that the earlier request was not run.
+func repeatsKey(rq *http.Request) bool {
+	attempt := rq.Header.Get(headerAttempt)
+	return rq.Header.Get(invoker.HeaderKey) != "" && attempt != "" && attempt != "1"
+}
+
 // callContext returns the context of a call. One that may not be repeated goes
 // on when its caller hangs up: its result then waits in the record.
 func callContext(ec echo.Context, cl invoker.Call) (context.Context, context.CancelFunc, error) {
@@ -92,7 +100,7 @@
 	if tx := ec.Request().Header.Get(headerDeadline); tx != "" {
 		dn, err := time.ParseDuration(tx)
 		if err != nil || dn <= 0 {
-			return nil, nil, refuser.New(refuser.Malformed, "%s: found %q; allowed: a duration such as 1500ms", headerDeadline, tx)
+			return nil, nil, refuser.New(refuser.Malformed, "%s: found %.100q; allowed: a duration such as 1500ms", headerDeadline, tx)
 		}
 		within = dn
 	}
