--- a/internal/server/requests_test.go
+++ b/internal/server/requests_test.go
@@ -48,6 +48,18 @@
 [caller.ops]
 key-sha256 = 74dd692c7e97b8bc134b8ef107d4e7daac883289ba1345852d69d2f558f735a3
 operator = yes
+[engine-kind.fenced]
+checks-fencing = yes
+[backend-server.w1]
+kind = fenced
+address = 127.0.0.1:2
+zone = a
+memory = 8GiB
+[backend-server.w2]
+kind = fenced
+address = 127.0.0.1:3
+zone = b
+memory = 8GiB
 [service.orders]
 addresses = 127.0.0.1:1
 non-repeatable = POST /book
