--- a/internal/coordination/jobrunner/jobrunner_test.go
+++ b/internal/coordination/jobrunner/jobrunner_test.go
@@ -1,7 +1,6 @@
 package jobrunner
 
 import (
-	"flag"
 	"fmt"
 	"os"
 	"testing"
@@ -13,17 +12,12 @@
 
 	"github.com/lagoonpass/lagoonpass/internal/checker"
 	"github.com/lagoonpass/lagoonpass/internal/standin/platform"
+	"github.com/lagoonpass/lagoonpass/internal/standin/seeder"
 	"github.com/lagoonpass/lagoonpass/pkg/refuser"
 )
 
 // TestMain fixes the seed of random runs unless one was given.
-func TestMain(m *testing.M) {
-	flag.Parse()
-	if seed := flag.Lookup("rapid.seed"); seed.Value.String() == "0" {
-		_ = flag.Set("rapid.seed", "43")
-	}
-	os.Exit(m.Run())
-}
+func TestMain(m *testing.M) { os.Exit(seeder.Run(m, 43)) }
 
 func inBubble(t *testing.T, fn func(t *testing.T, cl *cluster)) {
 	t.Helper()
--- a/internal/coordination/recorder/main_test.go
+++ b/internal/coordination/recorder/main_test.go
@@ -1,16 +1,11 @@
 package recorder
 
 import (
-	"flag"
 	"os"
 	"testing"
+
+	"github.com/lagoonpass/lagoonpass/internal/standin/seeder"
 )
 
 // TestMain fixes the seed of random runs unless one was given.
-func TestMain(m *testing.M) {
-	flag.Parse()
-	if seed := flag.Lookup("rapid.seed"); seed.Value.String() == "0" {
-		_ = flag.Set("rapid.seed", "41")
-	}
-	os.Exit(m.Run())
-}
+func TestMain(m *testing.M) { os.Exit(seeder.Run(m, 41)) }
