Plug the shared limits into the node

Cause: the limiter was not connected: each node loaded models by itself and divided quotas by its view of the membership. Nodes claim a slot, spread its holder, borrow in a loop of their own and take quotas, model loads and adapter loads from the limits. A slot that was never held is used at once. A slot that nobody holds is taken on by the node that the view names for it, so that two of four nodes still have the whole limit. Tests of the demonstrator raise the weight store's limits, as loads at one a second would take longer than the tests may.

--- a/internal/coordination/limiter/account.go
+++ b/internal/coordination/limiter/account.go
@@ -16,7 +16,8 @@
 	askAhead = 3 * BorrowInterval
 	// saveTime bounds the tokens that are saved up beyond the burst.
 	saveTime = 100 * time.Millisecond
-	// rateFloor is the part of a rate that a lender always keeps.
+	// rateFloor is the part of a rate that a lender always keeps, and the least
+	// that a borrower asks for.
 	rateFloor = 0.02
 )
 
@@ -61,6 +62,17 @@
 	}
 }
 
+// addUnused adds a part that nobody used before. It is in force at once, with
+// its part of the burst.
+func (ac *account) addUnused(part float64, now time.Time) {
+	ac.settle(now)
+	ac.own += part
+	ac.rising = max(ac.rising+part, ac.own)
+	if !ac.limit.counts() && ac.limit.capacity > 0 {
+		ac.tokens += part / ac.limit.capacity * ac.limit.burst
+	}
+}
+
 // settle brings the account up to date.
 func (ac *account) settle(now time.Time) {
 	if ac.rising > ac.own && !now.Before(ac.risesAt) {
@@ -219,6 +231,9 @@
 	ac.settle(now)
 	share := ac.own - sum(ac.lent) + sum(current(ac.borrowed, now.Add(askAhead)))
 	wanted := ac.demand * spareFactor
+	if ac.demand > 0 {
+		wanted = max(wanted, ac.limit.capacity*rateFloor)
+	}
 	if ac.limit.counts() {
 		share = ac.own - sum(ac.lent) + sum(ac.borrowed)
 		wanted = ac.neededAtOnce()
--- a/internal/coordination/limiter/book.go
+++ b/internal/coordination/limiter/book.go
@@ -2,7 +2,9 @@
 
 import (
 	"context"
+	"maps"
 	"math"
+	"slices"
 	"sort"
 	"strconv"
 	"sync"
@@ -10,6 +12,7 @@
 
 	"github.com/cespare/xxhash/v2"
 
+	"github.com/lagoonpass/lagoonpass/internal/counter"
 	"github.com/lagoonpass/lagoonpass/internal/protocol/messenger"
 	"github.com/lagoonpass/lagoonpass/internal/state/configurer"
 )
@@ -20,8 +23,8 @@
 	ID string
 	// Address is where the peer is called.
 	Address string
-	// Slot is the peer's slot, or -1 if it has none.
-	Slot int
+	// Slots are the slots that the peer holds.
+	Slots []int
 }
 
 // Peers calls other nodes.
@@ -38,8 +41,12 @@
 
 	mu       sync.Mutex
 	accounts map[string]*account
-	slot     int
+	// held are the node's slots, each with the time from which on nothing of
+	// an earlier holder can be left; slots is how many there are in all.
+	held     map[int]time.Time
 	slots    int
+	dropped  map[string]time.Time
+	registry *counter.Registry
 	number   uint64
 	// owed are the numbers of loans to return, by lender and limit.
 	owed map[string]map[string][]uint64
@@ -48,15 +55,28 @@
 // NoSlot is the slot of a node that has none.
 const NoSlot = -1
 
+// Option changes a Limiter that is being made.
+type Option func(*Limiter)
+
+// WithRegistry makes the limiter count loans and refusals.
+func WithRegistry(rg *counter.Registry) Option {
+	return func(lm *Limiter) { lm.registry = rg }
+}
+
 // New returns a limiter without limits and without a slot.
-func New(self string, peers Peers) *Limiter {
-	return &Limiter{
+func New(self string, peers Peers, opts ...Option) *Limiter {
+	lm := &Limiter{
 		self:     self,
 		peers:    peers,
 		accounts: map[string]*account{},
-		slot:     NoSlot,
+		held:     map[int]time.Time{},
+		dropped:  map[string]time.Time{},
 		owed:     map[string]map[string][]uint64{},
 	}
+	for _, opt := range opts {
+		opt(lm)
+	}
+	return lm
 }
 
 // Configure puts the limits of a configuration in force. A part that grows is
@@ -65,55 +85,100 @@
 	lm.mu.Lock()
 	defer lm.mu.Unlock()
 	keep := map[string]bool{}
+	lm.slots = st.Limits().EntryNodes()
 	for _, lt := range Limits(st) {
 		keep[lt.name] = true
 		ac, ok := lm.accounts[lt.name]
 		if !ok {
-			ac = &account{limit: lt}
-			lm.accounts[lt.name] = ac
+			lm.accounts[lt.name] = lm.open(lt, now)
+			continue
 		}
 		ac.limit = lt
 		ac.setOwn(lm.part(lt), now)
 	}
-	for name := range lm.accounts {
+	for name, ac := range lm.accounts {
 		if !keep[name] {
+			lm.dropped[name] = now.Add(ac.limit.quietTime())
 			delete(lm.accounts, name)
 		}
 	}
 }
 
-// SetSlot tells which of how many slots belongs to this node.
-func (lm *Limiter) SetSlot(slot, slots int, now time.Time) {
+// open makes the account of a limit that is new to this node. Its part is in
+// force at once unless the limit or the slot was in use lately.
+func (lm *Limiter) open(lt Limit, now time.Time) *account {
+	ac := &account{limit: lt}
+	ready := lm.dropped[lt.name]
+	for _, since := range lm.held {
+		if end := since.Add(lt.quietTime()); !since.IsZero() && end.After(ready) {
+			ready = end
+		}
+	}
+	delete(lm.dropped, lt.name)
+	part := lm.part(lt)
+	if now.Before(ready) {
+		ac.rising, ac.risesAt = part, ready
+		return ac
+	}
+	ac.addUnused(part, now)
+	return ac
+}
+
+// AddSlot tells that one more of the slots belongs to this node. A slot that
+// nobody held before, a fresh one, is used at once.
+func (lm *Limiter) AddSlot(slot, slots int, fresh bool, now time.Time) {
 	lm.mu.Lock()
 	defer lm.mu.Unlock()
-	if lm.slot == slot && lm.slots == slots {
+	if _, ok := lm.held[slot]; ok && lm.slots == slots {
 		return
 	}
-	lm.slot, lm.slots = slot, slots
+	before := map[string]float64{}
+	for name, ac := range lm.accounts {
+		before[name] = lm.part(ac.limit)
+	}
+	fresh = fresh && lm.slots == slots
+	lm.slots = slots
+	lm.held[slot] = time.Time{}
+	if !fresh {
+		lm.held[slot] = now
+	}
+	for name, ac := range lm.accounts {
+		part := lm.part(ac.limit)
+		if fresh {
+			ac.addUnused(part-before[name], now)
+			continue
+		}
+		ac.setOwn(part, now)
+	}
+}
+
+// DropSlot tells that a slot does not belong to this node any more.
+func (lm *Limiter) DropSlot(slot int, now time.Time) {
+	lm.mu.Lock()
+	defer lm.mu.Unlock()
+	delete(lm.held, slot)
 	for _, ac := range lm.accounts {
 		ac.setOwn(lm.part(ac.limit), now)
 	}
 }
 
-// Slot returns the node's slot, or NoSlot.
-func (lm *Limiter) Slot() int {
+// SlotsHeld returns the node's slots in their order.
+func (lm *Limiter) SlotsHeld() []int {
 	lm.mu.Lock()
 	defer lm.mu.Unlock()
-	return lm.slot
+	return slices.Sorted(maps.Keys(lm.held))
 }
 
-// part returns what belongs to the node's slot.
+// part returns what belongs to the node's slots.
 func (lm *Limiter) part(lt Limit) float64 {
-	if lm.slot < 0 || lm.slots <= 0 {
-		return 0
-	}
 	holders := Shareholders(lt.name, lm.slots)
+	total := 0.0
 	for ix, slot := range holders {
-		if slot == lm.slot {
-			return partOf(lt, ix, len(holders))
+		if _, ok := lm.held[slot]; ok {
+			total += partOf(lt, ix, len(holders))
 		}
 	}
-	return 0
+	return total
 }
 
 // partOf divides a limit among its shareholders; units at once are whole.
@@ -148,7 +213,11 @@
 	lm.mu.Lock()
 	defer lm.mu.Unlock()
 	ac, ok := lm.accounts[name]
-	return ok && ac.take(now)
+	if ok && ac.take(now) {
+		return true
+	}
+	lm.registry.Inc("limit", "refused", kindOf(name))
+	return false
 }
 
 // Release ends an operation under a limit of units at once.
@@ -223,6 +292,36 @@
 		}
 	}
 	grant.Amount = ac.lend(call.From, call.Number, call.Wanted, now)
+	if grant.Amount > 0 {
+		lm.registry.Inc("limit", "lent", kindOf(call.Limit))
+	}
 	grant.Recall = ac.recall()
 	return grant
 }
+
+// Expects reports whether the node has no part of a rate now, which a loan
+// could change.
+func (lm *Limiter) Expects(name string, now time.Time) bool {
+	lm.mu.Lock()
+	defer lm.mu.Unlock()
+	ac, ok := lm.accounts[name]
+	if !ok {
+		return true
+	}
+	ac.settle(now)
+	return ac.share(now) <= rounding && ac.tokens < 1
+}
+
+// Ready reports whether a unit of a rate is there. A caller that asks waits for
+// it, which counts as demand.
+func (lm *Limiter) Ready(name string, now time.Time) bool {
+	lm.mu.Lock()
+	defer lm.mu.Unlock()
+	ac, ok := lm.accounts[name]
+	if !ok {
+		return false
+	}
+	ac.settle(now)
+	ac.wanted = max(ac.wanted, 1)
+	return ac.tokens >= 1
+}
--- a/internal/coordination/limiter/borrow.go
+++ b/internal/coordination/limiter/borrow.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"slices"
 	"sort"
 	"time"
 
@@ -60,7 +61,7 @@
 		return ask{}, false
 	}
 	rq := &messenger.ShareRequest{From: lm.self, Limit: name}
-	if lm.holdsPart(name, ld.Slot) {
+	if lm.holdsPart(name, ld.Slots) {
 		rq.Wanted = ac.lack(now)
 	}
 	if ac.limit.counts() {
@@ -75,9 +76,9 @@
 	return ask{lender: ld, request: rq, asked: now}, true
 }
 
-func (lm *Limiter) holdsPart(name string, slot int) bool {
+func (lm *Limiter) holdsPart(name string, slots []int) bool {
 	for _, holder := range Shareholders(name, lm.slots) {
-		if holder == slot {
+		if slices.Contains(slots, holder) {
 			return true
 		}
 	}
@@ -127,6 +128,7 @@
 	peer := asking.lender.ID
 	lm.paid(peer, name, asking.request.Return)
 	if grant.Amount > rounding {
+		lm.registry.Inc("limit", "borrowed", kindOf(name))
 		ac.borrow(peer, asking.request.Number, grant.Amount, asking.asked)
 	}
 	if !ac.limit.counts() {
--- a/internal/coordination/limiter/limiter.go
+++ b/internal/coordination/limiter/limiter.go
@@ -14,23 +14,27 @@
 //     is gone. The borrower starts nothing on it later than LoanTime after the
 //     lender's last word, and an operation takes at most the limit's bound.
 //   - A node that takes over the slot of a VM that is gone waits until every
-//     loan and operation of its predecessor has ended.
+//     loan and operation of its predecessor has ended. A slot that was never
+//     held is used at once.
+//   - A slot that nobody holds is added to those of a node that runs, so that
+//     no part of a limit is out of use for good while nodes are missing.
 //
 // # Usage
 //
 //	lm := limiter.New(self, peers)
 //	lm.Configure(settings, now)
-//	lm.SetSlot(3, 4, now)
+//	lm.AddSlot(3, 4, fresh, now)
 //	if lm.Take("caller/desk", now) { ... }
 //	if lm.Take("weight-store-at-once", now) {
-//		defer lm.Release("weight-store-at-once", time.Now())
+//		defer lm.Release("weight-store-at-once")
 //	}
-//	lm.Borrow(ctx, now) // in the background, every BorrowInterval
+//	lm.Borrow(ctx, lenders, time.Now) // in the background, every BorrowInterval
 //
 // Only elapsed time counts: every now must carry a monotonic reading.
 package limiter
 
 import (
+	"strings"
 	"time"
 
 	"github.com/lagoonpass/lagoonpass/internal/state/configurer"
@@ -56,6 +60,17 @@
 // CallerLimit returns the name of a caller's quota.
 func CallerLimit(caller string) string { return "caller/" + caller }
 
+// callerKind is what the counters call the quotas of all callers.
+const callerKind = "caller-quota"
+
+// kindOf returns what the counters call a limit.
+func kindOf(name string) string {
+	if strings.HasPrefix(name, CallerLimit("")) {
+		return callerKind
+	}
+	return name
+}
+
 // operationBounds holds how long one operation under a limit of units at once
 // may take.
 const (
--- a/internal/coordination/limiter/slot.go
+++ b/internal/coordination/limiter/slot.go
@@ -28,63 +28,97 @@
 // Node returns the id of the node that holds the slot.
 func (hd Holder) Node() string { return hd.node }
 
+// Slot is a slot that a node holds.
+type Slot struct {
+	number   int
+	fresh    bool
+	revision int64
+}
+
+// Number returns the slot's number.
+func (sl Slot) Number() int { return sl.number }
+
+// Fresh reports whether nobody held the slot before.
+func (sl Slot) Fresh() bool { return sl.fresh }
+
+// Revision returns the revision of the slot's record, which grows with each
+// holder.
+func (sl Slot) Revision() int64 { return sl.revision }
+
 // ClaimSlot makes the node self the holder of a slot, by compare-and-swap: one
-// that it holds already, one that nobody holds, or one whose holder's VM the
-// platform does not list any more. listed tells which VMs it lists.
-func ClaimSlot(ctx context.Context, st storer.Store, self string, slots int, listed func(node string) bool) (int, error) {
+// that it holds already, one that nobody ever held, or else one whose holder's
+// VM the platform does not list any more. listed tells which VMs it lists. A
+// slot that the node held already is not fresh.
+func ClaimSlot(ctx context.Context, st storer.Store, self string, slots int, listed func(node string) bool) (Slot, error) {
 	entries, err := st.List(ctx, slotPrefix)
 	if err != nil {
-		return NoSlot, errors.Wrap(err, "read slots")
+		return Slot{number: NoSlot}, errors.Wrap(err, "read slots")
 	}
 	byKey := map[string]storer.Entry{}
 	for _, en := range entries {
 		byKey[en.Key] = en
 	}
-	for slot := range slots {
-		if hd, err := decodeHolder(byKey[slotKey(slot)].Value); err == nil && hd.node == self {
-			return slot, nil
+	var free, left []int
+	for number := range slots {
+		en, ok := byKey[slotKey(number)]
+		hd, err := decodeHolder(en.Value)
+		switch {
+		case !ok:
+			free = append(free, number)
+		case err == nil && hd.node == self:
+			return Slot{number: number, revision: en.Revision}, nil
+		case err == nil && !listed(hd.node):
+			left = append(left, number)
 		}
 	}
-	for slot := range slots {
-		en := byKey[slotKey(slot)]
-		if len(en.Value) > 0 && held(en.Value, listed) {
-			continue
-		}
-		taken, err := takeSlot(ctx, st, self, slot, en.Revision)
+	for _, number := range append(free, left...) {
+		sl, taken, err := takeSlot(ctx, st, self, number, byKey[slotKey(number)])
 		if err != nil {
-			return NoSlot, err
+			return Slot{number: NoSlot}, err
 		}
 		if taken {
-			return slot, nil
+			return sl, nil
 		}
 	}
-	return NoSlot, ErrNoSlot
+	return Slot{number: NoSlot}, ErrNoSlot
 }
 
-func slotKey(slot int) string { return fmt.Sprintf("%s%04d", slotPrefix, slot) }
-
-// held reports whether a slot's record keeps it from being taken. A record that
-// cannot be read does.
-func held(value []byte, listed func(node string) bool) bool {
-	hd, err := decodeHolder(value)
-	return err != nil || listed(hd.node)
+// AdoptSlot makes the node self the holder of one slot more, if nobody ever
+// held it or its holder's VM is not listed any more, and reports whether it is.
+// If another node holds it, the slot tells its number and revision only.
+func AdoptSlot(ctx context.Context, st storer.Store, self string, number int, listed func(node string) bool) (sl Slot, holder string, err error) {
+	en, err := st.Get(ctx, slotKey(number))
+	if err != nil && !storer.Is(err, storer.NotFound) {
+		return Slot{}, "", errors.Wrapf(err, "read slot %d", number)
+	}
+	hd, fault := decodeHolder(en.Value)
+	if en.Revision != 0 && (fault != nil || hd.node == self || listed(hd.node)) {
+		return Slot{number: number, revision: en.Revision}, hd.node, nil
+	}
+	sl, taken, err := takeSlot(ctx, st, self, number, en)
+	if err != nil || !taken {
+		return Slot{}, "", err
+	}
+	return sl, self, nil
 }
 
-func takeSlot(ctx context.Context, st storer.Store, self string, slot int, revision int64) (bool, error) {
+func slotKey(slot int) string { return fmt.Sprintf("%s%04d", slotPrefix, slot) }
+
+func takeSlot(ctx context.Context, st storer.Store, self string, number int, was storer.Entry) (Slot, bool, error) {
 	hd := Holder{node: self, batch: rand.Text()}
 	value, err := hd.encode()
 	if err != nil {
-		return false, err
+		return Slot{}, false, err
 	}
 	mine := func(found []byte) bool { return bytes.Equal(found, value) }
-	_, err = storer.SwapSettled(ctx, st, slotKey(slot), value, revision, mine)
+	revision, err := storer.SwapSettled(ctx, st, slotKey(number), value, was.Revision, mine)
 	if storer.Is(err, storer.Conflict) {
-		return false, nil
+		return Slot{}, false, nil
 	}
 	if err != nil {
-		return false, errors.Wrapf(err, "claim slot %d", slot)
+		return Slot{}, false, errors.Wrapf(err, "claim slot %d", number)
 	}
-	return true, nil
+	return Slot{number: number, fresh: was.Revision == 0, revision: revision}, true, nil
 }
 
 func (hd Holder) encode() ([]byte, error) {
--- a/internal/coordination/orderer/keeper.go
+++ b/internal/coordination/orderer/keeper.go
@@ -20,6 +20,7 @@
 	inspectTimeout  = 5 * time.Second
 	orderTimeout    = 5 * time.Minute
 	denialInterval  = 5 * time.Second
+	tokenPause      = 500 * time.Millisecond
 	maxAttempts     = 8
 )
 
--- a/internal/coordination/prober/contact.go
+++ b/internal/coordination/prober/contact.go
@@ -51,6 +51,7 @@
 		pb.startContacts(context.WithoutCancel(ctx), pb.listedAt)
 	}
 	pb.listed = true
+	pb.readAt = pb.listedAt
 	for _, vm := range pb.vms {
 		if vm.State == lister.StateLeaving {
 			pb.table.markLeaving(vm.Name)
--- a/internal/coordination/prober/prober.go
+++ b/internal/coordination/prober/prober.go
@@ -105,6 +105,7 @@
 	vms       []lister.VM
 	listed    bool
 	listedAt  time.Time
+	readAt    time.Time
 	listing   bool
 	stale     bool
 	awakeAt   time.Time
--- a/internal/demonstrator/demonstrator.go
+++ b/internal/demonstrator/demonstrator.go
@@ -41,6 +41,7 @@
 type Demo struct {
 	deployment string
 	nodeCount  int
+	limits     string
 	settings   *configurer.Settings
 	store      *platform.Memory
 	engines    map[string]*engine.Engine
@@ -64,6 +65,9 @@
 // WithNodes sets the number of entry nodes.
 func WithNodes(count int) Option { return func(dm *Demo) { dm.nodeCount = count } }
 
+// WithLimits sets more keys of the section limits, one a line.
+func WithLimits(lines string) Option { return func(dm *Demo) { dm.limits = lines + "\n" } }
+
 // Start starts a deployment of the examples.
 func Start(ctx context.Context, deployment string, opts ...Option) (*Demo, error) {
 	dm := &Demo{
@@ -106,6 +110,7 @@
 		return nil, errors.Wrap(faults[0], "read settings")
 	}
 	var override strings.Builder
+	fmt.Fprintf(&override, "[limits]\nentry-nodes = %d\n%s", dm.nodeCount, dm.limits)
 	for _, bs := range st.BackendServers() {
 		address, err := dm.startEngine(st, bs)
 		if err != nil {
--- a/internal/demonstrator/drive.go
+++ b/internal/demonstrator/drive.go
@@ -14,7 +14,7 @@
 )
 
 // readyTimeout bounds the wait for all models at the start.
-const readyTimeout = 30 * time.Second
+const readyTimeout = 3 * time.Minute
 
 // Result is what a drive measured.
 type Result struct {
--- a/internal/runner/runner.go
+++ b/internal/runner/runner.go
@@ -67,6 +67,7 @@
 	aborted   chan struct{}
 	abortOnce sync.Once
 	records
+	limits
 }
 
 // Option changes a Node that is being made.
@@ -104,10 +105,12 @@
 	if err := nd.listen(); err != nil {
 		return nil, err
 	}
+	nd.prober = prober.New(nd.presence, lister.New(id.VMList()), nd.pool, prober.WithRegistry(nd.registry))
+	nd.buildLimits()
 	nd.orderer = orderer.New(id.ID(), nd.meter.For(storer.PurposeOrder),
 		orderer.WithCounters(nd.registry),
+		orderer.WithTokens(sharedTokens{&nd.limits}),
 		orderer.WithServing(nd.serving))
-	nd.prober = prober.New(nd.presence, lister.New(id.VMList()), nd.pool, prober.WithRegistry(nd.registry))
 	nd.claimer = claimer.New(nd.meter.For(storer.PurposeOwnership), nd.prober.View, nd.pool, claimer.WithRegistry(nd.registry))
 	nd.follower = publisher.NewFollower(nd.holder, nd.meter.For(storer.PurposeConfiguration),
 		nd.prober.View, nd.pool, nd.prober.Spreader(), publisher.WithRegistry(nd.registry))
@@ -130,7 +133,7 @@
 	fw := forwarder.New()
 	ej := ejector.New(ejector.WithReplicas(nd.replicas), ejector.WithRegistry(nd.registry))
 	nd.admitter = nd.newAdmitter(ej)
-	ds := dispatcher.New(nd.admitter, fw, &orderer.Adapters{}, dispatcher.WithRegistry(nd.registry), dispatcher.WithEjector(ej))
+	ds := dispatcher.New(quotaGate{&nd.limits, nd.admitter}, fw, &orderer.Adapters{}, dispatcher.WithRegistry(nd.registry), dispatcher.WithEjector(ej))
 	iv := nd.buildInvoker(fw)
 	nd.server = server.New(server.Parts{
 		Holder:     nd.holder,
@@ -189,6 +192,8 @@
 		return nd.recorder.Handle(ctx, call)
 	case *messenger.LoadDigest:
 		return nd.exchange.Answer(time.Now(), tc), nil
+	case *messenger.ShareRequest:
+		return nd.limiter.Answer(tc, time.Now()), nil
 	default:
 		return nd.handleMembership(ctx, call)
 	}
@@ -201,6 +206,8 @@
 	nd.addLoop(&gr, nd.prober.Run)
 	nd.addLoop(&gr, nd.follower.Run)
 	nd.addLoop(&gr, nd.control)
+	nd.addLoop(&gr, nd.borrow)
+	nd.addLoop(&gr, nd.keepSlots)
 	nd.startJobs()
 	nd.addWeb(&gr)
 	nd.addPeers(&gr)
