Load adapters on demand with fencing numbers and leases

Cause: nothing loaded adapters; requests for one went to an engine without it. The owner of a server keeps its adapter table, sends one order at a time with the recorded fencing number and evicts by use; other nodes hold adapters by leases, which they renew while requests run. Against engines that ignore fencing numbers orders go out only within half of the late-order bound after a confirmed write, a new owner waits as long and holds back the room of two adapters for the whole bound; without a bound nothing is loaded. Against those the orderer raises its fencing number on request. The stand-in engine serves adapters under their own names.

--- /dev/null
+++ b/internal/coordination/adapterkeeper/rig_test.go
@@ -0,0 +1,163 @@
+package adapterkeeper
+
+import (
+	"bytes"
+	"context"
+	"fmt"
+	"io"
+	"net/http"
+	"net/http/httptest"
+	"sync"
+	"time"
+
+	"github.com/apex/log"
+	"github.com/apex/log/handlers/discard"
+	"github.com/go-faster/errors"
+
+	"github.com/lagoonpass/lagoonpass/internal/checker"
+	"github.com/lagoonpass/lagoonpass/internal/coordination/orderer"
+	"github.com/lagoonpass/lagoonpass/internal/coordination/prober"
+	"github.com/lagoonpass/lagoonpass/internal/counter"
+	"github.com/lagoonpass/lagoonpass/internal/protocol/messenger"
+	"github.com/lagoonpass/lagoonpass/internal/standin/engine"
+	"github.com/lagoonpass/lagoonpass/internal/state/configurer"
+	"github.com/lagoonpass/lagoonpass/internal/transport/forwarder"
+)
+
+const (
+	testBound = 20 * time.Second
+	mebibyte  = 1 << 20
+)
+
+// rig is nodes that each may take themselves for the owner of one engine.
+type rig struct {
+	mu       sync.Mutex
+	now      time.Time
+	engine   *engine.Engine
+	settings *configurer.Settings
+	number   int64
+	owner    *node
+	sent     int
+	hold     func()
+}
+
+// node is one of them; its mandate may be out of date.
+type node struct {
+	rig     *rig
+	keeper  *Keeper
+	counts  *counter.Registry
+	mandate orderer.Mandate
+	has     bool
+}
+
+func settingsText(fencing string, bound time.Duration, reserve, adapters int) string {
+	text := fmt.Sprintf("[model.m]\nmemory = 1GiB\n[engine-kind.k]\nchecks-fencing = %s\nlate-order-bound = %s\n"+
+		"[backend-server.w]\nkind = k\naddress = 127.0.0.1:1\nzone = z\nmemory = 80GiB\nadapter-reserve = %dMiB\n", fencing, bound, reserve)
+	for ix := range adapters {
+		text += fmt.Sprintf("[adapter.a%d]\nmodel = m\nmemory = %dMiB\n", ix, ix%3+1)
+	}
+	return text
+}
+
+type failer interface {
+	Cleanup(fn func())
+	Fatalf(format string, args ...any)
+}
+
+func newRig(t failer, fencing string, bound time.Duration, reserve, adapters int) *rig {
+	log.SetHandler(discard.Default)
+	checker.Reset()
+	t.Cleanup(checker.Reset)
+	st, faults := configurer.Parse([]configurer.File{{Name: "a.ini", Text: settingsText(fencing, bound, reserve, adapters)}})
+	if len(faults) > 0 {
+		t.Fatalf("settings: %v", faults)
+	}
+	eg := engine.New("w", engine.WithAdapterMemory(int64(reserve)*mebibyte), engine.WithFencing(fencing == "yes"))
+	return &rig{now: time.Now(), engine: eg, settings: st, hold: func() {}}
+}
+
+func (rg *rig) clock() time.Time {
+	rg.mu.Lock()
+	defer rg.mu.Unlock()
+	return rg.now
+}
+
+func (rg *rig) pass(dn time.Duration) {
+	rg.mu.Lock()
+	defer rg.mu.Unlock()
+	rg.now = rg.now.Add(dn)
+}
+
+// node returns a node whose view names the owner of everything.
+func (rg *rig) node(id, owner string, opts ...Option) *node {
+	nd := &node{rig: rg, counts: counter.NewRegistry()}
+	vw := prober.NewView(id, []prober.Member{{ID: owner, State: prober.Alive, PeerAddress: owner}})
+	opts = append([]Option{
+		WithNow(rg.clock), WithEngines(orderer.NewHTTPEngines(rg)), WithRegistry(nd.counts),
+		WithTokens(orderer.NewLocalTokens(1, 1<<20)),
+	}, opts...)
+	nd.keeper = New(nd, func() *configurer.Settings { return rg.settings }, func() *prober.View { return vw }, rg, opts...)
+	nd.keeper.sleep = func(time.Duration) {}
+	return nd
+}
+
+// takeOver makes the node the owner; the one before does not learn of it.
+func (nd *node) takeOver() {
+	rg := nd.rig
+	rg.mu.Lock()
+	defer rg.mu.Unlock()
+	rg.number++
+	rg.owner = nd
+	nd.mandate = orderer.Mandate{Number: rg.number, Claim: rg.number, Claimed: rg.now, Confirmed: rg.now}
+	nd.has = true
+}
+
+// Fence implements Orders.
+func (nd *node) Fence(string) (orderer.Mandate, bool) {
+	nd.rig.mu.Lock()
+	defer nd.rig.mu.Unlock()
+	return nd.mandate, nd.has
+}
+
+// Raise implements Orders.
+func (nd *node) Raise(string) {
+	rg := nd.rig
+	rg.mu.Lock()
+	defer rg.mu.Unlock()
+	if rg.owner != nd {
+		nd.has = false
+		return
+	}
+	rg.number++
+	nd.mandate.Number, nd.mandate.Confirmed = rg.number, rg.now
+}
+
+// Call implements Peers: only a node of that name answers.
+func (rg *rig) Call(ctx context.Context, address string, call messenger.Message) (messenger.Message, error) {
+	if rg.owner == nil || address != "owner" {
+		return nil, errors.New("unreachable")
+	}
+	return rg.owner.keeper.Handle(ctx, call.(*messenger.AdapterLoad)), nil
+}
+
+// Send implements orderer.Sender on the engine's handler.
+func (rg *rig) Send(ctx context.Context, rq forwarder.Request) (rs *http.Response, err error) {
+	defer func() {
+		if recover() != nil {
+			err = &forwarder.Error{Sent: true, Address: rq.Address, Cause: errors.New("connection lost")}
+		}
+	}()
+	rg.mu.Lock()
+	rg.sent++
+	hold := rg.hold
+	rg.mu.Unlock()
+	hold()
+	wr := httptest.NewRecorder()
+	body := io.NopCloser(bytes.NewReader(rq.Body))
+	rg.engine.Handler().ServeHTTP(wr, httptest.NewRequestWithContext(ctx, rq.Method, rq.Path, body))
+	return wr.Result(), nil
+}
+
+func (nd *node) obtain(name string) string {
+	return nd.keeper.Obtain(context.Background(), "w", name)
+}
--- a/internal/coordination/dispatcher/attempt.go
+++ b/internal/coordination/dispatcher/attempt.go
@@ -70,9 +70,11 @@
 func (sn *sending) send(ctx context.Context) *failure {
 	rq := sn.request
 	if rq.Adapter != nil {
-		if err := sn.ds.adapters.Ensure(ctx, sn.server, rq.Adapter); err != nil {
+		release, err := sn.ds.adapters.Ensure(ctx, sn.server, rq.Adapter)
+		if err != nil {
 			return &failure{reason: refuser.NoWorker, detail: err.Error(), unsent: true}
 		}
+		defer release()
 	}
 	if sn.attempts == 0 {
 		sn.ds.budget.Sent()
--- a/internal/coordination/dispatcher/dispatcher.go
+++ b/internal/coordination/dispatcher/dispatcher.go
@@ -77,8 +77,9 @@
 
 // Adapters makes adapters ready on backend servers.
 type Adapters interface {
-	// Ensure returns once the adapter is ready on the server, or an error.
-	Ensure(ctx context.Context, server string, ad *configurer.Adapter) error
+	// Ensure returns once the adapter is ready on the server, or an error. The
+	// adapter stays there until release is called.
+	Ensure(ctx context.Context, server string, ad *configurer.Adapter) (release func(), err error)
 }
 
 // Dispatcher runs requests on backend servers.
--- a/internal/coordination/orderer/decide.go
+++ b/internal/coordination/orderer/decide.go
@@ -224,7 +224,7 @@
 	od := Order{
 		ID:     kp.goal.server + "/" + strconv.FormatInt(fence, 10) + "/inspect",
 		Fence:  fence,
-		Action: actionInspect,
+		Action: ActionInspect,
 	}
 	ot := orderTask{address: kp.goal.address, order: od, timeout: inspectTimeout}
 	return &step{ot, func(now time.Time, rs result) {
--- a/internal/coordination/orderer/engines.go
+++ b/internal/coordination/orderer/engines.go
@@ -14,8 +14,15 @@
 	"github.com/lagoonpass/lagoonpass/internal/transport/forwarder"
 )
 
-// actionInspect asks an engine for its boot id and for what it holds.
-const actionInspect = "inspect"
+// The actions of orders that are not recorded.
+const (
+	// ActionInspect asks an engine for its boot id and for what it holds.
+	ActionInspect = "inspect"
+	// ActionLoadAdapter loads an adapter.
+	ActionLoadAdapter = "load-adapter"
+	// ActionUnloadAdapter unloads an adapter.
+	ActionUnloadAdapter = "unload-adapter"
+)
 
 // maxAnswerBytes bounds an engine's answer to an order.
 const maxAnswerBytes = 1 << 20
--- a/internal/coordination/orderer/keeper.go
+++ b/internal/coordination/orderer/keeper.go
@@ -48,6 +48,9 @@
 	ledger     *accountant.Ledger
 	revision   int64
 	claimFence int64
+	claimedAt  time.Time
+	mandate    Mandate
+	raise      bool
 	sentFence  int64
 
 	inspected   bool
@@ -126,6 +129,9 @@
 	if !kp.inspected || now.Sub(kp.inspectedAt) > inspectInterval {
 		return kp.inspect()
 	}
+	if kp.raise {
+		return kp.raiseFence()
+	}
 	kp.ledger.Expire(now, kp.goal.bound)
 	for _, choose := range []func(time.Time) *step{kp.settle, kp.changeRole, kp.loadNext, kp.unloadNext} {
 		if st := choose(now); st != nil {
@@ -148,11 +154,12 @@
 			return
 		}
 		lg.TakeOver(kp.self, now)
-		kp.queued = kp.record(lg, rs.entry.Revision, func(time.Time) { kp.claimed() })
+		kp.queued = kp.record(lg, rs.entry.Revision, func(now time.Time) { kp.claimed(now) })
 	}}
 }
 
-func (kp *keeper) claimed() {
+func (kp *keeper) claimed(now time.Time) {
+	kp.claimedAt = now
 	kp.counters.Inc("order-takeover")
 	kp.claimFence = kp.ledger.Fence()
 	kp.inspected = false
@@ -185,6 +192,7 @@
 		kp.ledger = lg
 		kp.revision = rs.revision
 		then(now)
+		kp.mandate = Mandate{Number: lg.Fence(), Claim: kp.claimFence, Claimed: kp.claimedAt, Confirmed: rs.began}
 	}}
 }
 
--- a/internal/coordination/orderer/orderer.go
+++ b/internal/coordination/orderer/orderer.go
@@ -1,6 +1,6 @@
 // Package orderer brings backend servers to what the plan wants of them: it
-// sends orders to load and unload models and to change roles, and loads
-// adapters on demand.
+// sends orders to load and unload models and to change roles. Whoever sends
+// other orders to a server does so with the orderer's fencing numbers.
 //
 // Each backend server has a record in the platform's store with its fencing
 // number and its memory ledger. The node that owns the server takes the record
@@ -26,10 +26,10 @@
 import (
 	"context"
 	"math/rand/v2"
+	"sync"
 	"time"
 
 	"github.com/lagoonpass/lagoonpass/internal/counter"
-	"github.com/lagoonpass/lagoonpass/internal/state/configurer"
 	"github.com/lagoonpass/lagoonpass/internal/state/storer"
 	"github.com/lagoonpass/lagoonpass/internal/transport/forwarder"
 )
@@ -51,6 +51,10 @@
 	serving func(model, server string) bool
 	keepers map[string]*keeper
 	events  chan Event
+
+	mu       sync.Mutex
+	mandates map[string]Mandate
+	raises   map[string]bool
 }
 
 // Option changes an Orderer that is being made.
@@ -90,6 +94,9 @@
 		serving: func(string, string) bool { return true },
 		keepers: map[string]*keeper{},
 		events:  make(chan Event, eventBuffer),
+
+		mandates: map[string]Mandate{},
+		raises:   map[string]bool{},
 	}
 	for _, opt := range opts {
 		opt(od)
@@ -108,6 +115,7 @@
 	for server, kp := range od.keepers {
 		if !owned[server] {
 			delete(od.keepers, server)
+			od.unshare(server)
 			kp.abandon()
 			continue
 		}
@@ -140,6 +148,7 @@
 
 // advance starts the keeper's next task in a goroutine of its own.
 func (od *Orderer) advance(ctx context.Context, now time.Time, kp *keeper) {
+	od.share(kp)
 	tk := kp.next(now)
 	if tk == nil {
 		return
@@ -152,10 +161,3 @@
 		}
 	}()
 }
-
-// Adapters makes adapters ready on backend servers, through the node that owns
-// the server.
-type Adapters struct{}
-
-// Ensure implements dispatcher.Adapters.
-func (*Adapters) Ensure(context.Context, string, *configurer.Adapter) error { return nil }
--- a/internal/coordination/orderer/task.go
+++ b/internal/coordination/orderer/task.go
@@ -50,6 +50,7 @@
 	revision int64
 	answer   Answer
 	release  func()
+	began    time.Time
 }
 
 // readTask reads a key; a missing one is an empty entry.
@@ -72,8 +73,9 @@
 }
 
 func (wt writeTask) perform(ctx context.Context, tl *tools) result {
+	began := tl.now()
 	revision, err := storer.SwapSettled(ctx, tl.store, wt.key, wt.value, wt.revision, wt.mine)
-	return result{revision: revision, err: err}
+	return result{revision: revision, err: err, began: began}
 }
 
 // tokenTask waits for a token of a shared limit.
--- a/internal/protocol/messenger/kinds.go
+++ b/internal/protocol/messenger/kinds.go
@@ -40,4 +40,6 @@
 	KindLoadView:     func() Message { return &LoadView{} },
 	KindShareRequest: func() Message { return &ShareRequest{} },
 	KindShareGrant:   func() Message { return &ShareGrant{} },
+	KindAdapterLoad:  func() Message { return &AdapterLoad{} },
+	KindAdapterState: func() Message { return &AdapterState{} },
 }
--- a/internal/protocol/messenger/messenger_test.go
+++ b/internal/protocol/messenger/messenger_test.go
@@ -33,6 +33,8 @@
 		&Fetched{Head: []byte("h"), Part: []byte("p")},
 		&Release{Resource: "planner", Epoch: 2, Requester: "n1"},
 		&Released{Done: true},
+		&AdapterLoad{From: "n1", Server: "w1", Adapter: "a"},
+		&AdapterState{Ready: true, Reason: "r"},
 	}
 }
 
--- a/internal/runner/runner.go
+++ b/internal/runner/runner.go
@@ -23,6 +23,7 @@
 	"github.com/go-faster/errors"
 	"github.com/oklog/run"
 
+	"github.com/lagoonpass/lagoonpass/internal/coordination/adapterkeeper"
 	"github.com/lagoonpass/lagoonpass/internal/coordination/admitter"
 	"github.com/lagoonpass/lagoonpass/internal/coordination/claimer"
 	"github.com/lagoonpass/lagoonpass/internal/coordination/dispatcher"
@@ -55,6 +56,7 @@
 	watcher   *watcher.Watcher
 	exchange  *watcher.Exchange
 	orderer   *orderer.Orderer
+	adapters  *adapterkeeper.Keeper
 	admitter  *admitter.Admitter
 	peers     *messenger.Server
 	web       *http.Server
@@ -111,6 +113,7 @@
 		orderer.WithCounters(nd.registry),
 		orderer.WithTokens(sharedTokens{&nd.limits}),
 		orderer.WithServing(nd.serving))
+	nd.buildAdapters()
 	nd.claimer = claimer.New(nd.meter.For(storer.PurposeOwnership), nd.prober.View, nd.pool, claimer.WithRegistry(nd.registry))
 	nd.follower = publisher.NewFollower(nd.holder, nd.meter.For(storer.PurposeConfiguration),
 		nd.prober.View, nd.pool, nd.prober.Spreader(), publisher.WithRegistry(nd.registry))
@@ -133,7 +136,7 @@
 	fw := forwarder.New()
 	ej := ejector.New(ejector.WithReplicas(nd.replicas), ejector.WithRegistry(nd.registry))
 	nd.admitter = nd.newAdmitter(ej)
-	ds := dispatcher.New(quotaGate{&nd.limits, nd.admitter}, fw, &orderer.Adapters{}, dispatcher.WithRegistry(nd.registry), dispatcher.WithEjector(ej))
+	ds := dispatcher.New(quotaGate{&nd.limits, nd.admitter}, fw, nd.adapters, dispatcher.WithRegistry(nd.registry), dispatcher.WithEjector(ej))
 	iv := nd.buildInvoker(fw)
 	nd.server = server.New(server.Parts{
 		Holder:     nd.holder,
@@ -192,6 +195,8 @@
 		return nd.recorder.Handle(ctx, call)
 	case *messenger.LoadDigest:
 		return nd.exchange.Answer(time.Now(), tc), nil
+	case *messenger.AdapterLoad:
+		return nd.adapters.Handle(ctx, tc), nil
 	case *messenger.ShareRequest:
 		return nd.limiter.Answer(tc, time.Now()), nil
 	default:
@@ -207,6 +212,7 @@
 	nd.addLoop(&gr, nd.follower.Run)
 	nd.addLoop(&gr, nd.control)
 	nd.addLoop(&gr, nd.borrow)
+	nd.addLoop(&gr, nd.adapters.Run)
 	nd.addLoop(&gr, nd.keepSlots)
 	nd.startJobs()
 	nd.addWeb(&gr)
--- a/internal/standin/engine/generate.go
+++ b/internal/standin/engine/generate.go
@@ -196,7 +196,8 @@
 func (eg *Engine) serves(model string) bool {
 	eg.mu.Lock()
 	defer eg.mu.Unlock()
-	return eg.models[model].ready
+	_, isAdapter := eg.usage.adapters[model]
+	return isAdapter || eg.models[model].ready
 }
 
 func refuse(wr http.ResponseWriter, status int, code string) {
--- a/internal/state/accountant/ledger.go
+++ b/internal/state/accountant/ledger.go
@@ -52,6 +52,9 @@
 	}
 }
 
+// Advance gives the owner a greater fencing number.
+func (lg *Ledger) Advance() { lg.fence++ }
+
 // Entry returns the entry of a copy.
 func (lg *Ledger) Entry(cp Copy) (Entry, bool) {
 	if ix := lg.find(cp); ix >= 0 {
