--- /dev/null
+++ b/internal/runner/adapters_test.go
@@ -0,0 +1,68 @@
+package runner_test
+
+import (
+	"net/http"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"github.com/lagoonpass/lagoonpass/internal/checker"
+	"github.com/lagoonpass/lagoonpass/internal/standin/engine"
+)
+
+// TestAdapterThroughBothNodes asks for an adapter through the owner of its
+// server and through the other node: it is loaded once.
+func TestAdapterThroughBothNodes(t *testing.T) {
+	rg := newRig(t, engine.WithTokenGap(0), engine.WithPrefill(0), engine.WithFencing(true))
+	loads, asked := int64(0), int64(0)
+	for ix, nd := range rg.nodes {
+		for range 3 {
+			rs := rg.call(http.DefaultClient, ix, "/v1/completions", `{"model":"ad","max_tokens":1}`)
+			require.Equal(t, http.StatusOK, rs.StatusCode)
+		}
+		asked += nd.Values()["adapter.asked"]
+	}
+	for _, nd := range rg.nodes {
+		loads += nd.Values()["order-sent.load-adapter"]
+	}
+	require.EqualValues(t, 1, loads)
+	require.EqualValues(t, 1, asked, "the other node asks once and keeps the answer")
+	require.Empty(t, checker.Violations())
+	require.Zero(t, rg.engine.Overcommits())
+}
+
+// TestQuotaHoldsWhileDemandMoves sends a caller's requests through one node and
+// then the other, faster than its quota, so that shares move between them.
+func TestQuotaHoldsWhileDemandMoves(t *testing.T) {
+	const quota, burst, moves, period = 40, 8, 6, 500 * time.Millisecond
+	text := strings.NewReplacer("quota = 100000", "quota = 40", "burst = 100000", "burst = 8").Replace(settingsText)
+	rg := newRigOf(t, text, engine.WithTokenGap(0), engine.WithPrefill(0))
+	began := time.Now()
+	served, refused := 0, 0
+	for move := range moves {
+		for at := time.Now(); time.Since(at) < period; {
+			rs := rg.call(http.DefaultClient, move%2, "/v1/completions", `{"model":"m","max_tokens":1}`)
+			if rs.StatusCode == http.StatusOK {
+				served++
+				continue
+			}
+			require.Equal(t, http.StatusTooManyRequests, rs.StatusCode)
+			require.NotEmpty(t, rs.Header.Get("Retry-After"))
+			refused++
+		}
+	}
+	saved := 0.1*quota + float64(len(rg.nodes))
+	require.LessOrEqual(t, float64(served), quota*time.Since(began).Seconds()+burst+saved)
+	require.Positive(t, refused)
+	borrowed, lent := int64(0), int64(0)
+	for _, nd := range rg.nodes {
+		borrowed += nd.Values()["limit.borrowed.caller-quota"]
+		lent += nd.Values()["limit.lent.caller-quota"]
+	}
+	require.Positive(t, borrowed)
+	require.LessOrEqual(t, borrowed, lent)
+	t.Logf("%d served, %d refused, %d loans", served, refused, borrowed)
+	require.Empty(t, checker.Violations())
+}
--- a/internal/runner/limits.go
+++ b/internal/runner/limits.go
@@ -5,6 +5,7 @@
 	"math/rand/v2"
 	"strconv"
 	"strings"
+	"sync"
 	"time"
 
 	"github.com/apex/log"
@@ -24,9 +25,10 @@
 	// slotKeyPrefix is where the holders of slots are spread.
 	slotKeyPrefix = "slot/"
 	// slotInterval is the mean time between two looks at the slots.
-	slotInterval = time.Second
-	// slotRetry is the mean time between two attempts to claim a slot.
-	slotRetry = 10 * time.Second
+	slotInterval = 500 * time.Millisecond
+	// The bounds of the mean time between two attempts to claim a slot.
+	minSlotRetry = 250 * time.Millisecond
+	maxSlotRetry = 10 * time.Second
 	// gonePatience is how long the list must leave a node out before its slot
 	// is taken over, and adoptPatience how long before a node takes it on top
 	// of its own; a slot that was never held is left free as long.
@@ -45,15 +47,15 @@
 	departures *limiter.Departures
 	wanted     chan struct{}
 	started    time.Time
+	mu         sync.Mutex
+	inForce    *configurer.Settings
 }
 
 func (nd *Node) buildLimits() {
-	nd.limits = limits{
-		limiter:    limiter.New(nd.identity.ID(), nd.pool, limiter.WithRegistry(nd.registry)),
-		departures: limiter.NewDepartures(nd.identity.ID()),
-		wanted:     make(chan struct{}, 1),
-		started:    time.Now(),
-	}
+	nd.limiter = limiter.New(nd.identity.ID(), nd.pool, limiter.WithRegistry(nd.registry))
+	nd.departures = limiter.NewDepartures(nd.identity.ID())
+	nd.wanted = make(chan struct{}, 1)
+	nd.started = time.Now()
 	nd.prober.Spreader().Subscribe(nd.hearOfSlot)
 }
 
@@ -69,13 +71,9 @@
 func (nd *Node) borrow(ctx context.Context) error {
 	tk := time.NewTicker(limiter.BorrowInterval)
 	defer tk.Stop()
-	var inForce *configurer.Settings
 	for {
 		if rv := nd.holder.Current(); rv != nil {
-			if rv.Settings() != inForce {
-				inForce = rv.Settings()
-				nd.limiter.Configure(inForce, time.Now())
-			}
+			nd.configureLimits()
 			nd.limiter.Borrow(ctx, nd.lenders(), time.Now)
 		}
 		select {
@@ -92,6 +90,16 @@
 	}
 }
 
+// configureLimits puts settings in force before anything is decided by them.
+func (nd *Node) configureLimits() {
+	nd.limits.mu.Lock()
+	defer nd.limits.mu.Unlock()
+	if st := nd.settings(); st != nd.inForce {
+		nd.inForce = st
+		nd.limiter.Configure(st, time.Now())
+	}
+}
+
 // lenders returns the peers with the slots that they hold.
 func (nd *Node) lenders() []limiter.Lender {
 	held := map[string][]int{}
@@ -127,12 +135,19 @@
 // keepSlots claims a slot, and takes on those that nobody holds.
 func (nd *Node) keepSlots(ctx context.Context) error {
 	var retryAt time.Time
+	delay := minSlotRetry
 	for {
 		if rv := nd.holder.Current(); rv != nil {
 			nd.noteDepartures()
+			nd.configureLimits()
 			slots := rv.Settings().Limits().EntryNodes()
-			if now := time.Now(); !now.Before(retryAt) && !nd.keepSlot(ctx, slots) {
-				retryAt = now.Add(jittered(slotRetry))
+			switch now := time.Now(); {
+			case now.Before(retryAt):
+			case nd.keepSlot(ctx, slots):
+				delay = minSlotRetry
+			default:
+				retryAt = now.Add(jittered(delay))
+				delay = min(2*delay, maxSlotRetry)
 			}
 		}
 		select {
--- a/internal/runner/rig_test.go
+++ b/internal/runner/rig_test.go
@@ -30,6 +30,9 @@
 	settingsText = `
 [model.m]
 memory = 1GiB
+[adapter.ad]
+model = m
+memory = 64MiB
 [class.c]
 rank = 0
 deadline = 5m
@@ -88,7 +91,9 @@
 
 func (gw *gatedWriter) Unwrap() http.ResponseWriter { return gw.ResponseWriter }
 
-func newRig(t testing.TB, opts ...engine.Option) *rig {
+func newRig(t testing.TB, opts ...engine.Option) *rig { return newRigOf(t, settingsText, opts...) }
+
+func newRigOf(t testing.TB, text string, opts ...engine.Option) *rig {
 	checker.Reset()
 	rg := &rig{t: t, engine: engine.New("w1", opts...), noticed: make(chan time.Duration, 8), release: make(chan time.Time, 8), gate: make(chan struct{})}
 	rg.open = sync.OnceFunc(func() { close(rg.gate) })
@@ -97,7 +102,7 @@
 	}))
 	rg.backend = backend.Listener.Addr().String()
 	store := platform.NewMemory()
-	files := []configurer.File{{Name: "1.ini", Text: fmt.Sprintf(settingsText, backend.Listener.Addr())}}
+	files := []configurer.File{{Name: "1.ini", Text: fmt.Sprintf(text, backend.Listener.Addr())}}
 	_, err := publisher.Apply(t.Context(), store, files, "test", 0)
 	require.NoError(t, err)
 	web := httptest.NewServer(platform.Handler(store, rg.vms))
