--- a/internal/demonstrator/demonstrator.go
+++ b/internal/demonstrator/demonstrator.go
@@ -6,7 +6,9 @@
 //
 //	dm, err := demonstrator.Start(ctx, "qurum", demonstrator.WithNodes(4))
 //	defer dm.Stop()
-//	result, err := dm.Drive(ctx)
+//	err = dm.AwaitReady(ctx, progress)
+//	result, err := dm.Drive(ctx, bencher.WithRate(100))
+//	result.WriteTable(os.Stdout)
 package demonstrator
 
 import (
@@ -26,6 +28,7 @@
 	"github.com/lagoonpass/lagoonpass/internal/standin/engine"
 	"github.com/lagoonpass/lagoonpass/internal/standin/platform"
 	"github.com/lagoonpass/lagoonpass/internal/standin/service"
+	"github.com/lagoonpass/lagoonpass/internal/standin/weightstore"
 	"github.com/lagoonpass/lagoonpass/internal/state/configurer"
 	"github.com/lagoonpass/lagoonpass/internal/state/identifier"
 )
@@ -41,9 +44,10 @@
 type Demo struct {
 	deployment string
 	nodeCount  int
-	limits     string
+	instant    bool
 	settings   *configurer.Settings
 	store      *platform.Memory
+	weights    *weightstore.Store
 	engines    map[string]*engine.Engine
 	services   map[string]*service.Service
 	servers    []*http.Server
@@ -65,8 +69,12 @@
 // WithNodes sets the number of entry nodes.
 func WithNodes(count int) Option { return func(dm *Demo) { dm.nodeCount = count } }
 
-// WithLimits sets more keys of the section limits, one a line.
-func WithLimits(lines string) Option { return func(dm *Demo) { dm.limits = lines + "\n" } }
+// instantLimits lets the loads of a whole start begin at once.
+const instantLimits = "weight-loads-per-second = 1000\nweight-loads-at-once = 16\n"
+
+// WithInstantLoads makes loads of models take no time and lifts the weight
+// store's limits.
+func WithInstantLoads() Option { return func(dm *Demo) { dm.instant = true } }
 
 // Start starts a deployment of the examples.
 func Start(ctx context.Context, deployment string, opts ...Option) (*Demo, error) {
@@ -109,8 +117,12 @@
 	if len(faults) > 0 {
 		return nil, errors.Wrap(faults[0], "read settings")
 	}
+	dm.weights = dm.newWeightStore(st.Limits())
 	var override strings.Builder
-	fmt.Fprintf(&override, "[limits]\nentry-nodes = %d\n%s", dm.nodeCount, dm.limits)
+	fmt.Fprintf(&override, "[limits]\nentry-nodes = %d\n", dm.nodeCount)
+	if dm.instant {
+		override.WriteString(instantLimits)
+	}
 	for _, bs := range st.BackendServers() {
 		address, err := dm.startEngine(st, bs)
 		if err != nil {
@@ -133,12 +145,23 @@
 	return files, nil
 }
 
+// newWeightStore returns the deployment's weight store at the rates of its
+// settings.
+func (dm *Demo) newWeightStore(lm *configurer.Limits) *weightstore.Store {
+	perSecond := lm.WeightLoadsPerSecond()
+	if dm.instant {
+		perSecond = 0
+	}
+	return weightstore.New(perSecond, lm.WeightLoadsAtOnce(), lm.AdaptersInTransit())
+}
+
 func (dm *Demo) startEngine(st *configurer.Settings, bs *configurer.BackendServer) (string, error) {
 	ek, _ := st.EngineKind(bs.Kind())
 	eg := engine.New(bs.Name(),
 		engine.WithMemory(bs.WeightMemory()+bs.CacheReserve()),
 		engine.WithAdapterMemory(bs.AdapterReserve()),
 		engine.WithSlots(bs.Slots()),
+		engine.WithWeightStore(dm.weights),
 		engine.WithFencing(ek.ChecksFencing()))
 	dm.engines[bs.Name()] = eg
 	return dm.serve(eg.Handler())
--- a/internal/runner/rig_test.go
+++ b/internal/runner/rig_test.go
@@ -9,6 +9,7 @@
 	"net/http/httptest"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -30,6 +31,7 @@
 	settingsText = `
 [model.m]
 memory = 1GiB
+max-replicas = 1
 [adapter.ad]
 model = m
 memory = 64MiB
@@ -74,6 +76,7 @@
 	gate    chan struct{}
 	open    func()
 	backend string
+	leaving atomic.Bool
 }
 
 // gatedWriter holds token 20 back until the gate is open.
@@ -146,6 +149,9 @@
 	for ix, nd := range rg.nodes {
 		all = append(all, platform.VM{Name: fmt.Sprintf("entry-%d", ix+1), Address: nd.PeerAddress(), Zone: "zone-a", Kind: "entry", State: "live"})
 	}
+	if rg.leaving.Load() {
+		all = append(all, platform.VM{Name: "w1", Address: rg.backend, Zone: "zone-a", Kind: "backend", State: "leaving"})
+	}
 	return all
 }
 
--- a/internal/runner/runner.go
+++ b/internal/runner/runner.go
@@ -29,6 +29,7 @@
 	"github.com/lagoonpass/lagoonpass/internal/coordination/dispatcher"
 	"github.com/lagoonpass/lagoonpass/internal/coordination/ejector"
 	"github.com/lagoonpass/lagoonpass/internal/coordination/orderer"
+	"github.com/lagoonpass/lagoonpass/internal/coordination/placer"
 	"github.com/lagoonpass/lagoonpass/internal/coordination/prober"
 	"github.com/lagoonpass/lagoonpass/internal/coordination/publisher"
 	"github.com/lagoonpass/lagoonpass/internal/coordination/watcher"
@@ -41,9 +42,17 @@
 	"github.com/lagoonpass/lagoonpass/internal/transport/forwarder"
 )
 
+const (
+	// headTimeout bounds the time in which a caller sends the head of a request.
+	headTimeout = 10 * time.Second
+	// headBytes bounds the head of a request.
+	headBytes = 64 << 10
+)
+
 // Node is one entry node.
 type Node struct {
 	identity  *identifier.Node
+	security  *security
 	registry  *counter.Registry
 	store     storer.Store
 	meter     *storer.Meter
@@ -57,6 +66,8 @@
 	exchange  *watcher.Exchange
 	orderer   *orderer.Orderer
 	adapters  *adapterkeeper.Keeper
+	placer    *placer.Placer
+	backends  *backends
 	admitter  *admitter.Admitter
 	peers     *messenger.Server
 	web       *http.Server
@@ -70,6 +81,7 @@
 	abortOnce sync.Once
 	records
 	limits
+	*drainer
 }
 
 // Option changes a Node that is being made.
@@ -87,16 +99,22 @@
 
 // New opens the node's listeners and returns it ready to run.
 func New(id *identifier.Node, opts ...Option) (*Node, error) {
+	sc, err := newSecurity(id, time.Now)
+	if err != nil {
+		return nil, err
+	}
 	nd := &Node{
 		identity: id,
+		security: sc,
 		registry: counter.NewRegistry(),
 		store:    storer.NewClient(id.Store()),
 		holder:   publisher.NewHolder(),
-		pool:     messenger.NewPool(),
+		pool:     sc.newPool(),
 		exchange: watcher.NewExchange(id.ID()),
 		pause:    time.After,
 		drained:  make(chan struct{}),
 		aborted:  make(chan struct{}),
+		drainer:  newDrainer(),
 	}
 	nd.watcher = watcher.New(watcher.WithExchange(nd.exchange))
 	for _, opt := range opts {
@@ -117,9 +135,10 @@
 	nd.claimer = claimer.New(nd.meter.For(storer.PurposeOwnership), nd.prober.View, nd.pool, claimer.WithRegistry(nd.registry))
 	nd.follower = publisher.NewFollower(nd.holder, nd.meter.For(storer.PurposeConfiguration),
 		nd.prober.View, nd.pool, nd.prober.Spreader(), publisher.WithRegistry(nd.registry))
+	nd.buildPlacer()
 	nd.buildRecords()
 	nd.peers = messenger.NewServer(messenger.HandlerFunc(nd.handlePeer))
-	nd.web = &http.Server{Handler: nd.buildServer(), ReadHeaderTimeout: 10 * time.Second}
+	nd.web = &http.Server{Handler: nd.buildServer(), ReadHeaderTimeout: headTimeout, MaxHeaderBytes: headBytes}
 	return nd, nil
 }
 
@@ -147,6 +166,7 @@
 		Zone:       nd.identity.Zone(),
 		Registry:   nd.registry,
 		Leaving:    nd.leaving.Load,
+		Drain:      nd.Drain,
 	})
 	return nd.server
 }
@@ -171,6 +191,8 @@
 		_ = nd.callerNet.Close()
 		return errors.Wrap(err, "listen for peers")
 	}
+	nd.callerNet = wrap(nd.callerNet, nd.security.callers)
+	nd.peerNet = wrap(nd.peerNet, nd.security.peers)
 	return nil
 }
 
@@ -199,6 +221,8 @@
 		return nd.adapters.Handle(ctx, tc), nil
 	case *messenger.ShareRequest:
 		return nd.limiter.Answer(tc, time.Now()), nil
+	case *messenger.DemandReport, *messenger.PlanFetch:
+		return nd.placer.Handle(call)
 	default:
 		return nd.handleMembership(ctx, call)
 	}
@@ -214,6 +238,7 @@
 	nd.addLoop(&gr, nd.borrow)
 	nd.addLoop(&gr, nd.adapters.Run)
 	nd.addLoop(&gr, nd.keepSlots)
+	nd.addLoop(&gr, nd.placement)
 	nd.startJobs()
 	nd.addWeb(&gr)
 	nd.addPeers(&gr)
@@ -224,7 +249,10 @@
 func (nd *Node) addContext(ctx context.Context, gr *run.Group) {
 	ctx, cancel := context.WithCancel(ctx)
 	gr.Add(func() error {
-		<-ctx.Done()
+		select {
+		case <-ctx.Done():
+		case <-nd.requested:
+		}
 		nd.leaving.Store(true)
 		nd.leaveMembership()
 		nd.shutdown()
--- a/internal/server/server.go
+++ b/internal/server/server.go
@@ -9,12 +9,12 @@
 
 import (
 	"crypto/rand"
-	"io"
 	"net/http"
 	"strconv"
 	"sync/atomic"
 	"time"
 
+	"github.com/apex/log"
 	"github.com/labstack/echo/v4"
 
 	"github.com/lagoonpass/lagoonpass/internal/coordination/dispatcher"
@@ -45,6 +45,11 @@
 	Registry *counter.Registry
 	// Leaving reports whether a planned stop has begun; nil means never.
 	Leaving func() bool
+	// Drain begins a planned stop; nil means that it cannot be asked for.
+	Drain func()
+	// BodyTimeout bounds the time in which a caller sends a body; zero means
+	// 30 s.
+	BodyTimeout time.Duration
 }
 
 // Server serves callers and operators.
@@ -59,6 +64,7 @@
 	sv := &Server{Parts: pt, echo: echo.New()}
 	sv.echo.HideBanner = true
 	sv.echo.HTTPErrorHandler = sv.handleError
+	sv.echo.Use(recoverPanic)
 	sv.routes()
 	return sv
 }
@@ -86,7 +92,8 @@
 	sv.echo.Any("/services/:service/*", sv.callService)
 	sv.jobRoutes()
 	sv.echo.GET("/v1/addresses", sv.listAddresses)
-	sv.echo.GET("/v1/status", sv.status)
+	sv.operatorRoutes()
+	sv.healthRoutes()
 }
 
 // handleError writes every error as a refusal of the closed list.
@@ -95,6 +102,12 @@
 		return
 	}
 	rf := asRefusal(err)
+	if rf.Reason() == refuser.Internal {
+		log.WithError(err).WithField("request", ec.Response().Header().Get(headerRequestID)).Error("request failed")
+	}
+	if repeatsKey(ec.Request()) && rf.Reason() != refuser.KeyConflict {
+		rf = rf.WithOutcome(refuser.Unknown)
+	}
 	sv.countRefusal(rf)
 	if rf.RetryAfter() > 0 {
 		seconds := int64((rf.RetryAfter() + time.Second - 1) / time.Second)
@@ -128,15 +141,4 @@
 	return &scope{settings: rv.Settings(), caller: cr}, nil
 }
 
-func readBody(ec echo.Context, limit int64) ([]byte, error) {
-	body, err := io.ReadAll(io.LimitReader(ec.Request().Body, limit+1))
-	if err != nil {
-		return nil, refuser.New(refuser.Malformed, "read body: %v", err)
-	}
-	if int64(len(body)) > limit {
-		return nil, refuser.New(refuser.TooLarge, "body exceeds %d bytes", limit)
-	}
-	return body, nil
-}
-
 func newRequestID() string { return rand.Text() }
