--- a/internal/coordination/prober/prober.go
+++ b/internal/coordination/prober/prober.go
@@ -107,6 +107,7 @@
 	listLines int
 	listed    bool
 	listedAt  time.Time
+	readAt    time.Time
 	listing   bool
 	stale     bool
 	awakeAt   time.Time
--- a/internal/demonstrator/demonstrator.go
+++ b/internal/demonstrator/demonstrator.go
@@ -69,7 +69,11 @@
 // WithNodes sets the number of entry nodes.
 func WithNodes(count int) Option { return func(dm *Demo) { dm.nodeCount = count } }
 
-// WithInstantLoads makes loads of models take no time.
+// instantLimits lets the loads of a whole start begin at once.
+const instantLimits = "weight-loads-per-second = 1000\nweight-loads-at-once = 16\n"
+
+// WithInstantLoads makes loads of models take no time and lifts the weight
+// store's limits.
 func WithInstantLoads() Option { return func(dm *Demo) { dm.instant = true } }
 
 // Start starts a deployment of the examples.
@@ -115,6 +119,10 @@
 	}
 	dm.weights = dm.newWeightStore(st.Limits())
 	var override strings.Builder
+	fmt.Fprintf(&override, "[limits]\nentry-nodes = %d\n", dm.nodeCount)
+	if dm.instant {
+		override.WriteString(instantLimits)
+	}
 	for _, bs := range st.BackendServers() {
 		address, err := dm.startEngine(st, bs)
 		if err != nil {
--- a/internal/demonstrator/demonstrator_test.go
+++ b/internal/demonstrator/demonstrator_test.go
@@ -28,4 +28,18 @@
 		offered += cr.Offered()
 	}
 	require.Positive(t, offered)
+	dm.requireAdapters(t)
+}
+
+// requireAdapters asks every adapter once through each node.
+func (dm *Demo) requireAdapters(t *testing.T) {
+	for _, address := range dm.Addresses() {
+		for _, ad := range dm.settings.Adapters() {
+			require.NoError(t, dm.Ask(t.Context(), address, ad.Name()), ad.Name())
+		}
+	}
+	require.Empty(t, checker.Violations())
+	for name, eg := range dm.engines {
+		require.Zero(t, eg.Overcommits(), name)
+	}
 }
--- a/internal/runner/rig_test.go
+++ b/internal/runner/rig_test.go
@@ -32,11 +32,15 @@
 [model.m]
 memory = 1GiB
 max-replicas = 1
+[adapter.ad]
+model = m
+memory = 64MiB
 [class.c]
 rank = 0
 deadline = 5m
 [limits]
 address-answer-lifetime = 1m
+entry-nodes = 2
 [timeouts]
 drain = 2m
 lease-lifetime = 1m
@@ -90,7 +94,9 @@
 
 func (gw *gatedWriter) Unwrap() http.ResponseWriter { return gw.ResponseWriter }
 
-func newRig(t testing.TB, opts ...engine.Option) *rig {
+func newRig(t testing.TB, opts ...engine.Option) *rig { return newRigOf(t, settingsText, opts...) }
+
+func newRigOf(t testing.TB, text string, opts ...engine.Option) *rig {
 	checker.Reset()
 	rg := &rig{t: t, engine: engine.New("w1", opts...), noticed: make(chan time.Duration, 8), release: make(chan time.Time, 8), gate: make(chan struct{})}
 	rg.open = sync.OnceFunc(func() { close(rg.gate) })
@@ -99,7 +105,7 @@
 	}))
 	rg.backend = backend.Listener.Addr().String()
 	store := platform.NewMemory()
-	files := []configurer.File{{Name: "1.ini", Text: fmt.Sprintf(settingsText, backend.Listener.Addr())}}
+	files := []configurer.File{{Name: "1.ini", Text: fmt.Sprintf(text, backend.Listener.Addr())}}
 	_, err := publisher.Apply(t.Context(), store, files, "test", 0)
 	require.NoError(t, err)
 	web := httptest.NewServer(platform.Handler(store, rg.vms))
@@ -140,8 +146,8 @@
 
 func (rg *rig) vms() []platform.VM {
 	var all []platform.VM
-	for _, nd := range rg.nodes {
-		all = append(all, platform.VM{Name: nd.PeerAddress(), Address: nd.PeerAddress(), Zone: "zone-a", Kind: "entry", State: "live"})
+	for ix, nd := range rg.nodes {
+		all = append(all, platform.VM{Name: fmt.Sprintf("entry-%d", ix+1), Address: nd.PeerAddress(), Zone: "zone-a", Kind: "entry", State: "live"})
 	}
 	if rg.leaving.Load() {
 		all = append(all, platform.VM{Name: "w1", Address: rg.backend, Zone: "zone-a", Kind: "backend", State: "leaving"})
--- a/internal/runner/runner.go
+++ b/internal/runner/runner.go
@@ -23,6 +23,7 @@
 	"github.com/go-faster/errors"
 	"github.com/oklog/run"
 
+	"github.com/lagoonpass/lagoonpass/internal/coordination/adapterkeeper"
 	"github.com/lagoonpass/lagoonpass/internal/coordination/admitter"
 	"github.com/lagoonpass/lagoonpass/internal/coordination/claimer"
 	"github.com/lagoonpass/lagoonpass/internal/coordination/dispatcher"
@@ -64,6 +65,7 @@
 	watcher   *watcher.Watcher
 	exchange  *watcher.Exchange
 	orderer   *orderer.Orderer
+	adapters  *adapterkeeper.Keeper
 	placer    *placer.Placer
 	backends  *backends
 	admitter  *admitter.Admitter
@@ -78,6 +80,7 @@
 	aborted   chan struct{}
 	abortOnce sync.Once
 	records
+	limits
 	*drainer
 }
 
@@ -121,11 +124,14 @@
 	if err := nd.listen(); err != nil {
 		return nil, err
 	}
+	nd.prober = prober.New(nd.presence, lister.New(id.VMList()), nd.pool, prober.WithRegistry(nd.registry))
+	nd.buildLimits()
 	nd.orderer = orderer.New(id.ID(), nd.meter.For(storer.PurposeOrder),
 		orderer.WithCounters(nd.registry),
+		orderer.WithTokens(sharedTokens{&nd.limits}),
 		orderer.WithServing(nd.serving))
-	nd.prober = prober.New(nd.presence, lister.New(id.VMList()), nd.pool, prober.WithRegistry(nd.registry))
 	nd.watcher = nd.newWatcher()
+	nd.buildAdapters()
 	nd.claimer = claimer.New(nd.meter.For(storer.PurposeOwnership), nd.prober.View, nd.pool, claimer.WithRegistry(nd.registry))
 	nd.follower = publisher.NewFollower(nd.holder, nd.meter.For(storer.PurposeConfiguration),
 		nd.prober.View, nd.pool, nd.prober.Spreader(), publisher.WithRegistry(nd.registry))
@@ -149,7 +155,7 @@
 	fw := forwarder.New()
 	ej := ejector.New(ejector.WithReplicas(nd.replicas), ejector.WithRegistry(nd.registry))
 	nd.admitter = nd.newAdmitter(ej)
-	ds := dispatcher.New(nd.admitter, fw, &orderer.Adapters{}, dispatcher.WithRegistry(nd.registry), dispatcher.WithEjector(ej))
+	ds := dispatcher.New(quotaGate{&nd.limits, nd.admitter}, fw, nd.adapters, dispatcher.WithRegistry(nd.registry), dispatcher.WithEjector(ej))
 	iv := nd.buildInvoker(fw)
 	nd.server = server.New(server.Parts{
 		Holder:     nd.holder,
@@ -211,6 +217,10 @@
 		return nd.recorder.Handle(ctx, call)
 	case *messenger.LoadDigest:
 		return nd.exchange.Answer(time.Now(), tc), nil
+	case *messenger.AdapterLoad:
+		return nd.adapters.Handle(ctx, tc), nil
+	case *messenger.ShareRequest:
+		return nd.limiter.Answer(tc, time.Now()), nil
 	case *messenger.DemandReport, *messenger.PlanFetch:
 		return nd.placer.Handle(call)
 	default:
@@ -227,6 +237,9 @@
 	nd.addLoop(&gr, nd.watch)
 	nd.addLoop(&gr, nd.exchangeLoads)
 	nd.addLoop(&gr, nd.control)
+	nd.addLoop(&gr, nd.borrow)
+	nd.addLoop(&gr, nd.adapters.Run)
+	nd.addLoop(&gr, nd.keepSlots)
 	nd.addLoop(&gr, nd.placement)
 	nd.startJobs()
 	nd.addWeb(&gr)
