--- /dev/null
+++ b/internal/coordination/watcher/transport.go
@@ -0,0 +1,8 @@
+package watcher
+
+import "net/http"
+
+// WithTransport makes the watcher read reports through tp.
+func WithTransport(tp http.RoundTripper) Option {
+	return func(wt *Watcher) { wt.http.Transport = tp }
+}
--- /dev/null
+++ b/internal/runner/options.go
@@ -0,0 +1,59 @@
+package runner
+
+import (
+	"context"
+	"net"
+	"net/http"
+
+	"github.com/lagoonpass/lagoonpass/internal/coordination/orderer"
+	"github.com/lagoonpass/lagoonpass/internal/coordination/prober"
+	"github.com/lagoonpass/lagoonpass/internal/coordination/watcher"
+	"github.com/lagoonpass/lagoonpass/internal/protocol/messenger"
+	"github.com/lagoonpass/lagoonpass/internal/transport/forwarder"
+)
+
+// Network opens the listeners and the connections of a node.
+type Network struct {
+	// Listen opens a listener at a host and port.
+	Listen func(address string) (net.Listener, error)
+	// Dial opens a connection to a host and port.
+	Dial forwarder.Dial
+}
+
+// WithNetwork replaces TCP, for peers, callers and backend servers alike.
+func WithNetwork(nt Network) Option { return func(nd *Node) { nd.network = nt } }
+
+// WithVMList makes the node use ls in place of the list that its settings name.
+func WithVMList(ls prober.VMList) Option { return func(nd *Node) { nd.vmList = ls } }
+
+// Revision returns the number of the configuration in force, 0 for none.
+func (nd *Node) Revision() int64 { return nd.holder.Number() }
+
+func listenTCP(address string) (net.Listener, error) { return net.Listen("tcp", address) }
+
+func (nd *Node) newForwarder() *forwarder.Forwarder {
+	if nd.network.Dial == nil {
+		return forwarder.New()
+	}
+	return forwarder.New(forwarder.WithDial(nd.network.Dial))
+}
+
+func (nd *Node) newPool() *messenger.Pool {
+	if nd.network.Dial == nil {
+		return messenger.NewPool()
+	}
+	return messenger.NewPool(messenger.WithDial(func(ctx context.Context, address string) (net.Conn, error) {
+		return nd.network.Dial(ctx, "tcp", address)
+	}))
+}
+
+func (nd *Node) newWatcher() *watcher.Watcher {
+	opts := []watcher.Option{watcher.WithExchange(nd.exchange)}
+	if nd.network.Dial != nil {
+		opts = append(opts, watcher.WithTransport(&http.Transport{DialContext: nd.network.Dial}))
+	}
+	return watcher.New(opts...)
+}
+
+// engines returns the way of orders to the engines.
+func (nd *Node) engines() orderer.Engines { return orderer.NewHTTPEngines(nd.newForwarder()) }
--- a/internal/runner/records.go
+++ b/internal/runner/records.go
@@ -38,7 +38,7 @@
 }
 
 func (nd *Node) buildInvoker(pooled *forwarder.Forwarder) *invoker.Invoker {
-	return invoker.New(nd.recorder, pooled, forwarder.New(), invoker.WithRegistry(nd.registry))
+	return invoker.New(nd.recorder, pooled, nd.newForwarder(), invoker.WithRegistry(nd.registry))
 }
 
 func (nd *Node) buildJobs(ds *dispatcher.Dispatcher, iv *invoker.Invoker) *jobrunner.Runner {
--- a/internal/runner/runner.go
+++ b/internal/runner/runner.go
@@ -37,7 +37,6 @@
 	"github.com/lagoonpass/lagoonpass/internal/state/identifier"
 	"github.com/lagoonpass/lagoonpass/internal/state/lister"
 	"github.com/lagoonpass/lagoonpass/internal/state/storer"
-	"github.com/lagoonpass/lagoonpass/internal/transport/forwarder"
 )
 
 // Node is one entry node.
@@ -48,6 +47,8 @@
 	meter     *storer.Meter
 	allowance *storer.Allowance
 	holder    *publisher.Holder
+	network   Network
+	vmList    prober.VMList
 	pool      *messenger.Pool
 	prober    *prober.Prober
 	claimer   *claimer.Claimer
@@ -89,16 +90,18 @@
 		registry: counter.NewRegistry(),
 		store:    storer.NewClient(id.Store()),
 		holder:   publisher.NewHolder(),
-		pool:     messenger.NewPool(),
+		network:  Network{Listen: listenTCP},
+		vmList:   lister.New(id.VMList()),
 		exchange: watcher.NewExchange(id.ID()),
 		pause:    time.After,
 		drained:  make(chan struct{}),
 		aborted:  make(chan struct{}),
 	}
-	nd.watcher = watcher.New(watcher.WithExchange(nd.exchange))
 	for _, opt := range opts {
 		opt(nd)
 	}
+	nd.pool = nd.newPool()
+	nd.watcher = nd.newWatcher()
 	nd.allowance = storer.NewAllowance(minStoreReads, minStoreWrites)
 	nd.meter = storer.NewMeter(nd.store, nd.registry, storer.WithAllowance(nd.allowance), storer.WithBackoff(rand.Float64))
 	if err := nd.listen(); err != nil {
@@ -106,8 +109,9 @@
 	}
 	nd.orderer = orderer.New(id.ID(), nd.meter.For(storer.PurposeOrder),
 		orderer.WithCounters(nd.registry),
+		orderer.WithEngines(nd.engines()),
 		orderer.WithServing(nd.serving))
-	nd.prober = prober.New(nd.presence, lister.New(id.VMList()), nd.pool, prober.WithRegistry(nd.registry))
+	nd.prober = prober.New(nd.presence, nd.vmList, nd.pool, prober.WithRegistry(nd.registry))
 	nd.claimer = claimer.New(nd.meter.For(storer.PurposeOwnership), nd.prober.View, nd.pool, claimer.WithRegistry(nd.registry))
 	nd.follower = publisher.NewFollower(nd.holder, nd.meter.For(storer.PurposeConfiguration),
 		nd.prober.View, nd.pool, nd.prober.Spreader(), publisher.WithRegistry(nd.registry))
@@ -127,7 +131,7 @@
 func (nd *Node) Values() map[string]int64 { return nd.registry.Values() }
 
 func (nd *Node) buildServer() http.Handler {
-	fw := forwarder.New()
+	fw := nd.newForwarder()
 	ej := ejector.New(ejector.WithReplicas(nd.replicas), ejector.WithRegistry(nd.registry))
 	nd.admitter = nd.newAdmitter(ej)
 	ds := dispatcher.New(nd.admitter, fw, &orderer.Adapters{}, dispatcher.WithRegistry(nd.registry), dispatcher.WithEjector(ej))
@@ -158,10 +162,10 @@
 
 func (nd *Node) listen() error {
 	var err error
-	if nd.callerNet, err = net.Listen("tcp", nd.identity.CallerAddress()); err != nil {
+	if nd.callerNet, err = nd.network.Listen(nd.identity.CallerAddress()); err != nil {
 		return errors.Wrap(err, "listen for callers")
 	}
-	if nd.peerNet, err = net.Listen("tcp", nd.identity.PeerAddress()); err != nil {
+	if nd.peerNet, err = nd.network.Listen(nd.identity.PeerAddress()); err != nil {
 		_ = nd.callerNet.Close()
 		return errors.Wrap(err, "listen for peers")
 	}
