Run whole nodes from seeds, with faults and checks from the outside

Cause: the promises were proved part by part, not on whole nodes. internal/soaker draws traffic, settings of racing operators and 25 kinds of faults from a seed, runs runner.Node in a bubble of testing/synctest and compares what callers were told with what engines and services ran.

--- /dev/null
+++ b/internal/soaker/soaker_test.go
@@ -0,0 +1,58 @@
+package soaker
+
+import (
+	"flag"
+	"fmt"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/apex/log"
+	"github.com/stretchr/testify/require"
+
+	"github.com/lagoonpass/lagoonpass/internal/checker"
+)
+
+// A long run: go test ./internal/soaker -run RandomRuns -first-seed 1000 -seeds 100 -timeout 1h
+var (
+	firstSeed = flag.Uint64("first-seed", 1, "first seed of the randomised runs")
+	seeds     = flag.Int("seeds", 6, "number of randomised runs")
+	faultList = flag.String("faults", "all", "faults of the randomised runs")
+	runLength = flag.Duration("length", 40*time.Second, "length of each randomised run")
+)
+
+func quiet(t *testing.T) {
+	log.SetLevel(log.FatalLevel)
+	checker.Reset()
+	t.Cleanup(func() {
+		log.SetLevel(log.InfoLevel)
+		checker.Reset()
+	})
+}
+
+func runIn(t *testing.T, sk *Soaker) *Report {
+	var rp *Report
+	synctest.Test(t, func(t *testing.T) { rp = sk.Run(t.Context()) })
+	return rp
+}
+
+// TestRandomRunsKeepEveryPromise runs whole nodes with faults from seeds.
+func TestRandomRunsKeepEveryPromise(t *testing.T) {
+	quiet(t)
+	faults, err := ParseFaults(*faultList)
+	require.NoError(t, err)
+	t.Run("seeds", func(t *testing.T) {
+		for ix := range *seeds {
+			seed := *firstSeed + uint64(ix)
+			t.Run(fmt.Sprint(seed), func(t *testing.T) {
+				t.Parallel()
+				nodes := 4 - 2*int(seed%3%2)
+				rp := runIn(t, New(seed, WithNodes(nodes), WithLength(*runLength), WithFaults(faults...)))
+				t.Log(rp.Counts())
+				require.Empty(t, rp.Findings())
+				require.NotZero(t, rp.Counts()["answer.whole"])
+			})
+		}
+	})
+	require.Empty(t, checker.Violations())
+}
--- /dev/null
+++ b/internal/soaker/store.go
@@ -0,0 +1,83 @@
+package soaker
+
+import (
+	"context"
+	"sync/atomic"
+
+	"github.com/go-faster/errors"
+
+	"github.com/lagoonpass/lagoonpass/internal/standin/connector"
+	"github.com/lagoonpass/lagoonpass/internal/state/storer"
+)
+
+var errCutOff = errors.New("cut off from the store")
+
+// nodeStore is the platform's store as one node reaches it.
+type nodeStore struct {
+	storer.Store
+	network *connector.Network
+	host    string
+	cut     atomic.Bool
+	// mute lets writes take effect and loses their answers.
+	mute atomic.Bool
+}
+
+// Get implements storer.Store.
+func (ns *nodeStore) Get(ctx context.Context, key string) (storer.Entry, error) {
+	if err := ns.before("get", key); err != nil {
+		return storer.Entry{}, err
+	}
+	defer ns.network.Wait(ns.host)
+	return ns.Store.Get(ctx, key)
+}
+
+// List implements storer.Store.
+func (ns *nodeStore) List(ctx context.Context, prefix string) ([]storer.Entry, error) {
+	if err := ns.before("list", prefix); err != nil {
+		return nil, err
+	}
+	defer ns.network.Wait(ns.host)
+	return ns.Store.List(ctx, prefix)
+}
+
+// Swap implements storer.Store.
+func (ns *nodeStore) Swap(ctx context.Context, key string, value []byte, revision int64) (int64, error) {
+	if err := ns.before("swap", key); err != nil {
+		return 0, err
+	}
+	defer ns.network.Wait(ns.host)
+	next, err := ns.Store.Swap(ctx, key, value, revision)
+	if lost := ns.after("swap", key); lost != nil {
+		return 0, lost
+	}
+	return next, err
+}
+
+// Delete implements storer.Store.
+func (ns *nodeStore) Delete(ctx context.Context, key string, revision int64) error {
+	if err := ns.before("delete", key); err != nil {
+		return err
+	}
+	defer ns.network.Wait(ns.host)
+	err := ns.Store.Delete(ctx, key, revision)
+	if lost := ns.after("delete", key); lost != nil {
+		return lost
+	}
+	return err
+}
+
+// before waits while the node is paused.
+func (ns *nodeStore) before(op, key string) error {
+	ns.network.Wait(ns.host)
+	if ns.cut.Load() {
+		return &storer.Error{Op: op, Key: key, Kind: storer.Unavailable, Cause: errCutOff}
+	}
+	return nil
+}
+
+func (ns *nodeStore) after(op, key string) error {
+	if ns.mute.Load() || ns.cut.Load() {
+		return &storer.Error{Op: op, Key: key, Kind: storer.Uncertain, Cause: errCutOff}
+	}
+	return nil
+}
--- a/internal/standin/engine/faults.go
+++ b/internal/standin/engine/faults.go
@@ -124,3 +124,10 @@
 		return true
 	}
 }
+
+// ClearInjected forgets the faults that no request has taken yet.
+func (eg *Engine) ClearInjected() {
+	eg.mu.Lock()
+	defer eg.mu.Unlock()
+	eg.planned = nil
+}
