--- a/internal/soaker/operate.go
+++ b/internal/soaker/operate.go
@@ -17,7 +17,7 @@
 	settleTime   = 4 * time.Minute
 	settlePoll   = 500 * time.Millisecond
 	latestTime   = time.Minute
-	jobTime      = 15 * time.Minute
+	jobTime      = 5 * time.Minute
 	reachTimeout = 4 * time.Second
 	stopTokens   = 100
 	stopStreams  = 2
--- a/internal/standin/engine/faults.go
+++ b/internal/standin/engine/faults.go
@@ -30,6 +30,11 @@
 	FaultRefuse
 	// FaultUnfinished ends the stream without a finish reason.
 	FaultUnfinished
+	// FaultShort leaves the last token out of an answer that is no stream and
+	// says that it is whole.
+	FaultShort
+	// FaultRunAndRefuse runs the request and then answers with status 503.
+	FaultRunAndRefuse
 )
 
 // Fault is what goes wrong with one request.
--- a/internal/standin/engine/generate.go
+++ b/internal/standin/engine/generate.go
@@ -55,6 +55,10 @@
 		return
 	}
 	eg.countRun(gn.id)
+	if gn.fault.Kind == FaultRunAndRefuse {
+		refuse(wr, http.StatusServiceUnavailable, "overloaded")
+		return
+	}
 	eg.crashIfMarked(string(body))
 	if !eg.pause(rq, eg.prefill) {
 		return
@@ -123,7 +127,9 @@
 		if !gn.fault.apply(rq, ix) {
 			break
 		}
-		text += Token(gn.id, ix)
+		if gn.fault.Kind != FaultShort || ix < gn.call.MaxTokens-1 {
+			text += Token(gn.id, ix)
+		}
 	}
 	finish := any("length")
 	if gn.fault.Kind == FaultEnd {
--- a/internal/standin/service/service.go
+++ b/internal/standin/service/service.go
@@ -26,6 +26,8 @@
 	honoursKey bool
 	loseAnswer int
 	latency    time.Duration
+	twice      bool
+	foreign    bool
 }
 
 // Option changes a Service that is being made.
@@ -53,6 +55,20 @@
 	sv.loseAnswer = count
 }
 
+// RunTwice makes the service break its own promise: it runs each booking twice.
+func (sv *Service) RunTwice() {
+	sv.mu.Lock()
+	defer sv.mu.Unlock()
+	sv.twice = true
+}
+
+// AnswerForeign makes the service answer each booking with another one's text.
+func (sv *Service) AnswerForeign() {
+	sv.mu.Lock()
+	defer sv.mu.Unlock()
+	sv.foreign = true
+}
+
 // Runs returns how often the booking with that body was run.
 func (sv *Service) Runs(body string) int {
 	sv.mu.Lock()
@@ -103,6 +119,12 @@
 	result, known := sv.results[key]
 	if !sv.honoursKey || key == "" || !known {
 		sv.runs[body]++
+		if sv.twice {
+			sv.runs[body]++
+		}
+		if sv.foreign {
+			body = "another booking"
+		}
 		result, _ = json.Marshal(map[string]any{"booked": body, "number": len(sv.runs)})
 		sv.results[key] = result
 	}
