--- a/internal/commander/commander.go
+++ b/internal/commander/commander.go
@@ -38,6 +38,7 @@
 	cm.Register(&jobsCommand{}, "requests")
 	cm.Register(&demoCommand{}, "trying out")
 	cm.Register(&standinCommand{}, "trying out")
+	cm.Register(&soakCommand{}, "trying out")
 }
 
 // complain prints an error for people and returns the exit code.
--- a/internal/soaker/backend.go
+++ b/internal/soaker/backend.go
@@ -24,6 +24,7 @@
 type backend struct {
 	world  *world
 	engine *engine.Engine
+	serve  http.Handler
 	host   string
 
 	mu      sync.Mutex
@@ -40,7 +41,7 @@
 		engine.WithTokenGap(tokenGap),
 		engine.WithPrefill(prefill),
 		engine.WithReportLag(reportLag))
-	return &backend{world: wd, engine: eg, host: engineHost(ix)}
+	return &backend{world: wd, engine: eg, serve: eg.Handler(), host: engineHost(ix)}
 }
 
 // ServeHTTP notes which completions arrive.
@@ -53,7 +54,7 @@
 		rq.Body = io.NopCloser(bytes.NewReader(body))
 		be.note(rq.Header.Get(headerRequest), body)
 	}
-	be.engine.Handler().ServeHTTP(wr, rq)
+	be.serve.ServeHTTP(wr, rq)
 }
 
 func (be *backend) note(id string, body []byte) {
--- a/internal/soaker/operate.go
+++ b/internal/soaker/operate.go
@@ -14,10 +14,10 @@
 
 // Bounds of the time after all faults.
 const (
-	settleTime   = 4 * time.Minute
+	settleTime   = 2 * time.Minute
 	settlePoll   = 500 * time.Millisecond
 	latestTime   = time.Minute
-	jobTime      = 5 * time.Minute
+	jobTime      = 4 * time.Minute
 	reachTimeout = 4 * time.Second
 	stopTokens   = 100
 	stopStreams  = 2
--- a/internal/soaker/soaker.go
+++ b/internal/soaker/soaker.go
@@ -29,8 +29,8 @@
 	defaultLength = time.Minute
 	// maxStep is the longest time between two actions.
 	maxStep = 300 * time.Millisecond
-	// faultPart is the part of the actions that are faults.
-	faultPart = 0.15
+	// defaultPart is the part of the actions that are faults.
+	defaultPart = 0.15
 )
 
 // Soaker is one run.
@@ -39,6 +39,8 @@
 	nodes  int
 	length time.Duration
 	faults []Fault
+	part   float64
+	linger time.Duration
 	tweak  func(*world)
 
 	random *rand.Rand
@@ -59,6 +61,13 @@
 // WithFaults sets the faults that are drawn from; without it, all are.
 func WithFaults(faults ...Fault) Option { return func(sk *Soaker) { sk.faults = faults } }
 
+// WithFaultPart sets the part of the actions that are faults, from 0 to 1.
+func WithFaultPart(part float64) Option { return func(sk *Soaker) { sk.part = part } }
+
+// WithLinger sets how long the run waits at its end for what nodes that were
+// killed still have running. A bubble of testing/synctest needs that.
+func WithLinger(dn time.Duration) Option { return func(sk *Soaker) { sk.linger = dn } }
+
 // withTweak changes the stand-ins before the traffic begins.
 func withTweak(tweak func(*world)) Option { return func(sk *Soaker) { sk.tweak = tweak } }
 
@@ -69,6 +78,7 @@
 		nodes:  defaultNodes,
 		length: defaultLength,
 		faults: AllFaults(),
+		part:   defaultPart,
 		random: rand.New(rand.NewPCG(seed, 0)),
 	}
 	for _, opt := range opts {
@@ -86,7 +96,7 @@
 		return sk.report
 	}
 	sk.world = wd
-	defer wd.close()
+	defer wd.close(sk.linger)
 	if !wd.awaitReachable(ctx) {
 		sk.report.find(Unreachable, "at the start: %s", wd.unreachable(ctx))
 		return sk.report
@@ -106,7 +116,7 @@
 	end := time.Now().Add(sk.length)
 	for time.Now().Before(end) && ctx.Err() == nil {
 		time.Sleep(time.Duration(sk.random.Int64N(int64(maxStep))))
-		if len(sk.faults) > 0 && sk.random.Float64() < faultPart {
+		if len(sk.faults) > 0 && sk.random.Float64() < sk.part {
 			sk.cause(sk.faults[sk.random.IntN(len(sk.faults))])
 			continue
 		}
--- a/internal/soaker/world.go
+++ b/internal/soaker/world.go
@@ -217,7 +217,7 @@
 }
 
 // close ends everything.
-func (wd *world) close() {
+func (wd *world) close(linger time.Duration) {
 	wd.network.HealAll()
 	for _, nd := range wd.live() {
 		wd.kill(nd, false)
@@ -227,4 +227,5 @@
 	}
 	wd.running.Wait()
 	wd.network.Close()
+	time.Sleep(linger)
 }
