--- a/internal/soaker/operate.go
+++ b/internal/soaker/operate.go
@@ -14,10 +14,9 @@
 
 // Bounds of the time after all faults.
 const (
-	settleTime   = 2 * time.Minute
+	settleTime   = 4 * time.Minute
 	settlePoll   = 500 * time.Millisecond
 	latestTime   = time.Minute
-	jobTime      = 4 * time.Minute
 	reachTimeout = 4 * time.Second
 	stopTokens   = 100
 	stopStreams  = 2
@@ -96,7 +95,7 @@
 
 // awaitReachable waits until each model is reached through each live node.
 func (wd *world) awaitReachable(ctx context.Context) bool {
-	for end := time.Now().Add(settleTime); time.Now().Before(end) && ctx.Err() == nil; time.Sleep(settlePoll) {
+	for end := time.Now().Add(wd.patience); time.Now().Before(end) && ctx.Err() == nil; time.Sleep(settlePoll) {
 		if wd.unreachable(ctx) == "" {
 			return true
 		}
@@ -123,7 +122,7 @@
 // checkJobs waits for the end of every accepted job.
 func (wd *world) checkJobs(ctx context.Context) {
 	ended := []string{"done", "failed", "cancelled"}
-	end := time.Now().Add(jobTime)
+	end := time.Now().Add(wd.patience)
 	for _, id := range wd.jobs {
 		state := ""
 		for time.Now().Before(end) && !slices.Contains(ended, state) {
--- a/internal/soaker/world.go
+++ b/internal/soaker/world.go
@@ -55,6 +55,8 @@
 	servers  []*http.Server
 	client   *http.Client
 	running  sync.WaitGroup
+	// patience is how long the world waits for nodes and jobs after all faults.
+	patience time.Duration
 
 	mu      sync.Mutex
 	nodes   []*node
@@ -77,6 +79,7 @@
 		network:  connector.New(),
 		store:    platform.NewMemory(),
 		services: map[string]*service.Service{},
+		patience: settleTime,
 		ledger:   newLedger(),
 	}
 	tp := &http.Transport{DialContext: wd.network.Host(callerHost).Dial, DisableKeepAlives: true}
