Let a record batch wait for the allowance of writes

Cause: the owner of a shard may write every 13 ms, its node's allowance is a fourth of 200 writes a second. A batch that met a used up allowance was refused as store-unavailable though nothing was sent. The batch now waits up to a second for the allowance and the next one grows. TestBeginWaitsForTheAllowanceOfWrites fails before and passes after.

--- a/internal/coordination/recorder/shard.go
+++ b/internal/coordination/recorder/shard.go
@@ -24,6 +24,10 @@
 	finishIntervals = 5
 	// segmentNameLength keeps the list of segments in the head short.
 	segmentNameLength = 12
+	// budgetPause is the time between two looks at a used up allowance of
+	// writes, and budgetPatience how long a batch waits for it.
+	budgetPause    = 20 * time.Millisecond
+	budgetPatience = time.Second
 	// storeTimeout bounds the store calls of one batch.
 	storeTimeout = 3 * time.Second
 )
@@ -317,7 +321,7 @@
 		return err
 	}
 	mine := func(found []byte) bool { return batchOf(found) == hd.batch }
-	revision, err := storer.SwapSettled(ctx, sh.recorder.store, sh.headKey(), value, sh.revision, mine)
+	revision, err := sh.swapHead(ctx, value, mine)
 	if err != nil {
 		sh.recorder.registry.Inc("record", "commit-failed")
 		return errors.Wrap(err, "commit record batch")
@@ -327,6 +331,23 @@
 	return nil
 }
 
+// swapHead writes the head. While the node's allowance of writes is used up
+// nothing was sent, and the batch waits for it: begins that arrive meanwhile go
+// into one larger batch.
+func (sh *shard) swapHead(ctx context.Context, value []byte, mine func([]byte) bool) (int64, error) {
+	since := time.Now()
+	for {
+		revision, err := storer.SwapSettled(ctx, sh.recorder.store, sh.headKey(), value, sh.revision, mine)
+		if !storer.Is(err, storer.Budget) || time.Since(since) >= budgetPatience {
+			return revision, err
+		}
+		sh.recorder.registry.Inc("retry", "record-budget")
+		if !sleep(ctx, budgetPause) {
+			return 0, err
+		}
+	}
+}
+
 // seal writes the open segment as an immutable value once it is large.
 func (sh *shard) seal(ctx context.Context, sg *stage) (*segment, error) {
 	if len(sh.ledger.open) == 0 || len(sh.ledger.open)+len(sg.encoded) <= sh.recorder.segmentBytes {
