--- a/internal/commander/commander.go
+++ b/internal/commander/commander.go
@@ -50,6 +50,7 @@
 	cm.Register(&benchCommand{}, "trying out")
 	cm.Register(&demoCommand{}, "trying out")
 	cm.Register(&standinCommand{}, "trying out")
+	cm.Register(&soakCommand{}, "trying out")
 }
 
 // complain prints an error for people and returns the exit code.
--- a/internal/coordination/limiter/account.go
+++ b/internal/coordination/limiter/account.go
@@ -34,6 +34,8 @@
 	limit Limit
 	// own is the part that belongs to the node's slot.
 	own float64
+	// aside is what every node may use, and is never lent.
+	aside float64
 	// rising is a larger own part that is not in force before risesAt.
 	rising   float64
 	risesAt  time.Time
@@ -99,7 +101,7 @@
 				step = ln.until
 			}
 		}
-		rate := ac.own - sum(current(ac.lent, ac.filled)) + sum(current(ac.borrowed, ac.filled))
+		rate := ac.aside + ac.own - sum(current(ac.lent, ac.filled)) + sum(current(ac.borrowed, ac.filled))
 		ac.tokens += math.Max(rate, 0) * step.Sub(ac.filled).Seconds()
 		ac.filled = step
 	}
@@ -123,7 +125,7 @@
 	if ac.limit.counts() {
 		borrowed = sum(current(ac.borrowed, now))
 	}
-	return ac.own - sum(ac.lent) + borrowed
+	return ac.aside + ac.own - sum(ac.lent) + borrowed
 }
 
 // take uses one unit if the node has one left.
@@ -229,7 +231,7 @@
 // still have after the next rounds of asking.
 func (ac *account) lack(now time.Time) float64 {
 	ac.settle(now)
-	share := ac.own - sum(ac.lent) + sum(current(ac.borrowed, now.Add(askAhead)))
+	share := ac.aside + ac.own - sum(ac.lent) + sum(current(ac.borrowed, now.Add(askAhead)))
 	wanted := ac.demand * spareFactor
 	if ac.demand > 0 {
 		wanted = max(wanted, ac.limit.capacity*rateFloor)
--- a/internal/coordination/limiter/book.go
+++ b/internal/coordination/limiter/book.go
@@ -94,6 +94,7 @@
 			continue
 		}
 		ac.limit = lt
+		ac.aside = lt.aside(lm.slots)
 		ac.setOwn(lm.part(lt), now)
 	}
 	for name, ac := range lm.accounts {
@@ -107,7 +108,7 @@
 // open makes the account of a limit that is new to this node. Its part is in
 // force at once unless the limit or the slot was in use lately.
 func (lm *Limiter) open(lt Limit, now time.Time) *account {
-	ac := &account{limit: lt}
+	ac := &account{limit: lt, aside: lt.aside(lm.slots)}
 	ready := lm.dropped[lt.name]
 	for _, since := range lm.held {
 		if end := since.Add(lt.quietTime()); !since.IsZero() && end.After(ready) {
@@ -184,7 +185,7 @@
 // partOf divides a limit among its shareholders; units at once are whole.
 func partOf(lt Limit, index, count int) float64 {
 	if !lt.counts() {
-		return lt.capacity / float64(count)
+		return lt.slotted() / float64(count)
 	}
 	total := int(lt.capacity)
 	part := total / count
--- a/internal/coordination/limiter/limiter.go
+++ b/internal/coordination/limiter/limiter.go
@@ -13,6 +13,8 @@
 //   - A loan of units at once lasts until it is returned or its borrower's VM
 //     is gone. The borrower starts nothing on it later than LoanTime after the
 //     lender's last word, and an operation takes at most the limit's bound.
+//   - A small part of each quota is not divided among slots: every node may use
+//     its even part of it, so that a node without a slot lets callers in.
 //   - A node that takes over the slot of a VM that is gone waits until every
 //     loan and operation of its predecessor has ended. A slot that was never
 //     held is used at once.
@@ -46,6 +48,10 @@
 	LoanTime = 3 * time.Second
 	// BorrowInterval is the time between two rounds of asking for loans.
 	BorrowInterval = 500 * time.Millisecond
+	// asidePart is the part of a quota that is not divided among slots.
+	asidePart = 0.1
+	// asideNodes is the number of nodes for each slot among which it is divided.
+	asideNodes = 2
 	// shareholders bounds the slots that one limit is divided among.
 	shareholders = 8
 )
@@ -103,6 +109,21 @@
 // Capacity returns the uses a second, or the operations at the same time.
 func (lt Limit) Capacity() float64 { return lt.capacity }
 
+// slotted returns what the slots divide among them.
+func (lt Limit) slotted() float64 {
+	if lt.burst <= 0 {
+		return lt.capacity
+	}
+	return lt.capacity * (1 - asidePart)
+}
+
+// aside returns what each node may use of a quota whether it has a slot or not,
+// so that a node that has just started lets callers in. The sum stays within
+// the limit while there are at most asideNodes nodes for each slot.
+func (lt Limit) aside(slots int) float64 {
+	return (lt.capacity - lt.slotted()) / float64(asideNodes*max(slots, 1))
+}
+
 // counts reports whether the limit is one of operations at the same time.
 func (lt Limit) counts() bool { return lt.bound > 0 }
 
--- a/internal/coordination/limiter/limiter_test.go
+++ b/internal/coordination/limiter/limiter_test.go
@@ -384,3 +384,28 @@
 	require.False(t, again.Fresh())
 	require.Greater(t, again.Revision(), sl.Revision())
 }
+
+// TestNodeWithoutSlotLetsCallersIn replaces every node before any slot is free:
+// the new ones are let in by the part that is set aside, and the sum of all
+// parts stays within the quota.
+func TestNodeWithoutSlotLetsCallersIn(t *testing.T) {
+	const quota, slots = 100.0, 4
+	cl := newCluster(t, 4, slots, "[caller.desk]\nkey-sha256 = 2cf24dba5fb0a30e26e83b2ac5b9e29e1b161e5c1fa7425e73043362938b9824\nquota = 100\nburst = 20\n")
+	name := CallerLimit("desk")
+	st, faults := configurer.Parse([]configurer.File{{Name: "limits.ini", Text: "[caller.desk]\nkey-sha256 = 2cf24dba5fb0a30e26e83b2ac5b9e29e1b161e5c1fa7425e73043362938b9824\nquota = 100\nburst = 20\n"}})
+	require.Empty(t, faults)
+	sum := 0.0
+	for _, mb := range cl.nodes {
+		mb.cut = true
+		sum += mb.limiter.Share(name, cl.now)
+	}
+	for range slots {
+		fresh := New("fresh", &member{cluster: cl, id: "fresh", cut: true})
+		fresh.Configure(st, cl.now)
+		require.False(t, fresh.Take(name, cl.now), "nothing is saved up at the start")
+		require.True(t, fresh.Take(name, cl.now.Add(time.Second)))
+		sum += fresh.Share(name, cl.now.Add(time.Second))
+	}
+	require.LessOrEqual(t, sum, quota+rounding)
+	require.GreaterOrEqual(t, sum, 0.9*quota)
+}
--- a/internal/coordination/planner/record_test.go
+++ b/internal/coordination/planner/record_test.go
@@ -43,6 +43,19 @@
 	require.Equal(t, []time.Duration{3 * time.Minute}, later)
 }
 
+// TestStateIsACopy lets the planner go on after its state was taken.
+func TestStateIsACopy(t *testing.T) {
+	st := fleet(t, 9, 14, func(int) int { return 12 })
+	pl := planner.New(st)
+	in := planner.Input{Settings: st, Usable: planner.All, Demand: planner.Demand{"m0000": 3}, Current: planner.Initial(st, planner.All), Now: time.Unix(10, 0)}
+	pl.Next(in)
+	state := pl.State(in.Now)
+	in.Demand, in.Now = planner.Demand{"m0000": 9}, time.Unix(20, 0)
+	pl.Next(in)
+	require.InDelta(t, 3, state.Demand["m0000"], 0)
+	require.InDelta(t, 3, state.Mean["m0000"], 0)
+}
+
 // TestServingReplicaIsNotGivenUpForPlannedOnes causes hazard 14 in the plan:
 // only one replica of each cold model serves yet.
 func TestServingReplicaIsNotGivenUpForPlannedOnes(t *testing.T) {
--- a/internal/coordination/planner/state.go
+++ b/internal/coordination/planner/state.go
@@ -1,6 +1,7 @@
 package planner
 
 import (
+	"maps"
 	"time"
 
 	"github.com/lagoonpass/lagoonpass/internal/state/configurer"
@@ -15,10 +16,11 @@
 	Demand, Mean Demand
 }
 
-// State returns what a planner that goes on from here has to know.
+// State returns what a planner that goes on from here has to know. It is a
+// copy: records are encoded for peers while the planner goes on.
 func (pl *Planner) State(now time.Time) State {
 	pl.budget.left(now)
-	st := State{Demand: pl.demand.value, Mean: pl.demand.mean}
+	st := State{Demand: maps.Clone(pl.demand.value), Mean: maps.Clone(pl.demand.mean)}
 	for _, at := range pl.budget.made {
 		st.Ages = append(st.Ages, now.Sub(at))
 	}
--- a/internal/runner/adapters.go
+++ b/internal/runner/adapters.go
@@ -10,6 +10,7 @@
 func (nd *Node) buildAdapters() {
 	nd.adapters = adapterkeeper.New(nd.orderer, nd.settings, nd.prober.View, nd.pool,
 		adapterkeeper.WithRegistry(nd.registry),
+		adapterkeeper.WithEngines(nd.engines()),
 		adapterkeeper.WithTokens(sharedTokens{&nd.limits}),
 		adapterkeeper.WithReported(nd.reportsAdapter))
 }
--- a/internal/runner/load.go
+++ b/internal/runner/load.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"math/rand/v2"
+	"net/http"
 	"time"
 
 	"github.com/lagoonpass/lagoonpass/internal/coordination/admitter"
@@ -38,13 +39,17 @@
 
 // newWatcher returns the node's watcher, which polls what the node owns.
 func (nd *Node) newWatcher() *watcher.Watcher {
-	return watcher.New(
+	opts := []watcher.Option{
 		watcher.WithExchange(nd.exchange),
 		watcher.WithOwns(func(server string) bool { return nd.prober.View().Owns(workerPrefix + server) }),
 		watcher.WithSpreader(nd.prober.Spreader()),
 		watcher.WithDeparting(nd.prober.Departing),
 		watcher.WithRegistry(nd.registry),
-	)
+	}
+	if nd.network.Dial != nil {
+		opts = append(opts, watcher.WithTransport(&http.Transport{DialContext: nd.network.Dial}))
+	}
+	return watcher.New(opts...)
 }
 
 // watch polls servers until the context ends.
--- a/internal/runner/placement.go
+++ b/internal/runner/placement.go
@@ -10,6 +10,7 @@
 
 	"github.com/lagoonpass/lagoonpass/internal/coordination/placer"
 	"github.com/lagoonpass/lagoonpass/internal/coordination/planner"
+	"github.com/lagoonpass/lagoonpass/internal/coordination/prober"
 	"github.com/lagoonpass/lagoonpass/internal/coordination/spreader"
 	"github.com/lagoonpass/lagoonpass/internal/state/configurer"
 	"github.com/lagoonpass/lagoonpass/internal/state/lister"
@@ -31,7 +32,7 @@
 
 // backends is what the node knows of backend servers beyond the settings.
 type backends struct {
-	list *lister.Lister
+	list prober.VMList
 
 	mu       sync.Mutex
 	answered map[string]time.Time
@@ -40,7 +41,7 @@
 }
 
 func (nd *Node) buildPlacer() {
-	nd.backends = &backends{list: lister.New(nd.identity.VMList()), answered: map[string]time.Time{}}
+	nd.backends = &backends{list: nd.vmList, answered: map[string]time.Time{}}
 	nd.placer = placer.New(nd.identity.ID(), nd.meter.For(storer.PurposePlan), nd.claimer, nd.prober.View,
 		nd.pool, nd.prober.Spreader(), placer.WithRegistry(nd.registry))
 }
