Plan while most servers leave, and give up silent orders sooner

And an order on a connection that fell silent was awaited for five minutes whatever it was; only loads may take two minutes now, others 15 s, which costs no safety as a given up order stays outstanding.

--- a/internal/coordination/orderer/decide.go
+++ b/internal/coordination/orderer/decide.go
@@ -151,13 +151,24 @@
 				order:    kp.wireOrder(at),
 				recorded: now,
 				bound:    kp.goal.lateBound(),
-				timeout:  orderTimeout,
+				timeout:  timeoutOf(action),
 			},
 			func(now time.Time, rs result) { kp.ordered(now, at, rs) },
 		}
 	})
 }
 
+// timeoutOf returns how long the answer to an order is waited for. Only a load
+// takes long; waiting as long for another order would let a connection that
+// fell silent keep the server from its goal. An order that was given up stays
+// outstanding, so that giving up early costs no safety.
+func timeoutOf(action accountant.Action) time.Duration {
+	if action == accountant.Load {
+		return loadTimeout
+	}
+	return orderTimeout
+}
+
 // assertOrder checks what must hold whenever an order goes out.
 func (kp *keeper) assertOrder(at accountant.Attempt) {
 	server := kp.goal.server
--- a/internal/coordination/orderer/keeper.go
+++ b/internal/coordination/orderer/keeper.go
@@ -18,7 +18,8 @@
 	maxBackoff      = time.Minute
 	inspectInterval = 10 * time.Second
 	inspectTimeout  = 5 * time.Second
-	orderTimeout    = 5 * time.Minute
+	loadTimeout     = 2 * time.Minute
+	orderTimeout    = 15 * time.Second
 	denialInterval  = 5 * time.Second
 	tokenPause      = 500 * time.Millisecond
 	maxAttempts     = 8
--- a/internal/coordination/placer/hold.go
+++ b/internal/coordination/placer/hold.go
@@ -108,16 +108,24 @@
 	return planner.Resume(sn.Settings, rc.State(), now)
 }
 
-// seesMost reports whether at least half of the backend servers are usable. If
-// fewer are, it is rather the holder that is cut off than that they are gone.
+// seesMost reports whether at least half of the backend servers answer. If
+// fewer do, it is rather the holder that is cut off than that they are gone.
+// Servers that leave say so, and say nothing about the holder.
 func (*Placer) seesMost(sn Situation) bool {
-	usable := 0
+	silent := 0
 	for _, bs := range sn.Settings.BackendServers() {
-		if sn.Usable(bs.Name()) {
-			usable++
+		if sn.isSilent(bs.Name()) {
+			silent++
 		}
 	}
-	return 2*usable >= len(sn.Settings.BackendServers())
+	return 2*silent <= len(sn.Settings.BackendServers())
+}
+
+func (sn *Situation) isSilent(server string) bool {
+	if sn.Silent == nil {
+		return !sn.Usable(server)
+	}
+	return sn.Silent(server)
 }
 
 // next returns the plan that should be in force.
--- a/internal/coordination/placer/placer.go
+++ b/internal/coordination/placer/placer.go
@@ -74,6 +74,9 @@
 	Settings *configurer.Settings
 	// Usable says which backend servers may hold models.
 	Usable planner.Usable
+	// Silent says which backend servers do not answer; one that leaves and says
+	// so is not silent. Nil means those that are not usable.
+	Silent func(server string) bool
 	// Serving says by the reports which replicas serve.
 	Serving func(model, server string) bool
 	// Held returns the models that serve on a server.
--- a/internal/coordination/placer/placer_test.go
+++ b/internal/coordination/placer/placer_test.go
@@ -261,6 +261,23 @@
 	})
 }
 
+// TestMostServersLeaving lets all servers but two leave: they say so, and the
+// plan moves away from them.
+func TestMostServersLeaving(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		rg := settled(t)
+		rg.silent = func(string) bool { return false }
+		for _, bs := range rg.settings.BackendServers()[2:] {
+			rg.unusable[bs.Name()] = true
+		}
+		rg.run(60)
+		for _, bs := range rg.settings.BackendServers()[2:] {
+			require.Empty(t, rg.newest().Models(bs.Name()), bs.Name())
+		}
+		require.NotEmpty(t, rg.newest().Models(rg.settings.BackendServers()[0].Name()))
+	})
+}
+
 func TestHolderThatSeesFewServersPlansNothing(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		rg := settled(t)
--- a/internal/coordination/placer/rig_test.go
+++ b/internal/coordination/placer/rig_test.go
@@ -41,9 +41,11 @@
 	demand   planner.Demand
 	serves   map[place]bool
 	unusable map[string]bool
-	batches  map[int64]string
-	last     *planner.Plan
-	moves    int
+	// silent overrides which servers do not answer; nil means the unusable ones.
+	silent  func(server string) bool
+	batches map[int64]string
+	last    *planner.Plan
+	moves   int
 }
 
 type node struct {
@@ -182,6 +184,7 @@
 	return placer.Situation{
 		Settings: rg.settings,
 		Usable:   func(server string) bool { return !rg.unusable[server] },
+		Silent:   rg.silent,
 		Serving:  func(model, server string) bool { return rg.serves[place{model, server}] },
 		Held: func(server string) (all []string) {
 			for _, md := range rg.settings.Models() {
--- a/internal/runner/placement.go
+++ b/internal/runner/placement.go
@@ -66,11 +66,12 @@
 
 // situation returns a picture that does not change while a plan is made.
 func (nd *Node) situation(st *configurer.Settings, now time.Time) placer.Situation {
-	usable := nd.usableServers(st, now)
+	usable, silent := nd.usableServers(st, now)
 	sn := nd.watcher.Snapshot()
 	return placer.Situation{
 		Settings: st,
 		Usable:   func(server string) bool { return usable[server] },
+		Silent:   func(server string) bool { return silent[server] },
 		Serving: func(model, server string) bool {
 			rp, _ := sn.Report(server)
 			_, ok := rp.Models[model]
@@ -84,24 +85,25 @@
 	}
 }
 
-// usableServers returns the servers that answered lately and do not leave. One
-// that never answered counts from when the node first looked for it.
-func (nd *Node) usableServers(st *configurer.Settings, now time.Time) map[string]bool {
+// usableServers returns the servers that answered lately and do not leave, and
+// those that did not answer. One that never answered counts from when the node
+// first looked for it.
+func (nd *Node) usableServers(st *configurer.Settings, now time.Time) (usable, silent map[string]bool) {
 	leaving := nd.leavingServers()
 	sn := nd.watcher.Snapshot()
 	bk := nd.backends
 	bk.mu.Lock()
 	defer bk.mu.Unlock()
-	usable := map[string]bool{}
+	usable, silent = map[string]bool{}, map[string]bool{}
 	for _, bs := range st.BackendServers() {
 		rp, answers := sn.Report(bs.Name())
 		if _, known := bk.answered[bs.Name()]; answers || !known {
 			bk.answered[bs.Name()] = now
 		}
-		silent := now.Sub(bk.answered[bs.Name()])
-		usable[bs.Name()] = silent <= answerGrace && !rp.Leaving && !slices.Contains(leaving, bs.Name())
+		silent[bs.Name()] = now.Sub(bk.answered[bs.Name()]) > answerGrace
+		usable[bs.Name()] = !silent[bs.Name()] && !rp.Leaving && !slices.Contains(leaving, bs.Name())
 	}
-	return usable
+	return usable, silent
 }
 
 // leavingServers returns the backend servers that leave by the platform's list
