Keep one way to wait for a time or a context

The same eight lines stood in recorder, jobrunner, invoker, the caller's client and the bench. They are waiter.Sleep now; behaviour is the same.

--- a/internal/bencher/drive.go
+++ b/internal/bencher/drive.go
@@ -11,6 +11,7 @@
 	"github.com/go-faster/errors"
 
 	"github.com/lagoonpass/lagoonpass/internal/state/configurer"
+	"github.com/lagoonpass/lagoonpass/internal/waiter"
 	"github.com/lagoonpass/lagoonpass/pkg/caller"
 	"github.com/lagoonpass/lagoonpass/pkg/refuser"
 )
@@ -129,14 +130,7 @@
 }
 
 func sleepUntil(ctx context.Context, at time.Time) bool {
-	tm := time.NewTimer(time.Until(at))
-	defer tm.Stop()
-	select {
-	case <-ctx.Done():
-		return false
-	case <-tm.C:
-		return true
-	}
+	return waiter.Sleep(ctx, time.Until(at))
 }
 
 // run sends one request and notes its answer.
--- a/internal/coordination/invoker/repeat.go
+++ b/internal/coordination/invoker/repeat.go
@@ -6,6 +6,7 @@
 
 	"github.com/lagoonpass/lagoonpass/internal/state/configurer"
 	"github.com/lagoonpass/lagoonpass/internal/transport/forwarder"
+	"github.com/lagoonpass/lagoonpass/internal/waiter"
 	"github.com/lagoonpass/lagoonpass/pkg/refuser"
 )
 
@@ -79,12 +80,5 @@
 	iv.mu.Lock()
 	dn := time.Duration(iv.random.Int64N(int64(backoff) + 1))
 	iv.mu.Unlock()
-	tm := time.NewTimer(dn)
-	defer tm.Stop()
-	select {
-	case <-ctx.Done():
-		return false
-	case <-tm.C:
-		return true
-	}
+	return waiter.Sleep(ctx, dn)
 }
--- a/internal/coordination/jobrunner/cluster_test.go
+++ b/internal/coordination/jobrunner/cluster_test.go
@@ -16,6 +16,7 @@
 	"github.com/lagoonpass/lagoonpass/internal/standin/platform"
 	"github.com/lagoonpass/lagoonpass/internal/state/configurer"
 	"github.com/lagoonpass/lagoonpass/internal/state/storer"
+	"github.com/lagoonpass/lagoonpass/internal/waiter"
 	"github.com/lagoonpass/lagoonpass/pkg/refuser"
 )
 
@@ -92,7 +93,7 @@
 
 func (nd *node) work(ctx context.Context, jb *Job) (Result, *refuser.Refusal) {
 	nd.cluster.note(jb.ID())
-	if !sleep(ctx, nd.cluster.duration) {
+	if !waiter.Sleep(ctx, nd.cluster.duration) {
 		return Result{}, refuser.New(refuser.BackendFailed, "cancelled").WithOutcome(refuser.Unknown)
 	}
 	if nd.store.dead.Load() {
--- a/internal/coordination/jobrunner/jobrunner.go
+++ b/internal/coordination/jobrunner/jobrunner.go
@@ -164,15 +164,3 @@
 		_, _ = rn.caller.Call(ctx, owner.PeerAddress, &messenger.JobNotice{Shard: pc.shard, ID: pc.id})
 	}
 }
-
-// sleep waits and reports false if the context ended first.
-func sleep(ctx context.Context, dn time.Duration) bool {
-	tm := time.NewTimer(dn)
-	defer tm.Stop()
-	select {
-	case <-ctx.Done():
-		return false
-	case <-tm.C:
-		return true
-	}
-}
--- a/internal/coordination/jobrunner/run.go
+++ b/internal/coordination/jobrunner/run.go
@@ -13,6 +13,7 @@
 	"github.com/lagoonpass/lagoonpass/internal/checker"
 	"github.com/lagoonpass/lagoonpass/internal/protocol/messenger"
 	"github.com/lagoonpass/lagoonpass/internal/state/storer"
+	"github.com/lagoonpass/lagoonpass/internal/waiter"
 	"github.com/lagoonpass/lagoonpass/pkg/refuser"
 )
 
@@ -113,7 +114,7 @@
 		}
 		rn.registry.Inc("retry", string(rf.Reason()))
 		stale := clean && time.Since(jb.claimed) > renewAfter
-		if stale || !sleep(stop, rn.jitter(backoff)) || own.Err() != nil {
+		if stale || !waiter.Sleep(stop, rn.jitter(backoff)) || own.Err() != nil {
 			return putBack(jb, clean)
 		}
 		backoff = min(2*backoff, maxBackoff)
@@ -189,7 +190,7 @@
 			log.WithField("job", ended.id).Warn("the end of a job was not written; another node takes it over")
 			return
 		}
-		_ = sleep(ctx, pause)
+		_ = waiter.Sleep(ctx, pause)
 		backoff = min(2*backoff, maxBackoff)
 	}
 	rn.registry.Inc("job", ended.state.String())
--- a/internal/coordination/recorder/begin.go
+++ b/internal/coordination/recorder/begin.go
@@ -11,6 +11,7 @@
 	"github.com/lagoonpass/lagoonpass/internal/checker"
 	"github.com/lagoonpass/lagoonpass/internal/coordination/prober"
 	"github.com/lagoonpass/lagoonpass/internal/protocol/messenger"
+	"github.com/lagoonpass/lagoonpass/internal/waiter"
 	"github.com/lagoonpass/lagoonpass/pkg/refuser"
 )
 
@@ -134,7 +135,7 @@
 	for {
 		begun := at.ask(ctx)
 		an, again := at.judge(begun)
-		if again && ctx.Err() == nil && sleep(ctx, at.recorder.jitter(backoff)) {
+		if again && ctx.Err() == nil && waiter.Sleep(ctx, at.recorder.jitter(backoff)) {
 			backoff = min(2*backoff, maxBeginBackoff)
 			continue
 		}
--- a/internal/coordination/recorder/outbox.go
+++ b/internal/coordination/recorder/outbox.go
@@ -8,6 +8,7 @@
 	"github.com/go-faster/errors"
 
 	"github.com/lagoonpass/lagoonpass/internal/protocol/messenger"
+	"github.com/lagoonpass/lagoonpass/internal/waiter"
 )
 
 const (
@@ -117,7 +118,7 @@
 	backoff := minEndBackoff
 	for !ob.tellOnce(fn) {
 		ob.recorder.registry.Inc("record", "end-retry")
-		if !sleep(ob.recorder.ctx, ob.recorder.jitter(backoff)) {
+		if !waiter.Sleep(ob.recorder.ctx, ob.recorder.jitter(backoff)) {
 			return
 		}
 		backoff = min(2*backoff, maxEndBackoff)
@@ -148,7 +149,7 @@
 		if pending == 0 {
 			return nil
 		}
-		if !sleep(ctx, flushInterval) {
+		if !waiter.Sleep(ctx, flushInterval) {
 			return errors.Wrapf(errEndsLeft, "%d", pending)
 		}
 	}
--- a/internal/coordination/recorder/recorder.go
+++ b/internal/coordination/recorder/recorder.go
@@ -221,15 +221,3 @@
 	defer rc.mu.Unlock()
 	return dn/2 + time.Duration(rc.random.Int64N(int64(dn/2)+1))
 }
-
-// sleep waits and reports false if the context ended first.
-func sleep(ctx context.Context, dn time.Duration) bool {
-	tm := time.NewTimer(dn)
-	defer tm.Stop()
-	select {
-	case <-ctx.Done():
-		return false
-	case <-tm.C:
-		return true
-	}
-}
--- a/internal/coordination/recorder/shard.go
+++ b/internal/coordination/recorder/shard.go
@@ -12,6 +12,7 @@
 
 	"github.com/lagoonpass/lagoonpass/internal/protocol/messenger"
 	"github.com/lagoonpass/lagoonpass/internal/state/storer"
+	"github.com/lagoonpass/lagoonpass/internal/waiter"
 )
 
 const (
@@ -135,7 +136,7 @@
 		case <-sh.wake:
 		}
 		if st := sh.recorder.settings(); st != nil {
-			if pause := st.Interval() - time.Since(last); pause > 0 && !sleep(sh.recorder.ctx, pause) {
+			if pause := st.Interval() - time.Since(last); pause > 0 && !waiter.Sleep(sh.recorder.ctx, pause) {
 				return
 			}
 		}
@@ -342,7 +343,7 @@
 			return revision, err
 		}
 		sh.recorder.registry.Inc("retry", "record-budget")
-		if !sleep(ctx, budgetPause) {
+		if !waiter.Sleep(ctx, budgetPause) {
 			return 0, err
 		}
 	}
--- a/pkg/caller/send.go
+++ b/pkg/caller/send.go
@@ -11,6 +11,7 @@
 
 	"github.com/go-faster/errors"
 
+	"github.com/lagoonpass/lagoonpass/internal/waiter"
 	"github.com/lagoonpass/lagoonpass/pkg/refuser"
 )
 
@@ -79,7 +80,7 @@
 			cl.markFailed(base)
 		}
 		wait, again := cl.again(err, ms, attempt)
-		if !again || !sleep(ctx, wait) {
+		if !again || !waiter.Sleep(ctx, wait) {
 			return nil, "", err
 		}
 	}
@@ -202,14 +203,3 @@
 	}
 	return refuser.New(refuser.Internal, "status %d without a refusal", rs.StatusCode).WithOutcome(refuser.Unknown)
 }
-
-func sleep(ctx context.Context, dn time.Duration) bool {
-	tm := time.NewTimer(dn)
-	defer tm.Stop()
-	select {
-	case <-ctx.Done():
-		return false
-	case <-tm.C:
-		return true
-	}
-}
--- a/pkg/caller/stream.go
+++ b/pkg/caller/stream.go
@@ -11,6 +11,7 @@
 
 	"github.com/go-faster/errors"
 
+	"github.com/lagoonpass/lagoonpass/internal/waiter"
 	"github.com/lagoonpass/lagoonpass/pkg/refuser"
 )
 
@@ -125,7 +126,7 @@
 // error that ends it.
 func (sm *Stream) resume(cause error) error {
 	wait, helps := sm.resumable(cause)
-	if !helps || sm.resumes >= maxResumes || sm.id == "" || !sleep(sm.ctx, wait) {
+	if !helps || sm.resumes >= maxResumes || sm.id == "" || !waiter.Sleep(sm.ctx, wait) {
 		return cause
 	}
 	sm.resumes++
