Let a server stay that the list no longer names as leaving

Its owner now lets it stay once four readings of the list in a row leave it out, since one reading may be older than the one before (TestServerThatStaysGetsWorkAgain).

--- a/internal/coordination/prober/contact.go
+++ b/internal/coordination/prober/contact.go
@@ -77,8 +77,12 @@
 		}
 	}
 	pb.departing.Store(&departing)
+	pb.readings.Add(1)
 }
 
+// ListReadings returns how often the list was read.
+func (pb *Prober) ListReadings() int64 { return pb.readings.Load() }
+
 // Departing returns the backend VMs that the list named as leaving when it was
 // last read. The slice is shared and may not be changed.
 func (pb *Prober) Departing() []lister.VM {
--- a/internal/coordination/prober/prober.go
+++ b/internal/coordination/prober/prober.go
@@ -99,6 +99,7 @@
 	registry  *counter.Registry
 	view      atomic.Pointer[View]
 	departing atomic.Pointer[[]lister.VM]
+	readings  atomic.Int64
 	probes    sync.WaitGroup
 
 	mu        sync.Mutex
--- a/internal/coordination/watcher/fleet_test.go
+++ b/internal/coordination/watcher/fleet_test.go
@@ -102,6 +102,7 @@
 		watcher.WithOwns(func(server string) bool { return nd.View().Owns("worker/" + server) }),
 		watcher.WithSpreader(nd.Spreader()),
 		watcher.WithDeparting(nd.Departing),
+		watcher.WithListReadings(nd.ListReadings),
 		watcher.WithRandom(rand.New(rand.NewPCG(uint64(ix), 3))),
 		watcher.WithRead(func(_ context.Context, bs *configurer.BackendServer) (watcher.Report, error) {
 			return fl.read(id, bs)
--- a/internal/coordination/watcher/poll.go
+++ b/internal/coordination/watcher/poll.go
@@ -56,6 +56,9 @@
 	version     spreader.Version
 	publishedAt time.Time
 	leavingBoot string
+	// staysFrom is the reading of the list from which on the server is no
+	// longer named as leaving; 0 if it is.
+	staysFrom int64
 }
 
 // lost reports whether the owner's polls failed too often.
--- a/internal/coordination/watcher/residency.go
+++ b/internal/coordination/watcher/residency.go
@@ -21,6 +21,9 @@
 	// leavingPrefix is followed by a server's name: the boot that is leaving.
 	// These entries are short, so that they are sent more often.
 	leavingPrefix = "leaving/"
+	// stayReadings is how many readings of the list in a row have to leave out
+	// a server that was leaving.
+	stayReadings = 4
 )
 
 const (
--- a/internal/coordination/watcher/spread.go
+++ b/internal/coordination/watcher/spread.go
@@ -89,13 +89,37 @@
 	if wt.departing == nil {
 		return
 	}
+	named := map[string]bool{}
 	for _, vm := range wt.departing() {
 		for name, tr := range wt.servers {
 			if vm.Name == name || vm.Address == tr.server.Address() {
+				named[name] = true
 				wt.depart(name, tr)
 			}
 		}
 	}
+	wt.noteStaying(named)
+}
+
+// noteStaying lets a server of this node stay that was named as leaving, once
+// several readings of the list in a row no longer name it: the list lags, and
+// one reading may be older than the one before.
+func (wt *Watcher) noteStaying(named map[string]bool) {
+	if wt.readings == nil {
+		return
+	}
+	reading := wt.readings()
+	for name, tr := range wt.servers {
+		switch {
+		case !tr.owned || tr.leavingBoot == "" || named[name]:
+			tr.staysFrom = 0
+		case tr.staysFrom == 0:
+			tr.staysFrom = reading
+		case reading-tr.staysFrom >= stayReadings:
+			wt.registry.Inc("residency", "staying")
+			wt.tellLeaving(name, tr, "")
+		}
+	}
 }
 
 func (wt *Watcher) depart(name string, tr *tracked) {
@@ -103,13 +127,20 @@
 	if !ok || rp.BootID == "" || rp.BootID == tr.leavingBoot {
 		return
 	}
-	tr.leavingBoot = rp.BootID
-	wt.changed = true
 	wt.registry.Inc("residency", "leaving")
+	wt.tellLeaving(name, tr, rp.BootID)
+}
+
+// tellLeaving notes which boot of a server is leaving, or that none is, and
+// tells the other nodes.
+func (wt *Watcher) tellLeaving(name string, tr *tracked, boot string) {
+	tr.leavingBoot = boot
+	tr.staysFrom = 0
+	wt.changed = true
 	if wt.spreader == nil {
 		return
 	}
 	key := leavingPrefix + name
 	held, _, _ := wt.spreader.Get(key)
-	wt.send(key, spreader.Version{Epoch: held.Epoch + 1, Seq: 1}, []byte(rp.BootID))
+	wt.send(key, spreader.Version{Epoch: held.Epoch + 1, Seq: 1}, []byte(boot))
 }
--- a/internal/coordination/watcher/watcher.go
+++ b/internal/coordination/watcher/watcher.go
@@ -87,6 +87,7 @@
 	owns      func(server string) bool
 	spreader  *spreader.Spreader
 	departing func() []lister.VM
+	readings  func() int64
 	exchange  *Exchange
 	registry  *counter.Registry
 	random    *rand.Rand
@@ -122,6 +123,10 @@
 // leaving.
 func WithDeparting(fn func() []lister.VM) Option { return func(wt *Watcher) { wt.departing = fn } }
 
+// WithListReadings tells the watcher how often the list was read, so that a
+// server that the list no longer names as leaving gets work again.
+func WithListReadings(fn func() int64) Option { return func(wt *Watcher) { wt.readings = fn } }
+
 // WithRegistry counts what the watcher does.
 func WithRegistry(rg *counter.Registry) Option { return func(wt *Watcher) { wt.registry = rg } }
 
--- a/internal/coordination/watcher/watcher_test.go
+++ b/internal/coordination/watcher/watcher_test.go
@@ -6,6 +6,8 @@
 	"time"
 
 	"github.com/stretchr/testify/require"
+
+	"github.com/lagoonpass/lagoonpass/internal/state/lister"
 )
 
 const settled = 20 * time.Second
@@ -178,3 +180,30 @@
 		})
 	}
 }
+
+// TestServerThatStaysGetsWorkAgain lets the list name a server as leaving and
+// then as live again, as when an operator changes his mind: its process is the
+// same, and all nodes give it work again.
+func TestServerThatStaysGetsWorkAgain(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		fl := newFleet(t, 4, 3)
+		defer fl.end()
+		fl.await(settled, fl.allKnown)
+		leaving := func(want bool) func() bool {
+			return func() bool {
+				for _, nd := range fl.nodes {
+					if rp, ok := nd.watch.Snapshot().Report("w0000"); !ok || rp.Leaving != want {
+						return false
+					}
+				}
+				return true
+			}
+		}
+		fl.leaveList("w0000")
+		fl.await(time.Minute, leaving(true))
+		time.Sleep(time.Minute)
+		require.True(t, leaving(true)(), "it leaves for as long as the list says so")
+		fl.EditList(func(vms []lister.VM) []lister.VM { return vms[:len(vms)-1] })
+		fl.await(5*time.Minute, leaving(false))
+	})
+}
--- a/internal/runner/load.go
+++ b/internal/runner/load.go
@@ -44,6 +44,7 @@
 		watcher.WithOwns(func(server string) bool { return nd.prober.View().Owns(workerPrefix + server) }),
 		watcher.WithSpreader(nd.prober.Spreader()),
 		watcher.WithDeparting(nd.prober.Departing),
+		watcher.WithListReadings(nd.prober.ListReadings),
 		watcher.WithRegistry(nd.registry),
 	}
 	if nd.network.Dial != nil {
