--- a/internal/server/authenticate.go
+++ b/internal/server/authenticate.go
@@ -37,11 +37,6 @@
 	return match, nil
 }
 
-// permitted reports whether a name matches one of the patterns.
-func permitted(patterns []string, name string) bool {
-	return configurer.Permitted(patterns, name)
-}
-
 // asRefusal turns any error into a refusal.
 func asRefusal(err error) *refuser.Refusal {
 	var rf *refuser.Refusal
--- a/internal/server/completions.go
+++ b/internal/server/completions.go
@@ -134,7 +134,7 @@
 // findModel resolves the name of a model or of an adapter.
 func findModel(sc *scope, rq *dispatcher.Request, name string) error {
 	if ad, ok := sc.settings.Adapter(name); ok {
-		if !permitted(sc.caller.Adapters(), name) {
+		if !configurer.Permitted(sc.caller.Adapters(), name) {
 			return refuser.New(refuser.Forbidden, "caller %.100q may not use adapter %.100q", sc.caller.Name(), name)
 		}
 		rq.Adapter = ad
@@ -144,7 +144,7 @@
 	if !ok {
 		return refuser.New(refuser.UnknownModel, "no model or adapter %.100q", name)
 	}
-	if !permitted(sc.caller.Models(), name) {
+	if !configurer.Permitted(sc.caller.Models(), name) {
 		return refuser.New(refuser.Forbidden, "caller %.100q may not use model %.100q", sc.caller.Name(), name)
 	}
 	rq.Model = md
@@ -179,7 +179,7 @@
 	if !ok {
 		return nil, refuser.New(refuser.UnknownClass, "no priority class %.100q", name)
 	}
-	if !permitted(sc.caller.Classes(), name) {
+	if !configurer.Permitted(sc.caller.Classes(), name) {
 		return nil, refuser.New(refuser.Forbidden, "caller %.100q may not use class %.100q", sc.caller.Name(), name)
 	}
 	return cs, nil
@@ -205,12 +205,12 @@
 	}
 	data := []map[string]string{}
 	for _, md := range sc.settings.Models() {
-		if permitted(sc.caller.Models(), md.Name()) {
+		if configurer.Permitted(sc.caller.Models(), md.Name()) {
 			data = append(data, map[string]string{"id": md.Name(), "object": "model", "owned_by": "lagoonpass"})
 		}
 	}
 	for _, ad := range sc.settings.Adapters() {
-		if permitted(sc.caller.Adapters(), ad.Name()) && permitted(sc.caller.Models(), ad.Model()) {
+		if configurer.Permitted(sc.caller.Adapters(), ad.Name()) && configurer.Permitted(sc.caller.Models(), ad.Model()) {
 			data = append(data, map[string]string{"id": ad.Name(), "object": "model", "owned_by": "lagoonpass", "parent": ad.Model()})
 		}
 	}
--- a/internal/server/services.go
+++ b/internal/server/services.go
@@ -56,7 +56,7 @@
 	if !ok {
 		return nil, refuser.New(refuser.UnknownService, "no service %.100q", name)
 	}
-	if !permitted(sc.caller.Services(), name) {
+	if !configurer.Permitted(sc.caller.Services(), name) {
 		return nil, refuser.New(refuser.Forbidden, "caller %.100q may not use service %.100q", sc.caller.Name(), name)
 	}
 	return svc, nil
