Read the settings in force in one place of the runner

The record of a slot's holder was exported with an accessor that nobody called. Behaviour is the same; tests of runner, soaker, limiter and demonstrator pass with -race.

--- a/internal/coordination/limiter/slot.go
+++ b/internal/coordination/limiter/slot.go
@@ -19,15 +19,12 @@
 // ErrNoSlot means that every slot belongs to a VM that is still listed.
 var ErrNoSlot = errors.New("no slot is free")
 
-// Holder is the record of who holds a slot.
-type Holder struct {
+// holder is the record of who holds a slot.
+type holder struct {
 	node  string
 	batch string
 }
 
-// Node returns the id of the node that holds the slot.
-func (hd Holder) Node() string { return hd.node }
-
 // Slot is a slot that a node holds.
 type Slot struct {
 	number   int
@@ -105,7 +102,7 @@
 func slotKey(slot int) string { return fmt.Sprintf("%s%04d", slotPrefix, slot) }
 
 func takeSlot(ctx context.Context, st storer.Store, self string, number int, was storer.Entry) (Slot, bool, error) {
-	hd := Holder{node: self, batch: rand.Text()}
+	hd := holder{node: self, batch: rand.Text()}
 	value, err := hd.encode()
 	if err != nil {
 		return Slot{}, false, err
@@ -121,7 +118,7 @@
 	return Slot{number: number, fresh: was.Revision == 0, revision: revision}, true, nil
 }
 
-func (hd Holder) encode() ([]byte, error) {
+func (hd holder) encode() ([]byte, error) {
 	var buf bytes.Buffer
 	if err := messenger.EncodeAll(msgpack.NewEncoder(&buf), hd.node, hd.batch); err != nil {
 		return nil, errors.Wrap(err, "encode slot")
@@ -129,10 +126,10 @@
 	return buf.Bytes(), nil
 }
 
-func decodeHolder(value []byte) (Holder, error) {
-	var hd Holder
+func decodeHolder(value []byte) (holder, error) {
+	var hd holder
 	if err := messenger.DecodeAll(msgpack.NewDecoder(bytes.NewReader(value)), &hd.node, &hd.batch); err != nil {
-		return Holder{}, errors.Wrap(err, "decode slot")
+		return holder{}, errors.Wrap(err, "decode slot")
 	}
 	return hd, nil
 }
--- a/internal/runner/control.go
+++ b/internal/runner/control.go
@@ -3,6 +3,8 @@
 import (
 	"context"
 	"time"
+
+	"github.com/lagoonpass/lagoonpass/internal/state/configurer"
 )
 
 // controlInterval is the time between two passes of the control loop.
@@ -25,13 +27,22 @@
 	}
 }
 
-func (nd *Node) pass(ctx context.Context) {
+// settings returns the settings in force, or nil.
+func (nd *Node) settings() *configurer.Settings {
 	rv := nd.holder.Current()
 	if rv == nil {
+		return nil
+	}
+	return rv.Settings()
+}
+
+func (nd *Node) pass(ctx context.Context) {
+	st := nd.settings()
+	if st == nil {
 		return
 	}
-	nd.shareStore(rv.Settings().Limits())
-	nd.admitter.Revise(rv.Settings())
-	nd.admitter.Refresh(rv.Settings())
-	nd.placeModels(ctx, rv.Settings())
+	nd.shareStore(st.Limits())
+	nd.admitter.Revise(st)
+	nd.admitter.Refresh(st)
+	nd.placeModels(ctx, st)
 }
--- a/internal/runner/load.go
+++ b/internal/runner/load.go
@@ -9,7 +9,6 @@
 	"github.com/lagoonpass/lagoonpass/internal/coordination/admitter"
 	"github.com/lagoonpass/lagoonpass/internal/coordination/prober"
 	"github.com/lagoonpass/lagoonpass/internal/coordination/watcher"
-	"github.com/lagoonpass/lagoonpass/internal/state/configurer"
 )
 
 // workerPrefix precedes a backend server's name in the name of its resource.
@@ -55,13 +54,7 @@
 
 // watch polls servers until the context ends.
 func (nd *Node) watch(ctx context.Context) error {
-	return nd.watcher.Run(ctx, func() *configurer.Settings {
-		rv := nd.holder.Current()
-		if rv == nil {
-			return nil
-		}
-		return rv.Settings()
-	})
+	return nd.watcher.Run(ctx, nd.settings)
 }
 
 // exchangeLoads exchanges load until the context ends.
--- a/internal/runner/orders.go
+++ b/internal/runner/orders.go
@@ -41,11 +41,11 @@
 // serving reports whether the server is configured and stays, and its latest
 // report says that it has the model.
 func (nd *Node) serving(model, server string) bool {
-	rv := nd.holder.Current()
-	if rv == nil {
+	st := nd.settings()
+	if st == nil {
 		return false
 	}
-	if _, ok := rv.Settings().BackendServer(server); !ok {
+	if _, ok := st.BackendServer(server); !ok {
 		return false
 	}
 	return slices.Contains(nd.watcher.Snapshot().Replicas(model), server) && !nd.isLeaving(server, nd.leavingServers())
--- a/internal/runner/records.go
+++ b/internal/runner/records.go
@@ -30,11 +30,11 @@
 }
 
 func (nd *Node) recordSettings() *configurer.Records {
-	rv := nd.holder.Current()
-	if rv == nil {
+	st := nd.settings()
+	if st == nil {
 		return nil
 	}
-	return rv.Settings().Records()
+	return st.Records()
 }
 
 func (nd *Node) buildInvoker(pooled *forwarder.Forwarder) *invoker.Invoker {
--- a/internal/runner/stop.go
+++ b/internal/runner/stop.go
@@ -49,11 +49,10 @@
 // in use, and how long requests in progress are waited for. Peers give such
 // answers until they have noticed that the node leaves.
 func (nd *Node) stopTimes() (notice, drain time.Duration) {
-	rv := nd.holder.Current()
-	if rv == nil {
+	st := nd.settings()
+	if st == nil {
 		return 0, defaultDrain
 	}
-	st := rv.Settings()
 	return st.Limits().AddressAnswerLifetime() + st.Timeouts().PeerSilence(), st.Timeouts().Drain()
 }
 
