Poll the servers of a silent owner after one second

Cause: a node trusted an owner's last answer for 6 s, so that a server that began to leave in the moment its owner died was known to leave only after the owner's death was found out, the next owner had taken over and had polled it.

Nodes now poll the servers that they use themselves once their owner has left calls unanswered for 1 s, and a report of their own goes before an older answer of the owner.

--- a/internal/coordination/watcher/exchange.go
+++ b/internal/coordination/watcher/exchange.go
@@ -19,6 +19,10 @@
 	// viewTrusted is how long an owner's answer counts at least; after that the
 	// node falls back on the server's own report.
 	viewTrusted = 6 * time.Second
+	// ownerSilence is how long an owner may leave calls unanswered before the
+	// node polls the owner's servers that it uses itself: what the owner knew
+	// last may be that a server is about to leave.
+	ownerSilence = time.Second
 	// trustedRounds is the same in rounds, if these are far apart.
 	trustedRounds = 3
 	// budgetBytes bounds what the calls of one node take a second. The node
@@ -63,6 +67,8 @@
 	asked map[string]time.Time
 	// trusted is how long an owner's answer counts.
 	trusted time.Duration
+	// silence is how long an owner may leave calls unanswered.
+	silence time.Duration
 	// fresh says that views changed.
 	fresh bool
 	// leaving reports whether a server takes no new work.
@@ -76,6 +82,7 @@
 	return &Exchange{
 		node:    node,
 		trusted: viewTrusted,
+		silence: ownerSilence,
 		uses:    map[string]map[string]use{},
 		views:   map[string]state{},
 		asked:   map[string]time.Time{},
@@ -133,7 +140,7 @@
 	digests := ex.digests(now(), outstanding, owner)
 	interval := roundInterval(digests)
 	ex.next = now().Add(interval)
-	ex.trust(max(viewTrusted, trustedRounds*interval))
+	ex.trust(max(viewTrusted, trustedRounds*interval), max(ownerSilence, trustedRounds*interval))
 	var wg sync.WaitGroup
 	for address, digest := range digests {
 		wg.Go(func() {
@@ -170,7 +177,7 @@
 	defer ex.mu.Unlock()
 	servers := map[string]bool{}
 	for server, since := range ex.asked {
-		if now.Sub(since) > ex.trusted && now.Sub(ex.views[server].at) > ex.trusted {
+		if now.Sub(since) > ex.silence && now.Sub(ex.views[server].at) > ex.silence {
 			servers[server] = true
 		}
 	}
@@ -186,11 +193,12 @@
 	return fresh
 }
 
-// trust sets how long an owner's answer counts.
-func (ex *Exchange) trust(dn time.Duration) {
+// trust sets how long an owner's answer counts, and how long an owner may
+// leave calls unanswered.
+func (ex *Exchange) trust(trusted, silence time.Duration) {
 	ex.mu.Lock()
 	defer ex.mu.Unlock()
-	ex.trusted = dn
+	ex.trusted, ex.silence = trusted, silence
 }
 
 // roundInterval is how long the budget takes to pay for the calls.
@@ -242,7 +250,8 @@
 	ex.mu.Lock()
 	defer ex.mu.Unlock()
 	st, ok := ex.views[rp.Server]
-	if !ok || now.Sub(st.at) > ex.trusted {
+	age := now.Sub(st.at)
+	if !ok || age > ex.trusted || age > ex.silence && !rp.Unmeasured {
 		return rp
 	}
 	rp.Digested = true
--- a/internal/coordination/watcher/poll.go
+++ b/internal/coordination/watcher/poll.go
@@ -12,7 +12,7 @@
 	// tickInterval is the time between two looks at what is due.
 	tickInterval = 250 * time.Millisecond
 	// reviewInterval is the time between two looks at who owns what.
-	reviewInterval = time.Second
+	reviewInterval = 500 * time.Millisecond
 	// pollInterval is the mean time between two polls of one server.
 	pollInterval = time.Second
 	// quickInterval is the same for a server that failed or loads something.
--- a/internal/coordination/watcher/watcher_test.go
+++ b/internal/coordination/watcher/watcher_test.go
@@ -98,6 +98,32 @@
 	})
 }
 
+// TestOwnerDiesBeforeItTellsOfLeaving takes the owner away in the moment in
+// which a server begins to leave, and before anyone knows that the owner is
+// dead: the nodes that use the server learn it by themselves. New work ends
+// within 3 s.
+func TestOwnerDiesBeforeItTellsOfLeaving(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		fl := newFleet(t, 2, 4)
+		defer fl.end()
+		fl.await(settled, fl.allKnown)
+		owner := fl.owner("w0000")
+		user := fl.nodes[0]
+		if user == owner {
+			user = fl.nodes[1]
+		}
+		fl.work(user, 50*time.Millisecond)
+		time.Sleep(3 * time.Second)
+		fl.Cut(user.Address, owner.Address)
+		fl.Cut(owner.Address, user.Address)
+		fl.change("w0000", func(be *backend) { be.report.Leaving = true })
+		t.Logf("known after %v", fl.await(3*time.Second, func() bool {
+			rp, ok := user.watch.Snapshot().Report("w0000")
+			return !ok || rp.Leaving
+		}))
+	})
+}
+
 func TestLostReportsAreNoOutage(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		fl := newFleet(t, 4, 4)
