--- /dev/null
+++ b/internal/conductor/knowledge.go
@@ -0,0 +1,339 @@
+package conductor
+
+import (
+	"context"
+	"time"
+
+	"github.com/apex/log"
+
+	"github.com/lagoonpass/lagoonpass/internal/coordination/publisher"
+	"github.com/lagoonpass/lagoonpass/internal/coordination/tracker"
+	"github.com/lagoonpass/lagoonpass/internal/coordination/watcher"
+	"github.com/lagoonpass/lagoonpass/internal/state/configurer"
+	"github.com/lagoonpass/lagoonpass/internal/state/replicator"
+	"github.com/lagoonpass/lagoonpass/internal/state/storer"
+)
+
+// settleLook is the time between two looks at servers that may be gone.
+const settleLook = 500 * time.Millisecond
+
+// inForce is what requests are served by. It never changes.
+type inForce struct {
+	settings *configurer.Settings
+	routes   *configurer.RouteTable
+	servers  []tracker.Server
+	base     *configurer.Settings
+}
+
+// Settings returns the settings in force with the servers that exist, or nil.
+func (cd *Conductor) Settings() *configurer.Settings {
+	if inf := cd.inForce.Load(); inf != nil {
+		return inf.settings
+	}
+	return nil
+}
+
+// Route returns the settings in force and the route of a host and path. The
+// settings are nil while there are none.
+func (cd *Conductor) Route(host, path string) (*configurer.Settings, *configurer.Route) {
+	inf := cd.inForce.Load()
+	if inf == nil {
+		return nil, nil
+	}
+	rt, _ := inf.routes.Find(host, path)
+	return inf.settings, rt
+}
+
+// configSink takes in the operator's configuration.
+type configSink struct{ *Conductor }
+
+func (cd *Conductor) followConfiguration(ctx context.Context) error {
+	return replicator.New(cd.binding.Store, cd.binding.ConfigPrefix, configSink{cd}, replicator.WithRegistry(cd.registry)).Run(ctx)
+}
+
+// Replace implements replicator.Sink.
+func (cs configSink) Replace(entries []storer.Entry) {
+	for _, en := range entries {
+		cs.take(en)
+	}
+}
+
+// Apply implements replicator.Sink.
+func (cs configSink) Apply(changes []storer.Change) {
+	for _, ch := range changes {
+		if !ch.Deleted {
+			cs.take(ch.Entry)
+		}
+	}
+}
+
+// Lost implements replicator.Sink: the configuration in force stays.
+func (cs configSink) Lost() {}
+
+// Regained implements replicator.Sink.
+func (cs configSink) Regained() {}
+
+// take puts a configuration in force that is newer and makes sense.
+func (cs configSink) take(en storer.Entry) {
+	if en.Key != cs.binding.ConfigKey {
+		return
+	}
+	version, files, err := cs.binding.DecodeConfig(en.Value)
+	if err != nil {
+		cs.registry.Inc("configuration", "unreadable")
+		log.WithError(err).WithField("store-revision", en.Revision).Error("configuration is not readable; the one in force stays")
+		return
+	}
+	st, faults := configurer.Parse(files)
+	if len(faults) > 0 {
+		cs.registry.Inc("configuration", "faulty")
+		log.WithError(faults[0]).WithField("version", version).WithField("faults", len(faults)).Error("configuration has faults; the one in force stays")
+		return
+	}
+	if !cs.holder.Adopt(publisher.NewRevision(version, files, st)) {
+		return
+	}
+	cs.registry.Set(version, "configuration", "version")
+	log.WithField("version", version).WithField("routes", len(st.Routes())).WithField("models", len(st.Models())).Info("configuration in force")
+	cs.refresh()
+}
+
+// serverSink takes in the registrations of backend servers.
+type serverSink struct{ *Conductor }
+
+func (cd *Conductor) followServers(ctx context.Context) error {
+	sink := serverSink{cd}
+	go sink.settle(ctx)
+	return replicator.New(cd.binding.Store, cd.binding.ServerPrefix, sink, replicator.WithRegistry(cd.registry)).Run(ctx)
+}
+
+// settle drops servers that did not register again after an outage.
+func (ss serverSink) settle(ctx context.Context) {
+	tk := time.NewTicker(settleLook)
+	defer tk.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-tk.C:
+			ss.refresh()
+		}
+	}
+}
+
+// Replace implements replicator.Sink.
+func (ss serverSink) Replace(entries []storer.Entry) {
+	servers := make([]tracker.Server, 0, len(entries))
+	for _, en := range entries {
+		if sv, ok := ss.decode(en); ok {
+			servers = append(servers, sv)
+		}
+	}
+	ss.mu.Lock()
+	ss.tracker.Replace(time.Now(), servers)
+	ss.synced = true
+	ss.mu.Unlock()
+	ss.refresh()
+}
+
+// Apply implements replicator.Sink.
+func (ss serverSink) Apply(changes []storer.Change) {
+	for _, ch := range changes {
+		sv, ok := tracker.Server{}, false
+		if !ch.Deleted {
+			sv, ok = ss.decode(ch.Entry)
+		}
+		ss.mu.Lock()
+		if ok {
+			ss.tracker.Heard(time.Now(), sv)
+		} else {
+			ss.tracker.Removed(time.Now(), ss.binding.ServerID(ch.Key))
+		}
+		ss.mu.Unlock()
+	}
+	ss.refresh()
+}
+
+// Lost implements replicator.Sink.
+func (ss serverSink) Lost() {
+	ss.mu.Lock()
+	defer ss.mu.Unlock()
+	ss.tracker.StoreLost()
+}
+
+// Regained implements replicator.Sink.
+func (ss serverSink) Regained() {
+	ss.mu.Lock()
+	defer ss.mu.Unlock()
+	ss.tracker.StoreBack(time.Now())
+}
+
+// decode reads a registration; one that makes no sense is logged once.
+func (ss serverSink) decode(en storer.Entry) (tracker.Server, bool) {
+	sv, err := ss.binding.DecodeServer(en.Key, en.Value)
+	if err == nil {
+		return sv, true
+	}
+	ss.registry.Inc("registration", "unreadable")
+	ss.mu.Lock()
+	defer ss.mu.Unlock()
+	if !ss.faulty[en.Key] && len(ss.faulty) < maxFaulty {
+		ss.faulty[en.Key] = true
+		log.WithError(err).WithField("key", en.Key).Warn("registration names no backend server")
+	}
+	return sv, false
+}
+
+// maxFaulty bounds the registrations whose faults are remembered as logged.
+const maxFaulty = 1000
+
+// refresh puts what is known of configuration and servers in force.
+func (cd *Conductor) refresh() {
+	cd.mu.Lock()
+	defer cd.mu.Unlock()
+	rv := cd.holder.Current()
+	if rv == nil || !cd.synced {
+		return
+	}
+	now := time.Now()
+	servers := cd.known(rv.Settings(), now)
+	old := cd.inForce.Load()
+	if old != nil && old.base == rv.Settings() && sameServers(old.servers, servers) {
+		return
+	}
+	next := &inForce{base: rv.Settings(), servers: servers}
+	if old != nil && old.base == next.base && samePlaces(old.servers, servers) {
+		next.settings, next.routes = old.settings, old.routes
+	} else {
+		next.settings = next.base.WithBackendServers(backendServers(next.base, servers))
+		next.routes = configurer.NewRouteTable(next.base.Routes())
+	}
+	cd.inForce.Store(next)
+	cd.logServers(old, next)
+	cd.watcher.Observe(now, reports(next, now))
+	cd.admitter.Refresh(next.settings)
+	if old == nil {
+		cd.registrar.Notify()
+	}
+}
+
+// known returns the servers of pools that are configured.
+func (cd *Conductor) known(st *configurer.Settings, now time.Time) []tracker.Server {
+	var servers []tracker.Server
+	addresses := map[string]int{}
+	for _, sv := range cd.tracker.Servers(now) {
+		if _, ok := st.Pool(sv.Pool); !ok {
+			continue
+		}
+		// Of two servers with one address the older one is gone.
+		if ix, ok := addresses[sv.Address]; ok {
+			if sv.Incarnation > servers[ix].Incarnation {
+				servers[ix] = sv
+			}
+			continue
+		}
+		addresses[sv.Address] = len(servers)
+		servers = append(servers, sv)
+	}
+	return servers
+}
+
+// logServers writes a line for each server that came, went or began to leave.
+func (cd *Conductor) logServers(old, next *inForce) {
+	was := map[string]tracker.Server{}
+	if old != nil {
+		for _, sv := range old.servers {
+			was[sv.ID] = sv
+		}
+	}
+	for _, sv := range next.servers {
+		known, ok := was[sv.ID]
+		delete(was, sv.ID)
+		line := log.WithFields(log.Fields{"server": sv.ID, "pool": sv.Pool, "address": sv.Address, "incarnation": sv.Incarnation, "sequence": sv.Sequence})
+		switch {
+		case !ok || known.Incarnation != sv.Incarnation:
+			line.WithField("leaving", sv.Leaving).Info("backend server appeared")
+		case sv.Leaving && !known.Leaving:
+			line.WithField("remaining-ms", sv.Remaining.Milliseconds()).Info("backend server leaves")
+		}
+	}
+	for id, sv := range was {
+		log.WithField("server", id).WithField("address", sv.Address).Info("backend server is gone")
+	}
+}
+
+func backendServers(st *configurer.Settings, servers []tracker.Server) []*configurer.BackendServer {
+	rooms := map[string]int64{}
+	for _, po := range st.Pools() {
+		rooms[po.Name()] = st.AdapterRoom(po.Name())
+	}
+	all := make([]*configurer.BackendServer, 0, len(servers))
+	for _, sv := range servers {
+		po, _ := st.Pool(sv.Pool)
+		all = append(all, configurer.NewBackendServer(sv.ID,
+			configurer.WithPool(po, rooms[sv.Pool]),
+			configurer.WithAddress(sv.Address),
+			configurer.WithZone(sv.Zone),
+			configurer.WithSlots(sv.Slots)))
+	}
+	return all
+}
+
+// reports returns the servers' registrations as the watcher's reports.
+func reports(inf *inForce, now time.Time) []watcher.Report {
+	resident := map[string][]string{}
+	for _, md := range inf.settings.Models() {
+		if !md.Placed() {
+			resident[md.Pool()] = append(resident[md.Pool()], md.Name())
+		}
+	}
+	all := make([]watcher.Report, 0, len(inf.servers))
+	for _, sv := range inf.servers {
+		rp := watcher.Report{
+			Server:     sv.ID,
+			Address:    sv.Address,
+			BootID:     bootOf(sv),
+			Models:     map[string]string{},
+			Leaving:    sv.Leaving,
+			Sequence:   uint64(max(sv.Sequence, 0)),
+			Taken:      now,
+			Unmeasured: true,
+		}
+		for _, name := range resident[sv.Pool] {
+			rp.Models[name] = ""
+		}
+		for _, hd := range sv.Models {
+			if _, ok := inf.settings.Model(hd.Name); ok {
+				rp.Models[hd.Name] = hd.Version
+				rp.Adapters = append(rp.Adapters, hd.Adapters...)
+			}
+		}
+		all = append(all, rp)
+	}
+	return all
+}
+
+func sameServers(one, two []tracker.Server) bool {
+	return equal(one, two, func(sv, other tracker.Server) bool {
+		return sv.ID == other.ID && sv.Incarnation == other.Incarnation && sv.Sequence == other.Sequence && sv.Leaving == other.Leaving
+	})
+}
+
+// samePlaces reports whether the servers are the same apart from what they hold.
+func samePlaces(one, two []tracker.Server) bool {
+	return equal(one, two, func(sv, other tracker.Server) bool {
+		return sv.ID == other.ID && sv.Address == other.Address && sv.Pool == other.Pool && sv.Zone == other.Zone && sv.Slots == other.Slots
+	})
+}
+
+func equal(one, two []tracker.Server, same func(sv, other tracker.Server) bool) bool {
+	if len(one) != len(two) {
+		return false
+	}
+	for ix := range one {
+		if !same(one[ix], two[ix]) {
+			return false
+		}
+	}
+	return true
+}
--- /dev/null
+++ b/internal/conductor/peers.go
@@ -0,0 +1,190 @@
+package conductor
+
+import (
+	"context"
+	"strconv"
+	"sync"
+	"time"
+
+	"github.com/go-faster/errors"
+
+	"github.com/lagoonpass/lagoonpass/internal/coordination/planner"
+	"github.com/lagoonpass/lagoonpass/internal/coordination/prober"
+	"github.com/lagoonpass/lagoonpass/internal/coordination/tracker"
+	"github.com/lagoonpass/lagoonpass/internal/protocol/messenger"
+	"github.com/lagoonpass/lagoonpass/internal/state/configurer"
+)
+
+const (
+	// exchangeInterval is the time between two rounds of telling loads.
+	exchangeInterval = 100 * time.Millisecond
+	// demandInterval is the time between two reports of demand to the leader.
+	demandInterval = 500 * time.Millisecond
+	// demandGrace is how long a node's last report counts.
+	demandGrace = 3 * demandInterval
+	// callTimeout bounds a report of demand.
+	callTimeout = 300 * time.Millisecond
+)
+
+func (cd *Conductor) handlePeer(ctx context.Context, call messenger.Message) (messenger.Message, error) {
+	switch tc := call.(type) {
+	case *messenger.LoadDigest:
+		return cd.exchange.Answer(time.Now(), tc), nil
+	case *messenger.AdapterLoad:
+		return cd.adapters.Handle(ctx, tc), nil
+	case *messenger.DemandReport:
+		cd.demands.note(time.Now(), tc)
+		return &messenger.DemandReceived{}, nil
+	default:
+		return nil, errors.Errorf("no answer to a message of kind %d", call.Kind())
+	}
+}
+
+// exchangeLoads tells the owners of servers what this node uses of them, and
+// learns what the others use.
+func (cd *Conductor) exchangeLoads(ctx context.Context) error {
+	tk := time.NewTicker(exchangeInterval)
+	defer tk.Stop()
+	for {
+		if inf := cd.inForce.Load(); inf != nil {
+			cd.budget.SetNodes(cd.registrar.Nodes())
+			cd.exchange.Round(ctx, time.Now, cd.admitter.Outstanding(), cd.ownerOf, cd.pool)
+			cd.observe()
+		}
+		select {
+		case <-ctx.Done():
+			return nil
+		case <-tk.C:
+		}
+	}
+}
+
+// observe puts what the exchange learnt into the snapshot.
+func (cd *Conductor) observe() {
+	cd.mu.Lock()
+	defer cd.mu.Unlock()
+	now := time.Now()
+	cd.watcher.Observe(now, reports(cd.inForce.Load(), now))
+}
+
+func (cd *Conductor) ownerOf(server string) (address string, self, ok bool) {
+	vw := cd.registrar.View()
+	owner, ok := vw.Owner("worker/" + server)
+	return owner.PeerAddress, owner.ID == vw.Self(), ok
+}
+
+// reportDemand tells the leader what this node's callers want.
+func (cd *Conductor) reportDemand(ctx context.Context) error {
+	tk := time.NewTicker(demandInterval)
+	defer tk.Stop()
+	for {
+		if leader, ok := cd.registrar.Leader(); ok && cd.inForce.Load() != nil {
+			cd.tellDemand(ctx, leader)
+		}
+		select {
+		case <-ctx.Done():
+			return nil
+		case <-tk.C:
+		}
+	}
+}
+
+func (cd *Conductor) tellDemand(ctx context.Context, leader prober.Member) {
+	dr := &messenger.DemandReport{Node: cd.identity.ID}
+	for model, load := range cd.admitter.Demand() {
+		dr.Models = append(dr.Models, messenger.ModelDemand{Model: model, Load: load})
+	}
+	if leader.ID == cd.identity.ID {
+		cd.demands.note(time.Now(), dr)
+		return
+	}
+	ctx, cancel := context.WithTimeout(ctx, callTimeout)
+	defer cancel()
+	if _, err := cd.pool.Call(ctx, leader.PeerAddress, dr); err != nil {
+		cd.registry.Inc("demand", "untold")
+	}
+}
+
+// demands keeps the last report of each node.
+type demands struct {
+	mu     sync.Mutex
+	latest map[string]demandReport
+}
+
+type demandReport struct {
+	models []messenger.ModelDemand
+	at     time.Time
+}
+
+func newDemands() *demands { return &demands{latest: map[string]demandReport{}} }
+
+func (dm *demands) note(now time.Time, dr *messenger.DemandReport) {
+	dm.mu.Lock()
+	defer dm.mu.Unlock()
+	dm.latest[dr.Node] = demandReport{models: dr.Models, at: now}
+}
+
+// sum adds up the reports and forgets the nodes that fell silent.
+func (dm *demands) sum(now time.Time) planner.Demand {
+	dm.mu.Lock()
+	defer dm.mu.Unlock()
+	total := planner.Demand{}
+	for node, rp := range dm.latest {
+		if now.Sub(rp.at) > demandGrace {
+			delete(dm.latest, node)
+			continue
+		}
+		for _, md := range rp.models {
+			total[md.Model] += md.Load
+		}
+	}
+	return total
+}
+
+// leaderView is a view in which the leader owns all servers: it alone sends
+// orders.
+func (cd *Conductor) leaderView() *prober.View {
+	leader, ok := cd.registrar.Leader()
+	if !ok {
+		return prober.NewView(cd.identity.ID, nil)
+	}
+	leader.State = prober.Alive
+	return prober.NewView(cd.identity.ID, []prober.Member{leader})
+}
+
+// reportsAdapter reports whether a server says that it holds an adapter.
+func (cd *Conductor) reportsAdapter(server, adapter string) bool {
+	inf := cd.inForce.Load()
+	if inf == nil {
+		return false
+	}
+	for _, sv := range inf.servers {
+		if sv.ID == server {
+			return holdsAdapter(sv, adapter)
+		}
+	}
+	return false
+}
+
+func holdsAdapter(sv tracker.Server, adapter string) bool {
+	for _, hd := range sv.Models {
+		for _, name := range hd.Adapters {
+			if name == adapter {
+				return true
+			}
+		}
+	}
+	return false
+}
+
+// bootOf returns what the orders call the start of a server.
+func bootOf(sv tracker.Server) string { return strconv.FormatInt(sv.Incarnation, 10) }
+
+// Caller returns the only caller that the settings name, if there is one.
+func Caller(st *configurer.Settings) (*configurer.Caller, bool) {
+	callers := st.Callers()
+	if len(callers) != 1 {
+		return nil, false
+	}
+	return callers[0], true
+}
--- /dev/null
+++ b/internal/conductor/steward.go
@@ -0,0 +1,206 @@
+package conductor
+
+import (
+	"context"
+	"time"
+
+	"github.com/apex/log"
+	"github.com/go-faster/errors"
+
+	"github.com/lagoonpass/lagoonpass/internal/coordination/orderer"
+	"github.com/lagoonpass/lagoonpass/internal/coordination/planner"
+	"github.com/lagoonpass/lagoonpass/internal/state/configurer"
+	"github.com/lagoonpass/lagoonpass/internal/state/storer"
+)
+
+// steerInterval is the time between two looks at goals.
+const steerInterval = 250 * time.Millisecond
+
+// steward is what the leader keeps for one term: the plan, and the orders that
+// bring the servers to it.
+type steward struct {
+	term      int64
+	planner   *planner.Planner
+	plan      *planner.Plan
+	orderer   *orderer.Orderer
+	sequencer *orderer.Sequencer
+	tokens    *orderer.RateTokens
+	limits    [3]float64
+	goals     *orderer.Goals
+	nextPass  time.Time
+}
+
+func (cd *Conductor) newSteward(term int64, inf *inForce) *steward {
+	guard := func() (int64, bool) {
+		now, ok := cd.registrar.Leads()
+		return term, ok && now == term
+	}
+	sw := &steward{
+		term:      term,
+		planner:   planner.New(inf.settings),
+		plan:      heldPlan(inf),
+		sequencer: orderer.NewSequencer(cd.binding.Station, guard, cd.registry),
+	}
+	sw.orderer = orderer.New(cd.identity.ID, storer.NewMemory(),
+		orderer.WithCounters(cd.registry),
+		orderer.WithEngines(sw.sequencer),
+		orderer.WithTokens(cd),
+		orderer.WithServing(cd.serving),
+		orderer.WithFenceFloor(term))
+	return sw
+}
+
+// heldPlan is the plan that the servers fulfil already.
+func heldPlan(inf *inForce) *planner.Plan {
+	byServer := map[string][]string{}
+	for _, sv := range inf.servers {
+		byServer[sv.ID] = nil
+		for _, hd := range sv.Models {
+			if md, ok := inf.settings.Model(hd.Name); ok && md.Placed() {
+				byServer[sv.ID] = append(byServer[sv.ID], hd.Name)
+			}
+		}
+	}
+	return planner.NewPlan(byServer)
+}
+
+// steer plans and sends orders while the node leads.
+func (cd *Conductor) steer(ctx context.Context) error {
+	tk := time.NewTicker(steerInterval)
+	defer tk.Stop()
+	for {
+		var events <-chan orderer.Event
+		sw := cd.steward.Load()
+		if sw != nil {
+			events = sw.orderer.Events()
+		}
+		select {
+		case <-ctx.Done():
+			return nil
+		case ev := <-events:
+			sw.orderer.Handle(ctx, time.Now(), ev)
+		case <-tk.C:
+			cd.lead(ctx, time.Now())
+		}
+	}
+}
+
+// lead takes the leadership up, acts on it, or lays it down.
+func (cd *Conductor) lead(ctx context.Context, now time.Time) {
+	term, leads := cd.registrar.Leads()
+	sw, inf := cd.steward.Load(), cd.inForce.Load()
+	if sw != nil && (!leads || term != sw.term) {
+		log.WithField("term", sw.term).Info("leader stops sending orders")
+		sw.orderer.Pursue(ctx, now, nil)
+		cd.steward.Store(nil)
+		sw = nil
+	}
+	if !leads || inf == nil {
+		return
+	}
+	if sw == nil {
+		sw = cd.newSteward(term, inf)
+		sw.limit(inf.settings, now)
+		cd.steward.Store(sw)
+		log.WithField("term", term).Info("leader begins to send orders")
+	}
+	sw.limit(inf.settings, now)
+	cd.replan(sw, inf, now)
+	sw.orderer.Pursue(ctx, now, sw.goalsOf(inf))
+}
+
+// limit follows the limits of the settings.
+func (sw *steward) limit(st *configurer.Settings, now time.Time) {
+	lm := st.Limits()
+	limits := [3]float64{lm.WeightLoadsPerSecond(), float64(lm.WeightLoadsAtOnce()), float64(lm.AdaptersInTransit())}
+	if sw.tokens == nil || limits != sw.limits {
+		sw.limits = limits
+		sw.tokens = orderer.NewRateTokens(limits[0], lm.WeightLoadsAtOnce(), lm.AdaptersInTransit(), now)
+	}
+}
+
+// replan makes the next plan when one is due.
+func (cd *Conductor) replan(sw *steward, inf *inForce, now time.Time) {
+	if now.Before(sw.nextPass) {
+		return
+	}
+	sw.nextPass = now.Add(inf.settings.Planning().Interval())
+	staying := map[string]bool{}
+	for _, sv := range inf.servers {
+		staying[sv.ID] = !sv.Leaving
+	}
+	next := sw.planner.Next(planner.Input{
+		Settings: inf.settings,
+		Usable:   func(server string) bool { return staying[server] },
+		Demand:   cd.demands.sum(now),
+		Current:  sw.plan,
+		Serving:  cd.serving,
+		Now:      now,
+	})
+	if moves := next.Moves(sw.plan); moves > 0 {
+		log.WithField("term", sw.term).WithField("moves", moves).Info("plan changed")
+		cd.registry.Add(int64(moves), "plan", "moves")
+	}
+	sw.plan = next
+}
+
+func (sw *steward) goalsOf(inf *inForce) []*orderer.Goal {
+	if sw.goals == nil || sw.goals.Settings() != inf.settings {
+		sw.goals = orderer.NewGoals(inf.settings)
+	}
+	var goals []*orderer.Goal
+	for _, sv := range inf.servers {
+		bs, ok := inf.settings.BackendServer(sv.ID)
+		if ok && !sv.Leaving && bs.Kind() != "" && sw.plan.Has(sv.ID) {
+			goals = append(goals, sw.goals.Of(bs, sw.plan.Models(sv.ID)))
+		}
+	}
+	return goals
+}
+
+// serving reports whether the server stays and says that it has the model.
+func (cd *Conductor) serving(model, server string) bool {
+	rp, ok := cd.watcher.Snapshot().Report(server)
+	if !ok || rp.Leaving {
+		return false
+	}
+	_, ok = rp.Models[model]
+	return ok
+}
+
+// errNotLeader means that orders are another node's.
+var errNotLeader = errors.New("node does not lead")
+
+// Fence implements adapterkeeper.Orders.
+func (cd *Conductor) Fence(server string) (orderer.Mandate, bool) {
+	sw := cd.steward.Load()
+	if sw == nil {
+		return orderer.Mandate{}, false
+	}
+	return sw.orderer.Fence(server)
+}
+
+// Raise implements adapterkeeper.Orders.
+func (cd *Conductor) Raise(server string) {
+	if sw := cd.steward.Load(); sw != nil {
+		sw.orderer.Raise(server)
+	}
+}
+
+// Send implements orderer.Engines for the orders of adapters.
+func (cd *Conductor) Send(ctx context.Context, address string, od orderer.Order) (orderer.Answer, error) {
+	sw := cd.steward.Load()
+	if sw == nil {
+		return orderer.Answer{}, &orderer.OrderError{Outcome: orderer.NotSent, Cause: errNotLeader}
+	}
+	return sw.sequencer.Send(ctx, address, od)
+}
+
+// Take implements orderer.Tokens.
+func (cd *Conductor) Take(ctx context.Context, limit string) (func(), error) {
+	sw := cd.steward.Load()
+	if sw == nil {
+		return nil, errNotLeader
+	}
+	return sw.tokens.Take(ctx, limit)
+}
--- a/internal/coordination/adapterkeeper/adapterkeeper.go
+++ b/internal/coordination/adapterkeeper/adapterkeeper.go
@@ -152,7 +152,7 @@
 	}
 	rules = Rules{Address: bs.Address(), Reserve: bs.AdapterReserve(), Spare: largestTwo(st)}
 	if ek, ok := st.EngineKind(bs.Kind()); ok {
-		rules.ChecksFencing, rules.Bound = ek.ChecksFencing(), ek.LateOrderBound()
+		rules.ChecksFencing, rules.CountsOrders, rules.Bound = ek.ChecksFencing(), ek.CountsOrders(), ek.LateOrderBound()
 	}
 	return rules, ad.Memory(), true
 }
--- a/internal/coordination/adapterkeeper/owner.go
+++ b/internal/coordination/adapterkeeper/owner.go
@@ -225,6 +225,7 @@
 	sv.orders++
 	od = orderer.Order{
 		ID:      name + "/" + strconv.FormatInt(md.Number, 10) + "/adapter/" + strconv.FormatInt(sv.orders, 10),
+		Server:  name,
 		Fence:   md.Number,
 		Action:  orderer.ActionInspect,
 		Adapter: st.name,
--- a/internal/coordination/adapterkeeper/table.go
+++ b/internal/coordination/adapterkeeper/table.go
@@ -34,6 +34,9 @@
 	Spare int64
 	// ChecksFencing says that the engine refuses old fencing numbers.
 	ChecksFencing bool
+	// CountsOrders says that the engine refuses an order that was sent for
+	// another count of accepted orders, so that no order outlives a newer one.
+	CountsOrders bool
 	// Bound is the longest time that an order can arrive late.
 	Bound time.Duration
 }
@@ -116,7 +119,7 @@
 	if en, ok := tb.entries[name]; ok && en.state == loaded {
 		return step{action: ready}
 	}
-	if tb.rules.ChecksFencing {
+	if tb.rules.ChecksFencing || tb.rules.CountsOrders {
 		return tb.makeRoom(now, name, bytes)
 	}
 	if reason := tb.mayNotOrder(now); reason != "" {
@@ -148,7 +151,7 @@
 		return false
 	case st.action == inspect:
 		return true
-	case !tb.rules.ChecksFencing && now.Sub(md.Confirmed) > tb.rules.Bound/2:
+	case !tb.rules.ChecksFencing && !tb.rules.CountsOrders && now.Sub(md.Confirmed) > tb.rules.Bound/2:
 		return false
 	}
 	return st.action == unload || tb.reserved(now)-tb.bytesOf(st.name)+st.bytes <= tb.rules.Reserve
@@ -164,7 +167,7 @@
 // outdated reports whether an earlier owner's orders may have changed what the
 // engine held when it was last asked.
 func (tb *table) outdated(now time.Time) bool {
-	if tb.claim <= 1 || tb.rules.Bound == 0 {
+	if tb.claim <= 1 || tb.rules.Bound == 0 || tb.rules.CountsOrders {
 		return false
 	}
 	for _, part := range []time.Duration{tb.rules.Bound / 2, tb.rules.Bound} {
@@ -255,7 +258,7 @@
 	for _, en := range tb.entries {
 		sum += en.bytes
 	}
-	if !tb.rules.ChecksFencing && tb.claim > 1 && now.Sub(tb.since) <= tb.rules.Bound {
+	if !tb.rules.ChecksFencing && !tb.rules.CountsOrders && tb.claim > 1 && now.Sub(tb.since) <= tb.rules.Bound {
 		sum += tb.rules.Spare
 	}
 	return sum
@@ -277,6 +280,7 @@
 	if boot != tb.boot {
 		tb.inspected = false
 	}
+	tb.outlive()
 	if st.action == unload {
 		delete(tb.entries, st.name)
 		return
@@ -285,6 +289,15 @@
 	tb.entries[st.name].leased = now.Add(LeaseTime)
 }
 
+// outlive ends the unanswered orders that an engine which counts orders refuses
+// now that it accepted a newer one. What they did before that has to be seen.
+func (tb *table) outlive() {
+	if tb.rules.CountsOrders && len(tb.attempts) > 0 {
+		tb.attempts = nil
+		tb.inspected = false
+	}
+}
+
 // notDone notes that an order had no effect and never will.
 func (tb *table) notDone(st step) {
 	switch {
--- a/internal/coordination/admitter/revise.go
+++ b/internal/coordination/admitter/revise.go
@@ -1,6 +1,7 @@
 package admitter
 
 import (
+	"slices"
 	"time"
 
 	"github.com/lagoonpass/lagoonpass/internal/state/configurer"
@@ -49,6 +50,7 @@
 }
 
 func (sc *Scheduler) rebuildClasses(st *configurer.Settings) {
+	before := sc.classes
 	old := map[string]*classState{}
 	for _, cs := range sc.classes {
 		old[cs.name] = cs
@@ -63,7 +65,15 @@
 		sc.classes = append(sc.classes, cs)
 	}
 	sortClasses(sc.classes)
-	clear(sc.servers)
+	if !sameClasses(before, sc.classes) {
+		clear(sc.servers)
+	}
+}
+
+// sameClasses reports whether the classes are the same in the same order, so
+// that counts by class go on.
+func sameClasses(one, two []*classState) bool {
+	return slices.EqualFunc(one, two, func(cs, other *classState) bool { return cs.name == other.name })
 }
 
 // keepAccounts takes over the accounts of callers that still exist.
--- a/internal/coordination/dispatcher/dispatcher.go
+++ b/internal/coordination/dispatcher/dispatcher.go
@@ -90,6 +90,7 @@
 	registry  *counter.Registry
 	ejector   *ejector.Ejector
 	budget    *retrier.Budget
+	shared    *retrier.Shared
 	suspects  *retrier.Suspects
 	buffered  atomic.Int64
 
--- a/internal/coordination/orderer/decide.go
+++ b/internal/coordination/orderer/decide.go
@@ -187,6 +187,7 @@
 func (kp *keeper) wireOrder(at accountant.Attempt) Order {
 	od := Order{
 		ID:     kp.goal.server + "/" + strconv.FormatInt(at.Fence(), 10),
+		Server: kp.goal.server,
 		Fence:  at.Fence(),
 		Boot:   at.Boot(),
 		Action: string(at.Action()),
@@ -220,9 +221,9 @@
 		kp.ledger.NotDone(at.Fence())
 	}
 	switch oe.Code {
-	case codeStaleFence:
+	case CodeStaleFence:
 		kp.drop()
-	case codeStaleBoot:
+	case CodeStaleBoot:
 		kp.inspected = false
 	}
 	kp.fail(now, string(oe.Outcome), oe)
@@ -234,13 +235,14 @@
 	fence := kp.ledger.Fence()
 	od := Order{
 		ID:     kp.goal.server + "/" + strconv.FormatInt(fence, 10) + "/inspect",
+		Server: kp.goal.server,
 		Fence:  fence,
 		Action: ActionInspect,
 	}
 	ot := orderTask{address: kp.goal.address, order: od, timeout: inspectTimeout}
 	return &step{ot, func(now time.Time, rs result) {
 		if rs.err != nil {
-			if oe := orderErrorOf(rs.err); oe.Code == codeStaleFence {
+			if oe := orderErrorOf(rs.err); oe.Code == CodeStaleFence {
 				kp.drop()
 			}
 			kp.fail(now, "inspect", rs.err)
--- a/internal/coordination/orderer/engines.go
+++ b/internal/coordination/orderer/engines.go
@@ -29,14 +29,16 @@
 
 // The codes with which an engine refuses an order.
 const (
-	codeStaleFence = "stale-fence"
-	codeStaleBoot  = "stale-boot"
+	CodeStaleFence = "stale-fence"
+	CodeStaleBoot  = "stale-boot"
 )
 
 // Order is one order to an engine.
 type Order struct {
 	// ID is unique to the sending.
 	ID string
+	// Server is the name of the engine's server.
+	Server string
 	// Fence is the fencing number.
 	Fence int64
 	// Boot is the boot id of the engine that the order is meant for.
--- a/internal/coordination/orderer/keeper.go
+++ b/internal/coordination/orderer/keeper.go
@@ -49,6 +49,7 @@
 	ledger     *accountant.Ledger
 	revision   int64
 	claimFence int64
+	fenceFloor int64
 	claimedAt  time.Time
 	mandate    Mandate
 	raise      bool
@@ -154,6 +155,7 @@
 			kp.fail(now, "corrupt-record", err)
 			return
 		}
+		lg.StartAt(kp.fenceFloor)
 		lg.TakeOver(kp.self, now)
 		kp.queued = kp.record(lg, rs.entry.Revision, func(now time.Time) { kp.claimed(now) })
 	}}
--- a/internal/coordination/orderer/orderer.go
+++ b/internal/coordination/orderer/orderer.go
@@ -52,6 +52,8 @@
 	keepers map[string]*keeper
 	events  chan Event
 
+	fenceFloor int64
+
 	mu       sync.Mutex
 	mandates map[string]Mandate
 	raises   map[string]bool
@@ -74,6 +76,10 @@
 // WithRandom sets the source of jitter and batch ids.
 func WithRandom(random *rand.Rand) Option { return func(od *Orderer) { od.random = random } }
 
+// WithFenceFloor sets the greatest fencing number that may have been in use
+// before the store's records begin.
+func WithFenceFloor(floor int64) Option { return func(od *Orderer) { od.fenceFloor = floor } }
+
 // WithServing sets how to tell whether a server is known and serves a model, by
 // its load reports. Only such servers count when a replica is to be unloaded.
 func WithServing(serving func(model, server string) bool) Option {
@@ -128,6 +134,7 @@
 	if !ok {
 		kp = newKeeper(od.self, gl, od.random, od.tools.counters)
 		kp.serving = od.serving
+		kp.fenceFloor = od.fenceFloor
 		od.keepers[gl.server] = kp
 	}
 	return kp
--- /dev/null
+++ b/internal/coordination/orderer/sequencer.go
@@ -0,0 +1,239 @@
+package orderer
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"github.com/apex/log"
+	"github.com/go-faster/errors"
+
+	"github.com/lagoonpass/lagoonpass/internal/counter"
+	"github.com/lagoonpass/lagoonpass/internal/state/accountant"
+	"github.com/lagoonpass/lagoonpass/internal/waiter"
+)
+
+const (
+	// pollInterval is the time between two looks at an order that is being
+	// carried out.
+	pollInterval = 200 * time.Millisecond
+	// reportLag is how much later than the engine itself its state shows what
+	// it accepted, at the most.
+	reportLag = time.Second
+	// lookInterval is the time between two looks at a state that lags.
+	lookInterval = 100 * time.Millisecond
+	// adapterTime is how long an engine takes to make an adapter ready: the
+	// published figure for the largest ones, and some room.
+	adapterTime = 15 * time.Millisecond
+)
+
+// The codes with which a Sequencer refuses an order that an engine that counts
+// its orders would refuse or did.
+const (
+	CodeConflict  = "conflict"
+	CodeNotLeader = "not-leader"
+)
+
+// EngineState is what an engine that counts its orders says of itself.
+type EngineState struct {
+	// Boot changes with each start of the engine.
+	Boot string
+	// Accepted counts the orders accepted since the start.
+	Accepted int64
+	// Busy says that an order is being carried out.
+	Busy bool
+	// Residents are the copies of models in memory.
+	Residents []accountant.Resident
+	// Adapters is the memory of each adapter that is there or on its way.
+	Adapters map[string]int64
+}
+
+// holds reports whether a copy of the model is ready.
+func (es EngineState) holds(model string) bool {
+	for _, rs := range es.Residents {
+		if rs.Model() == model {
+			return true
+		}
+	}
+	return false
+}
+
+// Station reaches engines that count their orders and answer an order before
+// they have carried it out.
+type Station interface {
+	// State returns the engine's state, which lags.
+	State(ctx context.Context, server, address string) (EngineState, error)
+	// Place sends an order for an engine that has accepted a number of orders
+	// since its start. It reports whether the order is under way, or else holds
+	// already. Its error is an *OrderError.
+	Place(ctx context.Context, address string, od Order, accepted int64) (underWay bool, err error)
+}
+
+// Sequencer is an Engines over engines that count their orders: it sends one
+// order at a time to each, for the number of orders that the engine accepted
+// so far, and waits until it was carried out. An order that arrives late thus
+// has no effect once another one was accepted.
+type Sequencer struct {
+	station  Station
+	leads    func() (fence int64, ok bool)
+	registry *counter.Registry
+
+	mu      sync.Mutex
+	engines map[string]*sequence
+}
+
+// sequence is what is known of the orders of one engine.
+type sequence struct {
+	mu       sync.Mutex
+	boot     string
+	accepted int64
+	known    bool
+}
+
+// NewSequencer returns a sequencer that sends orders with the fencing number of
+// leads, and none while that reports false.
+func NewSequencer(st Station, leads func() (fence int64, ok bool), rg *counter.Registry) *Sequencer {
+	return &Sequencer{station: st, leads: leads, registry: rg, engines: map[string]*sequence{}}
+}
+
+func (sq *Sequencer) sequence(server string) *sequence {
+	sq.mu.Lock()
+	defer sq.mu.Unlock()
+	se, ok := sq.engines[server]
+	if !ok {
+		se = &sequence{}
+		sq.engines[server] = se
+	}
+	return se
+}
+
+// Forget drops what is known of engines that are not named any more.
+func (sq *Sequencer) Forget(keep func(server string) bool) {
+	sq.mu.Lock()
+	defer sq.mu.Unlock()
+	for server := range sq.engines {
+		if !keep(server) {
+			delete(sq.engines, server)
+		}
+	}
+}
+
+// Send implements Engines.
+func (sq *Sequencer) Send(ctx context.Context, address string, od Order) (Answer, error) {
+	se := sq.sequence(od.Server)
+	se.mu.Lock()
+	defer se.mu.Unlock()
+	if od.Action == ActionInspect || !se.known {
+		st, err := sq.look(ctx, se, od.Server, address)
+		if err != nil {
+			return Answer{}, err
+		}
+		if od.Action == ActionInspect {
+			return answerOf(st), nil
+		}
+	}
+	if od.Boot != "" && od.Boot != se.boot {
+		return Answer{}, &OrderError{Outcome: Refused, Code: CodeStaleBoot, Cause: errors.New("engine started again")}
+	}
+	return sq.place(ctx, se, address, od)
+}
+
+func answerOf(st EngineState) Answer {
+	return Answer{Boot: st.Boot, Residents: st.Residents, Adapters: st.Adapters}
+}
+
+// look reads the engine's state, again while it lags behind what is known.
+func (sq *Sequencer) look(ctx context.Context, se *sequence, server, address string) (EngineState, error) {
+	until := time.Now().Add(reportLag)
+	for {
+		st, err := sq.station.State(ctx, server, address)
+		if err != nil {
+			return EngineState{}, &OrderError{Outcome: NotSent, Cause: err}
+		}
+		if st.Boot != se.boot || st.Accepted >= se.accepted || time.Now().After(until) {
+			se.boot, se.accepted, se.known = st.Boot, st.Accepted, true
+			return st, nil
+		}
+		if !waiter.Sleep(ctx, lookInterval) {
+			return EngineState{}, &OrderError{Outcome: NotSent, Cause: ctx.Err()}
+		}
+	}
+}
+
+// place sends the order and waits for its end.
+func (sq *Sequencer) place(ctx context.Context, se *sequence, address string, od Order) (Answer, error) {
+	fence, ok := sq.leads()
+	if !ok {
+		return Answer{}, &OrderError{Outcome: NotSent, Code: CodeNotLeader, Cause: errors.New("node does not lead")}
+	}
+	od.Fence = fence
+	underWay, err := sq.station.Place(ctx, address, od, se.accepted)
+	sq.note(od, se, underWay, err)
+	if err != nil {
+		se.known = false
+		return Answer{}, err
+	}
+	if !underWay {
+		// Whether the engine counted an order that held already is not said.
+		se.known = false
+		return sq.finished(ctx, se, address, od)
+	}
+	se.accepted++
+	return sq.finished(ctx, se, address, od)
+}
+
+// note writes the line that tells of an order.
+func (sq *Sequencer) note(od Order, se *sequence, underWay bool, err error) {
+	result := "under-way"
+	var oe *OrderError
+	switch {
+	case errors.As(err, &oe):
+		result = string(oe.Outcome)
+	case err != nil:
+		result = string(Unknown)
+	case !underWay:
+		result = "held-already"
+	}
+	sq.registry.Inc("order", od.Action, result)
+	line := log.WithFields(log.Fields{
+		"server": od.Server, "action": od.Action, "model": od.Model, "adapter": od.Adapter,
+		"fence": od.Fence, "accepted": se.accepted, "boot": se.boot, "result": result,
+	})
+	if err != nil {
+		line.WithError(err).Warn("order sent")
+		return
+	}
+	line.Info("order sent")
+}
+
+// finished waits until an order was carried out.
+func (sq *Sequencer) finished(ctx context.Context, se *sequence, address string, od Order) (Answer, error) {
+	switch od.Action {
+	case ActionLoadAdapter:
+		waiter.Sleep(ctx, adapterTime)
+		return Answer{Boot: se.boot}, nil
+	case ActionUnloadAdapter:
+		se.known = false
+		return Answer{Boot: se.boot}, nil
+	}
+	wanted := od.Action == string(accountant.Load)
+	accepted := se.accepted
+	for {
+		if !waiter.Sleep(ctx, pollInterval) {
+			return Answer{}, &OrderError{Outcome: Unknown, Cause: ctx.Err()}
+		}
+		st, err := sq.station.State(ctx, od.Server, address)
+		if err != nil {
+			sq.registry.Inc("order", "unwatched")
+			continue
+		}
+		if st.Boot != se.boot {
+			se.boot, se.accepted, se.known = st.Boot, st.Accepted, true
+			return Answer{}, &OrderError{Outcome: Refused, Code: CodeStaleBoot, Cause: errors.New("engine started again")}
+		}
+		if st.Accepted >= accepted && !st.Busy && st.holds(od.Model) == wanted {
+			se.accepted, se.known = st.Accepted, true
+			return answerOf(st), nil
+		}
+	}
+}
--- a/internal/coordination/planner/even.go
+++ b/internal/coordination/planner/even.go
@@ -17,7 +17,7 @@
 	best := move{model: mi, server: -1}
 	least := wk.perReplica(mi) / ratio
 	for si := range wk.servers {
-		if !wk.servers[si].usable || wk.holds(mi, si) {
+		if !wk.allows(mi, si) || wk.holds(mi, si) {
 			continue
 		}
 		victims, harm, ok := wk.victims(mi, si)
--- a/internal/coordination/planner/improve.go
+++ b/internal/coordination/planner/improve.go
@@ -121,7 +121,7 @@
 	excess := wk.excess(mi)
 	best := move{model: mi, server: -1}
 	for si := range wk.servers {
-		if !wk.servers[si].usable || wk.holds(mi, si) {
+		if !wk.allows(mi, si) || wk.holds(mi, si) {
 			continue
 		}
 		gain := min(excess, wk.spare(si))
--- a/internal/coordination/planner/repair.go
+++ b/internal/coordination/planner/repair.go
@@ -66,7 +66,7 @@
 	best, bestRank := -1, 0.0
 	var bestVictims []int
 	for si := range wk.servers {
-		if !allowed(si) || !wk.servers[si].usable || wk.holds(mi, si) {
+		if !allowed(si) || !wk.allows(mi, si) || wk.holds(mi, si) {
 			continue
 		}
 		victims, harm, ok := wk.victims(mi, si)
--- a/internal/coordination/planner/work.go
+++ b/internal/coordination/planner/work.go
@@ -34,6 +34,7 @@
 // workModel is a model with its replicas.
 type workModel struct {
 	name     string
+	pool     string
 	memory   int64
 	least    int
 	serving  int
@@ -53,6 +54,7 @@
 type workServer struct {
 	name     string
 	zone     string
+	pool     string
 	usable   bool
 	slots    float64
 	capacity int64
@@ -80,6 +82,7 @@
 		wk.servers = append(wk.servers, workServer{
 			name:     bs.Name(),
 			zone:     bs.Zone(),
+			pool:     bs.Pool(),
 			usable:   in.Usable(bs.Name()),
 			slots:    float64(bs.Slots()),
 			capacity: bs.WeightMemory(),
@@ -90,8 +93,12 @@
 
 func (wk *work) addModels(in Input, demand Demand) {
 	for _, md := range in.Settings.Models() {
+		if !md.Placed() {
+			continue
+		}
 		wk.models = append(wk.models, workModel{
 			name:    md.Name(),
+			pool:    md.Pool(),
 			memory:  md.Memory(),
 			least:   leastReplicas(md),
 			serving: max(md.MinReplicas(), 1),
@@ -143,7 +150,12 @@
 
 func (wk *work) fits(mi, si int) bool {
 	sv := &wk.servers[si]
-	return sv.usable && sv.free >= wk.models[mi].memory && !wk.holds(mi, si)
+	return wk.allows(mi, si) && sv.free >= wk.models[mi].memory && !wk.holds(mi, si)
+}
+
+// allows reports whether the server may hold the model at all.
+func (wk *work) allows(mi, si int) bool {
+	return wk.servers[si].usable && wk.servers[si].pool == wk.models[mi].pool
 }
 
 func (wk *work) holds(mi, si int) bool {
--- a/internal/coordination/publisher/revision.go
+++ b/internal/coordination/publisher/revision.go
@@ -62,6 +62,12 @@
 	settings *configurer.Settings
 }
 
+// NewRevision returns a revision that was accepted elsewhere, under its own
+// number.
+func NewRevision(number int64, files []configurer.File, st *configurer.Settings) *Revision {
+	return &Revision{head: head{number: number}, files: files, settings: st}
+}
+
 // Number returns the revision number, counted from one.
 func (rv *Revision) Number() int64 { return rv.head.number }
 
--- a/internal/coordination/watcher/watcher.go
+++ b/internal/coordination/watcher/watcher.go
@@ -183,6 +183,25 @@
 	wt.rebuild(time.Now())
 }
 
+// Observe puts a snapshot of the reports in place that servers gave elsewhere,
+// where nothing is polled. It may not be mixed with Run and Poll.
+func (wt *Watcher) Observe(now time.Time, reports []Report) {
+	sn := &Snapshot{reports: make(map[string]Report, len(reports)), replicas: map[string][]string{}}
+	for _, rp := range reports {
+		if wt.exchange != nil {
+			rp = wt.exchange.apply(rp, now)
+		}
+		sn.reports[rp.Server] = rp
+		for model := range rp.Models {
+			sn.replicas[model] = append(sn.replicas[model], rp.Server)
+		}
+	}
+	for _, names := range sn.replicas {
+		sort.Strings(names)
+	}
+	wt.snapshot.Store(sn)
+}
+
 // rebuild puts a new snapshot in place.
 func (wt *Watcher) rebuild(now time.Time) {
 	wt.changed = false
--- a/internal/server/addresses_test.go
+++ b/internal/server/addresses_test.go
@@ -11,6 +11,7 @@
 	"github.com/labstack/echo/v4"
 	"github.com/stretchr/testify/require"
 
+	"github.com/lagoonpass/lagoonpass/internal/coordination/locator"
 	"github.com/lagoonpass/lagoonpass/internal/coordination/prober"
 	"github.com/lagoonpass/lagoonpass/pkg/refuser"
 )
@@ -34,14 +35,14 @@
 	const callers = 6000
 	first := map[string]int{}
 	for range callers {
-		first[chooseAddresses(members, "z0", 3, random.Uint64())[0]]++
+		first[locator.Choose(members, "z0", 3, random.Uint64())[0]]++
 	}
 	lost := "n00"
 	require.InEpsilon(t, callers/8, first[lost], 0.2)
 	members[0].State = prober.Dead
 	after := map[string]int{}
 	for range first[lost] {
-		after[chooseAddresses(members, "z0", 3, random.Uint64())[0]]++
+		after[locator.Choose(members, "z0", 3, random.Uint64())[0]]++
 	}
 	require.Len(t, after, 7, "the others of the zone")
 	for id, count := range after {
@@ -56,7 +57,7 @@
 	members[1].State = prober.Dead
 	for seed := range uint64(100) {
 		for _, zone := range []string{"z0", "z2", "z5", "nowhere"} {
-			chosen := chooseAddresses(members, zone, 2, seed)
+			chosen := locator.Choose(members, zone, 2, seed)
 			require.Len(t, chosen, 2)
 			zones := map[string]bool{}
 			for _, id := range chosen {
@@ -69,10 +70,10 @@
 			}
 			require.Len(t, zones, 2)
 		}
-		require.Contains(t, []string{"n02", "n08"}, chooseAddresses(members, "z2", 2, seed)[0], "nearest first")
+		require.Contains(t, []string{"n02", "n08"}, locator.Choose(members, "z2", 2, seed)[0], "nearest first")
 	}
-	require.Empty(t, chooseAddresses(nil, "z0", 3, 1))
-	require.Len(t, chooseAddresses(members, "z2", 1, 1), 1)
+	require.Empty(t, locator.Choose(nil, "z0", 3, 1))
+	require.Len(t, locator.Choose(members, "z2", 1, 1), 1)
 }
 
 func TestLifetimesDiffer(t *testing.T) {
--- a/internal/state/accountant/ledger.go
+++ b/internal/state/accountant/ledger.go
@@ -42,6 +42,10 @@
 // Attempts returns the sendings whose outcome is unknown.
 func (lg *Ledger) Attempts() []Attempt { return lg.attempts }
 
+// StartAt raises the fencing number to a floor, for a record that begins anew
+// while numbers up to the floor were in use.
+func (lg *Ledger) StartAt(floor int64) { lg.fence = max(lg.fence, floor) }
+
 // TakeOver makes a node the owner, with a new fencing number, and starts the
 // late-order bound of every attempt anew.
 func (lg *Ledger) TakeOver(owner string, now time.Time) {
--- a/internal/state/configurer/configurer.go
+++ b/internal/state/configurer/configurer.go
@@ -60,6 +60,8 @@
 	kinds    map[string]*EngineKind
 	servers  map[string]*BackendServer
 	services map[string]*Service
+	pools    map[string]*Pool
+	routes   map[string]*Route
 	limits   *Limits
 	records  *Records
 	retries  *Retries
@@ -78,6 +80,8 @@
 	classes  []*Class
 	servers  []*BackendServer
 	services []*Service
+	pools    []*Pool
+	routes   []*Route
 }
 
 // sort fills the lists once all sections are read.
@@ -89,6 +93,8 @@
 		classes:  ordered(st.classes),
 		servers:  ordered(st.servers),
 		services: ordered(st.services),
+		pools:    ordered(st.pools),
+		routes:   ordered(st.routes),
 	}
 }
 
@@ -146,6 +152,15 @@
 // Services returns all plain services in the order of their names.
 func (st *Settings) Services() []*Service { return st.inOrder.services }
 
+// Pool returns the pool of that name.
+func (st *Settings) Pool(name string) (*Pool, bool) { return lookup(st.pools, name) }
+
+// Pools returns all pools in the order of their names.
+func (st *Settings) Pools() []*Pool { return st.inOrder.pools }
+
+// Routes returns all routes in the order of their names.
+func (st *Settings) Routes() []*Route { return st.inOrder.routes }
+
 // Limits returns what all nodes share.
 func (st *Settings) Limits() *Limits { return st.limits }
 
--- a/internal/state/configurer/domain.go
+++ b/internal/state/configurer/domain.go
@@ -16,6 +16,8 @@
 	minReplicas int
 	maxReplicas int
 	share       float64
+	pool        string
+	placed      bool
 }
 
 // Version returns the version of the weights in force.
@@ -33,6 +35,14 @@
 // Share returns the part of demand expected before any was seen, by weight.
 func (md *Model) Share() float64 { return md.share }
 
+// Pool returns the name of the pool of backend servers that the model belongs
+// to; empty names the servers without a pool.
+func (md *Model) Pool() string { return md.pool }
+
+// Placed reports whether the system places the model. Each server of the pool
+// holds a model that is not placed for good.
+func (md *Model) Placed() bool { return md.placed }
+
 // Adapter is a small addition to a model's weights, loaded on demand.
 type Adapter struct {
 	named
@@ -119,6 +129,7 @@
 	checksFencing  bool
 	lateOrderBound time.Duration
 	resumes        bool
+	countsOrders   bool
 	transfersCache bool
 }
 
@@ -129,6 +140,10 @@
 // can still arrive; zero means that no bound is known.
 func (ek *EngineKind) LateOrderBound() time.Duration { return ek.lateOrderBound }
 
+// CountsOrders reports whether the engine counts the orders that it accepts and
+// refuses one that was sent for another count.
+func (ek *EngineKind) CountsOrders() bool { return ek.countsOrders }
+
 // Resumes reports whether a broken stream can be resumed from a token.
 func (ek *EngineKind) Resumes() bool { return ek.resumes }
 
@@ -157,6 +172,8 @@
 	cacheReserve   int64
 	adapterReserve int64
 	slots          int
+	pool           string
+	cacheTokens    int
 }
 
 // Kind returns the name of the server's engine kind.
@@ -186,6 +203,13 @@
 // Slots returns the number of requests that run at once at full speed.
 func (bs *BackendServer) Slots() int { return bs.slots }
 
+// Pool returns the name of the pool that the server belongs to, or nothing.
+func (bs *BackendServer) Pool() string { return bs.pool }
+
+// CacheTokens returns the tokens that running requests and kept prompts share;
+// zero means that it is not known.
+func (bs *BackendServer) CacheTokens() int { return bs.cacheTokens }
+
 // WeightMemory returns the bytes that may hold model weights.
 func (bs *BackendServer) WeightMemory() int64 {
 	return bs.memory - bs.cacheReserve - bs.adapterReserve
@@ -226,6 +250,9 @@
 	entryNodes            int
 	addressesInAnswer     int
 	addressAnswerLifetime time.Duration
+	headerBytes           int64
+	headerTimeout         time.Duration
+	idleTimeout           time.Duration
 }
 
 // WeightLoadsPerSecond returns the model loads a second of the weight store.
@@ -246,6 +273,15 @@
 // BodyBytes returns the largest request body.
 func (lm *Limits) BodyBytes() int64 { return lm.bodyBytes }
 
+// HeaderBytes returns the size of the largest head of a request.
+func (lm *Limits) HeaderBytes() int64 { return lm.headerBytes }
+
+// HeaderTimeout returns the time in which the head of a request has to arrive.
+func (lm *Limits) HeaderTimeout() time.Duration { return lm.headerTimeout }
+
+// IdleTimeout returns how long a caller's connection may be idle.
+func (lm *Limits) IdleTimeout() time.Duration { return lm.idleTimeout }
+
 // StoreWritesPerSecond returns the writes to the platform's store by all nodes.
 func (lm *Limits) StoreWritesPerSecond() float64 { return lm.storeWritesPerSecond }
 
@@ -305,11 +341,20 @@
 	attempts   int
 	backoff    time.Duration
 	maxBackoff time.Duration
+	window     time.Duration
+	slack      int
 }
 
 // Budget returns the retries allowed as a part of successful traffic.
 func (rt *Retries) Budget() float64 { return rt.budget }
 
+// Window returns the time over which the retries of all nodes are bounded, or
+// zero if only each node's last sendings bound them.
+func (rt *Retries) Window() time.Duration { return rt.window }
+
+// Slack returns the retries of all nodes in a window beyond the budget.
+func (rt *Retries) Slack() int { return rt.slack }
+
 // Attempts returns how often one request is sent at most.
 func (rt *Retries) Attempts() int { return rt.attempts }
 
--- /dev/null
+++ b/internal/state/configurer/pool.go
@@ -0,0 +1,198 @@
+package configurer
+
+import (
+	"slices"
+	"strings"
+	"time"
+)
+
+// Pool is a group of backend servers that are alike and serve the same models.
+type Pool struct {
+	named
+	kind         string
+	memory       int64
+	adapterSlots int
+	slots        int
+	cacheTokens  int
+	connections  int
+}
+
+// Kind returns the name of the servers' engine kind, or nothing if they run
+// plain services.
+func (po *Pool) Kind() string { return po.kind }
+
+// Memory returns the bytes for weights and adapters of one server.
+func (po *Pool) Memory() int64 { return po.memory }
+
+// AdapterSlots returns the number of adapters that one server holds.
+func (po *Pool) AdapterSlots() int { return po.adapterSlots }
+
+// Slots returns the number of requests that one server runs at once.
+func (po *Pool) Slots() int { return po.slots }
+
+// CacheTokens returns the tokens that running requests and kept prompts of one
+// server share; zero means that it is not known.
+func (po *Pool) CacheTokens() int { return po.cacheTokens }
+
+// Connections returns the number of connections that one server accepts.
+func (po *Pool) Connections() int { return po.connections }
+
+// Route says how requests with a host and a path prefix are served.
+type Route struct {
+	named
+	host        string
+	prefix      string
+	pools       []string
+	class       string
+	repeatable  bool
+	streams     bool
+	resumable   bool
+	timeLimit   time.Duration
+	pauseTarget time.Duration
+	attempts    int
+}
+
+// Host returns the host that the route is for.
+func (rt *Route) Host() string { return rt.host }
+
+// Prefix returns the path prefix that the route is for.
+func (rt *Route) Prefix() string { return rt.prefix }
+
+// Class returns the name of the priority class.
+func (rt *Route) Class() string { return rt.class }
+
+// Repeatable reports whether a request may run more than once.
+func (rt *Route) Repeatable() bool { return rt.repeatable }
+
+// Streams reports whether the answers are streams of events.
+func (rt *Route) Streams() bool { return rt.streams }
+
+// Resumable reports whether a broken stream may be continued elsewhere.
+func (rt *Route) Resumable() bool { return rt.resumable }
+
+// TimeLimit returns how long a request may be kept waiting.
+func (rt *Route) TimeLimit() time.Duration { return rt.timeLimit }
+
+// PauseTarget returns the longest pause between two events.
+func (rt *Route) PauseTarget() time.Duration { return rt.pauseTarget }
+
+// Attempts returns the greatest number of servers that one request may reach.
+func (rt *Route) Attempts() int { return rt.attempts }
+
+// Share is a pool with its part of a route's requests.
+type Share struct {
+	pool   string
+	weight int
+}
+
+// Pool returns the name of the pool.
+func (sh Share) Pool() string { return sh.pool }
+
+// Weight returns the pool's weight among the shares of the route.
+func (sh Share) Weight() int { return sh.weight }
+
+// Shares returns the pools of the route with their weights.
+func (rt *Route) Shares() []Share {
+	shares := make([]Share, 0, len(rt.pools))
+	for _, text := range rt.pools {
+		if sh, ok := parseShare(text); ok {
+			shares = append(shares, sh)
+		}
+	}
+	return shares
+}
+
+// parseShare reads "pool" or "pool:weight".
+func parseShare(text string) (Share, bool) {
+	name, weight, weighted := strings.Cut(text, ":")
+	if !weighted {
+		return Share{pool: name, weight: 1}, name != ""
+	}
+	count, ok := parseCount(weight)
+	return Share{pool: name, weight: count}, ok && name != ""
+}
+
+// RouteTable finds the route of a request.
+type RouteTable struct {
+	byHost map[string][]*Route
+}
+
+// NewRouteTable returns a table of the routes.
+func NewRouteTable(routes []*Route) *RouteTable {
+	tb := &RouteTable{byHost: map[string][]*Route{}}
+	for _, rt := range routes {
+		tb.byHost[rt.host] = append(tb.byHost[rt.host], rt)
+	}
+	for _, all := range tb.byHost {
+		slices.SortStableFunc(all, func(one, two *Route) int { return len(two.prefix) - len(one.prefix) })
+	}
+	return tb
+}
+
+// Find returns the route of the host whose prefix is the longest that begins
+// the path.
+func (tb *RouteTable) Find(host, path string) (*Route, bool) {
+	for _, rt := range tb.byHost[host] {
+		if strings.HasPrefix(path, rt.prefix) {
+			return rt, true
+		}
+	}
+	return nil, false
+}
+
+// BackendServerOption changes a BackendServer that is being made.
+type BackendServerOption func(*BackendServer)
+
+// WithAddress sets the host and port.
+func WithAddress(address string) BackendServerOption {
+	return func(bs *BackendServer) { bs.address = address }
+}
+
+// WithZone sets the availability zone.
+func WithZone(zone string) BackendServerOption { return func(bs *BackendServer) { bs.zone = zone } }
+
+// WithSlots sets the number of requests that the server runs at once.
+func WithSlots(slots int) BackendServerOption { return func(bs *BackendServer) { bs.slots = slots } }
+
+// WithPool makes the server one of the pool, with what the pool says of its
+// servers. adapterBytes is the room of one adapter.
+func WithPool(po *Pool, adapterBytes int64) BackendServerOption {
+	return func(bs *BackendServer) {
+		bs.pool, bs.kind, bs.memory, bs.slots = po.name, po.kind, po.memory, po.slots
+		bs.adapterReserve = int64(po.adapterSlots) * adapterBytes
+		bs.cacheTokens = po.cacheTokens
+	}
+}
+
+// NewBackendServer returns a server that was discovered rather than configured.
+func NewBackendServer(name string, opts ...BackendServerOption) *BackendServer {
+	bs := &BackendServer{named: named{name}, role: RoleMixed, accelerators: 1}
+	for _, opt := range opts {
+		opt(bs)
+	}
+	return bs
+}
+
+// WithBackendServers returns a copy of the settings with other servers.
+func (st *Settings) WithBackendServers(servers []*BackendServer) *Settings {
+	cp := *st
+	cp.servers = make(map[string]*BackendServer, len(servers))
+	for _, bs := range servers {
+		cp.servers[bs.name] = bs
+	}
+	cp.inOrder.servers = ordered(cp.servers)
+	return &cp
+}
+
+// AdapterRoom returns the memory of the largest adapter of a pool's models.
+// Servers hold a number of adapters, whatever their sizes, so that each counts
+// as much as the largest.
+func (st *Settings) AdapterRoom(pool string) int64 {
+	room := int64(0)
+	for _, ad := range st.Adapters() {
+		if md, ok := st.Model(ad.model); ok && md.pool == pool {
+			room = max(room, ad.memory)
+		}
+	}
+	return room
+}
--- a/internal/state/configurer/references.go
+++ b/internal/state/configurer/references.go
@@ -22,9 +22,33 @@
 	rd.checkServers(st)
 	rd.checkCallers(st)
 	rd.checkServices(st)
+	rd.checkPools(st)
+	rd.checkRoutes(st)
 	rd.checkTimeouts(st)
 }
 
+func (rd *reader) checkPools(st *Settings) {
+	for _, po := range st.Pools() {
+		rd.refer("pool."+po.name, "kind", po.kind, po.kind == "" || st.kinds[po.kind] != nil, "a configured engine kind")
+	}
+	for _, md := range st.Models() {
+		rd.refer("model."+md.name, "pool", md.pool, md.pool == "" || st.pools[md.pool] != nil, "a configured pool")
+	}
+}
+
+func (rd *reader) checkRoutes(st *Settings) {
+	for _, rt := range st.Routes() {
+		section := "route." + rt.name
+		rd.refer(section, "class", rt.class, st.classes[rt.class] != nil, "a configured class")
+		bounded := strings.HasPrefix(rt.prefix, "/") && strings.HasSuffix(rt.prefix, "/")
+		rd.refer(section, "prefix", rt.prefix, bounded, "a path that begins and ends with /")
+		for _, text := range rt.pools {
+			sh, ok := parseShare(text)
+			rd.refer(section, "pools", text, ok && st.pools[sh.pool] != nil, "configured pools, each as name or name:weight")
+		}
+	}
+}
+
 func (rd *reader) checkReplicas(md *Model) {
 	if md.maxReplicas == 0 || md.maxReplicas >= md.minReplicas {
 		return
--- a/internal/state/configurer/schema.go
+++ b/internal/state/configurer/schema.go
@@ -13,7 +13,7 @@
 func schema() []sectionSpec {
 	return []sectionSpec{
 		modelSpec(), adapterSpec(), callerSpec(), classSpec(), engineKindSpec(),
-		backendServerSpec(), serviceSpec(), limitsSpec(), recordsSpec(),
+		backendServerSpec(), serviceSpec(), poolSpec(), routeSpec(), limitsSpec(), recordsSpec(),
 		retriesSpec(), timeoutsSpec(), planningSpec(),
 	}
 }
@@ -26,6 +26,8 @@
 		intKey("min-replicas", "1", 1, 10000, "replicas that always serve", func(md *Model) *int { return &md.minReplicas }),
 		intKey("max-replicas", "0", 0, 10000, "greatest number of replicas; 0 for no limit", func(md *Model) *int { return &md.maxReplicas }),
 		floatKey("share", "1", 0, 1e6, "expected part of demand, by weight", func(md *Model) *float64 { return &md.share }),
+		nameKey("pool", "pool of the servers that may hold it", func(md *Model) *string { return &md.pool }),
+		boolKey("placed", "yes", "the system places it; otherwise each server of its pool holds it", func(md *Model) *bool { return &md.placed }),
 	)
 }
 
@@ -75,6 +77,7 @@
 		boolKey("checks-fencing", "no", "refuses orders with an old fencing number", func(ek *EngineKind) *bool { return &ek.checksFencing }),
 		durationKey("late-order-bound", "0s", 0, 24*time.Hour, "longest time that an order can arrive late; 0s for none known", func(ek *EngineKind) *time.Duration { return &ek.lateOrderBound }),
 		boolKey("resumes", "no", "resumes a stream from a token", func(ek *EngineKind) *bool { return &ek.resumes }),
+		boolKey("counts-orders", "no", "counts the orders that it accepts and refuses one that was sent for another count", func(ek *EngineKind) *bool { return &ek.countsOrders }),
 		boolKey("transfers-cache", "no", "exports and imports KV cache", func(ek *EngineKind) *bool { return &ek.transfersCache }),
 	)
 }
@@ -108,6 +111,34 @@
 	)
 }
 
+func poolSpec() sectionSpec {
+	return namedSection("pool", "backend servers that are alike, found while the system runs",
+		func(st *Settings, name string) *Pool { return add(&st.pools, name, &Pool{named: named{name}}) },
+		nameKey("kind", "engine kind; none for a plain service", func(po *Pool) *string { return &po.kind }),
+		bytesKey("memory", "1MiB", mebibyte, 1<<50, "memory for weights and adapters", func(po *Pool) *int64 { return &po.memory }),
+		intKey("adapter-slots", "0", 0, 100000, "adapters that one server holds", func(po *Pool) *int { return &po.adapterSlots }),
+		intKey("slots", "16", 1, 100000, "requests at once at full speed", func(po *Pool) *int { return &po.slots }),
+		intKey("cache-tokens", "0", 0, 1<<40, "tokens that running requests and kept prompts share; 0 if not known", func(po *Pool) *int { return &po.cacheTokens }),
+		intKey("connections", "256", 1, 100000, "connections that one server accepts", func(po *Pool) *int { return &po.connections }),
+	)
+}
+
+func routeSpec() sectionSpec {
+	return namedSection("route", "requests with a host and a path prefix",
+		func(st *Settings, name string) *Route { return add(&st.routes, name, &Route{named: named{name}}) },
+		textKey("host", "", "host that callers name", func(rt *Route) *string { return &rt.host }),
+		textKey("prefix", "", "start of the path; the longest counts", func(rt *Route) *string { return &rt.prefix }),
+		listKey("pools", "", "pools that serve it, each as name or name:weight", func(rt *Route) *[]string { return &rt.pools }),
+		textKey("class", "", "priority class", func(rt *Route) *string { return &rt.class }),
+		boolKey("repeatable", "no", "a request may run more than once", func(rt *Route) *bool { return &rt.repeatable }),
+		boolKey("streams", "no", "answers are streams of events", func(rt *Route) *bool { return &rt.streams }),
+		boolKey("resumable", "no", "a broken stream may be continued elsewhere", func(rt *Route) *bool { return &rt.resumable }),
+		durationKey("time-limit", "10s", time.Millisecond, 24*time.Hour, "longest time that a request is kept waiting", func(rt *Route) *time.Duration { return &rt.timeLimit }),
+		durationKey("pause-target", "1s", time.Millisecond, time.Hour, "longest pause between two events", func(rt *Route) *time.Duration { return &rt.pauseTarget }),
+		intKey("attempts", "1", 1, 100, "servers that one request may reach", func(rt *Route) *int { return &rt.attempts }),
+	)
+}
+
 func limitsSpec() sectionSpec {
 	return singleSection("limits", "what all nodes share",
 		func(st *Settings) *Limits { return st.limits },
@@ -117,6 +148,9 @@
 		intKey("queue-requests", "2000", 1, 1000000, "requests that one node lets wait", func(lm *Limits) *int { return &lm.queueRequests }),
 		bytesKey("queue-bytes", "64MiB", kibibyte, 16*gibibyte, "request bodies that one node lets wait", func(lm *Limits) *int64 { return &lm.queueBytes }),
 		bytesKey("body-bytes", "1MiB", kibibyte, 64*mebibyte, "largest request body", func(lm *Limits) *int64 { return &lm.bodyBytes }),
+		bytesKey("header-bytes", "64KiB", kibibyte, mebibyte, "largest head of a request", func(lm *Limits) *int64 { return &lm.headerBytes }),
+		durationKey("header-timeout", "10s", time.Millisecond, time.Hour, "time in which the head of a request has to arrive", func(lm *Limits) *time.Duration { return &lm.headerTimeout }),
+		durationKey("idle-timeout", "75s", time.Millisecond, time.Hour, "how long a caller's connection may be idle", func(lm *Limits) *time.Duration { return &lm.idleTimeout }),
 		floatKey("store-writes-per-second", "200", 1, 1e5, "writes to the platform's store by all nodes", func(lm *Limits) *float64 { return &lm.storeWritesPerSecond }),
 		floatKey("store-reads-per-second", "1000", 1, 1e5, "reads of the platform's store by all nodes", func(lm *Limits) *float64 { return &lm.storeReadsPerSecond }),
 		intKey("entry-nodes", "4", 1, 10000, "entry nodes that the limits are divided among", func(lm *Limits) *int { return &lm.entryNodes }),
@@ -142,7 +176,9 @@
 func retriesSpec() sectionSpec {
 	return singleSection("retries", "when a request is sent again",
 		func(st *Settings) *Retries { return st.retries },
-		floatKey("budget", "0.1", 0, 0.1, "retries as a part of successful traffic", func(rt *Retries) *float64 { return &rt.budget }),
+		floatKey("budget", "0.1", 0, 1, "retries as a part of successful traffic", func(rt *Retries) *float64 { return &rt.budget }),
+		durationKey("window", "0s", 0, time.Hour, "time over which retries of all nodes are bounded by slack and budget; 0s for the node's last sendings alone", func(rt *Retries) *time.Duration { return &rt.window }),
+		intKey("slack", "0", 0, 100000, "retries in a window that all nodes may make beyond the budget", func(rt *Retries) *int { return &rt.slack }),
 		intKey("attempts", "3", 1, 10, "how often one request is sent at most", func(rt *Retries) *int { return &rt.attempts }),
 		durationKey("backoff", "25ms", time.Millisecond, time.Minute, "delay before the first retry", func(rt *Retries) *time.Duration { return &rt.backoff }),
 		durationKey("max-backoff", "1s", time.Millisecond, time.Hour, "longest delay before a retry", func(rt *Retries) *time.Duration { return &rt.maxBackoff }),
--- a/internal/state/configurer/spec.go
+++ b/internal/state/configurer/spec.go
@@ -16,6 +16,8 @@
 	def     string
 	allowed string
 	doc     string
+	// mayLack says that the key may be left out although it has no default.
+	mayLack bool
 	// set parses text into the target, a pointer to the section's type; it
 	// reports whether the text is allowed.
 	set func(target any, text string) bool
@@ -23,7 +25,7 @@
 
 // optional reports whether the key may be left out although it has no default.
 func (ks keySpec) optional() bool {
-	return ks.unit == "list" || strings.HasPrefix(ks.name, "default-")
+	return ks.mayLack || ks.unit == "list" || strings.HasPrefix(ks.name, "default-")
 }
 
 // sectionSpec describes one kind of section.
@@ -81,6 +83,19 @@
 	return parsed(ks, parse, place)
 }
 
+// nameKey is a textKey that may be left out.
+func nameKey[T any](name, doc string, place func(*T) *string) keySpec {
+	ks := keySpec{name: name, unit: "text", allowed: "a name without spaces, or nothing", doc: doc, mayLack: true}
+	parse := func(tx string) (string, bool) { return tx, !strings.ContainsAny(tx, " \t,") }
+	return parsed(ks, parse, place)
+}
+
+// parseCount reads a whole number that is not negative.
+func parseCount(tx string) (int, bool) {
+	count, err := strconv.Atoi(tx)
+	return count, err == nil && count >= 0
+}
+
 func hashKey[T any](name, doc string, place func(*T) *string) keySpec {
 	ks := keySpec{name: name, unit: "hexadecimal", allowed: "64 lower-case hexadecimal digits", doc: doc}
 	parse := func(tx string) (string, bool) {
--- a/internal/state/storer/storer.go
+++ b/internal/state/storer/storer.go
@@ -33,6 +33,9 @@
 	Value []byte
 	// Revision is the modification revision that Swap compares with.
 	Revision int64
+	// Lease is the lease with which the key ends, or zero. Only a Keyspace
+	// fills it in.
+	Lease Lease
 }
 
 // Store is the part of the platform's service that the system uses.
@@ -63,6 +66,10 @@
 	Uncertain
 	// Budget means that the caller's own call budget was used up.
 	Budget
+	// Refused means that the service answered that it did nothing.
+	Refused
+	// TooOld means that the history after a revision is no longer kept.
+	TooOld
 )
 
 // String returns the kind in kebab case.
@@ -73,6 +80,8 @@
 		Unavailable: "unavailable",
 		Uncertain:   "uncertain",
 		Budget:      "budget",
+		Refused:     "refused",
+		TooOld:      "too-old",
 	}
 	return names[kd]
 }
--- a/internal/transport/forwarder/forwarder.go
+++ b/internal/transport/forwarder/forwarder.go
@@ -1,6 +1,10 @@
 // Package forwarder sends one request to one backend server and reads its
 // answer, with nothing repeated behind the caller's back.
 //
+// Connections are kept for further requests while the server lets them be
+// idle. One that was closed, or that holds bytes nobody asked for, is not used
+// again.
+//
 // # Usage
 //
 //	fw := forwarder.New()
@@ -9,30 +13,34 @@
 package forwarder
 
 import (
-	"bytes"
 	"context"
-	"io"
 	"net"
 	"net/http"
-	"net/http/httptrace"
 	"sync"
-	"sync/atomic"
 	"time"
 
 	"github.com/go-faster/errors"
 )
 
 const (
-	dialTimeout     = time.Second
-	idleTimeout     = 5 * time.Second
+	// dialTimeout bounds the opening of a connection: several round trips of a
+	// region and a lost packet.
+	dialTimeout = time.Second
+	// idleTimeout is how long a connection is kept that its server says
+	// nothing of.
+	idleTimeout = 5 * time.Second
+	// idleConnections bounds the connections kept to one server.
 	idleConnections = 256
-	headerBytes     = 64 << 10
+	// maxStrays bounds the answers to other requests that are skipped.
+	maxStrays = 2
 )
 
 // Request is what goes to the backend server.
 type Request struct {
 	// Address is the host and port.
 	Address string
+	// Host is the Host header; empty stands for the address.
+	Host string
 	// Method is the HTTP method.
 	Method string
 	// Path is the path with its query.
@@ -41,6 +49,9 @@
 	Header http.Header
 	// Body is sent as it is.
 	Body []byte
+	// Owns reports whether an answer is that of this request; nil takes the
+	// first one. Strays on a kept connection are skipped.
+	Owns func(*http.Response) bool
 }
 
 // Error is a call without an answer.
@@ -71,92 +82,160 @@
 	return errors.As(err, &fe) && !fe.Sent
 }
 
+// errForeign means that a server answered another request than was sent.
+var errForeign = errors.New("answer belongs to another request")
+
 // Forwarder holds connections to backend servers, each server's on its own.
 type Forwarder struct {
-	opts    []Option
-	mu      sync.RWMutex
-	clients map[string]*http.Client
+	dial        Dial
+	idleTimeout time.Duration
+	mu          sync.Mutex
+	idle        map[string][]*connection
+	opened      int64
 }
 
 // Dial opens a connection.
 type Dial func(ctx context.Context, network, address string) (net.Conn, error)
 
 // Option changes a Forwarder that is being made.
-type Option func(*http.Transport)
+type Option func(*Forwarder)
 
 // WithDial replaces the way connections are opened.
-func WithDial(dl Dial) Option { return func(tp *http.Transport) { tp.DialContext = dl } }
+func WithDial(dl Dial) Option { return func(fw *Forwarder) { fw.dial = dl } }
+
+// WithIdleTimeout sets how long a connection is kept that its server says
+// nothing of.
+func WithIdleTimeout(dn time.Duration) Option { return func(fw *Forwarder) { fw.idleTimeout = dn } }
 
 // New returns a forwarder without connections.
 func New(opts ...Option) *Forwarder {
-	return &Forwarder{opts: opts, clients: map[string]*http.Client{}}
+	fw := &Forwarder{
+		dial:        (&net.Dialer{Timeout: dialTimeout}).DialContext,
+		idleTimeout: idleTimeout,
+		idle:        map[string][]*connection{},
+	}
+	for _, opt := range opts {
+		opt(fw)
+	}
+	return fw
+}
+
+// Opened returns the number of connections opened so far.
+func (fw *Forwarder) Opened() int64 {
+	fw.mu.Lock()
+	defer fw.mu.Unlock()
+	return fw.opened
 }
 
 // DropIdle closes the connections to a server that no request uses, after one
 // of them failed or fell silent: others that passed through the same place may
 // be lost as well without having shown it yet.
-func (fw *Forwarder) DropIdle(address string) { fw.client(address).CloseIdleConnections() }
+func (fw *Forwarder) DropIdle(address string) {
+	fw.mu.Lock()
+	kept := fw.idle[address]
+	delete(fw.idle, address)
+	fw.mu.Unlock()
+	for _, cn := range kept {
+		cn.close()
+	}
+}
 
 // Close closes all connections that no request uses.
 func (fw *Forwarder) Close() {
-	fw.mu.RLock()
-	defer fw.mu.RUnlock()
-	for _, hc := range fw.clients {
-		hc.CloseIdleConnections()
+	fw.mu.Lock()
+	all := fw.idle
+	fw.idle = map[string][]*connection{}
+	fw.mu.Unlock()
+	for _, kept := range all {
+		for _, cn := range kept {
+			cn.close()
+		}
 	}
 }
 
-func (fw *Forwarder) client(address string) *http.Client {
-	fw.mu.RLock()
-	hc, ok := fw.clients[address]
-	fw.mu.RUnlock()
-	if ok {
-		return hc
+// Send sends the request once and returns the answer's head. Its body has to
+// be closed. The error is an *Error.
+func (fw *Forwarder) Send(ctx context.Context, rq Request) (*http.Response, error) {
+	cn, err := fw.connect(ctx, rq.Address)
+	if err != nil {
+		return nil, &Error{Address: rq.Address, Cause: err}
+	}
+	rs, err := cn.roundTrip(ctx, rq)
+	if err != nil {
+		cn.close()
+		if ctx.Err() != nil {
+			err = ctx.Err()
+		}
+		return nil, &Error{Sent: true, Address: rq.Address, Cause: err}
+	}
+	return rs, nil
+}
+
+// connect returns a kept connection or a new one.
+func (fw *Forwarder) connect(ctx context.Context, address string) (*connection, error) {
+	for cn := fw.take(address); cn != nil; cn = fw.take(address) {
+		if cn.usable(time.Now()) {
+			cn.used = true
+			return cn, nil
+		}
+		cn.close()
+	}
+	bounded, cancel := context.WithTimeout(ctx, dialTimeout)
+	defer cancel()
+	raw, err := fw.dial(bounded, "tcp", address)
+	if err != nil {
+		return nil, err
 	}
+	fw.mu.Lock()
+	fw.opened++
+	fw.mu.Unlock()
+	return newConnection(fw, address, raw), nil
+}
+
+// take removes the connection that was used last from those kept.
+func (fw *Forwarder) take(address string) *connection {
 	fw.mu.Lock()
 	defer fw.mu.Unlock()
-	if hc, ok = fw.clients[address]; !ok {
-		hc = fw.newClient()
-		fw.clients[address] = hc
+	kept := fw.idle[address]
+	if len(kept) == 0 {
+		return nil
 	}
-	return hc
+	last := len(kept) - 1
+	cn := kept[last]
+	kept[last] = nil
+	fw.idle[address] = kept[:last]
+	return cn
 }
 
-func (fw *Forwarder) newClient() *http.Client {
-	dl := &net.Dialer{Timeout: dialTimeout}
-	tp := &http.Transport{
-		DialContext:            dl.DialContext,
-		MaxIdleConnsPerHost:    idleConnections,
-		IdleConnTimeout:        idleTimeout,
-		MaxResponseHeaderBytes: headerBytes,
-		DisableCompression:     true,
+// keep puts a connection back whose last answer is whole.
+func (fw *Forwarder) keep(cn *connection) {
+	cn.idleSince = time.Now()
+	fw.mu.Lock()
+	kept := fw.idle[cn.address]
+	full := len(kept) >= idleConnections
+	var expired []*connection
+	if !full {
+		kept, expired = prune(append(kept, cn), cn.idleSince)
+		fw.idle[cn.address] = kept
 	}
-	for _, opt := range fw.opts {
-		opt(tp)
+	fw.mu.Unlock()
+	if full {
+		cn.close()
+	}
+	for _, old := range expired {
+		old.close()
 	}
-	noRedirect := func(*http.Request, []*http.Request) error { return http.ErrUseLastResponse }
-	return &http.Client{Transport: tp, CheckRedirect: noRedirect}
 }
 
-// Send sends the request once and returns the answer's head. Its body has to
-// be closed. The error is an *Error.
-func (fw *Forwarder) Send(ctx context.Context, rq Request) (*http.Response, error) {
-	var connected atomic.Bool
-	trace := &httptrace.ClientTrace{GotConn: func(httptrace.GotConnInfo) { connected.Store(true) }}
-	ctx = httptrace.WithClientTrace(ctx, trace)
-	// The body cannot be rewound, so that net/http never sends it again.
-	body := io.NopCloser(bytes.NewReader(rq.Body))
-	out, err := http.NewRequestWithContext(ctx, rq.Method, "http://"+rq.Address+rq.Path, body)
-	if err != nil {
-		return nil, &Error{Address: rq.Address, Cause: err}
-	}
-	out.ContentLength = int64(len(rq.Body))
-	if rq.Header != nil {
-		out.Header = rq.Header
+// prune splits off the connections that have been idle for too long, which
+// stand first.
+func prune(kept []*connection, now time.Time) (left, expired []*connection) {
+	ix := 0
+	for ix < len(kept) && kept[ix].expired(now) {
+		ix++
 	}
-	rs, err := fw.client(rq.Address).Do(out)
-	if err != nil {
-		return nil, &Error{Sent: connected.Load(), Address: rq.Address, Cause: err}
+	if ix == 0 {
+		return kept, nil
 	}
-	return rs, nil
+	return append([]*connection(nil), kept[ix:]...), kept[:ix]
 }
