--- a/internal/conductor/steward.go
+++ b/internal/conductor/steward.go
@@ -39,7 +39,7 @@
 		term:      term,
 		planner:   planner.New(inf.settings),
 		plan:      heldPlan(inf),
-		sequencer: orderer.NewSequencer(cd.binding.Station, guard, cd.registry),
+		sequencer: orderer.NewSequencer(cd.binding.Station, guard, cd.sizeOf, cd.registry),
 	}
 	sw.orderer = orderer.New(cd.identity.ID, storer.NewMemory(),
 		orderer.WithCounters(cd.registry),
@@ -50,6 +50,25 @@
 	return sw
 }
 
+// sizeOf returns the memory that a model or adapter takes.
+func (cd *Conductor) sizeOf(name string) int64 {
+	st := cd.Settings()
+	if st == nil {
+		return 0
+	}
+	if md, ok := st.Model(name); ok {
+		return md.Memory()
+	}
+	if ad, ok := st.Adapter(name); ok {
+		return ad.Memory()
+	}
+	return unknownSize
+}
+
+// unknownSize is more than any server has: beside something of unknown size
+// nothing is loaded until it is gone.
+const unknownSize = 1 << 50
+
 // heldPlan is the plan that the servers fulfil already.
 func heldPlan(inf *inForce) *planner.Plan {
 	byServer := map[string][]string{}
--- a/internal/coordination/orderer/goal.go
+++ b/internal/coordination/orderer/goal.go
@@ -83,6 +83,9 @@
 	if ek, ok := st.EngineKind(bs.Kind()); ok {
 		gl.checksFencing = ek.ChecksFencing()
 		gl.bound = ek.LateOrderBound()
+		if !ek.TakesRoles() {
+			gl.role = ""
+		}
 	}
 	for _, name := range models {
 		if md, ok := st.Model(name); ok {
--- a/internal/coordination/orderer/sequencer.go
+++ b/internal/coordination/orderer/sequencer.go
@@ -43,15 +43,15 @@
 	// Busy says that an order is being carried out.
 	Busy bool
 	// Residents are the copies of models in memory.
-	Residents []accountant.Resident
-	// Adapters is the memory of each adapter that is there or on its way.
-	Adapters map[string]int64
+	Residents []accountant.Copy
+	// Adapters are the adapters that are there or on their way.
+	Adapters []string
 }
 
 // holds reports whether a copy of the model is ready.
 func (es EngineState) holds(model string) bool {
-	for _, rs := range es.Residents {
-		if rs.Model() == model {
+	for _, cp := range es.Residents {
+		if cp.Model() == model {
 			return true
 		}
 	}
@@ -76,12 +76,16 @@
 type Sequencer struct {
 	station  Station
 	leads    func() (fence int64, ok bool)
+	sizes    Sizes
 	registry *counter.Registry
 
 	mu      sync.Mutex
 	engines map[string]*sequence
 }
 
+// Sizes returns the memory that a model or an adapter takes, by its name.
+type Sizes func(name string) int64
+
 // sequence is what is known of the orders of one engine.
 type sequence struct {
 	mu       sync.Mutex
@@ -91,9 +95,10 @@
 }
 
 // NewSequencer returns a sequencer that sends orders with the fencing number of
-// leads, and none while that reports false.
-func NewSequencer(st Station, leads func() (fence int64, ok bool), rg *counter.Registry) *Sequencer {
-	return &Sequencer{station: st, leads: leads, registry: rg, engines: map[string]*sequence{}}
+// leads, and none while that reports false. The engines do not say how much
+// memory things take; sizes does.
+func NewSequencer(st Station, leads func() (fence int64, ok bool), sizes Sizes, rg *counter.Registry) *Sequencer {
+	return &Sequencer{station: st, leads: leads, sizes: sizes, registry: rg, engines: map[string]*sequence{}}
 }
 
 func (sq *Sequencer) sequence(server string) *sequence {
@@ -129,7 +134,7 @@
 			return Answer{}, err
 		}
 		if od.Action == ActionInspect {
-			return answerOf(st), nil
+			return sq.answer(st), nil
 		}
 	}
 	if od.Boot != "" && od.Boot != se.boot {
@@ -138,8 +143,16 @@
 	return sq.place(ctx, se, address, od)
 }
 
-func answerOf(st EngineState) Answer {
-	return Answer{Boot: st.Boot, Residents: st.Residents, Adapters: st.Adapters}
+// answer returns the state with the memory that everything takes.
+func (sq *Sequencer) answer(st EngineState) Answer {
+	as := Answer{Boot: st.Boot, Adapters: map[string]int64{}}
+	for _, cp := range st.Residents {
+		as.Residents = append(as.Residents, accountant.NewResident(cp, sq.sizes(cp.Model()), true))
+	}
+	for _, name := range st.Adapters {
+		as.Adapters[name] = sq.sizes(name)
+	}
+	return as
 }
 
 // look reads the engine's state, again while it lags behind what is known.
@@ -233,7 +246,7 @@
 		}
 		if st.Accepted >= accepted && !st.Busy && st.holds(od.Model) == wanted {
 			se.accepted, se.known = st.Accepted, true
-			return answerOf(st), nil
+			return sq.answer(st), nil
 		}
 	}
 }
--- a/internal/state/configurer/domain.go
+++ b/internal/state/configurer/domain.go
@@ -130,6 +130,7 @@
 	lateOrderBound time.Duration
 	resumes        bool
 	countsOrders   bool
+	takesRoles     bool
 	transfersCache bool
 }
 
@@ -144,6 +145,9 @@
 // refuses one that was sent for another count.
 func (ek *EngineKind) CountsOrders() bool { return ek.countsOrders }
 
+// TakesRoles reports whether the engine takes orders to change its role.
+func (ek *EngineKind) TakesRoles() bool { return ek.takesRoles }
+
 // Resumes reports whether a broken stream can be resumed from a token.
 func (ek *EngineKind) Resumes() bool { return ek.resumes }
 
--- a/internal/state/configurer/schema.go
+++ b/internal/state/configurer/schema.go
@@ -78,6 +78,7 @@
 		durationKey("late-order-bound", "0s", 0, 24*time.Hour, "longest time that an order can arrive late; 0s for none known", func(ek *EngineKind) *time.Duration { return &ek.lateOrderBound }),
 		boolKey("resumes", "no", "resumes a stream from a token", func(ek *EngineKind) *bool { return &ek.resumes }),
 		boolKey("counts-orders", "no", "counts the orders that it accepts and refuses one that was sent for another count", func(ek *EngineKind) *bool { return &ek.countsOrders }),
+		boolKey("takes-roles", "yes", "takes orders to change its role", func(ek *EngineKind) *bool { return &ek.takesRoles }),
 		boolKey("transfers-cache", "no", "exports and imports KV cache", func(ek *EngineKind) *bool { return &ek.transfersCache }),
 	)
 }
