Look at an engine again after an order that it refused or did not answer

Orders now carry the basis on which they were decided: what the orders sent do not explain makes a new basis, and an order on an older one is refused until the engine was looked at. An engine that is busy is not looked at. Models that appear outside the plan are adopted.

--- a/internal/conductor/steward.go
+++ b/internal/conductor/steward.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"slices"
 	"time"
 
 	"github.com/apex/log"
@@ -22,6 +23,7 @@
 	term      int64
 	planner   *planner.Planner
 	plan      *planner.Plan
+	held      *planner.Plan
 	orderer   *orderer.Orderer
 	sequencer *orderer.Sequencer
 	tokens    *orderer.RateTokens
@@ -39,8 +41,10 @@
 		term:      term,
 		planner:   planner.New(inf.settings),
 		plan:      heldPlan(inf),
+		held:      heldPlan(inf),
 		sequencer: orderer.NewSequencer(cd.binding.Station, guard, cd.sizeOf, cd.registry),
 	}
+	sw.sequencer.OnUnload(cd.adapters.Recheck)
 	sw.orderer = orderer.New(cd.identity.ID, storer.NewMemory(),
 		orderer.WithCounters(cd.registry),
 		orderer.WithEngines(sw.sequencer),
@@ -144,6 +148,7 @@
 		return
 	}
 	sw.nextPass = now.Add(inf.settings.Planning().Interval())
+	sw.adopt(inf)
 	staying := map[string]bool{}
 	for _, sv := range inf.servers {
 		staying[sv.ID] = !sv.Leaving
@@ -163,6 +168,40 @@
 	sw.plan = next
 }
 
+// adopt takes models into the plan that appeared on a server without it, as by
+// an order of an earlier leader, if the server has the memory.
+func (sw *steward) adopt(inf *inForce) {
+	held := heldPlan(inf)
+	byServer := map[string][]string{}
+	for _, sv := range inf.servers {
+		bs, ok := inf.settings.BackendServer(sv.ID)
+		if !ok {
+			continue
+		}
+		planned := sw.plan.Models(sv.ID)
+		byServer[sv.ID] = planned
+		for _, model := range held.Models(sv.ID) {
+			known := slices.Contains(planned, model) || slices.Contains(sw.held.Models(sv.ID), model)
+			if !known && memoryOf(inf.settings, planned)+memoryOf(inf.settings, []string{model}) <= bs.WeightMemory() {
+				planned = append(slices.Clone(planned), model)
+				byServer[sv.ID] = planned
+			}
+		}
+	}
+	sw.held = held
+	sw.plan = planner.NewPlan(byServer)
+}
+
+func memoryOf(st *configurer.Settings, models []string) int64 {
+	sum := int64(0)
+	for _, name := range models {
+		if md, ok := st.Model(name); ok {
+			sum += md.Memory()
+		}
+	}
+	return sum
+}
+
 func (sw *steward) goalsOf(inf *inForce) []*orderer.Goal {
 	if sw.goals == nil || sw.goals.Settings() != inf.settings {
 		sw.goals = orderer.NewGoals(inf.settings)
--- a/internal/coordination/adapterkeeper/owner.go
+++ b/internal/coordination/adapterkeeper/owner.go
@@ -24,6 +24,15 @@
 	maxSteps = 16
 )
 
+// Recheck has the adapters on a server looked at again before anything is said
+// of them: something else than its orders changed them.
+func (kp *Keeper) Recheck(name string) {
+	sv := kp.server(name)
+	sv.mu.Lock()
+	defer sv.mu.Unlock()
+	sv.table.inspected = false
+}
+
 // server is what the owner of a backend server keeps.
 type server struct {
 	mu      sync.Mutex
@@ -206,7 +215,7 @@
 		return kp.failed(sv, st, od, oe, now)
 	}
 	if st.action == inspect {
-		sv.table.observe(now, kp.now(), answer.Boot, answer.Adapters)
+		sv.table.observe(now, kp.now(), answer.Boot, answer.Basis, answer.Adapters)
 		return ""
 	}
 	sv.table.answered(kp.now(), st, answer.Boot)
@@ -232,7 +241,7 @@
 		Memory:  st.bytes,
 	}
 	if st.action != inspect {
-		od.Boot = sv.table.boot
+		od.Boot, od.Basis = sv.table.boot, sv.table.basis
 		od.Action = orderer.ActionLoadAdapter
 		sv.table.begin(now, st)
 	}
--- a/internal/coordination/adapterkeeper/table.go
+++ b/internal/coordination/adapterkeeper/table.go
@@ -96,6 +96,7 @@
 	boot      string
 	inspected bool
 	seen      time.Time
+	basis     int64
 	entries   map[string]*entry
 	attempts  []attempt
 }
@@ -318,7 +319,7 @@
 
 // observe takes in what the engine holds. Who uses what it finds is not known,
 // so that all of it is held for the time of a lease.
-func (tb *table) observe(asked, now time.Time, boot string, held map[string]int64) {
+func (tb *table) observe(asked, now time.Time, boot string, basis int64, held map[string]int64) {
 	if tb.rules.ChecksFencing {
 		tb.attempts = nil
 	}
@@ -338,5 +339,5 @@
 			en.state = loaded
 		}
 	}
-	tb.boot, tb.inspected, tb.seen = boot, true, asked
+	tb.boot, tb.basis, tb.inspected, tb.seen = boot, basis, true, asked
 }
--- a/internal/coordination/orderer/decide.go
+++ b/internal/coordination/orderer/decide.go
@@ -192,6 +192,7 @@
 		Boot:   at.Boot(),
 		Action: string(at.Action()),
 		Memory: at.Bytes(),
+		Basis:  kp.basis,
 	}
 	if at.Action() == accountant.SetRole {
 		od.Role = at.Model()
@@ -220,10 +221,11 @@
 	if oe.Outcome != Unknown || kp.forgetful {
 		kp.ledger.NotDone(at.Fence())
 	}
+	kp.inspected = kp.inspected && !kp.goal.countsOrders
 	switch oe.Code {
 	case CodeStaleFence:
 		kp.drop()
-	case CodeStaleBoot:
+	case CodeStaleBoot, CodeConflict:
 		kp.inspected = false
 	}
 	kp.fail(now, string(oe.Outcome), oe)
@@ -270,6 +272,7 @@
 	kp.ledger.Assume(kp.goal.roleBytes)
 	kp.ledger.Observe(as.Residents)
 	kp.adapters = as.Adapters
+	kp.basis = as.Basis
 	kp.inspected = true
 	kp.inspectedAt = now
 	kp.failures = 0
--- a/internal/coordination/orderer/engines.go
+++ b/internal/coordination/orderer/engines.go
@@ -55,6 +55,8 @@
 	Role string
 	// Memory is the bytes that the order takes.
 	Memory int64
+	// Basis is that of the answer by which the sender decided.
+	Basis int64
 }
 
 // Answer is what an engine says after it carried out an order.
@@ -65,6 +67,9 @@
 	Residents []accountant.Resident
 	// Adapters is the bytes of each adapter in memory.
 	Adapters map[string]int64
+	// Basis changes when the engine did something that its orders do not
+	// explain. An order on an older basis is refused.
+	Basis int64
 }
 
 // Outcome says what is known of an order without a good answer.
--- a/internal/coordination/orderer/goal.go
+++ b/internal/coordination/orderer/goal.go
@@ -29,6 +29,7 @@
 	adapterReserve int64
 	adapterBytes   int64
 	checksFencing  bool
+	countsOrders   bool
 	bound          time.Duration
 	role           string
 	roleBytes      int64
@@ -82,6 +83,7 @@
 	}
 	if ek, ok := st.EngineKind(bs.Kind()); ok {
 		gl.checksFencing = ek.ChecksFencing()
+		gl.countsOrders = ek.CountsOrders()
 		gl.bound = ek.LateOrderBound()
 		if !ek.TakesRoles() {
 			gl.role = ""
--- a/internal/coordination/orderer/keeper.go
+++ b/internal/coordination/orderer/keeper.go
@@ -58,6 +58,7 @@
 	inspected   bool
 	inspectedAt time.Time
 	adapters    map[string]int64
+	basis       int64
 
 	standing map[string]standing
 	permits  map[string]bool
--- a/internal/coordination/orderer/sequencer.go
+++ b/internal/coordination/orderer/sequencer.go
@@ -77,6 +77,7 @@
 	station  Station
 	leads    func() (fence int64, ok bool)
 	sizes    Sizes
+	unloaded func(server string)
 	registry *counter.Registry
 
 	mu      sync.Mutex
@@ -91,7 +92,8 @@
 	mu       sync.Mutex
 	boot     string
 	accepted int64
-	known    bool
+	// basis grows with everything that the orders sent do not explain.
+	basis int64
 }
 
 // NewSequencer returns a sequencer that sends orders with the fencing number of
@@ -112,6 +114,10 @@
 	return se
 }
 
+// OnUnload has fn called after a model was unloaded from a server: with it went
+// its adapters.
+func (sq *Sequencer) OnUnload(fn func(server string)) { sq.unloaded = fn }
+
 // Forget drops what is known of engines that are not named any more.
 func (sq *Sequencer) Forget(keep func(server string) bool) {
 	sq.mu.Lock()
@@ -128,24 +134,25 @@
 	se := sq.sequence(od.Server)
 	se.mu.Lock()
 	defer se.mu.Unlock()
-	if od.Action == ActionInspect || !se.known {
+	if od.Action == ActionInspect {
 		st, err := sq.look(ctx, se, od.Server, address)
 		if err != nil {
 			return Answer{}, err
 		}
-		if od.Action == ActionInspect {
-			return sq.answer(st), nil
-		}
+		return sq.answer(se, st), nil
 	}
 	if od.Boot != "" && od.Boot != se.boot {
 		return Answer{}, &OrderError{Outcome: Refused, Code: CodeStaleBoot, Cause: errors.New("engine started again")}
 	}
+	if od.Basis != se.basis {
+		return Answer{}, &OrderError{Outcome: Refused, Code: CodeConflict, Cause: errors.New("engine changed since it was looked at")}
+	}
 	return sq.place(ctx, se, address, od)
 }
 
 // answer returns the state with the memory that everything takes.
-func (sq *Sequencer) answer(st EngineState) Answer {
-	as := Answer{Boot: st.Boot, Adapters: map[string]int64{}}
+func (sq *Sequencer) answer(se *sequence, st EngineState) Answer {
+	as := Answer{Boot: st.Boot, Adapters: map[string]int64{}, Basis: se.basis}
 	for _, cp := range st.Residents {
 		as.Residents = append(as.Residents, accountant.NewResident(cp, sq.sizes(cp.Model()), true))
 	}
@@ -155,7 +162,8 @@
 	return as
 }
 
-// look reads the engine's state, again while it lags behind what is known.
+// look reads the engine's state, again while it lags behind what is known. What
+// an engine that carries out an order will hold does not show.
 func (sq *Sequencer) look(ctx context.Context, se *sequence, server, address string) (EngineState, error) {
 	until := time.Now().Add(reportLag)
 	for {
@@ -163,8 +171,11 @@
 		if err != nil {
 			return EngineState{}, &OrderError{Outcome: NotSent, Cause: err}
 		}
+		if st.Busy {
+			return EngineState{}, &OrderError{Outcome: NotSent, Cause: errors.New("engine carries out another order")}
+		}
 		if st.Boot != se.boot || st.Accepted >= se.accepted || time.Now().After(until) {
-			se.boot, se.accepted, se.known = st.Boot, st.Accepted, true
+			se.follow(st)
 			return st, nil
 		}
 		if !waiter.Sleep(ctx, lookInterval) {
@@ -173,6 +184,14 @@
 	}
 }
 
+// follow takes a state over, on a new basis if the orders do not explain it.
+func (se *sequence) follow(st EngineState) {
+	if st.Boot != se.boot || st.Accepted != se.accepted {
+		se.basis++
+	}
+	se.boot, se.accepted = st.Boot, st.Accepted
+}
+
 // place sends the order and waits for its end.
 func (sq *Sequencer) place(ctx context.Context, se *sequence, address string, od Order) (Answer, error) {
 	fence, ok := sq.leads()
@@ -183,15 +202,14 @@
 	underWay, err := sq.station.Place(ctx, address, od, se.accepted)
 	sq.note(od, se, underWay, err)
 	if err != nil {
-		se.known = false
+		// Whether the order counts shows only in the engine's state.
+		se.basis++
 		return Answer{}, err
 	}
-	if !underWay {
-		// Whether the engine counted an order that held already is not said.
-		se.known = false
-		return sq.finished(ctx, se, address, od)
+	// An order to load what is there already counts for nothing.
+	if underWay || od.Action != string(accountant.Load) && od.Action != ActionLoadAdapter {
+		se.accepted++
 	}
-	se.accepted++
 	return sq.finished(ctx, se, address, od)
 }
 
@@ -224,15 +242,14 @@
 	switch od.Action {
 	case ActionLoadAdapter:
 		waiter.Sleep(ctx, adapterTime)
-		return Answer{Boot: se.boot}, nil
+		return Answer{Boot: se.boot, Basis: se.basis}, nil
 	case ActionUnloadAdapter:
-		se.known = false
-		return Answer{Boot: se.boot}, nil
+		return Answer{Boot: se.boot, Basis: se.basis}, nil
 	}
 	wanted := od.Action == string(accountant.Load)
-	accepted := se.accepted
 	for {
 		if !waiter.Sleep(ctx, pollInterval) {
+			se.basis++
 			return Answer{}, &OrderError{Outcome: Unknown, Cause: ctx.Err()}
 		}
 		st, err := sq.station.State(ctx, od.Server, address)
@@ -241,12 +258,19 @@
 			continue
 		}
 		if st.Boot != se.boot {
-			se.boot, se.accepted, se.known = st.Boot, st.Accepted, true
+			se.follow(st)
 			return Answer{}, &OrderError{Outcome: Refused, Code: CodeStaleBoot, Cause: errors.New("engine started again")}
 		}
-		if st.Accepted >= accepted && !st.Busy && st.holds(od.Model) == wanted {
-			se.accepted, se.known = st.Accepted, true
-			return sq.answer(st), nil
+		if st.Accepted < se.accepted || st.Busy {
+			continue
+		}
+		se.follow(st)
+		if st.holds(od.Model) != wanted {
+			return Answer{}, &OrderError{Outcome: Refused, Code: CodeConflict, Cause: errors.New("engine did not carry the order out")}
+		}
+		if !wanted && sq.unloaded != nil {
+			sq.unloaded(od.Server)
 		}
+		return sq.answer(se, st), nil
 	}
 }
