--- a/cmd/lagoonpass-platform/main.go
+++ b/cmd/lagoonpass-platform/main.go
@@ -40,7 +40,7 @@
 		log.WithError(err).WithField("path", path).Error("settings can't be used")
 		return exitSettings
 	}
-	if err := launcher.New(st).Run(); err != nil {
+	if err := launcher.New(path, st).Run(); err != nil {
 		log.WithError(err).Error("node failed")
 		return exitFailed
 	}
--- a/internal/conductor/conductor.go
+++ b/internal/conductor/conductor.go
@@ -32,6 +32,7 @@
 	"github.com/lagoonpass/lagoonpass/internal/coordination/publisher"
 	"github.com/lagoonpass/lagoonpass/internal/coordination/registrar"
 	"github.com/lagoonpass/lagoonpass/internal/coordination/retrier"
+	"github.com/lagoonpass/lagoonpass/internal/coordination/router"
 	"github.com/lagoonpass/lagoonpass/internal/coordination/tracker"
 	"github.com/lagoonpass/lagoonpass/internal/coordination/watcher"
 	"github.com/lagoonpass/lagoonpass/internal/counter"
@@ -124,7 +125,7 @@
 		binding:   bd,
 		holder:    publisher.NewHolder(),
 		pool:      messenger.NewPool(),
-		exchange:  watcher.NewExchange(id.ID),
+		exchange:  watcher.NewExchange(id.ID, watcher.WithByteBudget(exchangeBytes)),
 		forwarder: forwarder.New(),
 		budget:    retrier.NewShared(id.Retries, time.Now()),
 		demands:   newDemands(),
@@ -138,9 +139,10 @@
 		registrar.WithReady(cd.Ready), registrar.WithHandover(id.LeadershipGap), registrar.WithRegistry(cd.registry))
 	cd.watcher = watcher.New(watcher.WithExchange(cd.exchange), watcher.WithRegistry(cd.registry))
 	cd.ejector = ejector.New(ejector.WithReplicas(cd.replicas), ejector.WithRegistry(cd.registry))
-	cd.admitter = admitter.New(cd.watcher, cd.ejector, rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64())),
+	random := rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64()))
+	cd.admitter = admitter.New(cd.watcher, cd.ejector, random,
 		admitter.WithNodes(cd.nodes), admitter.WithCounters(cd.registry),
-		admitter.WithScheduler(admitter.WithLocation(id.ID, id.Zone, id.Region)))
+		admitter.WithScheduler(admitter.WithLocation(id.ID, id.Zone, id.Region), admitter.WithPolicy(router.NewQuickest(random))))
 	cd.adapters = adapterkeeper.New(cd, cd.Settings, cd.leaderView, cd.pool,
 		adapterkeeper.WithEngines(cd), adapterkeeper.WithTokens(cd),
 		adapterkeeper.WithReported(cd.reportsAdapter), adapterkeeper.WithRegistry(cd.registry))
@@ -164,6 +166,9 @@
 // Connections returns the number of connections opened to backend servers.
 func (cd *Conductor) Connections() int64 { return cd.forwarder.Opened() }
 
+// SetRetries sets what all nodes together may repeat.
+func (cd *Conductor) SetRetries(bound retrier.Bound) { cd.budget.SetBound(bound) }
+
 // Leave tells the peers that the node takes no new callers, and gives up what
 // only one node may do. Requests are still served.
 func (cd *Conductor) Leave(ctx context.Context) {
--- a/internal/conductor/peers.go
+++ b/internal/conductor/peers.go
@@ -18,6 +18,9 @@
 const (
 	// exchangeInterval is the time between two rounds of telling loads.
 	exchangeInterval = 100 * time.Millisecond
+	// exchangeBytes bounds what one node tells of loads a second: the links
+	// of the smallest machines carry a hundred times as much.
+	exchangeBytes = 20_000
 	// demandInterval is the time between two reports of demand to the leader.
 	demandInterval = 500 * time.Millisecond
 	// demandGrace is how long a node's last report counts.
--- a/internal/coordination/admitter/admitter.go
+++ b/internal/coordination/admitter/admitter.go
@@ -33,6 +33,7 @@
 	"github.com/go-faster/errors"
 
 	"github.com/lagoonpass/lagoonpass/internal/checker"
+	"github.com/lagoonpass/lagoonpass/internal/coordination/router"
 	"github.com/lagoonpass/lagoonpass/internal/coordination/watcher"
 	"github.com/lagoonpass/lagoonpass/internal/counter"
 	"github.com/lagoonpass/lagoonpass/internal/state/configurer"
@@ -151,7 +152,7 @@
 
 // Outstanding returns the requests of this node on each server that it uses,
 // for the exchange of load.
-func (ad *Admitter) Outstanding() map[string]int {
+func (ad *Admitter) Outstanding() map[string]router.Use {
 	ad.mu.Lock()
 	defer ad.mu.Unlock()
 	return ad.scheduler.Outstanding(ad.now())
--- a/internal/coordination/admitter/demand.go
+++ b/internal/coordination/admitter/demand.go
@@ -9,6 +9,8 @@
 	// refused sums up how long the requests that were refused for lack of room
 	// would have run since the last reading.
 	refused time.Duration
+	// arrived sums up the reading that requests asked for since then.
+	arrived time.Duration
 	// read is the time of the last reading.
 	read time.Time
 }
@@ -45,10 +47,13 @@
 func (sc *Scheduler) Demand(now time.Time) map[string]float64 {
 	all := map[string]float64{}
 	for model, ms := range sc.services {
+		elapsed, arrived := now.Sub(ms.demand.read), ms.demand.arrived
+		ms.demand.arrived = 0
 		sum := ms.demand.take(now)
 		if mq, ok := sc.queues[model]; ok {
 			sum += float64(mq.waiting())
 		}
+		sum = max(sum, sc.readingDemand(model, arrived, elapsed))
 		if sum > 0 {
 			all[model] = sum
 		}
--- a/internal/coordination/admitter/entry.go
+++ b/internal/coordination/admitter/entry.go
@@ -39,6 +39,12 @@
 	late        bool
 	heapIndex   int
 	grant       Grant
+	// unread is the tokens of the prompt that the target has to read, backlog
+	// what it had to read before, and reading the time for the own ones. The
+	// latter is zero once they are read.
+	unread  int
+	backlog time.Duration
+	reading time.Duration
 }
 
 // Ticket returns the ticket.
--- a/internal/coordination/admitter/grant.go
+++ b/internal/coordination/admitter/grant.go
@@ -60,6 +60,16 @@
 	return gr.entry.prefill.Name, gr.entry.prefill.Address, true
 }
 
+// Begun says that the first token came: the prompt has been read.
+func (gr *Grant) Begun() {
+	if gr.entry == nil {
+		return
+	}
+	gr.admitter.mu.Lock()
+	defer gr.admitter.mu.Unlock()
+	gr.admitter.scheduler.Begun(gr.admitter.now(), gr.entry)
+}
+
 // PrefillDone says that the prefill server has read the prompt. It may be
 // called at most once, before Done, and may be left out.
 func (gr *Grant) PrefillDone() {
--- a/internal/coordination/admitter/options.go
+++ b/internal/coordination/admitter/options.go
@@ -2,7 +2,9 @@
 
 import (
 	"math/rand/v2"
+	"time"
 
+	"github.com/lagoonpass/lagoonpass/internal/coordination/estimator"
 	"github.com/lagoonpass/lagoonpass/internal/coordination/router"
 )
 
@@ -44,7 +46,9 @@
 		table:    router.NewTable(nil, 1),
 		onGrant:  func(*Entry) {},
 		roles:    map[string]bool{},
+		engines:  estimator.New(),
 	}
+	sc.reading = func(tokens int) time.Duration { return sc.engines.Reading(sc.request.Model, tokens) }
 	for _, opt := range opts {
 		opt(sc)
 	}
--- /dev/null
+++ b/internal/coordination/admitter/reading.go
@@ -0,0 +1,91 @@
+package admitter
+
+import (
+	"time"
+
+	"github.com/lagoonpass/lagoonpass/internal/coordination/router"
+)
+
+const (
+	// backlogDivisor is the part of a first-token target that the prompts
+	// before a request may take to be read.
+	backlogDivisor = 2
+	// leastBacklog is a backlog that never keeps a request from a server: the
+	// reading of one long prompt.
+	leastBacklog = 100 * time.Millisecond
+	// readingShare is the part of its time that a server should read prompts
+	// for: beyond it the requests that run get their tokens too slowly.
+	readingShare = 0.4
+)
+
+// readsInTime reports whether the target gets to a request's prompt soon enough
+// for the request's target. What waits in the node instead can still go to
+// another server.
+func (sc *Scheduler) readsInTime(en *Entry, tg *router.Target) bool {
+	if en.ticket.PromptTokens == 0 {
+		return true
+	}
+	limit := max(en.ticket.Class.FirstToken()/backlogDivisor, leastBacklog)
+	return tg.Load.Backlog() <= limit
+}
+
+// expect counts the prompt of a granted request as still to be read.
+func (sc *Scheduler) expect(en *Entry, tg *router.Target) {
+	if en.ticket.PromptTokens == 0 {
+		return
+	}
+	sc.fill(en.ticket, nil)
+	en.unread = sc.request.Unread(tg)
+	en.backlog = tg.Load.Backlog()
+	en.reading = sc.engines.Reading(en.ticket.Model.Name(), en.unread)
+	tg.Load.Expect(en.reading)
+}
+
+// readPrompt counts the prompt as read.
+func (sc *Scheduler) readPrompt(en *Entry) {
+	en.target.Load.Read(en.reading)
+	en.reading = 0
+}
+
+// Begun notes that the first token of a granted request came, and grants what
+// has become possible by it.
+func (sc *Scheduler) Begun(now time.Time, en *Entry) {
+	if en.stage != stageGranted || en.reading == 0 {
+		return
+	}
+	sc.readPrompt(en)
+	if tg, ok := sc.table.Target(en.target.Name); ok {
+		sc.pump(now, tg)
+	}
+}
+
+// noteArrival counts what a request asks of the servers, whether it gets it or
+// not.
+func (sc *Scheduler) noteArrival(en *Entry) {
+	tk := en.ticket
+	if tk.PromptTokens == 0 || tk.Resumed {
+		return
+	}
+	ms := sc.service(tk.Model.Name())
+	ms.demand.arrived += sc.engines.Reading(tk.Model.Name(), sc.ownTokens(tk))
+}
+
+// ownTokens returns the tokens of a prompt that no server holds from other
+// requests: those of its last part.
+func (*Scheduler) ownTokens(tk *Ticket) int {
+	if count := len(tk.PrefixTokens); count > 1 {
+		return max(tk.PromptTokens-tk.PrefixTokens[count-2], 0)
+	}
+	return tk.PromptTokens
+}
+
+// readingDemand returns the requests at once that stand for the reading that a
+// model asks for: as many as fill the servers that it takes.
+func (sc *Scheduler) readingDemand(model string, arrived, elapsed time.Duration) float64 {
+	candidates := sc.table.Candidates(model)
+	if arrived == 0 || elapsed <= 0 || len(candidates) == 0 {
+		return 0
+	}
+	servers := arrived.Seconds() / elapsed.Seconds() / readingShare
+	return servers * float64(candidates[0].Slots)
+}
--- a/internal/coordination/admitter/scheduler.go
+++ b/internal/coordination/admitter/scheduler.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"github.com/lagoonpass/lagoonpass/internal/checker"
+	"github.com/lagoonpass/lagoonpass/internal/coordination/estimator"
 	"github.com/lagoonpass/lagoonpass/internal/coordination/router"
 	"github.com/lagoonpass/lagoonpass/internal/state/configurer"
 	"github.com/lagoonpass/lagoonpass/pkg/refuser"
@@ -46,6 +47,8 @@
 	bytes    int64
 	inFlight int
 	nextSeq  uint64
+	engines  *estimator.Estimator
+	reading  func(tokens int) time.Duration
 	onGrant  func(*Entry)
 	roles    map[string]bool
 	request  router.Request
@@ -66,11 +69,11 @@
 
 // Outstanding returns the requests of this node on each server that it uses or
 // used lately.
-func (sc *Scheduler) Outstanding(now time.Time) map[string]int {
-	all := map[string]int{}
+func (sc *Scheduler) Outstanding(now time.Time) map[string]router.Use {
+	all := map[string]router.Use{}
 	for _, tg := range sc.table.Targets() {
 		if tg.Load.Used(now) {
-			all[tg.Name] = tg.Load.Own()
+			all[tg.Name] = tg.Load.Use()
 		}
 	}
 	return all
@@ -84,6 +87,7 @@
 		return nil, rf
 	}
 	en := sc.newEntry(now, tk)
+	sc.noteArrival(en)
 	if tg := sc.choose(now, en, candidates); tg != nil {
 		cs := sc.classes[en.class]
 		cs.charge(cs.account(tk.Caller.Name()), en.cost)
@@ -163,6 +167,8 @@
 	sc.request.Zone = sc.zone
 	sc.request.Region = sc.region
 	sc.request.Prefixes = tk.Prefixes
+	sc.request.PromptTokens, sc.request.PrefixTokens = tk.PromptTokens, tk.PrefixTokens
+	sc.request.Reading = sc.reading
 	sc.request.Avoid = sc.avoid(tk, candidates)
 	sc.request.Adapter = ""
 	if tk.Adapter != nil {
@@ -225,6 +231,7 @@
 	en.stage = stageGranted
 	en.target = tg
 	tg.Load.Dispatched(now)
+	sc.expect(en, tg)
 	sc.server(tg.Name).add(now, en.class, 1)
 	sc.credit(tg, en)
 	sc.inFlight++
@@ -267,6 +274,7 @@
 	sc.inFlight--
 	sc.service(en.ticket.Model.Name()).demand.running--
 	en.target.Load.Finished(now)
+	sc.readPrompt(en)
 	sc.server(en.target.Name).add(now, en.class, -1)
 	sc.learn(en, rs)
 	if tg, ok := sc.table.Target(en.target.Name); ok {
@@ -281,6 +289,9 @@
 	}
 	ms := sc.service(en.ticket.Model.Name())
 	ms.whole.add(rs.Duration)
+	if rs.FirstToken > 0 {
+		sc.engines.Learn(en.ticket.Model.Name(), en.unread, en.backlog, rs.FirstToken)
+	}
 	if rs.FirstToken > 0 {
 		ms.firstToken.add(rs.FirstToken)
 	}
--- a/internal/coordination/admitter/tables.go
+++ b/internal/coordination/admitter/tables.go
@@ -37,7 +37,11 @@
 	switch {
 	case rp.Digested:
 		ld.Digest(rp.Others, rp.Users, rp.Taken)
-	case !rp.Unmeasured:
+		ld.OthersExpect(rp.Backlog)
+	case rp.Unmeasured:
+		// Without word of the others nothing is known of their prompts.
+		ld.OthersExpect(0)
+	default:
 		ld.Report(rp.Running+rp.Waiting, taken(rp, now))
 	}
 	tg := &router.Target{
--- a/internal/coordination/admitter/ticket.go
+++ b/internal/coordination/admitter/ticket.go
@@ -27,6 +27,9 @@
 	// Prefixes are the hashes of the prompt's leading blocks, the shortest
 	// prefix first.
 	Prefixes []uint64
+	// PrefixTokens are the lengths of these prefixes in tokens, or nil if they
+	// are not known.
+	PrefixTokens []int
 	// Deadline is when the answer becomes worthless.
 	Deadline time.Time
 	// Avoid names servers on which this request has already failed.
--- a/internal/coordination/dispatcher/answer.go
+++ b/internal/coordination/dispatcher/answer.go
@@ -86,6 +86,7 @@
 // exchange is one sending and its answer.
 type exchange struct {
 	*passing
+	grant    *admitter.Grant
 	server   string
 	address  string
 	sent     time.Time
@@ -234,6 +235,7 @@
 	}
 	if ex.result.Tokens == 0 {
 		ex.result.FirstToken = time.Since(ex.sent)
+		ex.grant.Begun()
 	}
 	ex.result.Tokens++
 	ex.writer.open(ex.Wire, rs, -1)
--- a/internal/coordination/dispatcher/passage.go
+++ b/internal/coordination/dispatcher/passage.go
@@ -186,7 +186,7 @@
 	}
 	ctx, cancel := context.WithCancelCause(ctx)
 	defer cancel(nil)
-	ex := &exchange{passing: pg, server: gr.Server(), address: gr.Address(), sent: time.Now(), cancel: cancel}
+	ex := &exchange{passing: pg, grant: gr, server: gr.Server(), address: gr.Address(), sent: time.Now(), cancel: cancel}
 	if bound, ok := pg.patience(); ok {
 		ex.watchdog = time.AfterFunc(bound, func() { cancel(errSilent) })
 		defer ex.watchdog.Stop()
--- a/internal/coordination/planner/planner.go
+++ b/internal/coordination/planner/planner.go
@@ -76,7 +76,7 @@
 func New(st *configurer.Settings) *Planner {
 	pn := st.Planning()
 	return &Planner{
-		demand:   newSmoother(),
+		demand:   newSmoother(pn),
 		budget:   moveBudget{perHour: pn.MovesPerHour()},
 		patience: patienceOf(pn),
 	}
--- a/internal/coordination/planner/smoother.go
+++ b/internal/coordination/planner/smoother.go
@@ -3,26 +3,27 @@
 import (
 	"math"
 	"time"
+
+	"github.com/lagoonpass/lagoonpass/internal/state/configurer"
 )
 
 const (
-	// smoothTime is the time constant with which demand is followed.
-	smoothTime = 8 * time.Second
-	// meanTime is the time constant of the long-term mean.
-	meanTime = time.Hour
 	// maxPatience bounds the passes that have to agree before a move.
 	maxPatience = 6
 )
 
 // smoother follows demand through its noise, and its long-term mean.
 type smoother struct {
-	last  time.Time
-	value Demand
-	mean  Demand
+	// follows and remembers are the time constants of value and mean.
+	follows   time.Duration
+	remembers time.Duration
+	last      time.Time
+	value     Demand
+	mean      Demand
 }
 
-func newSmoother() smoother {
-	return smoother{value: Demand{}, mean: Demand{}}
+func newSmoother(pn *configurer.Planning) smoother {
+	return smoother{follows: pn.Smoothing(), remembers: pn.Memory(), value: Demand{}, mean: Demand{}}
 }
 
 // observe takes in the demand seen since the last call.
@@ -45,8 +46,8 @@
 		sm.mean[model] = value
 		return
 	}
-	sm.value[model] = blend(sm.value[model], value, elapsed, smoothTime)
-	sm.mean[model] = blend(sm.mean[model], value, elapsed, meanTime)
+	sm.value[model] = blend(sm.value[model], value, elapsed, sm.follows)
+	sm.mean[model] = blend(sm.mean[model], value, elapsed, sm.remembers)
 }
 
 // blend moves old towards value with a time constant.
--- a/internal/coordination/retrier/shared.go
+++ b/internal/coordination/retrier/shared.go
@@ -54,6 +54,13 @@
 	sh.nodes = max(nodes, 1)
 }
 
+// SetBound sets what all nodes together may repeat. The window stays.
+func (sh *Shared) SetBound(bound Bound) {
+	sh.mu.Lock()
+	defer sh.mu.Unlock()
+	sh.bound.Ratio, sh.bound.Slack = bound.Ratio, bound.Slack
+}
+
 // Arrived counts a request for the key, which names what is protected.
 func (sh *Shared) Arrived(key string, now time.Time) {
 	sh.mu.Lock()
--- a/internal/coordination/router/load.go
+++ b/internal/coordination/router/load.go
@@ -30,17 +30,21 @@
 // twice: from a report, the requests that were this node's own at the time
 // when it was taken are subtracted.
 type Load struct {
-	own      int
-	journal  [journalLength]change
-	next     int
-	reported int
-	others   int
-	users    int
-	asOf     time.Time
-	slow     float64
-	fast     float64
-	ratedAt  time.Time
-	usedAt   time.Time
+	own int
+	// backlog is the time in which the prompts of the own requests are read,
+	// and othersBacklog that of the other nodes'.
+	backlog       time.Duration
+	othersBacklog time.Duration
+	journal       [journalLength]change
+	next          int
+	reported      int
+	others        int
+	users         int
+	asOf          time.Time
+	slow          float64
+	fast          float64
+	ratedAt       time.Time
+	usedAt        time.Time
 }
 
 // Own returns the requests that this node has on the server.
@@ -66,6 +70,21 @@
 // AsOf returns the time for which the number of the others' requests held.
 func (ld *Load) AsOf() time.Time { return ld.asOf }
 
+// Backlog returns the time in which the prompts sent so far will be read.
+func (ld *Load) Backlog() time.Duration { return ld.backlog + ld.othersBacklog }
+
+// Use returns what this node has on the server.
+func (ld *Load) Use() Use { return Use{Requests: ld.own, Backlog: ld.backlog} }
+
+// Expect counts a prompt of this node as still to be read.
+func (ld *Load) Expect(reading time.Duration) { ld.backlog += reading }
+
+// Read counts a prompt of this node as read.
+func (ld *Load) Read(reading time.Duration) { ld.backlog = max(ld.backlog-reading, 0) }
+
+// OthersExpect takes in the backlog of the other nodes.
+func (ld *Load) OthersExpect(backlog time.Duration) { ld.othersBacklog = backlog }
+
 // Dispatched counts a request as sent to the server.
 func (ld *Load) Dispatched(now time.Time) {
 	ld.own++
--- a/internal/coordination/router/router.go
+++ b/internal/coordination/router/router.go
@@ -82,6 +82,13 @@
 	// Prefixes are the hashes of the prompt's leading blocks, the shortest
 	// prefix first.
 	Prefixes []uint64
+	// PromptTokens is the length of the prompt, and PrefixTokens that up to
+	// the end of each of the leading blocks.
+	PromptTokens int
+	PrefixTokens []int
+	// Reading returns the time in which an engine reads so many tokens of the
+	// prompt; nil means that there is nothing to be read.
+	Reading func(tokens int) time.Duration
 	// Avoid names servers on which the request has already failed.
 	Avoid []string
 	// Eligible reports whether a target can take a request now; nil means
--- a/internal/coordination/watcher/exchange.go
+++ b/internal/coordination/watcher/exchange.go
@@ -7,6 +7,7 @@
 	"sync"
 	"time"
 
+	"github.com/lagoonpass/lagoonpass/internal/coordination/router"
 	"github.com/lagoonpass/lagoonpass/internal/protocol/messenger"
 )
 
@@ -45,8 +46,8 @@
 
 // use is what one node told of one server.
 type use struct {
-	outstanding int
-	at          time.Time
+	router.Use
+	at time.Time
 }
 
 // state is what an owner told of one server.
@@ -75,11 +76,19 @@
 	leaving func(server string) bool
 	// next is when the budget lets the next round begin.
 	next time.Time
+	// budget bounds the bytes of calls a second.
+	budget float64
 }
 
+// ExchangeOption changes an Exchange that is being made.
+type ExchangeOption func(*Exchange)
+
+// WithByteBudget sets how many bytes a second the calls of one node take.
+func WithByteBudget(budget float64) ExchangeOption { return func(ex *Exchange) { ex.budget = budget } }
+
 // NewExchange returns the exchange of the node of that id.
-func NewExchange(node string) *Exchange {
-	return &Exchange{
+func NewExchange(node string, opts ...ExchangeOption) *Exchange {
+	ex := &Exchange{
 		node:    node,
 		trusted: viewTrusted,
 		silence: ownerSilence,
@@ -87,7 +96,12 @@
 		views:   map[string]state{},
 		asked:   map[string]time.Time{},
 		leaving: func(string) bool { return false },
+		budget:  budgetBytes,
+	}
+	for _, opt := range opts {
+		opt(ex)
 	}
+	return ex
 }
 
 // Answer takes in what a peer uses and returns the load of these servers.
@@ -106,7 +120,7 @@
 	if ex.uses[lu.Server] == nil {
 		ex.uses[lu.Server] = map[string]use{}
 	}
-	ex.uses[lu.Server][node] = use{outstanding: lu.Outstanding, at: now}
+	ex.uses[lu.Server][node] = use{router.Use{Requests: lu.Outstanding, Backlog: lu.Backlog}, now}
 }
 
 // sum adds up the other nodes' requests and forgets nodes that fell silent.
@@ -120,7 +134,8 @@
 		if id == node {
 			continue
 		}
-		ls.Others += us.outstanding
+		ls.Others += us.Requests
+		ls.Backlog += us.Backlog
 		ls.Users++
 		ls.Age = max(ls.Age, now.Sub(us.at))
 	}
@@ -130,7 +145,7 @@
 // Round tells each owner what this node uses of its servers and takes in the
 // answers, as often as the budget allows. It is called by one goroutine. An owner that can't be reached is left out: its servers fall back on
 // their own reports.
-func (ex *Exchange) Round(ctx context.Context, now func() time.Time, outstanding map[string]int, owner Owner, caller Caller) {
+func (ex *Exchange) Round(ctx context.Context, now func() time.Time, outstanding map[string]router.Use, owner Owner, caller Caller) {
 	if now().Before(ex.next) {
 		return
 	}
@@ -138,7 +153,7 @@
 	defer cancel()
 	ex.ask(now(), outstanding)
 	digests := ex.digests(now(), outstanding, owner)
-	interval := roundInterval(digests)
+	interval := ex.roundInterval(digests)
 	ex.next = now().Add(interval)
 	ex.trust(max(viewTrusted, trustedRounds*interval), max(ownerSilence, trustedRounds*interval))
 	var wg sync.WaitGroup
@@ -155,7 +170,7 @@
 }
 
 // ask notes since when servers have been in use.
-func (ex *Exchange) ask(now time.Time, outstanding map[string]int) {
+func (ex *Exchange) ask(now time.Time, outstanding map[string]router.Use) {
 	ex.mu.Lock()
 	defer ex.mu.Unlock()
 	for server := range outstanding {
@@ -202,19 +217,20 @@
 }
 
 // roundInterval is how long the budget takes to pay for the calls.
-func roundInterval(digests map[string]*messenger.LoadDigest) time.Duration {
+func (ex *Exchange) roundInterval(digests map[string]*messenger.LoadDigest) time.Duration {
 	sum := 0.0
 	for _, digest := range digests {
 		sum += ownerBytes + serverBytes*float64(len(digest.Uses))
 	}
-	return time.Duration(sum / budgetBytes * float64(time.Second))
+	return time.Duration(sum / ex.budget * float64(time.Second))
 }
 
 // digests groups the uses by owner and answers those of this node itself.
-func (ex *Exchange) digests(now time.Time, outstanding map[string]int, owner Owner) map[string]*messenger.LoadDigest {
+func (ex *Exchange) digests(now time.Time, outstanding map[string]router.Use, owner Owner) map[string]*messenger.LoadDigest {
 	calls := map[string]*messenger.LoadDigest{}
 	own := &messenger.LoadDigest{Node: ex.node}
 	for _, server := range slices.Sorted(maps.Keys(outstanding)) {
+		us := outstanding[server]
 		address, self, ok := owner(server)
 		if !ok {
 			continue
@@ -226,7 +242,7 @@
 			}
 			digest = calls[address]
 		}
-		digest.Uses = append(digest.Uses, messenger.LoadUse{Server: server, Outstanding: outstanding[server]})
+		digest.Uses = append(digest.Uses, messenger.LoadUse{Server: server, Outstanding: us.Requests, Backlog: us.Backlog})
 	}
 	ex.take(now, own, ex.Answer(now, own))
 	return calls
@@ -255,7 +271,7 @@
 		return rp
 	}
 	rp.Digested = true
-	rp.Others, rp.Users = st.Others, st.Users
+	rp.Others, rp.Users, rp.Backlog = st.Others, st.Users, st.Backlog
 	rp.Leaving = rp.Leaving || st.Leaving
 	rp.Taken = st.at.Add(-st.Age)
 	return rp
--- a/internal/coordination/watcher/exchange_test.go
+++ b/internal/coordination/watcher/exchange_test.go
@@ -12,6 +12,7 @@
 	"github.com/stretchr/testify/require"
 	"github.com/vmihailenco/msgpack/v5"
 
+	"github.com/lagoonpass/lagoonpass/internal/coordination/router"
 	"github.com/lagoonpass/lagoonpass/internal/protocol/messenger"
 )
 
@@ -39,9 +40,9 @@
 	ownedBy1 := func(self bool) Owner {
 		return func(string) (string, bool, bool) { return "a1", self, true }
 	}
-	one.Round(t.Context(), clock, map[string]int{"w1": 3}, ownedBy1(true), caller)
-	two.Round(t.Context(), clock, map[string]int{"w1": 5}, ownedBy1(false), caller)
-	one.Round(t.Context(), clock, map[string]int{"w1": 3}, ownedBy1(true), caller)
+	one.Round(t.Context(), clock, map[string]router.Use{"w1": {Requests: 3}}, ownedBy1(true), caller)
+	two.Round(t.Context(), clock, map[string]router.Use{"w1": {Requests: 5}}, ownedBy1(false), caller)
+	one.Round(t.Context(), clock, map[string]router.Use{"w1": {Requests: 3}}, ownedBy1(true), caller)
 	rp := two.apply(Report{Server: "w1", Running: 40}, now)
 	require.True(t, rp.Digested)
 	require.Equal(t, 3, rp.Others)
@@ -49,15 +50,15 @@
 	require.Equal(t, 5, one.apply(Report{Server: "w1"}, now).Others)
 
 	sent := caller.calls
-	two.Round(t.Context(), clock, map[string]int{"w1": 6}, ownedBy1(false), caller)
+	two.Round(t.Context(), clock, map[string]router.Use{"w1": {Requests: 6}}, ownedBy1(false), caller)
 	require.Equal(t, sent, caller.calls, "the budget lets no second round begin at once")
 	delete(caller.peers, "a1")
 	now = now.Add(viewTrusted + time.Millisecond)
-	two.Round(t.Context(), clock, map[string]int{"w1": 5}, ownedBy1(false), caller)
+	two.Round(t.Context(), clock, map[string]router.Use{"w1": {Requests: 5}}, ownedBy1(false), caller)
 	require.False(t, two.apply(Report{Server: "w1"}, now).Digested, "an unreachable owner's word gets old")
 
 	now = now.Add(useForgotten)
-	one.Round(t.Context(), clock, map[string]int{"w1": 3}, ownedBy1(true), caller)
+	one.Round(t.Context(), clock, map[string]router.Use{"w1": {Requests: 3}}, ownedBy1(true), caller)
 	require.Zero(t, one.apply(Report{Server: "w1"}, now).Others, "a silent node is forgotten")
 }
 
--- a/internal/coordination/watcher/watcher.go
+++ b/internal/coordination/watcher/watcher.go
@@ -60,6 +60,8 @@
 	Others int
 	// Users counts the nodes that use the server, this one included.
 	Users int
+	// Backlog is the time in which the prompts of other nodes will be read.
+	Backlog time.Duration
 	// Unmeasured says that the report came from the server's owner by way of
 	// other nodes and tells nothing of load.
 	Unmeasured bool
--- a/internal/protocol/messenger/load.go
+++ b/internal/protocol/messenger/load.go
@@ -12,10 +12,12 @@
 	Server string
 	// Outstanding counts the node's requests there.
 	Outstanding int
+	// Backlog is the time in which their prompts will be read.
+	Backlog time.Duration
 }
 
 func (lu *LoadUse) encode(en *msgpack.Encoder) error {
-	return EncodeAll(en, lu.Server, lu.Outstanding)
+	return EncodeAll(en, lu.Server, lu.Outstanding, lu.Backlog.Milliseconds())
 }
 
 // LoadDigest tells the owner of backend servers what the sender uses of them,
@@ -46,7 +48,9 @@
 	}
 	ld.Uses, err = DecodeList(de, func(de *msgpack.Decoder) (LoadUse, error) {
 		var lu LoadUse
-		err := DecodeAll(de, &lu.Server, &lu.Outstanding)
+		var millis int64
+		err := DecodeAll(de, &lu.Server, &lu.Outstanding, &millis)
+		lu.Backlog = time.Duration(millis) * time.Millisecond
 		return lu, err
 	})
 	return err
@@ -58,6 +62,8 @@
 	Others int
 	// Users counts the nodes that use the server, the asking one included.
 	Users int
+	// Backlog is the time in which the others' prompts will be read.
+	Backlog time.Duration
 	// Leaving says that the server takes no new work.
 	Leaving bool
 	// Age is how old the knowledge is.
@@ -76,7 +82,7 @@
 // Encode implements Message.
 func (lv *LoadView) Encode(en *msgpack.Encoder) error {
 	return EncodeList(en, lv.States, func(en *msgpack.Encoder, ls LoadState) error {
-		return EncodeAll(en, ls.Others, ls.Users, ls.Leaving, ls.Age.Milliseconds())
+		return EncodeAll(en, ls.Others, ls.Users, ls.Leaving, ls.Age.Milliseconds(), ls.Backlog.Milliseconds())
 	})
 }
 
@@ -84,9 +90,10 @@
 func (lv *LoadView) Decode(de *msgpack.Decoder) (err error) {
 	lv.States, err = DecodeList(de, func(de *msgpack.Decoder) (LoadState, error) {
 		var ls LoadState
-		var millis int64
-		err := DecodeAll(de, &ls.Others, &ls.Users, &ls.Leaving, &millis)
-		ls.Age = time.Duration(millis) * time.Millisecond
+		var age, backlog int64
+		err := DecodeAll(de, &ls.Others, &ls.Users, &ls.Leaving, &age, &backlog)
+		ls.Age = time.Duration(age) * time.Millisecond
+		ls.Backlog = time.Duration(backlog) * time.Millisecond
 		return ls, err
 	})
 	return err
--- a/internal/state/configurer/domain.go
+++ b/internal/state/configurer/domain.go
@@ -399,6 +399,8 @@
 	attainmentWeight float64
 	interval         time.Duration
 	movesPerHour     int
+	smoothing        time.Duration
+	memory           time.Duration
 }
 
 // MoveWeight returns the cost of one model move.
@@ -410,5 +412,11 @@
 // Interval returns the time between two planning passes.
 func (pl *Planning) Interval() time.Duration { return pl.interval }
 
+// Smoothing returns the time over which demand is smoothed.
+func (pl *Planning) Smoothing() time.Duration { return pl.smoothing }
+
+// Memory returns the time over which a model's mean demand is remembered.
+func (pl *Planning) Memory() time.Duration { return pl.memory }
+
 // MovesPerHour returns the budget of moves; repairs do not count.
 func (pl *Planning) MovesPerHour() int { return pl.movesPerHour }
--- a/internal/transport/forwarder/connection.go
+++ b/internal/transport/forwarder/connection.go
@@ -66,7 +66,8 @@
 }
 
 // quiet reports whether nothing, not even an end, arrived on the connection.
-// Where that cannot be seen it is taken to be so.
+// Where that cannot be seen it is taken to be so. What did arrive is lost, as
+// the connection is not used again then.
 func quiet(raw net.Conn) bool {
 	sc, ok := raw.(syscall.Conn)
 	if !ok {
@@ -79,7 +80,7 @@
 	silent := false
 	err = rc.Read(func(fd uintptr) bool {
 		var one [1]byte
-		_, _, err := syscall.Recvfrom(int(fd), one[:], syscall.MSG_PEEK|syscall.MSG_DONTWAIT)
+		_, err := syscall.Read(int(fd), one[:])
 		silent = err == syscall.EAGAIN
 		return true
 	})
