Retire replicas before they are unloaded, and hold adapters for less

And 5 adapter places a worker were held by leases of 6 s although requests use them for 2 s.

Left: no orders for 3 s after a change of leader.

--- a/internal/conductor/peers.go
+++ b/internal/conductor/peers.go
@@ -6,6 +6,7 @@
 	"sync"
 	"time"
 
+	"github.com/apex/log"
 	"github.com/go-faster/errors"
 
 	"github.com/lagoonpass/lagoonpass/internal/coordination/planner"
@@ -13,6 +14,7 @@
 	"github.com/lagoonpass/lagoonpass/internal/coordination/tracker"
 	"github.com/lagoonpass/lagoonpass/internal/protocol/messenger"
 	"github.com/lagoonpass/lagoonpass/internal/state/configurer"
+	"github.com/lagoonpass/lagoonpass/internal/waiter"
 )
 
 const (
@@ -25,6 +27,11 @@
 	demandInterval = 500 * time.Millisecond
 	// demandGrace is how long a node's last report counts.
 	demandGrace = 3 * demandInterval
+	// retireTime is how long a replica that is unloaded gets no work: requests
+	// that run there for some seconds end first.
+	retireTime = 8 * time.Second
+	// retireGrace is how long requests that were granted before take to arrive.
+	retireGrace = 30 * time.Millisecond
 	// callTimeout bounds a report of demand.
 	callTimeout = 300 * time.Millisecond
 )
@@ -35,6 +42,9 @@
 		return cd.exchange.Answer(time.Now(), tc), nil
 	case *messenger.AdapterLoad:
 		return cd.adapters.Handle(ctx, tc), nil
+	case *messenger.Retire:
+		cd.admitter.Bar(tc.Server, tc.Model, tc.Time)
+		return &messenger.Retired{}, nil
 	case *messenger.DemandReport:
 		cd.demands.note(time.Now(), tc)
 		return &messenger.DemandReceived{}, nil
@@ -108,6 +118,28 @@
 	}
 }
 
+// retire tells all nodes to send a server no more work for a model, and waits
+// until what is on its way has arrived.
+func (cd *Conductor) retire(ctx context.Context, server, model string) {
+	log.WithFields(log.Fields{"server": server, "model": model}).Info("replica is retired before it is unloaded")
+	cd.admitter.Bar(server, model, retireTime)
+	ctx, cancel := context.WithTimeout(ctx, callTimeout)
+	defer cancel()
+	var wg sync.WaitGroup
+	for _, mb := range cd.registrar.View().Members() {
+		if mb.ID == cd.identity.ID {
+			continue
+		}
+		wg.Go(func() {
+			if _, err := cd.pool.Call(ctx, mb.PeerAddress, &messenger.Retire{Server: server, Model: model, Time: retireTime}); err != nil {
+				cd.registry.Inc("retire", "untold")
+			}
+		})
+	}
+	wg.Wait()
+	waiter.Sleep(ctx, retireGrace)
+}
+
 // demands keeps the last report of each node.
 type demands struct {
 	mu     sync.Mutex
--- a/internal/conductor/steward.go
+++ b/internal/conductor/steward.go
@@ -1,8 +1,12 @@
 package conductor
 
 import (
+	"cmp"
 	"context"
+	"fmt"
+	"maps"
 	"slices"
+	"strings"
 	"time"
 
 	"github.com/apex/log"
@@ -45,6 +49,7 @@
 		sequencer: orderer.NewSequencer(cd.binding.Station, guard, cd.sizeOf, cd.registry),
 	}
 	sw.sequencer.OnUnload(cd.adapters.Recheck)
+	sw.sequencer.OnRetire(cd.retire)
 	sw.orderer = orderer.New(cd.identity.ID, storer.NewMemory(),
 		orderer.WithCounters(cd.registry),
 		orderer.WithEngines(sw.sequencer),
@@ -153,21 +158,38 @@
 	for _, sv := range inf.servers {
 		staying[sv.ID] = !sv.Leaving
 	}
+	demand := cd.demands.sum(now)
 	next := sw.planner.Next(planner.Input{
 		Settings: inf.settings,
 		Usable:   func(server string) bool { return staying[server] },
-		Demand:   cd.demands.sum(now),
+		Demand:   demand,
 		Current:  sw.plan,
 		Serving:  cd.serving,
 		Now:      now,
 	})
 	if moves := next.Moves(sw.plan); moves > 0 {
-		log.WithField("term", sw.term).WithField("moves", moves).Info("plan changed")
+		log.WithField("term", sw.term).WithField("moves", moves).WithField("wanted", mostWanted(demand, next)).Info("plan changed")
 		cd.registry.Add(int64(moves), "plan", "moves")
 	}
 	sw.plan = next
 }
 
+// wantedLogged is how many models a line about a plan names.
+const wantedLogged = 6
+
+// mostWanted describes the models with the most demand: their demand and their
+// replicas.
+func mostWanted(demand planner.Demand, plan *planner.Plan) string {
+	models := slices.SortedFunc(maps.Keys(demand), func(one, two string) int {
+		return cmp.Compare(demand[two], demand[one])
+	})
+	var text strings.Builder
+	for _, model := range models[:min(wantedLogged, len(models))] {
+		fmt.Fprintf(&text, "%s:%.1f/%d ", model, demand[model], len(plan.Servers(model)))
+	}
+	return strings.TrimSpace(text.String())
+}
+
 // adopt takes models into the plan that appeared on a server without it, as by
 // an order of an earlier leader, if the server has the memory.
 func (sw *steward) adopt(inf *inForce) {
--- a/internal/coordination/adapterkeeper/adapterkeeper.go
+++ b/internal/coordination/adapterkeeper/adapterkeeper.go
@@ -46,12 +46,13 @@
 const (
 	// LeaseTime is how long a ready adapter stays for the node that asked.
 	LeaseTime = 6 * time.Second
-	// useTime is how long a node uses an answer, from when it asked.
-	useTime = LeaseTime - time.Second
+	// useDivisor is the part of a lease by which a node stops using it sooner
+	// than the owner, counted from when it asked.
+	useDivisor = 6
 	// renewInterval is the time between two renewals.
 	renewInterval = LeaseTime / 3
 	// renewAfter is the rest of the use time at which a lease is renewed.
-	renewAfter = useTime - renewInterval
+	renewAfter = LeaseTime - LeaseTime/useDivisor - renewInterval
 	// askTimeout bounds a question to a server's owner.
 	askTimeout = 8 * time.Second
 )
@@ -80,6 +81,8 @@
 	engines  orderer.Engines
 	tokens   orderer.Tokens
 	reported func(server, adapter string) bool
+	lease    time.Duration
+	renews   bool
 	registry *counter.Registry
 	now      func() time.Time
 	sleep    func(time.Duration)
@@ -107,6 +110,12 @@
 	return func(kp *Keeper) { kp.reported = fn }
 }
 
+// WithShortLeases makes an adapter stay for no longer than a request takes to
+// reach its server, for engines that keep an adapter while requests use it.
+func WithShortLeases(lease time.Duration) Option {
+	return func(kp *Keeper) { kp.lease, kp.renews = lease, false }
+}
+
 // WithNow makes the keeper read the time from fn.
 func WithNow(fn func() time.Time) Option { return func(kp *Keeper) { kp.now = fn } }
 
@@ -122,6 +131,8 @@
 		reported: func(string, string) bool { return false },
 		now:      time.Now,
 		sleep:    time.Sleep,
+		lease:    LeaseTime,
+		renews:   true,
 		servers:  map[string]*server{},
 		leases:   map[target]*lease{},
 	}
@@ -150,7 +161,7 @@
 	if !found || !known {
 		return Rules{}, 0, false
 	}
-	rules = Rules{Address: bs.Address(), Reserve: bs.AdapterReserve(), Spare: largestTwo(st)}
+	rules = Rules{Lease: kp.lease, Address: bs.Address(), Reserve: bs.AdapterReserve(), Spare: largestTwo(st)}
 	if ek, ok := st.EngineKind(bs.Kind()); ok {
 		rules.ChecksFencing, rules.CountsOrders, rules.Bound = ek.ChecksFencing(), ek.CountsOrders(), ek.LateOrderBound()
 	}
--- a/internal/coordination/adapterkeeper/lease.go
+++ b/internal/coordination/adapterkeeper/lease.go
@@ -85,7 +85,7 @@
 	defer kp.mu.Unlock()
 	ls.err = nil
 	if reason == "" {
-		ls.until = asked.Add(useTime)
+		ls.until = asked.Add(kp.lease - kp.lease/useDivisor)
 	} else {
 		ls.err = errors.Wrapf(ErrNotReady, "%s on %s: %s", tg.adapter, tg.server, reason)
 	}
@@ -141,7 +141,7 @@
 		case ls.asking != nil:
 		case ls.active == 0 && !now.Before(ls.until):
 			delete(kp.leases, tg)
-		case ls.active > 0 && ls.until.Sub(now) <= renewAfter:
+		case kp.renews && ls.active > 0 && ls.until.Sub(now) <= renewAfter:
 			ls.asking = make(chan struct{})
 			go kp.ask(tg, ls, ls.asking)
 		}
--- a/internal/coordination/adapterkeeper/owner.go
+++ b/internal/coordination/adapterkeeper/owner.go
@@ -96,7 +96,7 @@
 	en, ok := sv.table.entries[adapter]
 	if ok && en.state == loaded && sv.table.inspected && md.Claim == sv.table.claim {
 		en.used = now
-		en.leased = now.Add(LeaseTime)
+		en.leased = now.Add(sv.table.rules.Lease)
 		return nil, true
 	}
 	wt, ok := sv.waits[adapter]
--- a/internal/coordination/adapterkeeper/table.go
+++ b/internal/coordination/adapterkeeper/table.go
@@ -37,6 +37,8 @@
 	// CountsOrders says that the engine refuses an order that was sent for
 	// another count of accepted orders, so that no order outlives a newer one.
 	CountsOrders bool
+	// Lease is how long an adapter stays after an answer that it is ready.
+	Lease time.Duration
 	// Bound is the longest time that an order can arrive late.
 	Bound time.Duration
 }
@@ -287,7 +289,7 @@
 		return
 	}
 	tb.entries[st.name].state = loaded
-	tb.entries[st.name].leased = now.Add(LeaseTime)
+	tb.entries[st.name].leased = now.Add(tb.rules.Lease)
 }
 
 // outlive ends the unanswered orders that an engine which counts orders refuses
@@ -331,7 +333,7 @@
 	for name, bytes := range held {
 		en, ok := tb.entries[name]
 		if !ok {
-			en = &entry{used: now, leased: now.Add(LeaseTime)}
+			en = &entry{used: now, leased: now.Add(tb.rules.Lease)}
 			tb.entries[name] = en
 		}
 		en.bytes = max(en.bytes, bytes)
--- a/internal/coordination/admitter/options.go
+++ b/internal/coordination/admitter/options.go
@@ -47,6 +47,7 @@
 		onGrant:  func(*Entry) {},
 		roles:    map[string]bool{},
 		engines:  estimator.New(),
+		barred:   map[replica]time.Time{},
 	}
 	sc.reading = func(tokens int) time.Duration { return sc.engines.Reading(sc.request.Model, tokens) }
 	for _, opt := range opts {
--- a/internal/coordination/admitter/scheduler.go
+++ b/internal/coordination/admitter/scheduler.go
@@ -48,6 +48,7 @@
 	inFlight int
 	nextSeq  uint64
 	engines  *estimator.Estimator
+	barred   map[replica]time.Time
 	reading  func(tokens int) time.Duration
 	onGrant  func(*Entry)
 	roles    map[string]bool
@@ -277,6 +278,9 @@
 	sc.readPrompt(en)
 	sc.server(en.target.Name).add(now, en.class, -1)
 	sc.learn(en, rs)
+	if rs.Refused {
+		sc.Bar(now, en.target.Name, en.ticket.Model.Name(), refusedTime)
+	}
 	if tg, ok := sc.table.Target(en.target.Name); ok {
 		sc.pump(now, tg)
 	}
--- a/internal/coordination/admitter/ticket.go
+++ b/internal/coordination/admitter/ticket.go
@@ -43,6 +43,9 @@
 type Result struct {
 	// Failed says that the server gave no whole answer through its own fault.
 	Failed bool
+	// Refused says that the server had no room for the request, or not what it
+	// needs.
+	Refused bool
 	// FirstToken is the time until the first token; zero if there was none.
 	FirstToken time.Duration
 	// Duration is the time from sending to the end.
--- a/internal/coordination/admitter/window.go
+++ b/internal/coordination/admitter/window.go
@@ -58,7 +58,7 @@
 
 // fits reports whether the entry may go to the target now.
 func (sc *Scheduler) fits(now time.Time, en *Entry, tg *router.Target) bool {
-	if !sc.roleFits(en, tg) || tg.Load.Own() >= sc.window(now, tg, en.ticket.Resumed) || !sc.readsInTime(en, tg) {
+	if !sc.roleFits(en, tg) || tg.Load.Own() >= sc.window(now, tg, en.ticket.Resumed) || !sc.readsInTime(en, tg) || sc.isBarred(now, en, tg) {
 		return false
 	}
 	return en.ticket.Resumed || sc.classFits(now, tg, en.class)
@@ -175,7 +175,7 @@
 func (sc *Scheduler) head(now time.Time, tg *router.Target, class int) *Entry {
 	room := tg.Load.Own() < sc.window(now, tg, false)
 	fits := func(en *Entry) bool {
-		if !room && !en.ticket.Resumed || !sc.roleFits(en, tg) || !sc.readsInTime(en, tg) {
+		if !room && !en.ticket.Resumed || !sc.roleFits(en, tg) || !sc.readsInTime(en, tg) || sc.isBarred(now, en, tg) {
 			return false
 		}
 		avoid := sc.avoid(en.ticket, sc.table.Candidates(en.ticket.Model.Name()))
--- a/internal/coordination/dispatcher/passage.go
+++ b/internal/coordination/dispatcher/passage.go
@@ -158,6 +158,7 @@
 	pg.queued += time.Since(asked)
 	rs, fl := pg.send(ctx, gr)
 	rs.Failed = fl != nil && fl.blamesServer()
+	rs.Refused = fl != nil && fl.refused
 	gr.Done(rs)
 	switch {
 	case fl == nil:
--- a/internal/coordination/orderer/sequencer.go
+++ b/internal/coordination/orderer/sequencer.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"slices"
 	"sync"
 	"time"
 
@@ -78,6 +79,7 @@
 	leads    func() (fence int64, ok bool)
 	sizes    Sizes
 	unloaded func(server string)
+	retire   func(ctx context.Context, server, model string)
 	registry *counter.Registry
 
 	mu      sync.Mutex
@@ -118,6 +120,10 @@
 // its adapters.
 func (sq *Sequencer) OnUnload(fn func(server string)) { sq.unloaded = fn }
 
+// OnRetire has fn called before a model is unloaded from a server, so that no
+// work is sent there for it: engines refuse it until they are done.
+func (sq *Sequencer) OnRetire(fn func(ctx context.Context, server, model string)) { sq.retire = fn }
+
 // Forget drops what is known of engines that are not named any more.
 func (sq *Sequencer) Forget(keep func(server string) bool) {
 	sq.mu.Lock()
@@ -199,6 +205,9 @@
 		return Answer{}, &OrderError{Outcome: NotSent, Code: CodeNotLeader, Cause: errors.New("node does not lead")}
 	}
 	od.Fence = fence
+	if od.Action == string(accountant.Unload) && sq.retire != nil {
+		sq.retire(ctx, od.Server, od.Model)
+	}
 	underWay, err := sq.station.Place(ctx, address, od, se.accepted)
 	sq.note(od, se, underWay, err)
 	if err != nil {
@@ -210,7 +219,7 @@
 	if underWay || od.Action != string(accountant.Load) && od.Action != ActionLoadAdapter {
 		se.accepted++
 	}
-	return sq.finished(ctx, se, address, od)
+	return sq.finished(ctx, se, address, od, underWay)
 }
 
 // note writes the line that tells of an order.
@@ -238,12 +247,12 @@
 }
 
 // finished waits until an order was carried out.
-func (sq *Sequencer) finished(ctx context.Context, se *sequence, address string, od Order) (Answer, error) {
-	switch od.Action {
-	case ActionLoadAdapter:
+func (sq *Sequencer) finished(ctx context.Context, se *sequence, address string, od Order, underWay bool) (Answer, error) {
+	switch {
+	case od.Action == ActionLoadAdapter:
 		waiter.Sleep(ctx, adapterTime)
 		return Answer{Boot: se.boot, Basis: se.basis}, nil
-	case ActionUnloadAdapter:
+	case od.Action == ActionUnloadAdapter && !underWay:
 		return Answer{Boot: se.boot, Basis: se.basis}, nil
 	}
 	wanted := od.Action == string(accountant.Load)
@@ -265,6 +274,12 @@
 			continue
 		}
 		se.follow(st)
+		if od.Action == ActionUnloadAdapter {
+			if slices.Contains(st.Adapters, od.Adapter) {
+				continue
+			}
+			return sq.answer(se, st), nil
+		}
 		if st.holds(od.Model) != wanted {
 			return Answer{}, &OrderError{Outcome: Refused, Code: CodeConflict, Cause: errors.New("engine did not carry the order out")}
 		}
--- a/internal/coordination/planner/work.go
+++ b/internal/coordination/planner/work.go
@@ -100,7 +100,7 @@
 			name:    md.Name(),
 			pool:    md.Pool(),
 			memory:  md.Memory(),
-			least:   leastReplicas(md),
+			least:   leastReplicas(md, in.Settings.Planning()),
 			serving: max(md.MinReplicas(), 1),
 			most:    mostReplicas(md, len(wk.servers)),
 			demand:  demand[md.Name()],
@@ -115,10 +115,10 @@
 	}
 }
 
-// leastReplicas returns the replicas that a model keeps: its setting, and two
-// so that the loss of a zone leaves one.
-func leastReplicas(md *configurer.Model) int {
-	least := max(md.MinReplicas(), 2)
+// leastReplicas returns the replicas that a model keeps: its setting, and the
+// spare ones so that the loss of a zone leaves one.
+func leastReplicas(md *configurer.Model, pn *configurer.Planning) int {
+	least := max(md.MinReplicas(), 1+pn.SpareReplicas())
 	if md.MaxReplicas() > 0 {
 		least = min(least, md.MaxReplicas())
 	}
--- a/internal/protocol/messenger/kinds.go
+++ b/internal/protocol/messenger/kinds.go
@@ -26,6 +26,8 @@
 	KindDemandReceived Kind = 51
 	KindPlanFetch      Kind = 52
 	KindPlanFetched    Kind = 53
+	KindRetire         Kind = 54
+	KindRetired        Kind = 55
 )
 
 // builders makes an empty message of each kind for decoding.
@@ -51,4 +53,6 @@
 	KindDemandReceived: func() Message { return &DemandReceived{} },
 	KindPlanFetch:      func() Message { return &PlanFetch{} },
 	KindPlanFetched:    func() Message { return &PlanFetched{} },
+	KindRetire:         func() Message { return &Retire{} },
+	KindRetired:        func() Message { return &Retired{} },
 }
--- /dev/null
+++ b/internal/protocol/messenger/retire.go
@@ -0,0 +1,47 @@
+package messenger
+
+import (
+	"time"
+
+	"github.com/vmihailenco/msgpack/v5"
+)
+
+// Retire tells a node to send a backend server no more work for a model, which
+// is about to be unloaded there.
+type Retire struct {
+	// Server is the backend server's name.
+	Server string
+	// Model is the model's name.
+	Model string
+	// Time is how long that holds, unless the server is heard of as without the
+	// model before.
+	Time time.Duration
+}
+
+// Kind implements Message.
+func (*Retire) Kind() Kind { return KindRetire }
+
+// Encode implements Message.
+func (rt *Retire) Encode(en *msgpack.Encoder) error {
+	return EncodeAll(en, rt.Server, rt.Model, rt.Time.Milliseconds())
+}
+
+// Decode implements Message.
+func (rt *Retire) Decode(de *msgpack.Decoder) error {
+	var millis int64
+	err := DecodeAll(de, &rt.Server, &rt.Model, &millis)
+	rt.Time = time.Duration(millis) * time.Millisecond
+	return err
+}
+
+// Retired answers a Retire.
+type Retired struct{}
+
+// Kind implements Message.
+func (*Retired) Kind() Kind { return KindRetired }
+
+// Encode implements Message.
+func (*Retired) Encode(*msgpack.Encoder) error { return nil }
+
+// Decode implements Message.
+func (*Retired) Decode(*msgpack.Decoder) error { return nil }
--- a/internal/state/configurer/domain.go
+++ b/internal/state/configurer/domain.go
@@ -401,6 +401,7 @@
 	movesPerHour     int
 	smoothing        time.Duration
 	memory           time.Duration
+	spareReplicas    int
 }
 
 // MoveWeight returns the cost of one model move.
@@ -412,6 +413,9 @@
 // Interval returns the time between two planning passes.
 func (pl *Planning) Interval() time.Duration { return pl.interval }
 
+// SpareReplicas returns the replicas beyond one that a model keeps.
+func (pl *Planning) SpareReplicas() int { return pl.spareReplicas }
+
 // Smoothing returns the time over which demand is smoothed.
 func (pl *Planning) Smoothing() time.Duration { return pl.smoothing }
 
