--- a/internal/coordination/admitter/entry.go
+++ b/internal/coordination/admitter/entry.go
@@ -45,6 +45,8 @@
 	unread  int
 	backlog time.Duration
 	reading time.Duration
+	// wanted is the time for the part of the prompt that no server holds.
+	wanted time.Duration
 }
 
 // Ticket returns the ticket.
--- a/internal/coordination/admitter/estimate.go
+++ b/internal/coordination/admitter/estimate.go
@@ -21,12 +21,19 @@
 	if !known {
 		return nil
 	}
-	end := now.Add(wait + sc.service(en.ticket.Model.Name()).whole.value)
+	shortest := shortestRetryAfter
+	rest := sc.service(en.ticket.Model.Name()).whole.value
+	if en.wanted > 0 {
+		// A stream that began is delivered until its deadline: what counts is
+		// that it begins.
+		shortest, rest = refusedTime, sc.engines.FirstToken(en.ticket.Model.Name(), sc.ownTokens(en.ticket), 0)
+	}
+	end := now.Add(wait + rest)
 	over := end.Sub(en.ticket.Deadline)
 	if over <= 0 {
 		return nil
 	}
-	after := min(max(over, shortestRetryAfter), longestRetryAfter)
+	after := min(max(over, shortest), longestRetryAfter)
 	return refuser.New(refuser.DeadlineUnreachable,
 		"about %v of waiting are ahead and the deadline is in %v", wait.Round(time.Millisecond), en.ticket.Deadline.Sub(now).Round(time.Millisecond)).
 		WithRetryAfter(after)
@@ -36,6 +43,9 @@
 // divided by the measured rate of grants. A request that would become late is
 // served with the late ones, which get one grant of lateEvery.
 func (sc *Scheduler) estimate(now time.Time, en *Entry) (time.Duration, bool) {
+	if en.wanted > 0 {
+		return sc.estimateReading(now, en), true
+	}
 	mq, ok := sc.queues[en.ticket.Model.Name()]
 	if !ok {
 		return 0, false
--- a/internal/coordination/admitter/queue.go
+++ b/internal/coordination/admitter/queue.go
@@ -112,6 +112,8 @@
 	late   int
 	grants int
 	meter  meter
+	// wanted is the time in which the prompts that wait are read.
+	wanted time.Duration
 }
 
 func (ln *line) flow(caller string) *flow {
@@ -201,6 +203,7 @@
 	heap.Push(&fl.fresh, en)
 	ac.queued++
 	ln.count++
+	ln.wanted += en.wanted
 	cs.places[en] = cs.arrivals.PushBack(en)
 }
 
@@ -212,6 +215,7 @@
 		ln.late--
 	}
 	ln.count--
+	ln.wanted -= en.wanted
 	fl.account.queued--
 	cs.arrivals.Remove(cs.places[en])
 	delete(cs.places, en)
--- a/internal/coordination/admitter/reading.go
+++ b/internal/coordination/admitter/reading.go
@@ -29,6 +29,31 @@
 	return tg.Load.Backlog() <= limit
 }
 
+// estimateReading returns how long a request with a prompt would wait: until
+// one of its servers gets to it, after the prompts that wait before it in the
+// node. The nodes share the servers alike.
+func (sc *Scheduler) estimateReading(now time.Time, en *Entry) time.Duration {
+	tk := en.ticket
+	count, least := 0, longestRetryAfter
+	for _, tg := range sc.table.Candidates(tk.Model.Name()) {
+		if tg.Leaving || sc.isBarred(now, en, tg) {
+			continue
+		}
+		count++
+		least = min(least, tg.Load.Backlog())
+	}
+	if count == 0 {
+		return refusedTime
+	}
+	ahead := time.Duration(0)
+	if mq, ok := sc.queues[tk.Model.Name()]; ok {
+		for class := range min(en.class+1, len(mq.lines)) {
+			ahead += mq.lines[class].wanted
+		}
+	}
+	return least + ahead*time.Duration(sc.table.Nodes())/time.Duration(count)
+}
+
 // expect counts the prompt of a granted request as still to be read.
 func (sc *Scheduler) expect(en *Entry, tg *router.Target) {
 	if en.ticket.PromptTokens == 0 {
@@ -66,8 +91,8 @@
 	if tk.PromptTokens == 0 || tk.Resumed {
 		return
 	}
-	ms := sc.service(tk.Model.Name())
-	ms.demand.arrived += sc.engines.Reading(tk.Model.Name(), sc.ownTokens(tk))
+	en.wanted = sc.engines.Reading(tk.Model.Name(), sc.ownTokens(tk))
+	sc.service(tk.Model.Name()).demand.arrived += en.wanted
 }
 
 // ownTokens returns the tokens of a prompt that no server holds from other
--- a/internal/coordination/planner/work.go
+++ b/internal/coordination/planner/work.go
@@ -12,6 +12,9 @@
 	// easyPressure is the part of its slots that a server fills without
 	// turning work away when demand varies.
 	easyPressure = 0.9
+	// idleDemand is the demand, in requests at once, below which a model keeps
+	// no spare replica: its memory serves models that are asked for.
+	idleDemand = 0.02
 	// leastPressure keeps idle servers from taking all of a flow at once.
 	leastPressure = 0.05
 )
@@ -22,7 +25,9 @@
 	servers []workServer
 	byName  map[string]int
 	weights weights
-	serving func(model, server string) bool
+	// spareWhenIdle says that models without demand keep their spare replicas.
+	spareWhenIdle bool
+	serving       func(model, server string) bool
 }
 
 // weights are the settings that decide what a move is worth.
@@ -66,9 +71,10 @@
 func newWork(in Input, demand Demand) *work {
 	pn := in.Settings.Planning()
 	wk := &work{
-		byName:  map[string]int{},
-		weights: weights{move: pn.MoveWeight(), attainment: pn.AttainmentWeight()},
-		serving: in.Serving,
+		byName:        map[string]int{},
+		weights:       weights{move: pn.MoveWeight(), attainment: pn.AttainmentWeight()},
+		spareWhenIdle: pn.SpareWhenIdle(),
+		serving:       in.Serving,
 	}
 	wk.addServers(in)
 	wk.addModels(in, demand)
@@ -111,7 +117,11 @@
 // setMeans tells the long-term mean of each model's demand.
 func (wk *work) setMeans(mean Demand) {
 	for mi := range wk.models {
-		wk.models[mi].mean = mean[wk.models[mi].name]
+		md := &wk.models[mi]
+		md.mean = mean[md.name]
+		if !wk.spareWhenIdle && max(md.mean, md.demand) < idleDemand {
+			md.least = md.serving
+		}
 	}
 }
 
--- a/internal/state/configurer/domain.go
+++ b/internal/state/configurer/domain.go
@@ -402,6 +402,7 @@
 	smoothing        time.Duration
 	memory           time.Duration
 	spareReplicas    int
+	spareWhenIdle    bool
 }
 
 // MoveWeight returns the cost of one model move.
@@ -416,6 +417,10 @@
 // SpareReplicas returns the replicas beyond one that a model keeps.
 func (pl *Planning) SpareReplicas() int { return pl.spareReplicas }
 
+// SpareWhenIdle reports whether models that nobody asks for keep their spare
+// replicas.
+func (pl *Planning) SpareWhenIdle() bool { return pl.spareWhenIdle }
+
 // Smoothing returns the time over which demand is smoothed.
 func (pl *Planning) Smoothing() time.Duration { return pl.smoothing }
 
