--- a/internal/coordination/admitter/reading.go
+++ b/internal/coordination/admitter/reading.go
@@ -64,6 +64,9 @@
 	en.backlog = tg.Load.Backlog()
 	en.reading = sc.engines.Reading(en.ticket.Model.Name(), en.unread)
 	tg.Load.Expect(en.reading)
+	if tg.Prefixes != nil && len(en.ticket.PrefixTokens) > 0 {
+		tg.Prefixes.Sent(en.ticket.Prefixes)
+	}
 }
 
 // readPrompt counts the prompt as read.
--- a/internal/coordination/orderer/sequencer.go
+++ b/internal/coordination/orderer/sequencer.go
@@ -23,6 +23,9 @@
 	reportLag = time.Second
 	// lookInterval is the time between two looks at a state that lags.
 	lookInterval = 100 * time.Millisecond
+	// adapterPatience is how long an order for an adapter waits for those
+	// before it.
+	adapterPatience = 60 * time.Millisecond
 	// adapterTime is how long an engine takes to make an adapter ready: the
 	// published figure for the largest ones, and some room.
 	adapterTime = 15 * time.Millisecond
@@ -91,7 +94,8 @@
 
 // sequence is what is known of the orders of one engine.
 type sequence struct {
-	mu       sync.Mutex
+	// turn is held by the order that is being sent or carried out.
+	turn     chan struct{}
 	boot     string
 	accepted int64
 	// basis grows with everything that the orders sent do not explain.
@@ -110,7 +114,7 @@
 	defer sq.mu.Unlock()
 	se, ok := sq.engines[server]
 	if !ok {
-		se = &sequence{}
+		se = &sequence{turn: make(chan struct{}, 1)}
 		sq.engines[server] = se
 	}
 	return se
@@ -138,8 +142,10 @@
 // Send implements Engines.
 func (sq *Sequencer) Send(ctx context.Context, address string, od Order) (Answer, error) {
 	se := sq.sequence(od.Server)
-	se.mu.Lock()
-	defer se.mu.Unlock()
+	if !se.begin(ctx, od) {
+		return Answer{}, &OrderError{Outcome: NotSent, Code: CodeConflict, Cause: errors.New("another order is on its way")}
+	}
+	defer func() { <-se.turn }()
 	if od.Action == ActionInspect {
 		st, err := sq.look(ctx, se, od.Server, address)
 		if err != nil {
@@ -156,6 +162,23 @@
 	return sq.place(ctx, se, address, od)
 }
 
+// begin waits for the turn of an order. One for an adapter does not wait while a
+// model is loaded or unloaded, which takes seconds: the request that wants the
+// adapter goes to another server.
+func (se *sequence) begin(ctx context.Context, od Order) bool {
+	if od.Adapter != "" {
+		var cancel context.CancelFunc
+		ctx, cancel = context.WithTimeout(ctx, adapterPatience)
+		defer cancel()
+	}
+	select {
+	case se.turn <- struct{}{}:
+		return true
+	case <-ctx.Done():
+		return false
+	}
+}
+
 // answer returns the state with the memory that everything takes.
 func (sq *Sequencer) answer(se *sequence, st EngineState) Answer {
 	as := Answer{Boot: st.Boot, Adapters: map[string]int64{}, Basis: se.basis}
--- a/internal/coordination/router/quickest.go
+++ b/internal/coordination/router/quickest.go
@@ -55,9 +55,6 @@
 			best, least = tg, cost
 		}
 	}
-	if best != nil && best.Prefixes != nil && len(rq.Prefixes) > 0 {
-		best.Prefixes.Sent(rq.Prefixes)
-	}
 	return best
 }
 
