--- a/internal/conductor/conductor.go
+++ b/internal/conductor/conductor.go
@@ -45,9 +45,11 @@
 const (
 	// ownPrefix is where the system keeps its own keys.
 	ownPrefix = "lagoonpass/"
-	// adapterLease is how long an adapter stays for a request on its way: a
-	// request that waits in the engine for longer finds it again or goes on.
-	adapterLease = time.Second
+	// adapterLease is how long an adapter stays that no node says it uses.
+	adapterLease = 1200 * time.Millisecond
+	// adapterPatience is how long a request waits for an adapter on one server:
+	// several orders, each of which takes some ten milliseconds.
+	adapterPatience = 250 * time.Millisecond
 	// passInterval is the time between two looks at what waits.
 	passInterval = 50 * time.Millisecond
 )
@@ -147,7 +149,7 @@
 		admitter.WithNodes(cd.nodes), admitter.WithCounters(cd.registry),
 		admitter.WithScheduler(admitter.WithLocation(id.ID, id.Zone, id.Region), admitter.WithPolicy(router.NewQuickest(random))))
 	cd.adapters = adapterkeeper.New(cd, cd.Settings, cd.leaderView, cd.pool,
-		adapterkeeper.WithEngines(cd), adapterkeeper.WithTokens(cd), adapterkeeper.WithShortLeases(adapterLease),
+		adapterkeeper.WithEngines(cd), adapterkeeper.WithTokens(cd), adapterkeeper.WithShortLeases(adapterLease), adapterkeeper.WithPatience(adapterPatience),
 		adapterkeeper.WithReported(cd.reportsAdapter), adapterkeeper.WithRegistry(cd.registry))
 	cd.dispatch = dispatcher.New(cd.admitter, cd.forwarder, cd.adapters,
 		dispatcher.WithRegistry(cd.registry), dispatcher.WithEjector(cd.ejector), dispatcher.WithSharedBudget(cd.budget))
--- a/internal/conductor/peers.go
+++ b/internal/conductor/peers.go
@@ -42,6 +42,8 @@
 		return cd.exchange.Answer(time.Now(), tc), nil
 	case *messenger.AdapterLoad:
 		return cd.adapters.Handle(ctx, tc), nil
+	case *messenger.AdapterUse:
+		return cd.adapters.HandleUse(tc), nil
 	case *messenger.Retire:
 		cd.admitter.Bar(tc.Server, tc.Model, tc.Time)
 		return &messenger.Retired{}, nil
--- a/internal/coordination/adapterkeeper/adapterkeeper.go
+++ b/internal/coordination/adapterkeeper/adapterkeeper.go
@@ -82,7 +82,8 @@
 	tokens   orderer.Tokens
 	reported func(server, adapter string) bool
 	lease    time.Duration
-	renews   bool
+	patience time.Duration
+	together bool
 	registry *counter.Registry
 	now      func() time.Time
 	sleep    func(time.Duration)
@@ -110,12 +111,15 @@
 	return func(kp *Keeper) { kp.reported = fn }
 }
 
-// WithShortLeases makes an adapter stay for no longer than a request takes to
-// reach its server, for engines that keep an adapter while requests use it.
+// WithShortLeases sets how long a lease lasts. Leases in use are renewed all in
+// one message to the owner, which has to be the same for all servers.
 func WithShortLeases(lease time.Duration) Option {
-	return func(kp *Keeper) { kp.lease, kp.renews = lease, false }
+	return func(kp *Keeper) { kp.lease, kp.together = lease, true }
 }
 
+// WithPatience sets how long a request waits for an adapter on one server.
+func WithPatience(dn time.Duration) Option { return func(kp *Keeper) { kp.patience = dn } }
+
 // WithNow makes the keeper read the time from fn.
 func WithNow(fn func() time.Time) Option { return func(kp *Keeper) { kp.now = fn } }
 
@@ -132,7 +136,7 @@
 		now:      time.Now,
 		sleep:    time.Sleep,
 		lease:    LeaseTime,
-		renews:   true,
+		patience: askTimeout,
 		servers:  map[string]*server{},
 		leases:   map[target]*lease{},
 	}
--- a/internal/coordination/adapterkeeper/lease.go
+++ b/internal/coordination/adapterkeeper/lease.go
@@ -64,6 +64,8 @@
 		go kp.ask(tg, ls, asking)
 	}
 	kp.mu.Unlock()
+	ctx, cancel := context.WithTimeout(ctx, kp.patience)
+	defer cancel()
 	select {
 	case <-asking:
 	case <-ctx.Done():
@@ -119,6 +121,9 @@
 
 // Run renews the leases of running requests until the context ends.
 func (kp *Keeper) Run(ctx context.Context) error {
+	if kp.together {
+		return kp.runTogether(ctx)
+	}
 	tk := time.NewTicker(renewInterval)
 	defer tk.Stop()
 	for {
@@ -141,7 +146,7 @@
 		case ls.asking != nil:
 		case ls.active == 0 && !now.Before(ls.until):
 			delete(kp.leases, tg)
-		case kp.renews && ls.active > 0 && ls.until.Sub(now) <= renewAfter:
+		case ls.active > 0 && ls.until.Sub(now) <= renewAfter:
 			ls.asking = make(chan struct{})
 			go kp.ask(tg, ls, ls.asking)
 		}
--- a/internal/protocol/messenger/kinds.go
+++ b/internal/protocol/messenger/kinds.go
@@ -22,6 +22,8 @@
 	KindLoadView       Kind = 31
 	KindAdapterLoad    Kind = 40
 	KindAdapterState   Kind = 41
+	KindAdapterUse     Kind = 42
+	KindAdapterUsed    Kind = 43
 	KindDemandReport   Kind = 50
 	KindDemandReceived Kind = 51
 	KindPlanFetch      Kind = 52
@@ -48,6 +50,8 @@
 	KindShareGrant:   func() Message { return &ShareGrant{} },
 	KindAdapterLoad:  func() Message { return &AdapterLoad{} },
 	KindAdapterState: func() Message { return &AdapterState{} },
+	KindAdapterUse:   func() Message { return &AdapterUse{} },
+	KindAdapterUsed:  func() Message { return &AdapterUsed{} },
 
 	KindDemandReport:   func() Message { return &DemandReport{} },
 	KindDemandReceived: func() Message { return &DemandReceived{} },
