--- a/internal/coordination/planner/work.go
+++ b/internal/coordination/planner/work.go
@@ -12,9 +12,10 @@
 	// easyPressure is the part of its slots that a server fills without
 	// turning work away when demand varies.
 	easyPressure = 0.9
-	// idleDemand is the demand, in requests at once, below which a model keeps
-	// no spare replica: its memory serves models that are asked for.
-	idleDemand = 0.02
+	// idleShare is the part of a server's slots that a model's demand fills at
+	// the least if it is to keep a spare replica although idle models do not:
+	// a request now and then is not worth the memory and the load.
+	idleShare = 0.1
 	// leastPressure keeps idle servers from taking all of a flow at once.
 	leastPressure = 0.05
 )
@@ -119,7 +120,7 @@
 	for mi := range wk.models {
 		md := &wk.models[mi]
 		md.mean = mean[md.name]
-		if !wk.spareWhenIdle && max(md.mean, md.demand) < idleDemand {
+		if !wk.spareWhenIdle && max(md.mean, md.demand) < idleShare*wk.meanSlots() {
 			md.least = md.serving
 		}
 	}
