Even out replicas only where they carry load

Cause on both sites: a pass without need still gave the model with the most demand for each replica one more wherever memory was free, a load each 500 ms.

--- a/internal/coordination/planner/even.go
+++ b/internal/coordination/planner/even.go
@@ -10,7 +10,7 @@
 // proportion to demand. It makes at most one move and returns their number.
 func (wk *work) even() int {
 	mi := wk.neediest(make([]bool, len(wk.models)))
-	if mi < 0 {
+	if mi < 0 || wk.perReplica(mi) < wk.weights.evenFrom*wk.meanSlots() {
 		return 0
 	}
 	ratio := evenRatio + min(wk.weights.move/max(wk.weights.attainment, 0.01), 1)
--- a/internal/coordination/planner/work.go
+++ b/internal/coordination/planner/work.go
@@ -35,6 +35,7 @@
 type weights struct {
 	move       float64
 	attainment float64
+	evenFrom   float64
 }
 
 // workModel is a model with its replicas.
@@ -73,7 +74,7 @@
 	pn := in.Settings.Planning()
 	wk := &work{
 		byName:        map[string]int{},
-		weights:       weights{move: pn.MoveWeight(), attainment: pn.AttainmentWeight()},
+		weights:       weights{move: pn.MoveWeight(), attainment: pn.AttainmentWeight(), evenFrom: pn.EvenFrom()},
 		spareWhenIdle: pn.SpareWhenIdle(),
 		serving:       in.Serving,
 	}
--- a/internal/state/configurer/domain.go
+++ b/internal/state/configurer/domain.go
@@ -403,6 +403,7 @@
 	memory           time.Duration
 	spareReplicas    int
 	spareWhenIdle    bool
+	evenFrom         float64
 }
 
 // MoveWeight returns the cost of one model move.
@@ -421,6 +422,10 @@
 // replicas.
 func (pl *Planning) SpareWhenIdle() bool { return pl.spareWhenIdle }
 
+// EvenFrom returns the part of a server's slots that a replica has to carry
+// before its model gets another one only to even out demand.
+func (pl *Planning) EvenFrom() float64 { return pl.evenFrom }
+
 // Smoothing returns the time over which demand is smoothed.
 func (pl *Planning) Smoothing() time.Duration { return pl.smoothing }
 
