--- a/internal/coordination/admitter/reading.go
+++ b/internal/coordination/admitter/reading.go
@@ -4,6 +4,7 @@
 	"time"
 
 	"github.com/lagoonpass/lagoonpass/internal/coordination/router"
+	"github.com/lagoonpass/lagoonpass/pkg/refuser"
 )
 
 const (
@@ -13,6 +14,8 @@
 	// leastBacklog is a backlog that never keeps a request from a server: the
 	// reading of one long prompt.
 	leastBacklog = 100 * time.Millisecond
+	// lateTargets is how many first-token targets a request waits in the node.
+	lateTargets = 2
 	// readingShare is the part of its time that a server should read prompts
 	// for: beyond it the requests that run get their tokens too slowly.
 	readingShare = 0.4
@@ -54,6 +57,21 @@
 	return least + ahead*time.Duration(sc.table.Nodes())/time.Duration(count)
 }
 
+// refuseLate refuses a request that waited so long for a prompt to be read that
+// others who come now are served sooner. Under a load that exceeds the servers
+// of a model the late ones would wait until their callers leave.
+func (sc *Scheduler) refuseLate(now time.Time, en *Entry) *refuser.Refusal {
+	if en.wanted == 0 || en.ticket.Resumed {
+		return nil
+	}
+	waited := now.Sub(en.arrived)
+	if waited < lateTargets*en.ticket.Class.FirstToken() {
+		return nil
+	}
+	return refuser.New(refuser.DeadlineUnreachable, "waited for %v and is late", waited.Round(time.Millisecond)).
+		WithRetryAfter(en.ticket.Class.FirstToken())
+}
+
 // expect counts the prompt of a granted request as still to be read.
 func (sc *Scheduler) expect(en *Entry, tg *router.Target) {
 	if en.ticket.PromptTokens == 0 {
--- a/internal/coordination/admitter/scheduler.go
+++ b/internal/coordination/admitter/scheduler.go
@@ -337,6 +337,9 @@
 			el = el.Next()
 			if !now.Before(en.ticket.Deadline) {
 				sc.drop(now, en, refuser.New(refuser.DeadlinePassed, "the deadline passed before the request could be sent"))
+			} else if rf := sc.refuseLate(now, en); rf != nil {
+				sc.noteRefused(en)
+				sc.drop(now, en, rf)
 			}
 		}
 	}
