--- a/internal/coordination/dispatcher/answer.go
+++ b/internal/coordination/dispatcher/answer.go
@@ -34,6 +34,21 @@
 	last   string
 	number int64
 	sent   bool
+	// first is when the first byte was passed on, and latest when the last one
+	// was. pause is the longest time between two events.
+	first  time.Time
+	latest time.Time
+	pause  time.Duration
+}
+
+// tick notes that an event is passed on now.
+func (aw *answerWriter) tick(now time.Time) {
+	if aw.first.IsZero() {
+		aw.first = now
+	} else {
+		aw.pause = max(aw.pause, now.Sub(aw.latest))
+	}
+	aw.latest = now
 }
 
 func newAnswerWriter(to http.ResponseWriter, lastEvent string) *answerWriter {
@@ -79,6 +94,7 @@
 // deliver passes an answer on that was read whole.
 func (aw *answerWriter) deliver(wire Wire, hl *held) error {
 	hl.delivered = true
+	aw.tick(time.Now())
 	aw.open(wire, hl.head, len(hl.body))
 	return aw.write(hl.body)
 }
@@ -238,6 +254,7 @@
 		ex.grant.Begun()
 	}
 	ex.result.Tokens++
+	ex.writer.tick(time.Now())
 	ex.writer.open(ex.Wire, rs, -1)
 	if err := ex.writer.write(ev.Bytes); err != nil {
 		return slowCaller(err)
--- a/internal/coordination/dispatcher/passage.go
+++ b/internal/coordination/dispatcher/passage.go
@@ -88,6 +88,7 @@
 	ticket   admitter.Ticket
 	began    time.Time
 
+	server  string
 	servers int
 	unsent  int
 	mayRun  bool
@@ -211,6 +212,7 @@
 	if err != nil && forwarder.NotSent(err) {
 		return admitter.Result{}, ex.broken(ctx, err, true)
 	}
+	pg.server = gr.Server()
 	pg.servers++
 	pg.unsent = 0
 	if err != nil {
@@ -316,6 +318,24 @@
 // WithSharedBudget makes passages draw on a budget that all nodes share.
 func WithSharedBudget(sh *retrier.Shared) Option { return func(ds *Dispatcher) { ds.shared = sh } }
 
+// logAnswer writes a line of an answer that missed a target of its route.
+func (pg *passing) logAnswer(line *log.Entry) {
+	first := pg.writer.first.Sub(pg.began)
+	result := "in-time"
+	switch {
+	case first > pg.ticket.Class.FirstToken():
+		result = "late-first"
+	case pg.Route.Streams() && pg.writer.pause > pg.Route.PauseTarget():
+		result = "late-pause"
+	}
+	pg.ds.registry.Inc("answer", result)
+	if result != "in-time" {
+		line.WithFields(log.Fields{
+			"result": result, "first-ms": first.Milliseconds(), "pause-ms": pg.writer.pause.Milliseconds(), "server": pg.server,
+		}).Info("request answered late")
+	}
+}
+
 // logEnd writes the line that explains how the request ended.
 func (pg *passing) logEnd(rf *refuser.Refusal) {
 	line := log.WithFields(log.Fields{
@@ -327,8 +347,7 @@
 		"total-ms":  time.Since(pg.began).Milliseconds(),
 	})
 	if rf == nil {
-		pg.ds.registry.Inc("answer", "whole")
-		line.Debug("request answered")
+		pg.logAnswer(line)
 		return
 	}
 	pg.ds.registry.Inc("refusal", string(rf.Reason()))
--- a/internal/coordination/router/quickest.go
+++ b/internal/coordination/router/quickest.go
@@ -18,6 +18,9 @@
 	adapterCost = 40 * time.Millisecond
 	// busyCost is what a load of weights takes from the requests beside it.
 	busyCost = 100 * time.Millisecond
+	// pausedStreams is the number of running streams whose pauses weigh as much
+	// as the wait of the request whose prompt is read.
+	pausedStreams = 8
 	// tieRange is the range within which nodes choose differently, so that
 	// they do not all choose the same server.
 	tieRange = 4 * time.Millisecond
@@ -61,7 +64,11 @@
 // expected returns the time to the first token on the target, and what else
 // speaks against it as time.
 func (rq *Request) expected(tg *Target) time.Duration {
-	cost := tg.Load.Backlog() + rq.reading(tg) + time.Duration(tg.Pressure()*float64(fullCost))
+	reading := rq.reading(tg)
+	cost := tg.Load.Backlog() + reading + time.Duration(tg.Pressure()*float64(fullCost))
+	// While a prompt is read, the streams that run beside it get their tokens
+	// late.
+	cost += reading * time.Duration(tg.Load.Total()) / pausedStreams
 	switch {
 	case rq.Region != "" && tg.Region != "" && rq.Region != tg.Region:
 		cost += regionCost
