End the registration of a silent node after 1.5 s

Orders pause while a leader is replaced: the lease's lifetime and the 3 s in which the orders of two nodes may not meet.

--- a/internal/coordination/registrar/registrar.go
+++ b/internal/coordination/registrar/registrar.go
@@ -32,7 +32,7 @@
 
 const (
 	// defaultLifetime is how long a node counts as alive without a renewal.
-	defaultLifetime = 2 * time.Second
+	defaultLifetime = 1500 * time.Millisecond
 	// renewals is how many renewals fit in a lifetime.
 	renewals = 4
 	// retryPause is the time between two steps while something is missing.
