--- a/internal/coordination/admitter/options.go
+++ b/internal/coordination/admitter/options.go
@@ -48,6 +48,7 @@
 		roles:    map[string]bool{},
 		engines:  estimator.New(),
 		barred:   map[replica]time.Time{},
+		common:   router.NewCommonPrefixes(),
 	}
 	sc.reading = func(tokens int) time.Duration { return sc.engines.Reading(sc.request.Model, tokens) }
 	for _, opt := range opts {
--- a/internal/coordination/admitter/reading.go
+++ b/internal/coordination/admitter/reading.go
@@ -84,6 +84,7 @@
 	tg.Load.Expect(en.reading)
 	if tg.Prefixes != nil && len(en.ticket.PrefixTokens) > 0 {
 		tg.Prefixes.Sent(en.ticket.Prefixes)
+		sc.common.Saw(en.ticket.Prefixes)
 	}
 }
 
--- a/internal/coordination/admitter/scheduler.go
+++ b/internal/coordination/admitter/scheduler.go
@@ -49,6 +49,7 @@
 	nextSeq  uint64
 	engines  *estimator.Estimator
 	barred   map[replica]time.Time
+	common   *router.CommonPrefixes
 	reading  func(tokens int) time.Duration
 	onGrant  func(*Entry)
 	roles    map[string]bool
@@ -170,6 +171,7 @@
 	sc.request.Prefixes = tk.Prefixes
 	sc.request.PromptTokens, sc.request.PrefixTokens = tk.PromptTokens, tk.PrefixTokens
 	sc.request.Reading = sc.reading
+	sc.request.Common = sc.common.Held(tk.Prefixes, len(sc.table.Candidates(tk.Model.Name())))
 	sc.request.Avoid = sc.avoid(tk, candidates)
 	sc.request.Adapter = ""
 	if tk.Adapter != nil {
--- a/internal/coordination/router/quickest.go
+++ b/internal/coordination/router/quickest.go
@@ -98,7 +98,7 @@
 	if tg.Prefixes == nil || len(rq.PrefixTokens) < len(rq.Prefixes) {
 		return rq.PromptTokens
 	}
-	held := tg.Prefixes.Held(rq.Prefixes)
+	held := max(tg.Prefixes.Held(rq.Prefixes), rq.Common)
 	if held == 0 {
 		return rq.PromptTokens
 	}
--- a/internal/coordination/router/router.go
+++ b/internal/coordination/router/router.go
@@ -86,6 +86,8 @@
 	// the end of each of the leading blocks.
 	PromptTokens int
 	PrefixTokens []int
+	// Common is how many of the leading blocks every server is thought to hold.
+	Common int
 	// Reading returns the time in which an engine reads so many tokens of the
 	// prompt; nil means that there is nothing to be read.
 	Reading func(tokens int) time.Duration
