--- /dev/null
+++ b/internal/coordination/estimator/estimator_test.go
@@ -0,0 +1,35 @@
+package estimator_test
+
+import (
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"github.com/lagoonpass/lagoonpass/internal/coordination/estimator"
+)
+
+func TestReadingIsLearnt(t *testing.T) {
+	es := estimator.New()
+	require.InDelta(t, 100*time.Millisecond, es.Reading("m", 3840), float64(time.Millisecond))
+	require.Equal(t, es.Reading("m", 3840)+90*time.Millisecond, es.FirstToken("m", 3840, 50*time.Millisecond))
+	for range 100 {
+		es.Learn("m", 3840, 0, 240*time.Millisecond)
+	}
+	require.InDelta(t, 200*time.Millisecond, es.Reading("m", 3840), float64(2*time.Millisecond))
+	require.InDelta(t, 100*time.Millisecond, es.Reading("other", 3840), float64(time.Millisecond), "each model has its own speed")
+}
+
+// TestObservationsThatTellNothing leave the speed as it is.
+func TestObservationsThatTellNothing(t *testing.T) {
+	es := estimator.New()
+	for range 100 {
+		es.Learn("m", 10, 0, time.Second)
+		es.Learn("m", 3840, 500*time.Millisecond, time.Second)
+	}
+	require.InDelta(t, 100*time.Millisecond, es.Reading("m", 3840), float64(time.Millisecond))
+	for range 100 {
+		es.Learn("m", 3840, 0, time.Hour)
+	}
+	require.LessOrEqual(t, es.Reading("m", 3840), 801*time.Millisecond, "it stays near the published speed")
+}
