Let requests that can't be on time any more give way while they wait

Cause, shown by a played load: one server asked for three times what it reads served 4 requests in time and 83 late in 10 s, because each was sent just when its time had run out. A request now counts as late once the backlog it would find makes it so: 62 in time and 46 late. The speed of reading is learnt under load as well, since predictions were 1.6 times what happened at the median.

--- a/internal/coordination/admitter/reading.go
+++ b/internal/coordination/admitter/reading.go
@@ -57,6 +57,16 @@
 	return least + ahead*time.Duration(sc.table.Nodes())/time.Duration(count)
 }
 
+// patienceToRead returns how long a request with a prompt can wait in the node
+// and still be on time. Whatever waits is sent to a server that has just come
+// below the backlog allowed, and waits there for as long.
+func (sc *Scheduler) patienceToRead(tk *Ticket) time.Duration {
+	target := tk.Class.FirstToken()
+	backlog := max(target/backlogDivisor, leastBacklog)
+	first := sc.engines.FirstToken(tk.Model.Name(), sc.ownTokens(tk), backlog)
+	return max(target-target/marginDivisor-first, time.Millisecond)
+}
+
 // refuseLate refuses a request that waited so long for a prompt to be read that
 // others who come now are served sooner. Under a load that exceeds the servers
 // of a model the late ones would wait until their callers leave.
--- a/internal/coordination/admitter/scheduler.go
+++ b/internal/coordination/admitter/scheduler.go
@@ -148,6 +148,9 @@
 // target, less a margin and the time that the engine takes to the first token.
 func (sc *Scheduler) patience(tk *Ticket) time.Duration {
 	target := tk.Class.FirstToken()
+	if len(tk.PrefixTokens) > 0 {
+		return sc.patienceToRead(tk)
+	}
 	wait := target - target/marginDivisor - sc.service(tk.Model.Name()).firstToken.value
 	return max(wait, time.Millisecond)
 }
--- a/internal/coordination/estimator/estimator.go
+++ b/internal/coordination/estimator/estimator.go
@@ -13,7 +13,10 @@
 // The package holds no clock and no lock.
 package estimator
 
-import "time"
+import (
+	"math"
+	"time"
+)
 
 const (
 	// startTokensPerMs is the published speed of reading, which counts until
@@ -22,13 +25,13 @@
 	// baseTime is the published time to a first token besides the reading.
 	baseTime = 40 * time.Millisecond
 	// learnWeight is the weight of a new observation.
-	learnWeight = 0.1
-	// quietBacklog is the backlog up to which an observation tells about the
-	// model rather than about the load.
-	quietBacklog = 30 * time.Millisecond
-	// leastTokens is the length of a prompt from which its reading outweighs
+	learnWeight = 0.05
+	// maxSurprise bounds what one observation counts for, as the logarithm of
+	// its ratio to the prediction: some prompts wait for what does not show.
+	maxSurprise = 0.5
+	// leastReading is the predicted time of reading from which it outweighs
 	// what else varies.
-	leastTokens = 500
+	leastReading = 15 * time.Millisecond
 	// maxFactor bounds how far a learnt speed is from the published one.
 	maxFactor = 8.0
 )
@@ -53,19 +56,17 @@
 	return baseTime + backlog + es.Reading(model, tokens)
 }
 
-// Learn takes in the time to the first token of a request.
+// Learn takes in the time to the first token of a request. Observations under
+// load count as well, so that what the backlog says stays near what happens.
 func (es *Estimator) Learn(model string, tokens int, backlog, observed time.Duration) {
-	if tokens < leastTokens || backlog > quietBacklog {
+	predicted := backlog + es.Reading(model, tokens)
+	if predicted < leastReading {
 		return
 	}
-	start := startTime()
-	seen := float64(observed-baseTime) / float64(tokens)
-	seen = min(max(seen, start/maxFactor), start*maxFactor)
-	known, ok := es.perToken[model]
-	if !ok {
-		known = start
-	}
-	es.perToken[model] = known + learnWeight*(seen-known)
+	seen := max(observed-baseTime, time.Millisecond)
+	surprise := math.Log(float64(seen) / float64(predicted))
+	known := es.tokenTime(model) * math.Exp(learnWeight*min(max(surprise, -maxSurprise), maxSurprise))
+	es.perToken[model] = min(max(known, startTime()/maxFactor), startTime()*maxFactor)
 }
 
 // tokenTime is the time for one token, in units of time.Duration.
