--- a/internal/conductor/conductor.go
+++ b/internal/conductor/conductor.go
@@ -28,6 +28,7 @@
 	"github.com/lagoonpass/lagoonpass/internal/coordination/dispatcher"
 	"github.com/lagoonpass/lagoonpass/internal/coordination/ejector"
 	"github.com/lagoonpass/lagoonpass/internal/coordination/orderer"
+	"github.com/lagoonpass/lagoonpass/internal/coordination/placer"
 	"github.com/lagoonpass/lagoonpass/internal/coordination/prober"
 	"github.com/lagoonpass/lagoonpass/internal/coordination/publisher"
 	"github.com/lagoonpass/lagoonpass/internal/coordination/registrar"
@@ -106,7 +107,7 @@
 	forwarder *forwarder.Forwarder
 	budget    *retrier.Shared
 	dispatch  *dispatcher.Dispatcher
-	demands   *demands
+	demands   *placer.Collector
 	inForce   atomic.Pointer[inForce]
 	leaving   atomic.Bool
 	steward   atomic.Pointer[steward]
@@ -133,7 +134,7 @@
 		exchange:  watcher.NewExchange(id.ID, watcher.WithByteBudget(exchangeBytes)),
 		forwarder: forwarder.New(),
 		budget:    retrier.NewShared(id.Retries, time.Now()),
-		demands:   newDemands(),
+		demands:   placer.NewCollector(),
 		tracker:   tracker.New(),
 		faulty:    map[string]bool{},
 	}
--- a/internal/conductor/peers.go
+++ b/internal/conductor/peers.go
@@ -9,7 +9,6 @@
 	"github.com/apex/log"
 	"github.com/go-faster/errors"
 
-	"github.com/lagoonpass/lagoonpass/internal/coordination/planner"
 	"github.com/lagoonpass/lagoonpass/internal/coordination/prober"
 	"github.com/lagoonpass/lagoonpass/internal/coordination/tracker"
 	"github.com/lagoonpass/lagoonpass/internal/protocol/messenger"
@@ -48,7 +47,7 @@
 		cd.admitter.Bar(tc.Server, tc.Model, tc.Time)
 		return &messenger.Retired{}, nil
 	case *messenger.DemandReport:
-		cd.demands.note(time.Now(), tc)
+		cd.demands.Note(time.Now(), tc)
 		return &messenger.DemandReceived{}, nil
 	default:
 		return nil, errors.Errorf("no answer to a message of kind %d", call.Kind())
@@ -110,7 +109,7 @@
 		dr.Models = append(dr.Models, messenger.ModelDemand{Model: model, Load: load})
 	}
 	if leader.ID == cd.identity.ID {
-		cd.demands.note(time.Now(), dr)
+		cd.demands.Note(time.Now(), dr)
 		return
 	}
 	ctx, cancel := context.WithTimeout(ctx, callTimeout)
@@ -142,42 +141,6 @@
 	waiter.Sleep(ctx, retireGrace)
 }
 
-// demands keeps the last report of each node.
-type demands struct {
-	mu     sync.Mutex
-	latest map[string]demandReport
-}
-
-type demandReport struct {
-	models []messenger.ModelDemand
-	at     time.Time
-}
-
-func newDemands() *demands { return &demands{latest: map[string]demandReport{}} }
-
-func (dm *demands) note(now time.Time, dr *messenger.DemandReport) {
-	dm.mu.Lock()
-	defer dm.mu.Unlock()
-	dm.latest[dr.Node] = demandReport{models: dr.Models, at: now}
-}
-
-// sum adds up the reports and forgets the nodes that fell silent.
-func (dm *demands) sum(now time.Time) planner.Demand {
-	dm.mu.Lock()
-	defer dm.mu.Unlock()
-	total := planner.Demand{}
-	for node, rp := range dm.latest {
-		if now.Sub(rp.at) > demandGrace {
-			delete(dm.latest, node)
-			continue
-		}
-		for _, md := range rp.models {
-			total[md.Model] += md.Load
-		}
-	}
-	return total
-}
-
 // leaderView is a view in which the leader owns all servers: it alone sends
 // orders.
 func (cd *Conductor) leaderView() *prober.View {
--- a/internal/conductor/steward.go
+++ b/internal/conductor/steward.go
@@ -158,7 +158,7 @@
 	for _, sv := range inf.servers {
 		staying[sv.ID] = !sv.Leaving
 	}
-	demand := cd.demands.sum(now)
+	demand := cd.demands.Sum(now, demandGrace)
 	next := sw.planner.Next(planner.Input{
 		Settings: inf.settings,
 		Usable:   func(server string) bool { return staying[server] },
--- a/internal/coordination/placer/hold.go
+++ b/internal/coordination/placer/hold.go
@@ -158,7 +158,7 @@
 		return tn.record.State().Demand
 	}
 	tn.heard = true
-	return pc.reports.sum(now, grace)
+	return pc.reports.Sum(now, grace)
 }
 
 // checkReachable asserts that no model loses its last serving replica.
--- a/internal/coordination/placer/placer.go
+++ b/internal/coordination/placer/placer.go
@@ -97,7 +97,7 @@
 	random   *rand.Rand
 	registry *counter.Registry
 	current  atomic.Pointer[planner.Record]
-	reports  *collector
+	reports  *Collector
 
 	settings  *configurer.Settings
 	nextPass  time.Time
@@ -125,7 +125,7 @@
 		caller:  caller,
 		spread:  sp,
 		random:  rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64())),
-		reports: newCollector(),
+		reports: NewCollector(),
 	}
 	for _, opt := range opts {
 		opt(pc)
@@ -187,7 +187,7 @@
 	rc := pc.Current()
 	switch ms := call.(type) {
 	case *messenger.DemandReport:
-		pc.reports.note(time.Now(), ms)
+		pc.reports.Note(time.Now(), ms)
 		vn := versionOf(rc)
 		return &messenger.DemandReceived{Epoch: vn.Epoch, Number: vn.Seq}, nil
 	case *messenger.PlanFetch:
--- a/internal/coordination/placer/report.go
+++ b/internal/coordination/placer/report.go
@@ -26,8 +26,8 @@
 	leastModels = 4
 )
 
-// collector keeps the latest report of each node.
-type collector struct {
+// Collector keeps the latest report of each node.
+type Collector struct {
 	mu     sync.Mutex
 	latest map[string]report
 }
@@ -37,17 +37,19 @@
 	at     time.Time
 }
 
-func newCollector() *collector { return &collector{latest: map[string]report{}} }
+// NewCollector returns a collector without reports.
+func NewCollector() *Collector { return &Collector{latest: map[string]report{}} }
 
-func (co *collector) note(now time.Time, dr *messenger.DemandReport) {
+// Note takes in a report.
+func (co *Collector) Note(now time.Time, dr *messenger.DemandReport) {
 	co.mu.Lock()
 	defer co.mu.Unlock()
 	co.latest[dr.Node] = report{models: dr.Models, at: now}
 }
 
-// sum adds up the reports and forgets the nodes that were silent for longer
+// Sum adds up the reports and forgets the nodes that were silent for longer
 // than the grace.
-func (co *collector) sum(now time.Time, grace time.Duration) planner.Demand {
+func (co *Collector) Sum(now time.Time, grace time.Duration) planner.Demand {
 	co.mu.Lock()
 	defer co.mu.Unlock()
 	total := planner.Demand{}
@@ -64,7 +66,7 @@
 }
 
 // heard reports whether each member that lives has a report.
-func (co *collector) heard(vw *prober.View) bool {
+func (co *Collector) heard(vw *prober.View) bool {
 	co.mu.Lock()
 	defer co.mu.Unlock()
 	for _, mb := range vw.Members() {
@@ -82,7 +84,7 @@
 	budget := reportBytes * sn.Settings.Planning().Interval().Seconds() / float64(max(len(vw.Members()), 1))
 	most := max(int(budget/modelBytes), leastModels)
 	dr := &messenger.DemandReport{Node: pc.self, Models: sample(sn.Demand(), most, pc.random)}
-	pc.reports.note(now, dr)
+	pc.reports.Note(now, dr)
 	owner, ok := vw.Owner(Resource)
 	if !ok || owner.ID == pc.self {
 		return
