--- a/internal/conductor/conductor.go
+++ b/internal/conductor/conductor.go
@@ -51,6 +51,10 @@
 	// adapterPatience is how long a request waits for an adapter on one server:
 	// several orders, each of which takes some ten milliseconds.
 	adapterPatience = 250 * time.Millisecond
+	// silentIdle is how long a connection is kept whose server does not say how
+	// long it may be idle: the announcement is in whole seconds, and a server
+	// that makes none may mean less than one.
+	silentIdle = 800 * time.Millisecond
 	// passInterval is the time between two looks at what waits.
 	passInterval = 50 * time.Millisecond
 )
@@ -132,7 +136,7 @@
 		holder:    publisher.NewHolder(),
 		pool:      messenger.NewPool(),
 		exchange:  watcher.NewExchange(id.ID, watcher.WithByteBudget(exchangeBytes)),
-		forwarder: forwarder.New(),
+		forwarder: forwarder.New(forwarder.WithIdleTimeout(silentIdle)),
 		budget:    retrier.NewShared(id.Retries, time.Now()),
 		demands:   placer.NewCollector(),
 		tracker:   tracker.New(),
--- a/internal/transport/forwarder/connection.go
+++ b/internal/transport/forwarder/connection.go
@@ -21,6 +21,8 @@
 	// aheadBytes is the size from which a body is written while the answer is
 	// awaited: a server may answer before it has read a long one.
 	aheadBytes = 8 << 10
+	// longestIdle bounds how long a connection is kept whatever its server says.
+	longestIdle = time.Minute
 	// keepMargin is how much sooner than its server a connection is given up.
 	keepMargin = 500 * time.Millisecond
 )
@@ -189,7 +191,7 @@
 			continue
 		}
 		limit := time.Duration(seconds) * time.Second
-		cn.idleLimit = min(max(limit-keepMargin, limit/2), cn.owner.idleTimeout)
+		cn.idleLimit = min(max(limit-keepMargin, limit/2), longestIdle)
 	}
 }
 
