--- a/internal/conductor/conductor.go
+++ b/internal/conductor/conductor.go
@@ -170,12 +170,6 @@
 // Ready reports whether the node can serve callers.
 func (cd *Conductor) Ready() bool { return cd.inForce.Load() != nil && !cd.leaving.Load() }
 
-// Revision returns the version of the configuration in force, 0 for none.
-func (cd *Conductor) Revision() int64 { return cd.holder.Number() }
-
-// Connections returns the number of connections opened to backend servers.
-func (cd *Conductor) Connections() int64 { return cd.forwarder.Opened() }
-
 // SetRetries sets what all nodes together may repeat.
 func (cd *Conductor) SetRetries(bound retrier.Bound) { cd.budget.SetBound(bound) }
 
@@ -214,6 +208,8 @@
 	for {
 		if inf := cd.inForce.Load(); inf != nil {
 			cd.admitter.Refresh(inf.settings)
+			cd.registry.Set(cd.forwarder.Opened(), "backend-connections", "opened")
+			cd.registry.Set(int64(len(inf.servers)), "backend-servers", "registered")
 		}
 		select {
 		case <-ctx.Done():
--- a/internal/coordination/orderer/sequencer.go
+++ b/internal/coordination/orderer/sequencer.go
@@ -128,17 +128,6 @@
 // work is sent there for it: engines refuse it until they are done.
 func (sq *Sequencer) OnRetire(fn func(ctx context.Context, server, model string)) { sq.retire = fn }
 
-// Forget drops what is known of engines that are not named any more.
-func (sq *Sequencer) Forget(keep func(server string) bool) {
-	sq.mu.Lock()
-	defer sq.mu.Unlock()
-	for server := range sq.engines {
-		if !keep(server) {
-			delete(sq.engines, server)
-		}
-	}
-}
-
 // Send implements Engines.
 func (sq *Sequencer) Send(ctx context.Context, address string, od Order) (Answer, error) {
 	se := sq.sequence(od.Server)
--- a/internal/state/replicator/replicator.go
+++ b/internal/state/replicator/replicator.go
@@ -25,7 +25,7 @@
 const (
 	// defaultWait is how long one watch waits for a change. A connection that
 	// fell silent is found out about as late.
-	defaultWait = time.Second
+	defaultWait = 2 * time.Second
 	// minPause and maxPause bound the pause after a call that failed.
 	minPause = 50 * time.Millisecond
 	maxPause = 400 * time.Millisecond
