--- /dev/null
+++ b/internal/conductor/conductor_test.go
@@ -0,0 +1,189 @@
+package conductor
+
+import (
+	"context"
+	"strconv"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/apex/log"
+	"github.com/apex/log/handlers/discard"
+	"github.com/go-faster/errors"
+	"github.com/stretchr/testify/require"
+
+	"github.com/lagoonpass/lagoonpass/internal/coordination/orderer"
+	"github.com/lagoonpass/lagoonpass/internal/coordination/planner"
+	"github.com/lagoonpass/lagoonpass/internal/coordination/tracker"
+	"github.com/lagoonpass/lagoonpass/internal/counter"
+	"github.com/lagoonpass/lagoonpass/internal/protocol/messenger"
+	"github.com/lagoonpass/lagoonpass/internal/state/configurer"
+	"github.com/lagoonpass/lagoonpass/internal/state/storer"
+)
+
+const settingsText = `[caller.all]
+key-sha256 = 0000000000000000000000000000000000000000000000000000000000000000
+[class.c]
+rank = 1
+deadline = 1h
+[pool.p]
+[model.m]
+pool = p
+memory = 1GiB
+[route.r]
+host = h
+prefix = /
+pools = p
+class = c
+`
+
+// newNode returns a node whose configuration is a number, a blank and settings,
+// and whose registrations are a pool, an address and an incarnation.
+func newNode() *Conductor {
+	log.SetHandler(discard.New())
+	return New(Identity{ID: "n1", Zone: "z", PeerAddress: "n1:1", CallerAddress: "n1:2"}, Binding{
+		ConfigKey: "conf/all",
+		DecodeConfig: func(value []byte) (int64, []configurer.File, error) {
+			number, text, _ := strings.Cut(string(value), " ")
+			version, err := strconv.ParseInt(number, 10, 64)
+			return version, []configurer.File{{Name: "1.ini", Text: text}}, err
+		},
+		DecodeServer: func(key string, value []byte) (tracker.Server, error) {
+			fields := strings.Fields(string(value))
+			if len(fields) != 3 {
+				return tracker.Server{}, errors.New("three fields are wanted")
+			}
+			incarnation, err := strconv.ParseInt(fields[2], 10, 64)
+			return tracker.Server{ID: strings.TrimPrefix(key, "s/"), Pool: fields[0], Address: fields[1], Incarnation: incarnation, Slots: 2}, err
+		},
+		ServerID: func(key string) string { return strings.TrimPrefix(key, "s/") },
+	}, WithRegistry(counter.NewRegistry()))
+}
+
+func configuration(version int, text string) storer.Entry {
+	return storer.Entry{Key: "conf/all", Value: []byte(strconv.Itoa(version) + " " + text), Revision: int64(version)}
+}
+
+func registration(id, value string) storer.Entry {
+	return storer.Entry{Key: "s/" + id, Value: []byte(value), Revision: 1}
+}
+
+func ids(st *configurer.Settings) []string {
+	var all []string
+	for _, bs := range st.BackendServers() {
+		all = append(all, bs.Name())
+	}
+	return all
+}
+
+// A node serves once it knows both its configuration and which servers exist,
+// even if none does.
+func TestReadyNeedsConfigurationAndServers(t *testing.T) {
+	cd := newNode()
+	configSink{cd}.Replace([]storer.Entry{configuration(1, settingsText)})
+	require.False(t, cd.Ready())
+	require.Nil(t, cd.Settings())
+	st, rt := cd.Route("h", "/x")
+	require.Nil(t, st)
+	require.Nil(t, rt)
+
+	serverSink{cd}.Replace(nil)
+	require.True(t, cd.Ready())
+	_, rt = cd.Route("h", "/x")
+	require.NotNil(t, rt)
+	_, rt = cd.Route("other", "/x")
+	require.Nil(t, rt)
+}
+
+// Neither an older configuration, nor one that can't be read, nor one with
+// faults takes the place of the one in force, and the store's loss takes
+// nothing away.
+func TestConfigurationStaysInForce(t *testing.T) {
+	cd := newNode()
+	sink := configSink{cd}
+	serverSink{cd}.Replace(nil)
+	sink.Replace([]storer.Entry{configuration(5, settingsText)})
+	inForce := cd.Settings()
+	for _, en := range []storer.Entry{
+		configuration(4, strings.ReplaceAll(settingsText, "host = h", "host = older")),
+		configuration(6, "[route.r]\nhost = 1\nno-such-key = 2\n"),
+		{Key: "conf/all", Value: []byte("nonsense"), Revision: 7},
+		{Key: "conf/other", Value: []byte("8 " + settingsText), Revision: 8},
+	} {
+		sink.Apply([]storer.Change{{Entry: en}})
+		require.Same(t, inForce, cd.Settings(), "%s", en.Value)
+	}
+	sink.Apply([]storer.Change{{Entry: storer.Entry{Key: "conf/all", Revision: 9}, Deleted: true}})
+	sink.Lost()
+	require.Same(t, inForce, cd.Settings())
+
+	sink.Apply([]storer.Change{{Entry: configuration(10, strings.ReplaceAll(settingsText, "host = h", "host = newer"))}})
+	_, rt := cd.Route("newer", "/x")
+	require.NotNil(t, rt)
+}
+
+// Servers of pools that are not configured and registrations that make no sense
+// do not count; of two servers at one address the later one does.
+func TestServersThatCount(t *testing.T) {
+	cd := newNode()
+	configSink{cd}.Replace([]storer.Entry{configuration(1, settingsText)})
+	sink := serverSink{cd}
+	sink.Replace([]storer.Entry{
+		registration("a", "p 10.0.0.1:1 1"),
+		registration("b", "elsewhere 10.0.0.2:1 1"),
+		registration("c", "nonsense"),
+		registration("d", "p 10.0.0.1:1 2"),
+	})
+	require.Equal(t, []string{"d"}, ids(cd.Settings()))
+
+	sink.Apply([]storer.Change{{Entry: registration("e", "p 10.0.0.3:1 1")}})
+	require.ElementsMatch(t, []string{"d", "e"}, ids(cd.Settings()))
+	sink.Apply([]storer.Change{{Entry: storer.Entry{Key: "s/e"}, Deleted: true}})
+	require.Equal(t, []string{"d"}, ids(cd.Settings()))
+}
+
+// While the store is away its lost registrations say nothing.
+func TestServersStayWhileTheStoreIsAway(t *testing.T) {
+	cd := newNode()
+	configSink{cd}.Replace([]storer.Entry{configuration(1, settingsText)})
+	sink := serverSink{cd}
+	sink.Replace([]storer.Entry{registration("a", "p 10.0.0.1:1 1")})
+	sink.Lost()
+	sink.Regained()
+	sink.Replace(nil)
+	require.Equal(t, []string{"a"}, ids(cd.Settings()))
+}
+
+func TestPeersAreAnswered(t *testing.T) {
+	cd := newNode()
+	ctx := context.Background()
+	answer, err := cd.handlePeer(ctx, &messenger.Retire{Server: "a", Model: "m", Time: time.Second})
+	require.NoError(t, err)
+	require.IsType(t, &messenger.Retired{}, answer)
+
+	answer, err = cd.handlePeer(ctx, &messenger.DemandReport{Node: "n2", Models: []messenger.ModelDemand{{Model: "m", Load: 3}}})
+	require.NoError(t, err)
+	require.IsType(t, &messenger.DemandReceived{}, answer)
+	require.InDelta(t, 3, cd.demands.Sum(time.Now(), time.Hour)["m"], 0.01)
+
+	_, err = cd.handlePeer(ctx, &messenger.Ping{})
+	require.Error(t, err, "membership is the store's matter")
+}
+
+// A node that does not lead sends no orders.
+func TestOrdersAreTheLeaders(t *testing.T) {
+	cd := newNode()
+	_, ok := cd.Fence("a")
+	require.False(t, ok)
+	_, err := cd.Send(context.Background(), "10.0.0.1:1", orderer.Order{})
+	var oe *orderer.OrderError
+	require.ErrorAs(t, err, &oe)
+	require.Equal(t, orderer.NotSent, oe.Outcome)
+	_, err = cd.Take(context.Background(), "any")
+	require.ErrorIs(t, err, errNotLeader)
+}
+
+func TestMostWanted(t *testing.T) {
+	plan := planner.NewPlan(map[string][]string{"a": {"m", "n"}, "b": {"m"}})
+	require.Equal(t, "m:2.0/2 n:0.5/1", mostWanted(planner.Demand{"n": 0.5, "m": 2}, plan))
+}
