Await random jobs all at once, before their ends expire

The test awaited one job after another; ends are kept for one minute there, and the end of an earlier job may take longer, so that a later one had ended and been removed.

--- a/internal/coordination/jobrunner/cluster_test.go
+++ b/internal/coordination/jobrunner/cluster_test.go
@@ -225,11 +225,28 @@
 
 // await returns the job once it has ended.
 func (cl *cluster) await(t *testing.T, ix int, id string, within time.Duration) *Job {
+	return cl.awaitAll(t, ix, []string{id}, within)[id]
+}
+
+// awaitAll returns the jobs once each has ended. It looks at all of them in
+// turn: an end is kept for the retention only, and the end of another job may
+// take longer.
+func (cl *cluster) awaitAll(t *testing.T, ix int, ids []string, within time.Duration) map[string]*Job {
+	ended := make(map[string]*Job, len(ids))
 	for since := time.Now(); ; time.Sleep(100 * time.Millisecond) {
-		jb, rf := cl.nodes[ix].runner.Get(t.Context(), "desk", id)
-		if rf == nil && jb.State().Ended() {
-			return jb
+		for _, id := range ids {
+			if ended[id] != nil {
+				continue
+			}
+			jb, rf := cl.nodes[ix].runner.Get(t.Context(), "desk", id)
+			if rf == nil && jb.State().Ended() {
+				ended[id] = jb
+				continue
+			}
+			require.Less(t, time.Since(since), within, "job did not end: %+v %v", jb, rf)
+		}
+		if len(ended) == len(ids) {
+			return ended
 		}
-		require.Less(t, time.Since(since), within, "job did not end: %+v %v", jb, rf)
 	}
 }
--- a/internal/coordination/jobrunner/jobrunner_test.go
+++ b/internal/coordination/jobrunner/jobrunner_test.go
@@ -2,7 +2,9 @@
 
 import (
 	"fmt"
+	"maps"
 	"os"
+	"slices"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -288,9 +290,8 @@
 		time.Sleep(70 * time.Millisecond)
 	}
 	cl.store.SetDown(false)
-	for id, path := range paths {
-		ended := cl.await(t, alive, id, 5*time.Minute)
-		if path == "book" {
+	for id, ended := range cl.awaitAll(t, alive, slices.Collect(maps.Keys(paths)), 5*time.Minute) {
+		if paths[id] == "book" {
 			require.LessOrEqual(t, cl.runs(id), 1)
 			require.True(t, ended.State() == Done || ended.Refusal().Outcome() == refuser.Unknown, "%+v", ended)
 		} else {
