--- a/internal/standin/platform/keyspace.go
+++ b/internal/standin/platform/keyspace.go
@@ -18,7 +18,6 @@
 	history []storer.Change
 	oldest  int64
 	leases  map[storer.Lease]*term
-	held    map[string]storer.Lease
 }
 
 // term is how long a lease lasts.
@@ -29,7 +28,7 @@
 
 // NewKeyspace returns an empty keyspace.
 func NewKeyspace() *Keyspace {
-	return &Keyspace{Memory: NewMemory(), leases: map[storer.Lease]*term{}, held: map[string]storer.Lease{}}
+	return &Keyspace{Memory: NewMemory(), leases: map[storer.Lease]*term{}}
 }
 
 // Compact forgets the history.
@@ -57,7 +56,6 @@
 	ks.revision++
 	en := storer.Entry{Key: wr.Key, Value: slices.Clone(wr.Value), Revision: ks.revision, Lease: wr.Lease}
 	ks.entries[wr.Key] = en
-	ks.held[wr.Key] = wr.Lease
 	ks.history = append(ks.history, storer.Change{Entry: en})
 }
 
@@ -67,7 +65,6 @@
 	}
 	ks.revision++
 	delete(ks.entries, key)
-	delete(ks.held, key)
 	ks.history = append(ks.history, storer.Change{Entry: storer.Entry{Key: key, Revision: ks.revision}, Deleted: true})
 }
 
@@ -92,8 +89,8 @@
 
 func (ks *Keyspace) end(id storer.Lease) {
 	delete(ks.leases, id)
-	for key, lease := range ks.held {
-		if lease == id {
+	for key, en := range ks.entries {
+		if en.Lease == id {
 			ks.drop(key)
 		}
 	}
