--- a/internal/coordination/limiter/book.go
+++ b/internal/coordination/limiter/book.go
@@ -253,16 +253,6 @@
 	return math.Max(ac.share(now), 0)
 }
 
-// Using returns the operations in progress under a limit of units at once.
-func (lm *Limiter) Using(name string) int {
-	lm.mu.Lock()
-	defer lm.mu.Unlock()
-	if ac, ok := lm.accounts[name]; ok {
-		return ac.using
-	}
-	return 0
-}
-
 // Forget ends what was lent to a node whose VM is gone for good. It must be
 // called only when the platform says so, and no earlier than the limit's quiet
 // time after it did.
--- a/internal/coordination/limiter/limiter.go
+++ b/internal/coordination/limiter/limiter.go
@@ -106,9 +106,6 @@
 // Name returns the limit's name.
 func (lt Limit) Name() string { return lt.name }
 
-// Capacity returns the uses a second, or the operations at the same time.
-func (lt Limit) Capacity() float64 { return lt.capacity }
-
 // slotted returns what the slots divide among them.
 func (lt Limit) slotted() float64 {
 	if lt.burst <= 0 {
--- a/internal/coordination/recorder/begin.go
+++ b/internal/coordination/recorder/begin.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"crypto/rand"
 	"encoding/binary"
 	"sync/atomic"
 	"time"
@@ -98,7 +99,7 @@
 		Time:     key.time,
 		Request:  key.request[:],
 		Executor: rc.node,
-		Attempt:  rc.names(),
+		Attempt:  rand.Text(),
 	}
 	at := &attempt{recorder: rc, begin: bg, since: time.Now()}
 	return at.run(ctx)
--- a/internal/coordination/recorder/recorder.go
+++ b/internal/coordination/recorder/recorder.go
@@ -24,9 +24,8 @@
 import (
 	"bytes"
 	"context"
-	"crypto/rand"
 	"fmt"
-	mathrand "math/rand/v2"
+	"math/rand/v2"
 	"sync"
 	"time"
 
@@ -61,8 +60,7 @@
 	caller   Caller
 	settings func() *configurer.Records
 	registry *counter.Registry
-	names    func() string
-	random   *mathrand.Rand
+	random   *rand.Rand
 	ctx      context.Context
 	cancel   context.CancelFunc
 	running  sync.WaitGroup
@@ -81,10 +79,7 @@
 func WithRegistry(rg *counter.Registry) Option { return func(rc *Recorder) { rc.registry = rg } }
 
 // WithRandom makes the recorder draw its delays from random.
-func WithRandom(random *mathrand.Rand) Option { return func(rc *Recorder) { rc.random = random } }
-
-// WithNames makes the recorder take its unique ids from fn.
-func WithNames(fn func() string) Option { return func(rc *Recorder) { rc.names = fn } }
+func WithRandom(random *rand.Rand) Option { return func(rc *Recorder) { rc.random = random } }
 
 // WithSegmentBytes sets the size beyond which the open segment is sealed.
 func WithSegmentBytes(size int) Option { return func(rc *Recorder) { rc.segmentBytes = size } }
@@ -98,8 +93,7 @@
 		view:     view,
 		caller:   cl,
 		settings: settings,
-		names:    rand.Text,
-		random:   mathrand.New(mathrand.NewPCG(mathrand.Uint64(), mathrand.Uint64())),
+		random:   rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64())),
 		shards:   map[int]*shard{},
 
 		segmentBytes: defaultSegmentBytes,
--- a/internal/coordination/recorder/shard.go
+++ b/internal/coordination/recorder/shard.go
@@ -3,6 +3,7 @@
 import (
 	"bytes"
 	"context"
+	"crypto/rand"
 	"fmt"
 	"sync"
 	"time"
@@ -316,7 +317,7 @@
 	if err != nil {
 		return err
 	}
-	hd := sg.next(sh.recorder.names(), sealed)
+	hd := sg.next(rand.Text(), sealed)
 	value, err := hd.encode()
 	if err != nil {
 		return err
@@ -367,7 +368,7 @@
 
 // segmentName returns a name that no other segment of the shard has.
 func (sh *shard) segmentName() string {
-	name := sh.recorder.names()
+	name := rand.Text()
 	return name[:min(len(name), segmentNameLength)]
 }
 
--- a/internal/coordination/router/load.go
+++ b/internal/coordination/router/load.go
@@ -67,9 +67,6 @@
 // Reported returns the uncorrected number of the last report.
 func (ld *Load) Reported() int { return ld.reported }
 
-// AsOf returns the time for which the number of the others' requests held.
-func (ld *Load) AsOf() time.Time { return ld.asOf }
-
 // Backlog returns the time in which the prompts sent so far will be read.
 func (ld *Load) Backlog() time.Duration { return ld.backlog + ld.othersBacklog }
 
--- a/internal/standin/engine/engine.go
+++ b/internal/standin/engine/engine.go
@@ -41,7 +41,6 @@
 	bootID      string
 	models      map[string]loaded
 	highFence   int64
-	staleOrders int
 	usage       memory
 	orderFaults []OrderFault
 	held        []order
--- a/internal/standin/engine/orders.go
+++ b/internal/standin/engine/orders.go
@@ -104,13 +104,6 @@
 // Serves reports whether any version of the model serves.
 func (eg *Engine) Serves(model string) bool { return eg.serves(model) }
 
-// StaleOrders returns the number of orders with an old fencing number.
-func (eg *Engine) StaleOrders() int {
-	eg.mu.Lock()
-	defer eg.mu.Unlock()
-	return eg.staleOrders
-}
-
 func (eg *Engine) serveOrder(wr http.ResponseWriter, rq *http.Request) {
 	var od order
 	if err := json.NewDecoder(rq.Body).Decode(&od); err != nil {
@@ -188,7 +181,6 @@
 	eg.mu.Lock()
 	defer eg.mu.Unlock()
 	if od.Fence < eg.highFence {
-		eg.staleOrders++
 		if eg.fencing {
 			return "stale-fence"
 		}
--- a/internal/state/accountant/accountant.go
+++ b/internal/state/accountant/accountant.go
@@ -100,9 +100,6 @@
 // Boot returns the boot id of the engine that the order is meant for.
 func (at Attempt) Boot() string { return at.boot }
 
-// Seen returns when the present owner first saw the attempt.
-func (at Attempt) Seen() time.Time { return at.seen }
-
 // Resident is a copy that an engine says is in its memory.
 type Resident struct {
 	Copy
--- a/internal/state/replicator/replicator.go
+++ b/internal/state/replicator/replicator.go
@@ -4,7 +4,7 @@
 //
 // # Usage
 //
-//	rp := replicator.New(keyspace, "nodes/", sink, replicator.WithWait(time.Second))
+//	rp := replicator.New(keyspace, "nodes/", sink, replicator.WithRegistry(registry))
 //	err := rp.Run(ctx)
 //
 // The sink hears of everything in order, from one goroutine.
@@ -23,9 +23,9 @@
 )
 
 const (
-	// defaultWait is how long one watch waits for a change. A connection that
+	// watchWait is how long one watch waits for a change. A connection that
 	// fell silent is found out about as late.
-	defaultWait = 2 * time.Second
+	watchWait = 2 * time.Second
 	// minPause and maxPause bound the pause after a call that failed.
 	minPause = 50 * time.Millisecond
 	maxPause = 400 * time.Millisecond
@@ -48,7 +48,6 @@
 	store    storer.Keyspace
 	prefix   string
 	sink     Sink
-	wait     time.Duration
 	registry *counter.Registry
 
 	revision int64
@@ -58,15 +57,12 @@
 // Option changes a Replicator that is being made.
 type Option func(*Replicator)
 
-// WithWait sets how long one watch waits.
-func WithWait(wait time.Duration) Option { return func(rp *Replicator) { rp.wait = wait } }
-
 // WithRegistry counts what the replicator does.
 func WithRegistry(rg *counter.Registry) Option { return func(rp *Replicator) { rp.registry = rg } }
 
 // New returns a replicator of the keys under the prefix.
 func New(st storer.Keyspace, prefix string, sk Sink, opts ...Option) *Replicator {
-	rp := &Replicator{store: st, prefix: prefix, sink: sk, wait: defaultWait}
+	rp := &Replicator{store: st, prefix: prefix, sink: sk}
 	for _, opt := range opts {
 		opt(rp)
 	}
@@ -88,7 +84,7 @@
 	if rp.revision == 0 {
 		return rp.reload(ctx)
 	}
-	changes, revision, err := rp.store.Watch(ctx, rp.prefix, rp.revision, rp.wait)
+	changes, revision, err := rp.store.Watch(ctx, rp.prefix, rp.revision, watchWait)
 	if storer.Is(err, storer.TooOld) {
 		log.WithField("prefix", rp.prefix).WithField("revision", rp.revision).Warn("watch missed changes; taking the whole again")
 		rp.registry.Inc("watch", "too-old")
