Use one piece of code for what the platform's path wrote again

- waiter.Every for the loops that do one thing at an interval
- View.ServerOwner and OwnsServer for the resource name of a backend server
- Dispatcher.account for the end of a sending, in both ways to dispatch

--- a/internal/conductor/conductor.go
+++ b/internal/conductor/conductor.go
@@ -41,6 +41,7 @@
 	"github.com/lagoonpass/lagoonpass/internal/state/configurer"
 	"github.com/lagoonpass/lagoonpass/internal/state/storer"
 	"github.com/lagoonpass/lagoonpass/internal/transport/forwarder"
+	"github.com/lagoonpass/lagoonpass/internal/waiter"
 )
 
 const (
@@ -203,20 +204,14 @@
 
 // pass lets what waits learn of new load and of the time.
 func (cd *Conductor) pass(ctx context.Context) error {
-	tk := time.NewTicker(passInterval)
-	defer tk.Stop()
-	for {
+	waiter.Every(ctx, passInterval, func() {
 		if inf := cd.inForce.Load(); inf != nil {
 			cd.admitter.Refresh(inf.settings)
 			cd.registry.Set(cd.forwarder.Opened(), "backend-connections", "opened")
 			cd.registry.Set(int64(len(inf.servers)), "backend-servers", "registered")
 		}
-		select {
-		case <-ctx.Done():
-			return nil
-		case <-tk.C:
-		}
-	}
+	})
+	return nil
 }
 
 func (cd *Conductor) presence() messenger.Presence {
@@ -234,11 +229,5 @@
 
 // replicas tells the ejector which servers share a server's models.
 func (cd *Conductor) replicas(name string) map[string][]string {
-	sn := cd.watcher.Snapshot()
-	rp, _ := sn.Report(name)
-	groups := make(map[string][]string, len(rp.Models))
-	for model := range rp.Models {
-		groups[model] = sn.Replicas(model)
-	}
-	return groups
+	return cd.watcher.Snapshot().Peers(name)
 }
--- a/internal/conductor/knowledge.go
+++ b/internal/conductor/knowledge.go
@@ -12,6 +12,7 @@
 	"github.com/lagoonpass/lagoonpass/internal/state/configurer"
 	"github.com/lagoonpass/lagoonpass/internal/state/replicator"
 	"github.com/lagoonpass/lagoonpass/internal/state/storer"
+	"github.com/lagoonpass/lagoonpass/internal/waiter"
 )
 
 // settleLook is the time between two looks at servers that may be gone.
@@ -109,16 +110,7 @@
 
 // settle drops servers that did not register again after an outage.
 func (ss serverSink) settle(ctx context.Context) {
-	tk := time.NewTicker(settleLook)
-	defer tk.Stop()
-	for {
-		select {
-		case <-ctx.Done():
-			return
-		case <-tk.C:
-			ss.refresh()
-		}
-	}
+	waiter.Every(ctx, settleLook, ss.refresh)
 }
 
 // Replace implements replicator.Sink.
--- a/internal/conductor/peers.go
+++ b/internal/conductor/peers.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"slices"
 	"strconv"
 	"sync"
 	"time"
@@ -57,20 +58,15 @@
 // exchangeLoads tells the owners of servers what this node uses of them, and
 // learns what the others use.
 func (cd *Conductor) exchangeLoads(ctx context.Context) error {
-	tk := time.NewTicker(exchangeInterval)
-	defer tk.Stop()
-	for {
-		if inf := cd.inForce.Load(); inf != nil {
-			cd.budget.SetNodes(cd.registrar.Nodes())
-			cd.exchange.Round(ctx, time.Now, cd.admitter.Outstanding(), cd.ownerOf, cd.pool)
-			cd.observe()
+	waiter.Every(ctx, exchangeInterval, func() {
+		if cd.inForce.Load() == nil {
+			return
 		}
-		select {
-		case <-ctx.Done():
-			return nil
-		case <-tk.C:
-		}
-	}
+		cd.budget.SetNodes(cd.registrar.Nodes())
+		cd.exchange.Round(ctx, time.Now, cd.admitter.Outstanding(), cd.registrar.View().ServerOwner, cd.pool)
+		cd.observe()
+	})
+	return nil
 }
 
 // observe puts what the exchange learnt into the snapshot.
@@ -81,26 +77,14 @@
 	cd.watcher.Observe(now, reports(cd.inForce.Load(), now))
 }
 
-func (cd *Conductor) ownerOf(server string) (address string, self, ok bool) {
-	vw := cd.registrar.View()
-	owner, ok := vw.Owner("worker/" + server)
-	return owner.PeerAddress, owner.ID == vw.Self(), ok
-}
-
 // reportDemand tells the leader what this node's callers want.
 func (cd *Conductor) reportDemand(ctx context.Context) error {
-	tk := time.NewTicker(demandInterval)
-	defer tk.Stop()
-	for {
+	waiter.Every(ctx, demandInterval, func() {
 		if leader, ok := cd.registrar.Leader(); ok && cd.inForce.Load() != nil {
 			cd.tellDemand(ctx, leader)
 		}
-		select {
-		case <-ctx.Done():
-			return nil
-		case <-tk.C:
-		}
-	}
+	})
+	return nil
 }
 
 func (cd *Conductor) tellDemand(ctx context.Context, leader prober.Member) {
@@ -154,27 +138,8 @@
 
 // reportsAdapter reports whether a server says that it holds an adapter.
 func (cd *Conductor) reportsAdapter(server, adapter string) bool {
-	inf := cd.inForce.Load()
-	if inf == nil {
-		return false
-	}
-	for _, sv := range inf.servers {
-		if sv.ID == server {
-			return holdsAdapter(sv, adapter)
-		}
-	}
-	return false
-}
-
-func holdsAdapter(sv tracker.Server, adapter string) bool {
-	for _, hd := range sv.Models {
-		for _, name := range hd.Adapters {
-			if name == adapter {
-				return true
-			}
-		}
-	}
-	return false
+	rp, ok := cd.watcher.Snapshot().Report(server)
+	return ok && slices.Contains(rp.Adapters, adapter)
 }
 
 // bootOf returns what the orders call the start of a server.
--- a/internal/conductor/steward.go
+++ b/internal/conductor/steward.go
@@ -41,11 +41,12 @@
 		now, ok := cd.registrar.Leads()
 		return term, ok && now == term
 	}
+	held := heldPlan(inf)
 	sw := &steward{
 		term:      term,
 		planner:   planner.New(inf.settings),
-		plan:      heldPlan(inf),
-		held:      heldPlan(inf),
+		plan:      held,
+		held:      held,
 		sequencer: orderer.NewSequencer(cd.binding.Station, guard, cd.sizeOf, cd.registry),
 	}
 	sw.sequencer.OnUnload(cd.adapters.Recheck)
--- a/internal/coordination/adapterkeeper/adapterkeeper.go
+++ b/internal/coordination/adapterkeeper/adapterkeeper.go
@@ -152,7 +152,7 @@
 	return &messenger.AdapterState{Ready: reason == "", Reason: reason}
 }
 
-func (kp *Keeper) owns(server string) bool { return kp.view().Owns("worker/" + server) }
+func (kp *Keeper) owns(server string) bool { return kp.view().OwnsServer(server) }
 
 // rules returns what the settings say of the server, and the adapter's size.
 func (kp *Keeper) rules(server, adapter string) (rules Rules, bytes int64, ok bool) {
--- a/internal/coordination/adapterkeeper/lease.go
+++ b/internal/coordination/adapterkeeper/lease.go
@@ -8,6 +8,7 @@
 
 	"github.com/lagoonpass/lagoonpass/internal/protocol/messenger"
 	"github.com/lagoonpass/lagoonpass/internal/state/configurer"
+	"github.com/lagoonpass/lagoonpass/internal/waiter"
 )
 
 // target is an adapter on a server.
@@ -98,13 +99,13 @@
 // question returns why the adapter is not ready, or nothing.
 func (kp *Keeper) question(ctx context.Context, tg target) string {
 	vw := kp.view()
-	owner, ok := vw.Owner("worker/" + tg.server)
-	if ok && owner.ID == vw.Self() {
+	address, self, _ := vw.ServerOwner(tg.server)
+	if self {
 		return kp.Obtain(ctx, tg.server, tg.adapter)
 	}
 	call := &messenger.AdapterLoad{From: vw.Self(), Server: tg.server, Adapter: tg.adapter}
 	kp.registry.Inc("adapter", "asked")
-	answer, err := kp.peers.Call(ctx, owner.PeerAddress, call)
+	answer, err := kp.peers.Call(ctx, address, call)
 	if as, isState := answer.(*messenger.AdapterState); err == nil && isState {
 		if as.Ready {
 			return ""
@@ -122,18 +123,11 @@
 // Run renews the leases of running requests until the context ends.
 func (kp *Keeper) Run(ctx context.Context) error {
 	if kp.together {
-		return kp.runTogether(ctx)
-	}
-	tk := time.NewTicker(renewInterval)
-	defer tk.Stop()
-	for {
-		select {
-		case <-ctx.Done():
-			return nil
-		case <-tk.C:
-			kp.renew()
-		}
+		waiter.Every(ctx, kp.lease/useRenewals, func() { kp.tellUse(ctx) })
+		return nil
 	}
+	waiter.Every(ctx, renewInterval, kp.renew)
+	return nil
 }
 
 // renew asks again for what is in use, and forgets what is not.
--- a/internal/coordination/adapterkeeper/use.go
+++ b/internal/coordination/adapterkeeper/use.go
@@ -10,20 +10,6 @@
 // useRenewals is how many times a lease in use is renewed in its time.
 const useRenewals = 3
 
-// runTogether tells the owner again and again what is in use.
-func (kp *Keeper) runTogether(ctx context.Context) error {
-	tk := time.NewTicker(kp.lease / useRenewals)
-	defer tk.Stop()
-	for {
-		select {
-		case <-ctx.Done():
-			return nil
-		case <-tk.C:
-			kp.tellUse(ctx)
-		}
-	}
-}
-
 // tellUse renews the leases of all adapters in use. A message that is lost
 // costs time at the most: the owner may unload what is in use, which an engine
 // does once its requests have ended.
@@ -32,17 +18,16 @@
 	if len(used) == 0 {
 		return
 	}
-	vw := kp.view()
-	owner, ok := vw.Owner("worker/" + used[0].Server)
+	address, self, ok := kp.view().ServerOwner(used[0].Server)
 	if !ok {
 		return
 	}
-	if owner.ID == vw.Self() {
+	if self {
 		kp.HandleUse(&messenger.AdapterUse{Used: used})
 	} else {
 		ctx, cancel := context.WithTimeout(ctx, kp.lease/useRenewals)
 		defer cancel()
-		if _, err := kp.peers.Call(ctx, owner.PeerAddress, &messenger.AdapterUse{Used: used}); err != nil {
+		if _, err := kp.peers.Call(ctx, address, &messenger.AdapterUse{Used: used}); err != nil {
 			kp.registry.Inc("adapter", "use-untold")
 			return
 		}
--- a/internal/coordination/dispatcher/answer.go
+++ b/internal/coordination/dispatcher/answer.go
@@ -1,7 +1,6 @@
 package dispatcher
 
 import (
-	"bytes"
 	"context"
 	"io"
 	"net/http"
@@ -22,9 +21,8 @@
 
 // held is an answer that was read whole.
 type held struct {
-	head      *http.Response
-	body      []byte
-	delivered bool
+	head *http.Response
+	body []byte
 }
 
 // answerWriter passes an answer on to the caller.
@@ -93,7 +91,6 @@
 
 // deliver passes an answer on that was read whole.
 func (aw *answerWriter) deliver(wire Wire, hl *held) error {
-	hl.delivered = true
 	aw.tick(time.Now())
 	aw.open(wire, hl.head, len(hl.body))
 	return aw.write(hl.body)
@@ -267,6 +264,6 @@
 
 // eventNumber reads the id of an event.
 func eventNumber(id string) (int64, bool) {
-	number, err := strconv.ParseInt(string(bytes.TrimSpace([]byte(id))), 10, 64)
+	number, err := strconv.ParseInt(strings.TrimSpace(id), 10, 64)
 	return number, err == nil
 }
--- a/internal/coordination/dispatcher/attempt.go
+++ b/internal/coordination/dispatcher/attempt.go
@@ -53,25 +53,32 @@
 	if fl == nil {
 		fl = sn.send(ctx)
 	}
-	sn.result.Failed = fl != nil && fl.blamesServer()
 	if fl == nil && !resumed {
 		// Only a whole answer from one server tells how long the model's
 		// requests take: a refusal under load, a caller that left and the rest
 		// of a broken stream end much sooner.
 		sn.result.Duration = time.Since(sn.began)
 	}
-	gr.Done(sn.result)
-	if fl == nil {
-		ex.ds.ejector.Succeeded(sn.server)
-		return nil
-	}
-	if sn.result.Failed {
-		ex.ds.ejector.Failed(sn.server)
+	ex.ds.account(gr, sn.result, fl)
+	if fl != nil {
+		ex.avoidServer(sn.server)
 	}
-	ex.avoidServer(sn.server)
 	return fl
 }
 
+// account gives a grant back with the result of its sending, and tells the
+// ejector how that ended.
+func (ds *Dispatcher) account(gr *admitter.Grant, rs admitter.Result, fl *failure) {
+	rs.Failed = fl != nil && fl.blamesServer()
+	gr.Done(rs)
+	switch {
+	case fl == nil:
+		ds.ejector.Succeeded(gr.Server())
+	case rs.Failed:
+		ds.ejector.Failed(gr.Server())
+	}
+}
+
 // blamesServer reports whether the server itself failed. A refusal under load
 // is no fault: or else overload would take healthy servers out.
 func (fl *failure) blamesServer() bool {
--- a/internal/coordination/dispatcher/passage.go
+++ b/internal/coordination/dispatcher/passage.go
@@ -133,12 +133,9 @@
 		if !fl.unsent && !fl.refused && fl.given == nil {
 			pg.mayRun = true
 		}
-		if rf := pg.giveUp(ctx, fl); rf != nil {
+		if again, rf := pg.giveUp(ctx, fl); !again {
 			return pg.honest(rf)
 		}
-		if pg.last != nil && pg.last.delivered {
-			return nil
-		}
 		pg.ds.registry.Inc("retry", string(fl.reason))
 		log.WithFields(log.Fields{
 			"request": pg.ticket.ID, "reason": string(fl.reason), "detail": fl.detail, "servers": pg.servers,
@@ -158,15 +155,8 @@
 	}
 	pg.queued += time.Since(asked)
 	rs, fl := pg.send(ctx, gr)
-	rs.Failed = fl != nil && fl.blamesServer()
 	rs.Refused = fl != nil && fl.refused
-	gr.Done(rs)
-	switch {
-	case fl == nil:
-		pg.ds.ejector.Succeeded(gr.Server())
-	case rs.Failed:
-		pg.ds.ejector.Failed(gr.Server())
-	}
+	pg.ds.account(gr, rs, fl)
 	if fl != nil && !slices.Contains(pg.ticket.Avoid, gr.Server()) {
 		pg.ticket.Avoid = append(slices.Clone(pg.ticket.Avoid), gr.Server())
 	}
@@ -237,36 +227,34 @@
 	return target, true
 }
 
-// giveUp returns the final refusal, or nil if the request goes to another
-// server or the answer held back was delivered.
-func (pg *passing) giveUp(ctx context.Context, fl *failure) *refuser.Refusal {
+// giveUp reports whether the request goes to another server. If not, it returns
+// the final refusal, or nil if an answer held back was delivered.
+func (pg *passing) giveUp(ctx context.Context, fl *failure) (again bool, rf *refuser.Refusal) {
 	if ctx.Err() != nil {
-		return pg.ended()
+		return false, pg.ended()
 	}
 	if fl.given != nil {
-		return pg.orHeld(fl.given)
+		return false, pg.orHeld(fl.given)
 	}
 	refusal := refuser.New(fl.reason, "%s", fl.detail).WithRetryAfter(pg.comeBack())
 	if fl.final {
-		return refusal
+		return false, refusal
 	}
 	if fl.unsent {
 		if pg.unsent++; pg.unsent < maxUnsent {
-			return nil
+			return true, nil
 		}
-		return pg.orHeld(refusal)
+		return false, pg.orHeld(refusal)
 	}
-	if !fl.refused && !pg.Route.Repeatable() || pg.writer.begun() && !pg.Route.Resumable() {
-		return pg.orHeld(refusal)
-	}
-	if pg.servers >= pg.Route.Attempts() {
-		return pg.orHeld(refusal)
+	unrepeatable := !fl.refused && !pg.Route.Repeatable() || pg.writer.begun() && !pg.Route.Resumable()
+	if unrepeatable || pg.servers >= pg.Route.Attempts() {
+		return false, pg.orHeld(refusal)
 	}
 	if !pg.ds.takeRetry(pg.key(), pg.settings.Retries()) {
-		return pg.orHeld(refuser.New(refuser.RetryBudget, "not sent again: %s", fl.detail).WithRetryAfter(pg.comeBack()))
+		return false, pg.orHeld(refuser.New(refuser.RetryBudget, "not sent again: %s", fl.detail).WithRetryAfter(pg.comeBack()))
 	}
 	pg.resumes = pg.writer.begun()
-	return nil
+	return true, nil
 }
 
 // orHeld delivers the failure of a server that was held back while another
@@ -298,8 +286,12 @@
 // refused is likely to have room again.
 const comeBackDivisor = 4
 
-// honest gives the refusal the outcome that the sendings allow.
+// honest gives the refusal, if there is one, the outcome that the sendings
+// allow.
 func (pg *passing) honest(rf *refuser.Refusal) *refuser.Refusal {
+	if rf == nil {
+		return nil
+	}
 	if pg.mayRun {
 		rf = rf.WithOutcome(refuser.Unknown)
 	}
--- a/internal/coordination/prober/view.go
+++ b/internal/coordination/prober/view.go
@@ -149,6 +149,20 @@
 	return found && vw.members[best].ID == vw.self && !vw.Stale()
 }
 
+// serverPrefix precedes a backend server's name in the name of its resource.
+const serverPrefix = "worker/"
+
+// OwnsServer is Owns for a backend server.
+func (vw *View) OwnsServer(server string) bool { return vw.Owns(serverPrefix + server) }
+
+// ServerOwner returns the peer address of the member that should own a backend
+// server, and whether that is the view's own node. It reports false if there is
+// none.
+func (vw *View) ServerOwner(server string) (address string, self, ok bool) {
+	owner, ok := vw.Owner(serverPrefix + server)
+	return owner.PeerAddress, ok && owner.ID == vw.self, ok
+}
+
 // Designated returns the count members of a region that rank highest for a
 // resource, the first in that order being its owner within the region.
 func (vw *View) Designated(resource, region string, count int) []Member {
--- a/internal/coordination/retrier/shared.go
+++ b/internal/coordination/retrier/shared.go
@@ -74,9 +74,7 @@
 	sh.mu.Lock()
 	defer sh.mu.Unlock()
 	sr := sh.series(key, now)
-	requests, repeats := sr.sums()
-	allowed := sharePart * (sh.bound.Ratio*float64(requests) + float64(sh.bound.Slack)/float64(sh.nodes))
-	if float64(repeats+1) > allowed {
+	if requests, repeats := sr.sums(); float64(repeats+1) > sh.allowed(requests) {
 		return false
 	}
 	sr.repeats[sr.at%spans]++
@@ -88,8 +86,12 @@
 	sh.mu.Lock()
 	defer sh.mu.Unlock()
 	requests, repeats := sh.series(key, now).sums()
-	allowed := sharePart * (sh.bound.Ratio*float64(requests) + float64(sh.bound.Slack)/float64(sh.nodes))
-	return max(int(allowed)-repeats, 0)
+	return max(int(sh.allowed(requests))-repeats, 0)
+}
+
+// allowed returns the repeated sendings that go with a number of requests.
+func (sh *Shared) allowed(requests int) float64 {
+	return sharePart * (sh.bound.Ratio*float64(requests) + float64(sh.bound.Slack)/float64(sh.nodes))
 }
 
 // series returns the key's counts, brought up to the time now.
--- a/internal/coordination/watcher/fleet_test.go
+++ b/internal/coordination/watcher/fleet_test.go
@@ -99,7 +99,7 @@
 	}))
 	nd.watch = watcher.New(
 		watcher.WithExchange(nd.exchange),
-		watcher.WithOwns(func(server string) bool { return nd.View().Owns("worker/" + server) }),
+		watcher.WithOwns(func(server string) bool { return nd.View().OwnsServer(server) }),
 		watcher.WithSpreader(nd.Spreader()),
 		watcher.WithDeparting(nd.Departing),
 		watcher.WithListReadings(nd.ListReadings),
@@ -122,13 +122,9 @@
 func (fl *fleet) control(ctx context.Context, nd *node) {
 	tk := time.NewTicker(250 * time.Millisecond)
 	defer tk.Stop()
-	owner := func(server string) (string, bool, bool) {
-		mb, ok := nd.View().Owner("worker/" + server)
-		return mb.PeerAddress, mb.ID == nd.ID, ok
-	}
 	for ctx.Err() == nil {
 		nd.admit.Refresh(fl.settings)
-		nd.exchange.Round(ctx, time.Now, nd.admit.Outstanding(), owner, nd.Caller)
+		nd.exchange.Round(ctx, time.Now, nd.admit.Outstanding(), nd.View().ServerOwner, nd.Caller)
 		select {
 		case <-ctx.Done():
 		case <-tk.C:
@@ -205,6 +201,18 @@
 	return true
 }
 
+// allSee returns whether the last report of a server is as wanted on all nodes.
+func (fl *fleet) allSee(server string, wanted func(watcher.Report) bool) func() bool {
+	return func() bool {
+		for _, nd := range fl.nodes {
+			if rp, ok := nd.watch.Snapshot().Report(server); !ok || !wanted(rp) {
+				return false
+			}
+		}
+		return true
+	}
+}
+
 // owner returns the node that owns a server.
 func (fl *fleet) owner(server string) *node {
 	mb, _ := fl.nodes[0].View().Owner("worker/" + server)
--- a/internal/coordination/watcher/watcher.go
+++ b/internal/coordination/watcher/watcher.go
@@ -76,6 +76,17 @@
 // Replicas returns the backend servers on which a model is ready.
 func (sn *Snapshot) Replicas(model string) []string { return sn.replicas[model] }
 
+// Peers returns, for each model that a backend server holds, the servers on
+// which it is ready.
+func (sn *Snapshot) Peers(server string) map[string][]string {
+	models := sn.reports[server].Models
+	peers := make(map[string][]string, len(models))
+	for model := range models {
+		peers[model] = sn.replicas[model]
+	}
+	return peers
+}
+
 // Report returns the last report of a backend server.
 func (sn *Snapshot) Report(server string) (Report, bool) {
 	rp, ok := sn.reports[server]
--- a/internal/coordination/watcher/watcher_test.go
+++ b/internal/coordination/watcher/watcher_test.go
@@ -7,6 +7,7 @@
 
 	"github.com/stretchr/testify/require"
 
+	"github.com/lagoonpass/lagoonpass/internal/coordination/watcher"
 	"github.com/lagoonpass/lagoonpass/internal/state/lister"
 )
 
@@ -78,14 +79,7 @@
 		defer fl.end()
 		fl.await(settled, fl.allKnown)
 		boot := func(id string) func() bool {
-			return func() bool {
-				for _, nd := range fl.nodes {
-					if rp, ok := nd.watch.Snapshot().Report("w0000"); !ok || rp.BootID != id {
-						return false
-					}
-				}
-				return true
-			}
+			return fl.allSee("w0000", func(rp watcher.Report) bool { return rp.BootID == id })
 		}
 		for _, id := range []string{"b2", "b3", "b4", "b5"} {
 			fl.change("w0000", func(be *backend) { be.report.BootID = id })
@@ -216,14 +210,7 @@
 		defer fl.end()
 		fl.await(settled, fl.allKnown)
 		leaving := func(want bool) func() bool {
-			return func() bool {
-				for _, nd := range fl.nodes {
-					if rp, ok := nd.watch.Snapshot().Report("w0000"); !ok || rp.Leaving != want {
-						return false
-					}
-				}
-				return true
-			}
+			return fl.allSee("w0000", func(rp watcher.Report) bool { return rp.Leaving == want })
 		}
 		fl.leaveList("w0000")
 		fl.await(time.Minute, leaving(true))
--- a/internal/runner/load.go
+++ b/internal/runner/load.go
@@ -9,11 +9,9 @@
 	"github.com/lagoonpass/lagoonpass/internal/coordination/admitter"
 	"github.com/lagoonpass/lagoonpass/internal/coordination/prober"
 	"github.com/lagoonpass/lagoonpass/internal/coordination/watcher"
+	"github.com/lagoonpass/lagoonpass/internal/waiter"
 )
 
-// workerPrefix precedes a backend server's name in the name of its resource.
-const workerPrefix = "worker/"
-
 // newAdmitter returns the node's admitter.
 func (nd *Node) newAdmitter(hl admitter.Health) *admitter.Admitter {
 	random := rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64()))
@@ -40,7 +38,7 @@
 func (nd *Node) newWatcher() *watcher.Watcher {
 	opts := []watcher.Option{
 		watcher.WithExchange(nd.exchange),
-		watcher.WithOwns(func(server string) bool { return nd.prober.View().Owns(workerPrefix + server) }),
+		watcher.WithOwns(func(server string) bool { return nd.prober.View().OwnsServer(server) }),
 		watcher.WithSpreader(nd.prober.Spreader()),
 		watcher.WithDeparting(nd.prober.Departing),
 		watcher.WithListReadings(nd.prober.ListReadings),
@@ -59,27 +57,16 @@
 
 // exchangeLoads exchanges load until the context ends.
 func (nd *Node) exchangeLoads(ctx context.Context) error {
-	tk := time.NewTicker(controlInterval)
-	defer tk.Stop()
-	for {
-		select {
-		case <-ctx.Done():
-			return nil
-		case <-tk.C:
-		}
+	waiter.Every(ctx, controlInterval, func() {
 		if nd.holder.Current() != nil {
 			nd.exchangeLoad(ctx)
 		}
-	}
+	})
+	return nil
 }
 
 // exchangeLoad tells the owners of the backend servers in use what this node
 // has there, and learns what the others have.
 func (nd *Node) exchangeLoad(ctx context.Context) {
-	vw := nd.prober.View()
-	owner := func(server string) (address string, self, ok bool) {
-		mb, ok := vw.Owner(workerPrefix + server)
-		return mb.PeerAddress, mb.ID == vw.Self(), ok
-	}
-	nd.exchange.Round(ctx, time.Now, nd.admitter.Outstanding(), owner, nd.pool)
+	nd.exchange.Round(ctx, time.Now, nd.admitter.Outstanding(), nd.prober.View().ServerOwner, nd.pool)
 }
--- a/internal/runner/runner.go
+++ b/internal/runner/runner.go
@@ -178,13 +178,7 @@
 
 // replicas tells the ejector which servers share a server's models.
 func (nd *Node) replicas(name string) map[string][]string {
-	sn := nd.watcher.Snapshot()
-	rp, _ := sn.Report(name)
-	groups := make(map[string][]string, len(rp.Models))
-	for model := range rp.Models {
-		groups[model] = sn.Replicas(model)
-	}
-	return groups
+	return nd.watcher.Snapshot().Peers(name)
 }
 
 func (nd *Node) listen() error {
--- a/internal/waiter/waiter.go
+++ b/internal/waiter/waiter.go
@@ -5,6 +5,7 @@
 //	if !waiter.Sleep(ctx, backoff) {
 //		return ctx.Err()
 //	}
+//	waiter.Every(ctx, time.Second, func() { ... })
 package waiter
 
 import (
@@ -23,3 +24,18 @@
 		return true
 	}
 }
+
+// Every calls fn once in each interval until the context ends. A call that
+// takes longer leaves out those that it overlaps.
+func Every(ctx context.Context, interval time.Duration, fn func()) {
+	tk := time.NewTicker(interval)
+	defer tk.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-tk.C:
+			fn()
+		}
+	}
+}
