Do not grant a Begin that arrives after its attempt was abandoned

Cause: the record's entry of a key remembered only the last attempt. A Begin that the network delays until its own attempt and a later one were abandoned was granted to nobody: the key stayed in progress for as long as the node of the attempt lives. A job that runs under such a key is tried again for ever, because its node is alive and says that the key is in progress.

TestLedgerAgreesWithNaiveMap expected the late grant; its model now remembers all abandoned attempts of a key, which is stricter.

Ruled out: an executor that was replaced under the same id (ids are unique to a life of the VM).

Conclusion: one way to a job that runs for ever is mended. A line is logged for each further try of a job, so that the next occurrence tells its reason.

--- a/internal/coordination/jobrunner/run.go
+++ b/internal/coordination/jobrunner/run.go
@@ -113,6 +113,8 @@
 			runs++
 		}
 		rn.registry.Inc("retry", string(rf.Reason()))
+		log.WithFields(log.Fields{"job": jb.id, "reason": string(rf.Reason()), "outcome": string(rf.Outcome()), "claims": jb.attempts, "runs": runs}).
+			Info("job is tried again")
 		stale := clean && time.Since(jb.claimed) > renewAfter
 		if stale || !waiter.Sleep(stop, rn.jitter(backoff)) || own.Err() != nil {
 			return putBack(jb, clean)
--- a/internal/coordination/recorder/entry.go
+++ b/internal/coordination/recorder/entry.go
@@ -2,6 +2,7 @@
 
 import (
 	"bytes"
+	"slices"
 
 	"github.com/go-faster/errors"
 	"github.com/vmihailenco/msgpack/v5"
@@ -31,8 +32,16 @@
 	state    state
 	result   messenger.RecordResult
 	segment  int64
+	// abandonedBy holds the attempts that vouched for never sending, the newest
+	// last: a Begin of theirs that is still under way must not be granted.
+	abandonedBy []string
 }
 
+// maxAbandoned bounds the attempts that an entry remembers. The calls of one
+// attempt end within seconds; a client that waits as told starts fewer
+// attempts meanwhile.
+const maxAbandoned = 8
+
 // errCorrupt means that a value is not one of this package's.
 var errCorrupt = errors.New("value of the record is corrupt")
 
@@ -47,14 +56,43 @@
 	}
 }
 
+// gaveUp reports whether the attempt vouched for never sending.
+func (et *entry) gaveUp(attempt string) bool { return slices.Contains(et.abandonedBy, attempt) }
+
+// after returns the entry with the abandoned attempts of an earlier entry of
+// the key, and its own if it is one.
+func (et *entry) after(earlier *entry) *entry {
+	if earlier != nil {
+		et.abandonedBy = earlier.abandonedBy
+	}
+	if et.state == abandoned {
+		return et.without(et.attempt)
+	}
+	return et
+}
+
+// without returns a copy that remembers one more abandoned attempt.
+func (et *entry) without(attempt string) *entry {
+	cp := *et
+	if !et.gaveUp(attempt) {
+		all := append(slices.Clone(et.abandonedBy), attempt)
+		cp.abandonedBy = all[max(0, len(all)-maxAbandoned):]
+	}
+	return &cp
+}
+
 func (et *entry) append(buf []byte) ([]byte, error) {
 	wr := bytes.NewBuffer(buf)
 	en := msgpack.NewEncoder(wr)
 	en.UseCompactInts(true)
 	rs := et.result
 	err := messenger.EncodeAll(en, et.id[:], et.time, et.request[:], et.executor, et.attempt, uint8(et.state))
-	if err == nil && et.state == finished {
+	switch {
+	case err != nil:
+	case et.state == finished:
 		err = messenger.EncodeAll(en, rs.Status, rs.ContentType, rs.Body)
+	case et.state != resultGone:
+		err = encodeAttempts(en, et.abandonedBy)
 	}
 	if err != nil {
 		return nil, errors.Wrap(err, "encode record entry")
@@ -74,9 +112,12 @@
 		return nil, errors.Wrap(errCorrupt, "entry")
 	}
 	et.id, et.request = hash(id), hash(request)
-	if et.state != finished {
+	if et.state == resultGone {
 		return et, nil
 	}
+	if et.state != finished {
+		return et, decodeAttempts(de, et)
+	}
 	rs := &et.result
 	if err := messenger.DecodeAll(de, &rs.Status, &rs.ContentType, &rs.Body); err != nil {
 		return nil, errors.Wrapf(errCorrupt, "result: %v", err)
@@ -84,6 +125,33 @@
 	return et, nil
 }
 
+func encodeAttempts(en *msgpack.Encoder, all []string) error {
+	if err := en.EncodeArrayLen(len(all)); err != nil {
+		return err
+	}
+	for _, attempt := range all {
+		if err := en.EncodeString(attempt); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+func decodeAttempts(de *msgpack.Decoder, et *entry) error {
+	count, err := de.DecodeArrayLen()
+	if err != nil || count < 0 || count > maxAbandoned {
+		return errors.Wrapf(errCorrupt, "%d abandoned attempts: %v", count, err)
+	}
+	for range count {
+		attempt, err := de.DecodeString()
+		if err != nil {
+			return errors.Wrapf(errCorrupt, "abandoned attempt: %v", err)
+		}
+		et.abandonedBy = append(et.abandonedBy, attempt)
+	}
+	return nil
+}
+
 // decodeEntries reads a segment: entries one after the other.
 func decodeEntries(value []byte) ([]*entry, error) {
 	rd := bytes.NewReader(value)
--- a/internal/coordination/recorder/ledger.go
+++ b/internal/coordination/recorder/ledger.go
@@ -100,7 +100,7 @@
 		return &messenger.Begun{Status: messenger.BeginStarted, Executor: et.executor, Attempt: et.attempt}
 	case abandoned:
 	}
-	if et.attempt == bg.Attempt {
+	if et.gaveUp(bg.Attempt) {
 		return &messenger.Begun{Status: messenger.BeginAbandoned}
 	}
 	return &messenger.Begun{Status: sg.admit(bg)}
@@ -119,7 +119,7 @@
 		sg.verify = true
 		return messenger.BeginFull
 	}
-	sg.put(entryOf(bg, started))
+	sg.put(entryOf(bg, started).after(sg.find(hash(bg.Key))))
 	return messenger.BeginGranted
 }
 
@@ -130,15 +130,18 @@
 	switch {
 	case et == nil && fn.Abandoned && fn.Time > sg.ledger.watermark:
 		// The attempt's Begin may still arrive; it finds that it was abandoned.
-		sg.put(entryOf(&fn.Begin, abandoned))
+		sg.put(entryOf(&fn.Begin, abandoned).after(nil))
 	case et == nil:
 		sg.expect(fn.Time <= sg.ledger.watermark, fn, "a key that was never begun")
 	case et.attempt != fn.Attempt:
 		sg.expect(fn.Abandoned, fn, "a key that another attempt holds")
+		if fn.Abandoned && et.state != finished && et.state != resultGone && !et.gaveUp(fn.Attempt) {
+			sg.put(et.without(fn.Attempt))
+		}
 	case et.state == abandoned:
 		sg.expect(fn.Abandoned, fn, "a key that it had abandoned")
 	case et.state == started:
-		sg.put(endOf(fn))
+		sg.put(endOf(fn).after(et))
 	}
 }
 
--- a/internal/coordination/recorder/random_test.go
+++ b/internal/coordination/recorder/random_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"fmt"
+	"slices"
 	"sync"
 	"testing"
 	"testing/synctest"
@@ -181,25 +182,34 @@
 func compare(rt *rapid.T, sg *stage, naive map[hash]*entry, bg *messenger.Begin, op int) {
 	id := hash(bg.Key)
 	known := naive[id]
+	gone := known != nil && slices.Contains(known.abandonedBy, bg.Attempt)
 	holds := known != nil && known.attempt == bg.Attempt && known.state == started
 	if op > 0 {
 		if holds {
 			sg.finish(finishOf(bg, op == 1))
-			naive[id] = endOf(finishOf(bg, op == 1))
+			ended := endOf(finishOf(bg, op == 1))
+			ended.abandonedBy = known.abandonedBy
+			if op == 1 {
+				ended.abandonedBy = append(slices.Clone(known.abandonedBy), bg.Attempt)
+			}
+			naive[id] = ended
 		}
 		return
 	}
-	free := known == nil || known.state == abandoned && known.attempt != bg.Attempt
+	free := known == nil || known.state == abandoned && !gone
 	granted := sg.begin(bg).Status == messenger.BeginGranted
 	if granted != (free || holds) {
 		rt.Fatalf("granted %v, naive %v", granted, free || holds)
 	}
-	if granted {
+	if granted && !holds {
 		naive[id] = entryOf(bg, started)
+		if known != nil {
+			naive[id].abandonedBy = known.abandonedBy
+		}
 	}
 }
 
-func reload(rt *rapid.T, lg *ledger) *ledger {
+func reload(rt require.TestingT, lg *ledger) *ledger {
 	value, err := lg.encode()
 	require.NoError(rt, err)
 	hd, err := decodeHead(value)
