Have a new leader wait only for servers that had orders

Change: a record in the store names the servers to which the leader may have sent orders lately (custodian). The next leader waits for those alone. The rate of loads begins without a token, since leaders now follow each other sooner.

What is left of the gap is the lease and one look of the next leader.

--- a/internal/conductor/conductor.go
+++ b/internal/conductor/conductor.go
@@ -25,6 +25,7 @@
 
 	"github.com/lagoonpass/lagoonpass/internal/coordination/adapterkeeper"
 	"github.com/lagoonpass/lagoonpass/internal/coordination/admitter"
+	"github.com/lagoonpass/lagoonpass/internal/coordination/custodian"
 	"github.com/lagoonpass/lagoonpass/internal/coordination/dispatcher"
 	"github.com/lagoonpass/lagoonpass/internal/coordination/ejector"
 	"github.com/lagoonpass/lagoonpass/internal/coordination/orderer"
@@ -47,6 +48,9 @@
 const (
 	// ownPrefix is where the system keeps its own keys.
 	ownPrefix = "lagoonpass/"
+	// holdersKey is the record of the servers to which orders were sent. Nodes
+	// do not watch it.
+	holdersKey = "lagoonpass-holders"
 	// adapterLease is how long an adapter stays that no node says it uses.
 	adapterLease = 1200 * time.Millisecond
 	// adapterPatience is how long a request waits for an adapter on one server:
@@ -70,8 +74,8 @@
 	PeerAddress string
 	// CallerAddress is where callers reach the node.
 	CallerAddress string
-	// LeadershipGap is how long a new leader sends no orders.
-	LeadershipGap time.Duration
+	// OrderGap is how far apart the orders of two VMs to a server have to be.
+	OrderGap time.Duration
 	// Retries is what all nodes together may repeat.
 	Retries retrier.Bound
 }
@@ -103,6 +107,7 @@
 	registry  *counter.Registry
 	holder    *publisher.Holder
 	registrar *registrar.Registrar
+	custodian *custodian.Custodian
 	pool      *messenger.Pool
 	exchange  *watcher.Exchange
 	watcher   *watcher.Watcher
@@ -147,7 +152,8 @@
 		opt(cd)
 	}
 	cd.registrar = registrar.New(bd.Store, ownPrefix, cd.presence,
-		registrar.WithReady(cd.Ready), registrar.WithHandover(id.LeadershipGap), registrar.WithRegistry(cd.registry))
+		registrar.WithReady(cd.Ready), registrar.WithRegistry(cd.registry))
+	cd.custodian = custodian.New(bd.Store, holdersKey, hostOf(id.PeerAddress), ownPrefix+registrar.LeaderKey, id.OrderGap)
 	cd.watcher = watcher.New(watcher.WithExchange(cd.exchange), watcher.WithRegistry(cd.registry))
 	cd.ejector = ejector.New(ejector.WithReplicas(cd.replicas), ejector.WithRegistry(cd.registry))
 	random := rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64()))
@@ -227,6 +233,14 @@
 
 func (cd *Conductor) nodes() int { return max(len(cd.registrar.View().Members()), 1) }
 
+// hostOf returns the VM's part of an address.
+func hostOf(address string) string {
+	if host, _, err := net.SplitHostPort(address); err == nil {
+		return host
+	}
+	return address
+}
+
 // replicas tells the ejector which servers share a server's models.
 func (cd *Conductor) replicas(name string) map[string][]string {
 	return cd.watcher.Snapshot().Peers(name)
--- a/internal/conductor/steward.go
+++ b/internal/conductor/steward.go
@@ -18,8 +18,13 @@
 	"github.com/lagoonpass/lagoonpass/internal/state/storer"
 )
 
-// steerInterval is the time between two looks at goals.
-const steerInterval = 250 * time.Millisecond
+const (
+	// steerInterval is the time between two looks at goals.
+	steerInterval = 250 * time.Millisecond
+	// strikeInterval is the time between two looks at orders that are no longer
+	// recent: a small part of the time for which they are.
+	strikeInterval = time.Second
+)
 
 // steward is what the leader keeps for one term: the plan, and the orders that
 // bring the servers to it.
@@ -34,6 +39,8 @@
 	limits    [3]float64
 	goals     *orderer.Goals
 	nextPass  time.Time
+
+	nextStrike time.Time
 }
 
 func (cd *Conductor) newSteward(term int64, inf *inForce) *steward {
@@ -51,6 +58,7 @@
 	}
 	sw.sequencer.OnUnload(cd.adapters.Recheck)
 	sw.sequencer.OnRetire(cd.retire)
+	sw.sequencer.OnOrder(cd.custodian.Enter)
 	sw.orderer = orderer.New(cd.identity.ID, storer.NewMemory(),
 		orderer.WithCounters(cd.registry),
 		orderer.WithEngines(sw.sequencer),
@@ -122,9 +130,10 @@
 		log.WithField("term", sw.term).Info("leader stops sending orders")
 		sw.orderer.Pursue(ctx, now, nil)
 		cd.steward.Store(nil)
+		cd.custodian.End()
 		sw = nil
 	}
-	if !leads || inf == nil {
+	if !leads || inf == nil || !cd.takeOver(ctx, term) {
 		return
 	}
 	if sw == nil {
@@ -135,7 +144,34 @@
 	}
 	sw.limit(inf.settings, now)
 	cd.replan(sw, inf, now)
-	sw.orderer.Pursue(ctx, now, sw.goalsOf(inf))
+	sw.orderer.Pursue(ctx, now, cd.goalsOf(sw, inf))
+	if now.After(sw.nextStrike) {
+		sw.nextStrike = now.Add(strikeInterval)
+		go cd.strike(ctx)
+	}
+}
+
+// takeOver reads what earlier leaders may have ordered, once a term, and
+// reports whether that is known.
+func (cd *Conductor) takeOver(ctx context.Context, term int64) bool {
+	if cd.custodian.Begun(term) {
+		return true
+	}
+	ctx, cancel := context.WithTimeout(ctx, callTimeout)
+	defer cancel()
+	if err := cd.custodian.Begin(ctx, term); err != nil {
+		cd.registry.Inc("leader", "not-begun")
+		log.WithError(err).WithField("term", term).Warn("leader does not know yet what was ordered")
+		return false
+	}
+	return true
+}
+
+// strike shortens the record of orders.
+func (cd *Conductor) strike(ctx context.Context) {
+	ctx, cancel := context.WithTimeout(ctx, callTimeout)
+	defer cancel()
+	cd.custodian.Strike(ctx)
 }
 
 // limit follows the limits of the settings.
@@ -225,14 +261,15 @@
 	return sum
 }
 
-func (sw *steward) goalsOf(inf *inForce) []*orderer.Goal {
+// goalsOf returns the goals of the servers to which orders may be sent.
+func (cd *Conductor) goalsOf(sw *steward, inf *inForce) []*orderer.Goal {
 	if sw.goals == nil || sw.goals.Settings() != inf.settings {
 		sw.goals = orderer.NewGoals(inf.settings)
 	}
 	var goals []*orderer.Goal
 	for _, sv := range inf.servers {
 		bs, ok := inf.settings.BackendServer(sv.ID)
-		if ok && !sv.Leaving && bs.Kind() != "" && sw.plan.Has(sv.ID) {
+		if ok && !sv.Leaving && bs.Kind() != "" && sw.plan.Has(sv.ID) && cd.custodian.Free(sv.ID) {
 			goals = append(goals, sw.goals.Of(bs, sw.plan.Models(sv.ID)))
 		}
 	}
--- /dev/null
+++ b/internal/coordination/custodian/custodian_test.go
@@ -0,0 +1,333 @@
+package custodian_test
+
+import (
+	"context"
+	"fmt"
+	"math/rand/v2"
+	"sync"
+	"sync/atomic"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/apex/log"
+	"github.com/stretchr/testify/require"
+
+	"github.com/lagoonpass/lagoonpass/internal/coordination/custodian"
+	"github.com/lagoonpass/lagoonpass/internal/coordination/registrar"
+	"github.com/lagoonpass/lagoonpass/internal/protocol/messenger"
+	"github.com/lagoonpass/lagoonpass/internal/standin/platform"
+	"github.com/lagoonpass/lagoonpass/internal/state/storer"
+)
+
+const (
+	gap     = 3 * time.Second
+	servers = 8
+)
+
+// link is a VM's way to the store, which can be cut; what was asked for may
+// have been done.
+type link struct {
+	*platform.Keyspace
+	cut atomic.Bool
+}
+
+func (ln *link) check(op string) error {
+	if ln.cut.Load() {
+		return &storer.Error{Op: op, Kind: storer.Unavailable}
+	}
+	return nil
+}
+
+func (ln *link) Get(ctx context.Context, key string) (storer.Entry, error) {
+	if err := ln.check("get"); err != nil {
+		return storer.Entry{}, err
+	}
+	return ln.Keyspace.Get(ctx, key)
+}
+
+func (ln *link) Renew(ctx context.Context, ls storer.Lease) (time.Duration, error) {
+	if err := ln.check("renew"); err != nil {
+		return 0, err
+	}
+	return ln.Keyspace.Renew(ctx, ls)
+}
+
+func (ln *link) Grant(ctx context.Context, ttl time.Duration) (storer.Lease, time.Duration, error) {
+	if err := ln.check("grant"); err != nil {
+		return 0, 0, err
+	}
+	return ln.Keyspace.Grant(ctx, ttl)
+}
+
+func (ln *link) Commit(ctx context.Context, tx storer.Transaction) (int64, error) {
+	if err := ln.check("commit"); err != nil {
+		return 0, err
+	}
+	return ln.Keyspace.Commit(ctx, tx)
+}
+
+func (ln *link) Watch(ctx context.Context, prefix string, after int64, wait time.Duration) ([]storer.Change, int64, error) {
+	if err := ln.check("watch"); err != nil {
+		time.Sleep(10 * time.Millisecond)
+		return nil, 0, err
+	}
+	return ln.Keyspace.Watch(ctx, prefix, after, wait)
+}
+
+// vm is one VM that may lead and then sends orders to servers at random.
+type vm struct {
+	*registrar.Registrar
+	*custodian.Custodian
+	name string
+	link *link
+}
+
+// order is what a server saw last.
+type order struct {
+	from string
+	at   time.Time
+}
+
+type fleet struct {
+	t     *testing.T
+	store *platform.Keyspace
+	vms   []*vm
+	// gap is what the VMs keep between their orders.
+	gap  time.Duration
+	stop context.CancelFunc
+	done sync.WaitGroup
+
+	mu     sync.Mutex
+	last   map[string]order
+	sent   map[string]int
+	broken []string
+}
+
+func newFleet(t *testing.T, count int, kept time.Duration) *fleet {
+	log.SetLevel(log.FatalLevel)
+	ctx, cancel := context.WithCancel(context.Background())
+	fl := &fleet{t: t, store: platform.NewKeyspace(), gap: kept, stop: cancel, last: map[string]order{}, sent: map[string]int{}}
+	start := time.Now()
+	clock := func() time.Duration { return time.Since(start) }
+	for ix := range count {
+		m := &vm{name: fmt.Sprintf("n%d", ix), link: &link{Keyspace: fl.store}}
+		presence := func() messenger.Presence {
+			return messenger.Presence{ID: m.name, PeerAddress: m.name + ":1", CallerAddress: m.name + ":2", Zone: "z"}
+		}
+		m.Registrar = registrar.New(m.link, "p/", presence, registrar.WithClock(clock))
+		m.Custodian = custodian.New(m.link, "orders", m.name, "p/leader", kept, custodian.WithClock(clock))
+		fl.vms = append(fl.vms, m)
+		fl.done.Go(func() { _ = m.Registrar.Run(ctx) })
+		fl.done.Go(func() { fl.lead(ctx, m, rand.New(rand.NewPCG(uint64(ix), 1))) })
+	}
+	return fl
+}
+
+func (fl *fleet) end() {
+	fl.stop()
+	fl.done.Wait()
+}
+
+// lead sends orders while the VM leads.
+func (fl *fleet) lead(ctx context.Context, m *vm, random *rand.Rand) {
+	for ctx.Err() == nil {
+		time.Sleep(30 * time.Millisecond)
+		term, leads := m.Leads()
+		if !leads {
+			m.End()
+			continue
+		}
+		if !m.Begun(term) && m.Begin(ctx, term) != nil {
+			continue
+		}
+		if random.IntN(20) == 0 {
+			m.Strike(ctx)
+		}
+		// Half of the servers get orders all the time, the others now and then.
+		server := fmt.Sprint(random.IntN(servers / 2))
+		if random.IntN(30) == 0 {
+			server = fmt.Sprint(servers/2 + random.IntN(servers/2))
+		}
+		if m.Free(server) {
+			fl.send(ctx, m, server)
+		}
+	}
+}
+
+func (fl *fleet) send(ctx context.Context, m *vm, server string) {
+	done, err := m.Enter(ctx, server)
+	if err != nil {
+		return
+	}
+	defer done(true)
+	if _, leads := m.Leads(); !leads {
+		return
+	}
+	fl.mu.Lock()
+	defer fl.mu.Unlock()
+	now := time.Now()
+	if was, ok := fl.last[server]; ok && was.from != m.name && now.Sub(was.at) < gap {
+		fl.broken = append(fl.broken, fmt.Sprintf("server %s: %s %v after %s", server, m.name, now.Sub(was.at), was.from))
+	}
+	fl.last[server] = order{from: m.name, at: now}
+	fl.sent[m.name]++
+}
+
+func (fl *fleet) disturb(random *rand.Rand) {
+	m := fl.vms[random.IntN(len(fl.vms))]
+	switch random.IntN(300) {
+	case 0, 1:
+		m.link.cut.Store(true)
+	case 2, 3, 4, 5:
+		m.link.cut.Store(false)
+	case 6:
+		fl.store.SetDown(true)
+	case 7, 8, 9:
+		fl.store.SetDown(false)
+	case 10, 11, 12:
+		fl.store.Take("p/leader")
+	case 13, 14, 15, 16:
+		fl.store.LoseAnswers(random.IntN(3))
+	}
+}
+
+func (fl *fleet) violations() []string {
+	fl.mu.Lock()
+	defer fl.mu.Unlock()
+	return append([]string(nil), fl.broken...)
+}
+
+// TestOrdersOfTwoVMsAreApart draws cuts, outages, taken keys and lost answers:
+// no server gets orders of two VMs within the gap.
+func TestOrdersOfTwoVMsAreApart(t *testing.T) {
+	changes := 0
+	for seed := range uint64(12) {
+		t.Run(fmt.Sprint(seed), func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				random := rand.New(rand.NewPCG(seed, 7))
+				fl := newFleet(t, 4, gap)
+				defer fl.end()
+				for range 3000 {
+					fl.disturb(random)
+					time.Sleep(20 * time.Millisecond)
+				}
+				require.Empty(t, fl.violations())
+				fl.end()
+				changes += len(fl.sent) - 1
+			})
+		})
+	}
+	require.Greater(t, changes, 12, "the orders change hands")
+}
+
+// TestCheckOfOrdersFires keeps no gap on purpose.
+func TestCheckOfOrdersFires(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		random := rand.New(rand.NewPCG(1, 7))
+		fl := newFleet(t, 4, -time.Second)
+		defer fl.end()
+		for range 3000 {
+			fl.disturb(random)
+			time.Sleep(20 * time.Millisecond)
+		}
+		require.NotEmpty(t, fl.violations())
+	})
+}
+
+// TestNextLeaderWaitsOnlyForServersThatHadOrders cuts a leader off that was busy
+// with two servers of three.
+func TestNextLeaderWaitsOnlyForServersThatHadOrders(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		store := platform.NewKeyspace()
+		store.Put("leader", []byte("one"))
+		term := func() int64 {
+			en, err := store.Get(t.Context(), "leader")
+			require.NoError(t, err)
+			return en.Revision
+		}
+		start := time.Now()
+		clock := custodian.WithClock(func() time.Duration { return time.Since(start) })
+		one := custodian.New(store, "orders", "one", "leader", gap, clock)
+		require.False(t, one.Free("a"), "nothing is known yet")
+		require.NoError(t, one.Begin(t.Context(), term()))
+		for _, server := range []string{"a", "b"} {
+			done, err := one.Enter(t.Context(), server)
+			require.NoError(t, err)
+			done(true)
+		}
+		store.Put("leader", []byte("two"))
+		_, err := one.Enter(t.Context(), "c")
+		require.Error(t, err, "it no longer leads")
+		two := custodian.New(store, "orders", "two", "leader", gap, clock)
+		require.NoError(t, two.Begin(t.Context(), term()))
+		require.True(t, two.Free("c"))
+		require.False(t, two.Free("a"))
+		_, err = two.Enter(t.Context(), "a")
+		require.ErrorIs(t, err, custodian.ErrHeld)
+		again := custodian.New(store, "orders", "one", "leader", gap, clock)
+		require.NoError(t, again.Begin(t.Context(), term()))
+		require.True(t, again.Free("a"), "a new process of the same VM need not wait")
+		time.Sleep(gap + time.Second)
+		require.True(t, two.Free("a"))
+		done, err := two.Enter(t.Context(), "a")
+		require.NoError(t, err)
+		done(true)
+		time.Sleep(gap + time.Second)
+		two.Strike(t.Context())
+		en, err := store.Get(t.Context(), "orders")
+		require.NoError(t, err)
+		require.JSONEq(t, `{"holders":{}}`, string(en.Value), "what is no longer recent is struck")
+	})
+}
+
+// TestUnansweredOrderStaysEntered keeps a server in the record for as long as
+// its order may arrive.
+func TestUnansweredOrderStaysEntered(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		store := platform.NewKeyspace()
+		store.Put("leader", []byte("one"))
+		en, err := store.Get(t.Context(), "leader")
+		require.NoError(t, err)
+		start := time.Now()
+		one := custodian.New(store, "orders", "one", "leader", gap, custodian.WithClock(func() time.Duration { return time.Since(start) }))
+		require.NoError(t, one.Begin(t.Context(), en.Revision))
+		done, err := one.Enter(t.Context(), "a")
+		require.NoError(t, err)
+		done(false)
+		for wanted := range 2 {
+			time.Sleep(gap + time.Second + time.Duration(wanted)*10*time.Second)
+			one.Strike(t.Context())
+			en, err = store.Get(t.Context(), "orders")
+			require.NoError(t, err)
+			if wanted == 0 {
+				require.JSONEq(t, `{"holders":{"one":["a"]}}`, string(en.Value))
+			} else {
+				require.JSONEq(t, `{"holders":{}}`, string(en.Value))
+			}
+		}
+	})
+}
+
+// TestUnreadableRecordHoldsOrdersBack covers a record by another writer.
+func TestUnreadableRecordHoldsOrdersBack(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		store := platform.NewKeyspace()
+		store.Put("leader", []byte("one"))
+		en, err := store.Get(t.Context(), "leader")
+		require.NoError(t, err)
+		store.Put("orders", []byte("["))
+		start := time.Now()
+		cu := custodian.New(store, "orders", "one", "leader", gap, custodian.WithClock(func() time.Duration { return time.Since(start) }))
+		require.NoError(t, cu.Begin(t.Context(), en.Revision))
+		time.Sleep(gap - time.Millisecond)
+		require.False(t, cu.Free("a"))
+		time.Sleep(time.Second)
+		require.True(t, cu.Free("a"))
+		done, err := cu.Enter(t.Context(), "a")
+		require.NoError(t, err)
+		done(true)
+		require.NoError(t, cu.Begin(t.Context(), en.Revision))
+		require.True(t, cu.Free("b"), "it is readable again")
+	})
+}
--- a/internal/coordination/orderer/rate.go
+++ b/internal/coordination/orderer/rate.go
@@ -29,12 +29,11 @@
 }
 
 // NewRateTokens returns tokens for a number of loads a second. It begins with
-// one load: an earlier node may just have used up the rest.
+// none: an earlier node may just have used up all.
 func NewRateTokens(loadsPerSecond float64, loadsAtOnce, adaptersAtOnce int, now time.Time) *RateTokens {
 	return &RateTokens{
 		LocalTokens: NewLocalTokens(loadsAtOnce, adaptersAtOnce),
 		rate:        loadsPerSecond,
-		tokens:      1,
 		filled:      now,
 	}
 }
--- a/internal/coordination/orderer/sequencer.go
+++ b/internal/coordination/orderer/sequencer.go
@@ -83,12 +83,17 @@
 	sizes    Sizes
 	unloaded func(server string)
 	retire   func(ctx context.Context, server, model string)
+	enter    Enter
 	registry *counter.Registry
 
 	mu      sync.Mutex
 	engines map[string]*sequence
 }
 
+// Enter has it noted that orders are sent to a server. An error means that none
+// may be; done is called with whether the order was answered.
+type Enter func(ctx context.Context, server string) (done func(answered bool), err error)
+
 // Sizes returns the memory that a model or an adapter takes, by its name.
 type Sizes func(name string) int64
 
@@ -106,7 +111,8 @@
 // leads, and none while that reports false. The engines do not say how much
 // memory things take; sizes does.
 func NewSequencer(st Station, leads func() (fence int64, ok bool), sizes Sizes, rg *counter.Registry) *Sequencer {
-	return &Sequencer{station: st, leads: leads, sizes: sizes, registry: rg, engines: map[string]*sequence{}}
+	enter := func(context.Context, string) (func(bool), error) { return func(bool) {}, nil }
+	return &Sequencer{station: st, leads: leads, sizes: sizes, enter: enter, registry: rg, engines: map[string]*sequence{}}
 }
 
 func (sq *Sequencer) sequence(server string) *sequence {
@@ -128,6 +134,9 @@
 // work is sent there for it: engines refuse it until they are done.
 func (sq *Sequencer) OnRetire(fn func(ctx context.Context, server, model string)) { sq.retire = fn }
 
+// OnOrder has fn called before an order is sent.
+func (sq *Sequencer) OnOrder(fn Enter) { sq.enter = fn }
+
 // Send implements Engines.
 func (sq *Sequencer) Send(ctx context.Context, address string, od Order) (Answer, error) {
 	se := sq.sequence(od.Server)
@@ -212,15 +221,27 @@
 
 // place sends the order and waits for its end.
 func (sq *Sequencer) place(ctx context.Context, se *sequence, address string, od Order) (Answer, error) {
-	fence, ok := sq.leads()
-	if !ok {
-		return Answer{}, &OrderError{Outcome: NotSent, Code: CodeNotLeader, Cause: errors.New("node does not lead")}
+	if _, ok := sq.leads(); !ok {
+		return Answer{}, notLeader(errors.New("node does not lead"))
 	}
-	od.Fence = fence
 	if od.Action == string(accountant.Unload) && sq.retire != nil {
 		sq.retire(ctx, od.Server, od.Model)
 	}
+	done, err := sq.enter(ctx, od.Server)
+	if err != nil {
+		sq.registry.Inc("order", od.Action, "not-entered")
+		log.WithError(err).WithField("server", od.Server).WithField("action", od.Action).Warn("order not sent")
+		return Answer{}, notLeader(err)
+	}
+	// To enter the server and to retire the replica takes time.
+	fence, ok := sq.leads()
+	if !ok {
+		done(true)
+		return Answer{}, notLeader(errors.New("node no longer leads"))
+	}
+	od.Fence = fence
 	underWay, err := sq.station.Place(ctx, address, od, se.accepted)
+	done(!unknown(err))
 	sq.note(od, se, underWay, err)
 	if err != nil {
 		// Whether the order counts shows only in the engine's state.
@@ -234,6 +255,16 @@
 	return sq.finished(ctx, se, address, od, underWay)
 }
 
+func notLeader(cause error) error {
+	return &OrderError{Outcome: NotSent, Code: CodeNotLeader, Cause: cause}
+}
+
+// unknown reports whether the order may still arrive.
+func unknown(err error) bool {
+	var oe *OrderError
+	return err != nil && (!errors.As(err, &oe) || oe.Outcome == Unknown)
+}
+
 // note writes the line that tells of an order.
 func (sq *Sequencer) note(od Order, se *sequence, underWay bool, err error) {
 	result := "under-way"
--- a/internal/coordination/orderer/sequencer_test.go
+++ b/internal/coordination/orderer/sequencer_test.go
@@ -237,3 +237,32 @@
 		}
 	})
 }
+
+// TestNextLeaderKeepsToTheRate has a leader take over from one that used up
+// all tokens: the two together keep to the rate.
+func TestNextLeaderKeepsToTheRate(t *testing.T) {
+	for _, rate := range []float64{0.5, 1.1, 2.1, 13} {
+		synctest.Test(t, func(t *testing.T) {
+			var taken []time.Time
+			for range 4 {
+				rt := orderer.NewRateTokens(rate, 100, 10, time.Now())
+				time.Sleep(5 * time.Second)
+				for began := time.Now(); time.Since(began) < 2*time.Second; {
+					release, err := rt.Take(t.Context(), orderer.LimitWeightStore)
+					require.NoError(t, err)
+					release()
+					taken = append(taken, time.Now())
+				}
+			}
+			for ix, from := range taken {
+				count := 0
+				for _, at := range taken[ix:] {
+					if at.Sub(from) < 5*time.Second {
+						count++
+					}
+				}
+				require.LessOrEqual(t, float64(count), rate*5*1.1+3, "rate %v", rate)
+			}
+		})
+	}
+}
--- a/internal/coordination/registrar/leader.go
+++ b/internal/coordination/registrar/leader.go
@@ -49,7 +49,7 @@
 	if term == 0 {
 		return
 	}
-	if err := rg.store.Delete(ctx, rg.prefix+leaderKey, term); err != nil {
+	if err := rg.store.Delete(ctx, rg.prefix+LeaderKey, term); err != nil {
 		log.WithError(err).Warn("leadership is not given up; it ends with the lease")
 	}
 }
@@ -82,7 +82,7 @@
 // stand tries to become the leader. If the answer is lost, the replica of the
 // key tells.
 func (rg *Registrar) stand(ctx context.Context) {
-	key, id := rg.prefix+leaderKey, rg.presence().ID
+	key, id := rg.prefix+LeaderKey, rg.presence().ID
 	rg.mu.Lock()
 	lease := rg.lease
 	rg.mu.Unlock()
--- a/internal/coordination/registrar/members.go
+++ b/internal/coordination/registrar/members.go
@@ -56,7 +56,7 @@
 func (rg *Registrar) Regained() { rg.Notify() }
 
 func (rg *Registrar) takeLocked(en storer.Entry) {
-	if en.Key == rg.prefix+leaderKey {
+	if en.Key == rg.prefix+LeaderKey {
 		if en.Revision > rg.leader.Revision {
 			rg.leader = en
 		}
@@ -82,7 +82,7 @@
 }
 
 func (rg *Registrar) dropLocked(en storer.Entry) {
-	if en.Key == rg.prefix+leaderKey {
+	if en.Key == rg.prefix+LeaderKey {
 		if en.Revision > rg.leader.Revision {
 			rg.leader = storer.Entry{}
 			rg.Notify()
--- a/internal/coordination/registrar/registrar.go
+++ b/internal/coordination/registrar/registrar.go
@@ -37,13 +37,16 @@
 	renewals = 4
 	// retryPause is the time between two steps while something is missing.
 	retryPause = 100 * time.Millisecond
-	// nodesFolder and leaderKey stand under the registrar's prefix.
+	// nodesFolder stands under the registrar's prefix.
 	nodesFolder = "nodes/"
-	leaderKey   = "leader"
 	// recentNodes is how long a node that is gone counts in Nodes.
 	recentNodes = 30 * time.Second
 )
 
+// LeaderKey is the key under the registrar's prefix whose revision is the term
+// of the node that leads.
+const LeaderKey = "leader"
+
 // Registrar is the registration of one node.
 type Registrar struct {
 	store    storer.Keyspace
