Give up the spare of an idle model whatever its availability zone

Before: TestIdleSparesMakeRoom leaves a model with the demand of three servers on one. After: it gets all three, and every idle model keeps one replica.

--- a/internal/coordination/planner/repair.go
+++ b/internal/coordination/planner/repair.go
@@ -131,6 +131,9 @@
 	if len(md.replicas) <= md.least || wk.lastServing(mi, si) {
 		return false
 	}
+	if md.least < 2 {
+		return true
+	}
 	zones := wk.zonesOf(mi)
 	return len(zones) == 1 || len(zones) > 2 || zones[wk.servers[si].zone] > 1
 }
--- a/internal/coordination/planner/shift_test.go
+++ b/internal/coordination/planner/shift_test.go
@@ -69,3 +69,29 @@
 	}
 	require.GreaterOrEqual(t, len(plan.Servers("m05")), 10)
 }
+
+// TestIdleSparesMakeRoom has three servers in three zones filled by one model
+// with the demand of all three and by two replicas each, in two zones, of four
+// idle ones. Spares that the settings do not ask for while a model is idle are
+// given up.
+func TestIdleSparesMakeRoom(t *testing.T) {
+	text := "[planning]\nspare-when-idle = no\nmoves-per-hour = 1000\n[engine-kind.k]\n"
+	for ix := range 3 {
+		text += fmt.Sprintf("[backend-server.w%d]\nkind = k\naddress = 10.0.0.%d:80\nzone = z%d\nmemory = 180GiB\nslots = 64\n", ix, ix+1, ix)
+	}
+	for ix := range 5 {
+		text += fmt.Sprintf("[model.m%d]\nmemory = 60GiB\n", ix)
+	}
+	st, faults := configurer.Parse([]configurer.File{{Name: "1.ini", Text: text}})
+	require.Empty(t, faults)
+	plan := planner.NewPlan(map[string][]string{"w0": {"m0", "m1", "m2"}, "w1": {"m1", "m3", "m4"}, "w2": {"m2", "m3", "m4"}})
+	pl, now := planner.New(st), time.Unix(1000, 0)
+	for range 12 {
+		now = now.Add(10 * time.Second)
+		plan = pl.Next(planner.Input{Settings: st, Usable: planner.All, Demand: planner.Demand{"m0": 180}, Current: plan, Now: now})
+	}
+	require.Len(t, plan.Servers("m0"), 3)
+	for ix := range 5 {
+		require.NotEmpty(t, plan.Servers(fmt.Sprintf("m%d", ix)))
+	}
+}
