Use adapters that servers report while no orders may be sent there

The leader refused also adapters that the server held. Nobody can unload these meanwhile, so that they are used.

Before: TestOwnerThatMayNotOrderYet and TestStoreThatIsAwayIsNotPressed fail.

--- a/internal/coordination/adapterkeeper/adapterkeeper_test.go
+++ b/internal/coordination/adapterkeeper/adapterkeeper_test.go
@@ -261,3 +261,22 @@
 	}
 	b.ReportMetric(float64(other.counts.Values()["adapter.asked"]), "messages")
 }
+
+// TestOwnerThatMayNotOrderYet covers a new owner that has to wait before it
+// sends orders: what a server reports to hold is used meanwhile.
+func TestOwnerThatMayNotOrderYet(t *testing.T) {
+	rg := newRig(t, "yes", testBound, 4, 2)
+	reported := func(_, adapter string) bool { return adapter == "a0" }
+	owner := rg.node("owner", "owner", WithReported(reported))
+	rg.owner = owner
+	for name, nd := range map[string]*node{"owner": owner, "peer": rg.node("a", "owner", WithReported(reported))} {
+		t.Run(name, func(t *testing.T) {
+			held, _ := rg.settings.Adapter("a0")
+			_, err := nd.keeper.Ensure(t.Context(), "w", held)
+			require.NoError(t, err)
+			other, _ := rg.settings.Adapter("a1")
+			_, err = nd.keeper.Ensure(t.Context(), "w", other)
+			require.ErrorContains(t, err, reasonNoOwner)
+		})
+	}
+}
--- a/internal/coordination/adapterkeeper/lease.go
+++ b/internal/coordination/adapterkeeper/lease.go
@@ -96,8 +96,19 @@
 	close(asking)
 }
 
-// question returns why the adapter is not ready, or nothing.
+// question returns why the adapter is not ready, or nothing. While nobody may
+// send orders to the server, nobody unloads what it reports to hold; a report
+// that is out of date costs an attempt, which the server refuses.
 func (kp *Keeper) question(ctx context.Context, tg target) string {
+	reason := kp.askOwner(ctx, tg)
+	if (reason == reasonNoOwner || reason == reasonUnreachable) && kp.reported(tg.server, tg.adapter) {
+		kp.registry.Inc("adapter", "unheld")
+		return ""
+	}
+	return reason
+}
+
+func (kp *Keeper) askOwner(ctx context.Context, tg target) string {
 	vw := kp.view()
 	address, self, _ := vw.ServerOwner(tg.server)
 	if self {
@@ -112,12 +123,8 @@
 		}
 		return as.Reason
 	}
-	if kp.reported(tg.server, tg.adapter) {
-		kp.registry.Inc("adapter", "unheld")
-		return ""
-	}
-	kp.registry.Inc("adapter", "refused", "owner-unreachable")
-	return "owner-unreachable"
+	kp.registry.Inc("adapter", "refused", reasonUnreachable)
+	return reasonUnreachable
 }
 
 // Run renews the leases of running requests until the context ends.
--- a/internal/coordination/adapterkeeper/table.go
+++ b/internal/coordination/adapterkeeper/table.go
@@ -22,6 +22,8 @@
 	reasonUnknown    = "unknown-adapter"
 	reasonFailed     = "order-failed"
 	reasonTokens     = "adapters-in-transit"
+	// reasonUnreachable is the node's own: the owner gave no answer.
+	reasonUnreachable = "owner-unreachable"
 )
 
 // Rules is what the settings say of one server's adapters.
--- a/internal/coordination/custodian/custodian.go
+++ b/internal/coordination/custodian/custodian.go
@@ -42,11 +42,17 @@
 // not answered: such orders were seen to arrive some seconds later.
 const lateTime = 10 * time.Second
 
+// failurePause is the time after a failed write in which no other is tried: the
+// store may be away, and orders are asked for many times a second.
+const failurePause = 200 * time.Millisecond
+
 var (
 	// ErrHeld means that the orders of an earlier leader may be too recent.
 	ErrHeld = errors.New("another VM sent orders to the server lately")
 	// ErrNotBegun means that the record was not read under the present term.
 	ErrNotBegun = errors.New("the record of orders was not read yet")
+	// ErrPaused means that the record could not be written a moment ago.
+	ErrPaused = errors.New("the record of orders was not written a moment ago")
 )
 
 // Custodian is one node's view of the record.
@@ -64,6 +70,7 @@
 	mu       sync.Mutex
 	term     int64
 	begun    time.Duration
+	failed   time.Duration
 	revision int64
 	holders  map[string]string
 	// unreadable says that the record told nothing when the term began.
@@ -227,6 +234,7 @@
 	cu.mu.Lock()
 	current := cu.term == term
 	known := cu.holders[server] == cu.holder
+	paused := cu.pausedLocked()
 	next := cu.nextLocked()
 	cu.mu.Unlock()
 	switch {
@@ -234,6 +242,8 @@
 		return ErrNotBegun
 	case known:
 		return nil
+	case paused:
+		return ErrPaused
 	}
 	next[server] = cu.holder
 	return cu.commit(ctx, term, next)
@@ -249,7 +259,7 @@
 	}
 	defer cu.unlock()
 	cu.mu.Lock()
-	current := cu.term == term
+	current := cu.term == term && !cu.pausedLocked()
 	next = cu.nextLocked()
 	cu.mu.Unlock()
 	if !current {
@@ -260,6 +270,11 @@
 	}
 }
 
+// pausedLocked reports whether a write failed a moment ago.
+func (cu *Custodian) pausedLocked() bool {
+	return cu.failed > 0 && cu.clock() < cu.failed+failurePause
+}
+
 // nextLocked returns the entries that still say something. Those of another VM
 // say nothing once their wait is over.
 func (cu *Custodian) nextLocked() map[string]string {
@@ -309,6 +324,7 @@
 	if cu.term != term {
 		return
 	}
+	cu.failed = cu.clock()
 	for server, holder := range cu.holders {
 		if holder == cu.holder && next[server] != holder {
 			delete(cu.holders, server)
--- a/internal/coordination/custodian/custodian_test.go
+++ b/internal/coordination/custodian/custodian_test.go
@@ -331,3 +331,39 @@
 		require.True(t, cu.Free("b"), "it is readable again")
 	})
 }
+
+// countedStore counts the calls of a store that is away.
+type countedStore struct {
+	*platform.Keyspace
+	calls int
+}
+
+func (cs *countedStore) Commit(ctx context.Context, tx storer.Transaction) (int64, error) {
+	cs.calls++
+	return cs.Keyspace.Commit(ctx, tx)
+}
+
+// TestStoreThatIsAwayIsNotPressed asks for many orders while the store is down.
+func TestStoreThatIsAwayIsNotPressed(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		store := &countedStore{Keyspace: platform.NewKeyspace()}
+		store.Put("leader", []byte("one"))
+		en, err := store.Get(t.Context(), "leader")
+		require.NoError(t, err)
+		start := time.Now()
+		cu := custodian.New(store, "orders", "one", "leader", gap, custodian.WithClock(func() time.Duration { return time.Since(start) }))
+		time.Sleep(time.Second)
+		require.NoError(t, cu.Begin(t.Context(), en.Revision))
+		store.SetDown(true)
+		for range 100 {
+			_, err := cu.Enter(t.Context(), "a")
+			require.Error(t, err)
+			time.Sleep(10 * time.Millisecond)
+		}
+		require.LessOrEqual(t, store.calls, 6)
+		store.SetDown(false)
+		time.Sleep(time.Second)
+		_, err = cu.Enter(t.Context(), "a")
+		require.NoError(t, err)
+	})
+}
