Count what no server holds as demand, and a repeated try once

On the other hand each try of a request for which no adapter was ready counted as a new arrival, up to four of them within milliseconds.

Before: TestDemandCountsWhatNoServerHolds finds a demand of zero.

--- a/internal/coordination/admitter/reading.go
+++ b/internal/coordination/admitter/reading.go
@@ -124,7 +124,9 @@
 		return
 	}
 	en.wanted = sc.engines.Reading(tk.Model.Name(), sc.ownTokens(tk))
-	sc.service(tk.Model.Name()).demand.arrived += en.wanted
+	if !tk.Repeated {
+		sc.service(tk.Model.Name()).demand.arrived += en.wanted
+	}
 }
 
 // ownTokens returns the tokens of a prompt that no server holds from other
@@ -139,10 +141,26 @@
 // readingDemand returns the requests at once that stand for the reading that a
 // model asks for: as many as fill the servers that it takes.
 func (sc *Scheduler) readingDemand(model string, arrived, elapsed time.Duration) float64 {
-	candidates := sc.table.Candidates(model)
-	if arrived == 0 || elapsed <= 0 || len(candidates) == 0 {
+	if arrived == 0 || elapsed <= 0 {
 		return 0
 	}
 	servers := arrived.Seconds() / elapsed.Seconds() / readingShare
-	return servers * float64(candidates[0].Slots)
+	return servers * float64(sc.slots(model))
+}
+
+// slots returns the slots of a server that runs the model, or could.
+func (sc *Scheduler) slots(model string) int {
+	if candidates := sc.table.Candidates(model); len(candidates) > 0 {
+		return candidates[0].Slots
+	}
+	md, ok := sc.settings.Model(model)
+	if !ok {
+		return 0
+	}
+	for _, bs := range sc.settings.BackendServers() {
+		if bs.Pool() == md.Pool() {
+			return bs.Slots()
+		}
+	}
+	return 0
 }
--- a/internal/coordination/admitter/scheduler.go
+++ b/internal/coordination/admitter/scheduler.go
@@ -85,11 +85,17 @@
 // waits. The refusal has outcome not-run.
 func (sc *Scheduler) Submit(now time.Time, tk *Ticket) (*Entry, *refuser.Refusal) {
 	candidates := sc.table.Candidates(tk.Model.Name())
-	if rf := sc.check(now, tk, candidates); rf != nil {
+	if rf := sc.check(now, tk); rf != nil {
 		return nil, rf
 	}
 	en := sc.newEntry(now, tk)
 	sc.noteArrival(en)
+	if len(candidates) == 0 {
+		// What is asked for in vain is demand as well: without it a model that
+		// lost all replicas would be given fewer.
+		sc.noteRefused(en)
+		return nil, refuser.New(refuser.NoWorker, "no replica of model %q is ready", tk.Model.Name()).WithRetryAfter(retryLater)
+	}
 	if tg := sc.choose(now, en, candidates); tg != nil {
 		cs := sc.classes[en.class]
 		cs.charge(cs.account(tk.Caller.Name()), en.cost)
@@ -108,16 +114,13 @@
 	return en, nil
 }
 
-func (sc *Scheduler) check(now time.Time, tk *Ticket, candidates []*router.Target) *refuser.Refusal {
+func (sc *Scheduler) check(now time.Time, tk *Ticket) *refuser.Refusal {
 	if sc.settings == nil || revised(sc.settings, tk) != nil {
 		return refuser.New(refuser.RevisionBehind, "the request was read under another revision than is in force").WithRetryAfter(retryLater)
 	}
 	if !now.Before(tk.Deadline) {
 		return refuser.New(refuser.DeadlinePassed, "the deadline passed before the request arrived")
 	}
-	if len(candidates) == 0 {
-		return refuser.New(refuser.NoWorker, "no replica of model %q is ready", tk.Model.Name()).WithRetryAfter(retryLater)
-	}
 	if tk.Resumed {
 		return nil
 	}
--- a/internal/coordination/admitter/ticket.go
+++ b/internal/coordination/admitter/ticket.go
@@ -37,6 +37,9 @@
 	// Resumed says that the request continues a broken stream; it is not
 	// counted against quotas again and waits in no queue if that can be helped.
 	Resumed bool
+	// Repeated says that the same request was submitted before: it is no new
+	// demand.
+	Repeated bool
 }
 
 // Result is how a granted request ended.
--- a/internal/coordination/dispatcher/passage.go
+++ b/internal/coordination/dispatcher/passage.go
@@ -94,7 +94,9 @@
 	mayRun  bool
 	last    *held
 	resumes bool
-	queued  time.Duration
+	// admitted says that the request was given to admission before.
+	admitted bool
+	queued   time.Duration
 }
 
 // Pass runs the request and writes its answer to wr. It returns nil if the
@@ -148,6 +150,8 @@
 	pg.last = nil
 	tk := pg.ticket
 	tk.Resumed = pg.resumes
+	tk.Repeated = pg.admitted
+	pg.admitted = true
 	asked := time.Now()
 	gr, rf := pg.ds.admission.Admit(ctx, pg.settings, &tk)
 	if rf != nil {
