Explain failed requests from logs, and measure times in histograms

lagoonpass explain -request ID LOG... prints one request's lines over all nodes, with what happened meanwhile to the leadership and to its servers, and the cause; -summary LOG... counts the requests that failed or were late by a closed list of causes. HdrHistograms of queue wait, first token and longest pause by class, of the store's calls and of orders are on the metrics address, besides refusals, retries and answers by class, the age of the configuration and what is left of the retry budget. Before, times were in log lines only, and nothing told apart the classes.

--- a/internal/commander/commander.go
+++ b/internal/commander/commander.go
@@ -46,6 +46,7 @@
 	cm.Register(&settingsCommand{}, "settings")
 	cm.Register(&statusCommand{}, "entry nodes")
 	cm.Register(&drainCommand{}, "entry nodes")
+	cm.Register(&explainCommand{}, "requests")
 	cm.Register(&jobsCommand{}, "requests")
 	cm.Register(&benchCommand{}, "trying out")
 	cm.Register(&demoCommand{}, "trying out")
--- /dev/null
+++ b/internal/commander/explain.go
@@ -0,0 +1,110 @@
+package commander
+
+import (
+	"context"
+	"flag"
+	"os"
+	"path/filepath"
+	"strings"
+
+	"github.com/google/subcommands"
+
+	"github.com/lagoonpass/lagoonpass/internal/explainer"
+)
+
+// explainCommand tells from logs what became of requests.
+type explainCommand struct {
+	outputFlag
+	request string
+	summary bool
+}
+
+// Name implements subcommands.Command.
+func (*explainCommand) Name() string { return "explain" }
+
+// Synopsis implements subcommands.Command.
+func (*explainCommand) Synopsis() string {
+	return "tell from the logs of nodes what became of a request, or why requests failed"
+}
+
+// Usage implements subcommands.Command.
+func (*explainCommand) Usage() string {
+	return "explain -request ID [-output text|json] LOG...\nexplain -summary [-output text|json] LOG...\n"
+}
+
+// SetFlags implements subcommands.Command.
+func (ec *explainCommand) SetFlags(fs *flag.FlagSet) {
+	ec.setOutput(fs)
+	fs.StringVar(&ec.request, "request", "", "id of the request")
+	fs.BoolVar(&ec.summary, "summary", false, "count the requests that failed or were late by cause")
+}
+
+// Execute implements subcommands.Command.
+func (ec *explainCommand) Execute(_ context.Context, fs *flag.FlagSet, _ ...any) subcommands.ExitStatus {
+	if fs.NArg() == 0 || !ec.valid() || (ec.request == "") == !ec.summary {
+		return misuse(ec)
+	}
+	bk := explainer.NewBook()
+	for _, path := range fs.Args() {
+		if err := readLog(bk, path); err != nil {
+			return ec.fail(subcommands.ExitFailure, err)
+		}
+	}
+	if ec.summary {
+		ec.printSummary(bk)
+		return subcommands.ExitSuccess
+	}
+	return ec.printRequest(bk)
+}
+
+func readLog(bk *explainer.Book, path string) error {
+	fl, err := os.Open(path)
+	if err != nil {
+		return err
+	}
+	defer func() { _ = fl.Close() }()
+	return bk.Read(strings.TrimSuffix(filepath.Base(path), ".log"), fl)
+}
+
+func (ec *explainCommand) printRequest(bk *explainer.Book) subcommands.ExitStatus {
+	lines := bk.Request(ec.request)
+	cause, ended := bk.Cause(ec.request)
+	if ec.json() {
+		list := []string{}
+		for _, ln := range lines {
+			list = append(list, ln.String())
+		}
+		printJSON(map[string]any{"request": ec.request, "cause": cause, "lines": list, "omitted-lines": bk.Omitted()})
+	} else {
+		for _, ln := range lines {
+			printf("%s\n", ln)
+		}
+		if ended {
+			printf("cause: %s\n", cause)
+		}
+	}
+	switch {
+	case len(lines) == 0:
+		return complain(subcommands.ExitFailure, "no line of request %q: it was answered in time, or its line is one of %d left out", ec.request, bk.Omitted())
+	case !ended:
+		return complain(subcommands.ExitFailure, "no line tells how request %q ended: it was answered in time, or its line is one of %d left out", ec.request, bk.Omitted())
+	}
+	return subcommands.ExitSuccess
+}
+
+func (ec *explainCommand) printSummary(bk *explainer.Book) {
+	rows := bk.Summary()
+	if ec.json() {
+		list := []map[string]any{}
+		for _, rw := range rows {
+			list = append(list, map[string]any{"cause": rw.Cause, "requests": rw.Requests, "late": rw.Late, "example": rw.Example})
+		}
+		printJSON(map[string]any{"causes": list, "omitted-lines": bk.Omitted(), "strange-lines": bk.Strange()})
+		return
+	}
+	printf("%-22s %8s %8s  %s\n", "cause", "requests", "late", "example")
+	for _, rw := range rows {
+		printf("%-22s %8d %8d  %s\n", rw.Cause, rw.Requests, rw.Late, rw.Example)
+	}
+	printf("lines left out by the nodes: %d; lines that are none of a node: %d\n", bk.Omitted(), bk.Strange())
+}
--- a/internal/conductor/conductor.go
+++ b/internal/conductor/conductor.go
@@ -215,6 +215,10 @@
 			cd.admitter.Refresh(inf.settings)
 			cd.registry.Set(cd.forwarder.Opened(), "backend-connections", "opened")
 			cd.registry.Set(int64(len(inf.servers)), "backend-servers", "registered")
+			cd.registry.Set(int64(time.Since(inf.since).Seconds()), "configuration", "age-s")
+			for _, po := range inf.settings.Pools() {
+				cd.registry.Set(int64(cd.budget.Left(po.Name(), time.Now())), "retry-budget", po.Name(), "left")
+			}
 		}
 	})
 	return nil
--- a/internal/conductor/knowledge.go
+++ b/internal/conductor/knowledge.go
@@ -24,6 +24,8 @@
 	routes   *configurer.RouteTable
 	servers  []tracker.Server
 	base     *configurer.Settings
+	// since is when the configuration was taken in.
+	since time.Time
 }
 
 // Settings returns the settings in force with the servers that exist, or nil.
@@ -193,7 +195,10 @@
 	if old != nil && old.base == rv.Settings() && sameServers(old.servers, servers) {
 		return
 	}
-	next := &inForce{base: rv.Settings(), servers: servers}
+	next := &inForce{base: rv.Settings(), servers: servers, since: now}
+	if old != nil && old.base == next.base {
+		next.since = old.since
+	}
 	if old != nil && old.base == next.base && samePlaces(old.servers, servers) {
 		next.settings, next.routes = old.settings, old.routes
 	} else {
--- a/internal/coordination/dispatcher/passage.go
+++ b/internal/coordination/dispatcher/passage.go
@@ -139,6 +139,7 @@
 			return pg.honest(rf)
 		}
 		pg.ds.registry.Inc("retry", string(fl.reason))
+		pg.count("retry", string(fl.reason))
 		log.WithFields(log.Fields{
 			"request": pg.ticket.ID, "reason": string(fl.reason), "detail": fl.detail, "servers": pg.servers,
 		}).Info("request is sent again")
@@ -325,6 +326,12 @@
 		result = "late-pause"
 	}
 	pg.ds.registry.Inc("answer", result)
+	pg.count("answer", result)
+	pg.ds.registry.Observe(pg.queued, "queue-wait", pg.ticket.Class.Name())
+	pg.ds.registry.Observe(first, "first-token", pg.ticket.Class.Name())
+	if pg.Route.Streams() {
+		pg.ds.registry.Observe(pg.writer.pause, "longest-pause", pg.ticket.Class.Name())
+	}
 	if result != "in-time" {
 		line.WithFields(log.Fields{
 			"result": result, "first-ms": first.Milliseconds(), "pause-ms": pg.writer.pause.Milliseconds(), "server": pg.server,
@@ -332,6 +339,11 @@
 	}
 }
 
+// count counts an outcome for the class of the request.
+func (pg *passing) count(what, reason string) {
+	pg.ds.registry.Inc("class", pg.ticket.Class.Name(), what, reason)
+}
+
 // logEnd writes the line that explains how the request ended.
 func (pg *passing) logEnd(rf *refuser.Refusal) {
 	line := log.WithFields(log.Fields{
@@ -347,6 +359,7 @@
 		return
 	}
 	pg.ds.registry.Inc("refusal", string(rf.Reason()))
+	pg.count("refusal", string(rf.Reason()))
 	line.WithFields(log.Fields{
 		"reason":  string(rf.Reason()),
 		"outcome": string(rf.Outcome()),
--- a/internal/coordination/orderer/sequencer.go
+++ b/internal/coordination/orderer/sequencer.go
@@ -240,7 +240,9 @@
 		return Answer{}, notLeader(errors.New("node no longer leads"))
 	}
 	od.Fence = fence
+	sent := time.Now()
 	underWay, err := sq.station.Place(ctx, address, od, se.accepted)
+	sq.registry.Observe(time.Since(sent), "order-answer", od.Action)
 	done(!unknown(err))
 	sq.note(od, se, underWay, err)
 	if err != nil {
@@ -252,7 +254,11 @@
 	if underWay || od.Action != string(accountant.Load) && od.Action != ActionLoadAdapter {
 		se.accepted++
 	}
-	return sq.finished(ctx, se, address, od, underWay)
+	as, err := sq.finished(ctx, se, address, od, underWay)
+	if err == nil {
+		sq.registry.Observe(time.Since(sent), "order-done", od.Action)
+	}
+	return as, err
 }
 
 func notLeader(cause error) error {
--- a/internal/counter/counter.go
+++ b/internal/counter/counter.go
@@ -6,6 +6,7 @@
 //
 //	rg := counter.NewRegistry()
 //	rg.Inc("refusal", string(refuser.QueueFull))
+//	rg.Observe(time.Since(began), "queue-wait", "urgent")
 //	for name, value := range rg.Values() { ... }
 //
 // The zero Registry is not usable, but a nil one is: it counts nothing.
@@ -19,7 +20,8 @@
 
 // Registry is the metrics of one node.
 type Registry struct {
-	metrics metrics.Registry
+	metrics    metrics.Registry
+	histograms histograms
 }
 
 // NewRegistry returns a registry without metrics.
@@ -46,7 +48,8 @@
 	metrics.GetOrRegisterGauge(strings.Join(parts, "."), rg.metrics).Update(value)
 }
 
-// Values returns all counters and gauges by name.
+// Values returns all counters and gauges by name, and of each histogram the
+// number of observations, quantiles and the maximum.
 func (rg *Registry) Values() map[string]int64 {
 	values := map[string]int64{}
 	if rg == nil {
@@ -60,5 +63,6 @@
 			values[name] = mt.Value()
 		}
 	})
+	rg.histograms.addTo(values)
 	return values
 }
--- /dev/null
+++ b/internal/explainer/explainer_test.go
@@ -0,0 +1,81 @@
+package explainer_test
+
+import (
+	"fmt"
+	"strings"
+	"testing"
+
+	"github.com/stretchr/testify/require"
+
+	"github.com/lagoonpass/lagoonpass/internal/explainer"
+)
+
+func line(second int, message, fields string) string {
+	return fmt.Sprintf(`{"fields":{%s},"level":"info","timestamp":"2026-01-01T00:00:%02dZ","message":%q}`, fields, second, message)
+}
+
+// TestCauses has one line of each kind of end.
+func TestCauses(t *testing.T) {
+	failed := func(reason, detail string) string {
+		return line(1, "request not answered", fmt.Sprintf(`"request":"r","reason":%q,"detail":%q`, reason, detail))
+	}
+	for cause, text := range map[explainer.Cause]string{
+		explainer.AdapterPlaces: failed("no-worker", "p/m/a1 on w: adapters-held: adapter is not ready"),
+		explainer.NoLeader:      failed("no-worker", "p/m/a1 on w: no-fence: adapter is not ready"),
+		explainer.OrderAhead:    failed("no-worker", "p/m/a1 on w: context deadline exceeded: adapter is not ready"),
+		explainer.NoReplica:     failed("no-worker", `no replica of model "m" is ready`),
+		explainer.Overload:      failed("deadline-unreachable", "waited for 1s and is late"),
+		explainer.ServerLost:    failed("stream-broken", "unexpected EOF"),
+		explainer.ServerFailed:  failed("backend-failed", "status 500"),
+		explainer.ServerRefused: failed("backend-refused", "status 503"),
+		explainer.Deadline:      failed("deadline-passed", ""),
+		explainer.CallerLeft:    failed("cancelled", "caller is gone"),
+		explainer.NotConfigured: line(1, "request refused", `"request":"r","reason":"not-configured"`),
+		explainer.NotAllowed:    line(1, "request refused", `"request":"r","reason":"not-found"`),
+		explainer.NodeLeaving:   line(1, "request refused", `"request":"r","reason":"leaving"`),
+		explainer.RetryBudget:   failed("retry-budget", ""),
+		explainer.Other:         failed("internal", ""),
+		explainer.Queued:        line(1, "request answered late", `"request":"r","result":"late-first","first-ms":1000,"queued-ms":900`),
+		explainer.ServerSlow:    line(1, "request answered late", `"request":"r","result":"late-pause","first-ms":10,"queued-ms":9`),
+	} {
+		bk := explainer.NewBook()
+		require.NoError(t, bk.Read("n", strings.NewReader(text+"\n")))
+		found, ok := bk.Cause("r")
+		require.True(t, ok)
+		require.Equal(t, cause, found, text)
+	}
+}
+
+// TestRequestOverSeveralLogs puts a request's lines in order, with what happened
+// to its server meanwhile, and leaves out what did not touch it.
+func TestRequestOverSeveralLogs(t *testing.T) {
+	bk := explainer.NewBook()
+	require.NoError(t, bk.Read("one", strings.NewReader(strings.Join([]string{
+		line(9, "request refused", `"request":"r","reason":"backend-failed"`),
+		line(8, "request not answered", `"request":"r","reason":"backend-failed","avoid":["w1"],"total-ms":2000`),
+		line(8, "request not answered", `"request":"other","reason":"backend-failed","avoid":["w1"]`),
+		line(30, "node leads", `"term":7`),
+	}, "\n"))))
+	require.NoError(t, bk.Read("two", strings.NewReader(strings.Join([]string{
+		line(6, "backend server is gone", `"server":"w1"`),
+		line(6, "backend server is gone", `"server":"w2"`),
+		"  7.5000 three " + line(7, "node leads", `"term":6`),
+		`{"level":"warn","message":"log lines left out","fields":{"count":5}}`,
+		"not a line",
+		"",
+	}, "\n"))))
+	var all []string
+	for _, ln := range bk.Request("r") {
+		all = append(all, ln.String())
+	}
+	require.Equal(t, []string{
+		"00:00:06.000  two                      backend server is gone server=w1",
+		"00:00:07.000  three                    node leads term=6",
+		"00:00:08.000  one                      request not answered avoid=w1 reason=backend-failed request=r total-ms=2000",
+		"00:00:09.000  one                      request refused reason=backend-failed request=r",
+	}, all)
+	require.Empty(t, bk.Request("none"))
+	require.Equal(t, 5, bk.Omitted())
+	require.Equal(t, 1, bk.Strange())
+	require.Equal(t, []explainer.Row{{Cause: explainer.ServerFailed, Requests: 2, Example: "r"}}, bk.Summary()[:1])
+}
