--- a/internal/conductor/conductor.go
+++ b/internal/conductor/conductor.go
@@ -60,6 +60,10 @@
 	// long it may be idle: the announcement is in whole seconds, and a server
 	// that makes none may mean less than one.
 	silentIdle = 800 * time.Millisecond
+	// connectionShare is the part of the connections that a server accepts which
+	// all nodes together open: probes and nodes that only some know of need the
+	// rest.
+	connectionShare = 0.9
 	// passInterval is the time between two looks at what waits.
 	passInterval = 50 * time.Millisecond
 )
@@ -137,20 +141,20 @@
 // New returns a node that knows nothing yet.
 func New(id Identity, bd Binding, opts ...Option) *Conductor {
 	cd := &Conductor{
-		identity:  id,
-		binding:   bd,
-		holder:    publisher.NewHolder(),
-		pool:      messenger.NewPool(),
-		exchange:  watcher.NewExchange(id.ID, watcher.WithByteBudget(exchangeBytes)),
-		forwarder: forwarder.New(forwarder.WithIdleTimeout(silentIdle)),
-		budget:    retrier.NewShared(id.Retries, time.Now()),
-		demands:   placer.NewCollector(),
-		tracker:   tracker.New(),
-		faulty:    map[string]bool{},
+		identity: id,
+		binding:  bd,
+		holder:   publisher.NewHolder(),
+		pool:     messenger.NewPool(),
+		exchange: watcher.NewExchange(id.ID, watcher.WithByteBudget(exchangeBytes)),
+		budget:   retrier.NewShared(id.Retries, time.Now()),
+		demands:  placer.NewCollector(),
+		tracker:  tracker.New(),
+		faulty:   map[string]bool{},
 	}
 	for _, opt := range opts {
 		opt(cd)
 	}
+	cd.forwarder = forwarder.New(forwarder.WithIdleTimeout(silentIdle), forwarder.WithLimit(cd.connections))
 	cd.registrar = registrar.New(bd.Store, ownPrefix, cd.presence,
 		registrar.WithReady(cd.Ready), registrar.WithRegistry(cd.registry))
 	cd.custodian = custodian.New(bd.Store, holdersKey, hostOf(id.PeerAddress), ownPrefix+registrar.LeaderKey, id.OrderGap)
@@ -237,6 +241,20 @@
 
 func (cd *Conductor) nodes() int { return max(len(cd.registrar.View().Members()), 1) }
 
+// connections returns how many connections this node may have to a server: its
+// part of what the operator says that the server accepts.
+func (cd *Conductor) connections(address string) int {
+	inf := cd.inForce.Load()
+	if inf == nil {
+		return 0
+	}
+	total, ok := inf.connections[address]
+	if !ok {
+		return 0
+	}
+	return max(int(connectionShare*float64(total))/cd.nodes(), 1)
+}
+
 // hostOf returns the VM's part of an address.
 func hostOf(address string) string {
 	if host, _, err := net.SplitHostPort(address); err == nil {
--- a/internal/conductor/knowledge.go
+++ b/internal/conductor/knowledge.go
@@ -24,6 +24,8 @@
 	routes   *configurer.RouteTable
 	servers  []tracker.Server
 	base     *configurer.Settings
+	// connections is what each server accepts, by its address.
+	connections map[string]int
 	// since is when the configuration was taken in.
 	since time.Time
 }
@@ -205,6 +207,12 @@
 		next.settings = next.base.WithBackendServers(backendServers(next.base, servers))
 		next.routes = configurer.NewRouteTable(next.base.Routes())
 	}
+	next.connections = map[string]int{}
+	for _, sv := range servers {
+		if po, ok := next.settings.Pool(sv.Pool); ok {
+			next.connections[sv.Address] = po.Connections()
+		}
+	}
 	cd.inForce.Store(next)
 	cd.logServers(old, next)
 	cd.watcher.Observe(now, reports(next, now))
--- a/internal/coordination/dispatcher/answer.go
+++ b/internal/coordination/dispatcher/answer.go
@@ -12,6 +12,7 @@
 
 	"github.com/lagoonpass/lagoonpass/internal/coordination/admitter"
 	"github.com/lagoonpass/lagoonpass/internal/protocol/eventreader"
+	"github.com/lagoonpass/lagoonpass/internal/transport/forwarder"
 	"github.com/lagoonpass/lagoonpass/pkg/refuser"
 )
 
@@ -111,6 +112,11 @@
 // broken classes an error of the connection.
 func (ex *exchange) broken(ctx context.Context, err error, unsent bool) *failure {
 	fl := &failure{reason: refuser.BackendFailed, detail: err.Error(), unsent: unsent}
+	if errors.Is(err, forwarder.ErrFull) {
+		// The bound on connections is the operator's: the server is not to blame.
+		fl.reason = refuser.NoWorker
+		return fl
+	}
 	switch {
 	case errors.Is(context.Cause(ctx), errSilent):
 		fl.reason = refuser.BackendSilent
--- a/internal/transport/forwarder/connection.go
+++ b/internal/transport/forwarder/connection.go
@@ -57,7 +57,12 @@
 	}
 }
 
-func (cn *connection) close() { cn.once.Do(func() { _ = cn.raw.Close() }) }
+func (cn *connection) close() {
+	cn.once.Do(func() {
+		_ = cn.raw.Close()
+		cn.owner.closed(cn.address)
+	})
+}
 
 func (cn *connection) expired(now time.Time) bool { return now.Sub(cn.idleSince) >= cn.idleLimit }
 
--- a/internal/transport/forwarder/forwarder.go
+++ b/internal/transport/forwarder/forwarder.go
@@ -85,13 +85,20 @@
 // errForeign means that a server answered another request than was sent.
 var errForeign = errors.New("answer belongs to another request")
 
+// ErrFull means that as many connections to the server are open as may be, and
+// that all of them carry a request.
+var ErrFull = errors.New("no connection to the server is free")
+
 // Forwarder holds connections to backend servers, each server's on its own.
 type Forwarder struct {
 	dial        Dial
 	idleTimeout time.Duration
+	limit       func(address string) int
 	mu          sync.Mutex
 	idle        map[string][]*connection
-	opened      int64
+	// open counts the connections to each server, those in use included.
+	open   map[string]int
+	opened int64
 }
 
 // Dial opens a connection.
@@ -107,12 +114,20 @@
 // nothing of.
 func WithIdleTimeout(dn time.Duration) Option { return func(fw *Forwarder) { fw.idleTimeout = dn } }
 
+// WithLimit bounds the connections that are open to a server at a time. Zero
+// stands for no bound.
+func WithLimit(limit func(address string) int) Option {
+	return func(fw *Forwarder) { fw.limit = limit }
+}
+
 // New returns a forwarder without connections.
 func New(opts ...Option) *Forwarder {
 	fw := &Forwarder{
 		dial:        (&net.Dialer{Timeout: dialTimeout}).DialContext,
 		idleTimeout: idleTimeout,
+		limit:       func(string) int { return 0 },
 		idle:        map[string][]*connection{},
+		open:        map[string]int{},
 	}
 	for _, opt := range opts {
 		opt(fw)
@@ -180,10 +195,14 @@
 		}
 		cn.close()
 	}
+	if !fw.reserve(address) {
+		return nil, ErrFull
+	}
 	bounded, cancel := context.WithTimeout(ctx, dialTimeout)
 	defer cancel()
 	raw, err := fw.dial(bounded, "tcp", address)
 	if err != nil {
+		fw.closed(address)
 		return nil, err
 	}
 	fw.mu.Lock()
@@ -192,6 +211,27 @@
 	return newConnection(fw, address, raw), nil
 }
 
+// reserve counts one more connection, if there may be one.
+func (fw *Forwarder) reserve(address string) bool {
+	limit := fw.limit(address)
+	fw.mu.Lock()
+	defer fw.mu.Unlock()
+	if limit > 0 && fw.open[address] >= limit {
+		return false
+	}
+	fw.open[address]++
+	return true
+}
+
+// closed counts one connection less.
+func (fw *Forwarder) closed(address string) {
+	fw.mu.Lock()
+	defer fw.mu.Unlock()
+	if fw.open[address]--; fw.open[address] <= 0 {
+		delete(fw.open, address)
+	}
+}
+
 // take removes the connection that was used last from those kept.
 func (fw *Forwarder) take(address string) *connection {
 	fw.mu.Lock()
--- a/internal/transport/forwarder/forwarder_test.go
+++ b/internal/transport/forwarder/forwarder_test.go
@@ -3,9 +3,13 @@
 import (
 	"bufio"
 	"context"
+	"errors"
 	"io"
 	"net"
 	"net/http"
+	"net/http/httptest"
+	"strings"
+	"sync/atomic"
 	"testing"
 	"testing/synctest"
 
@@ -93,3 +97,55 @@
 		require.Equal(t, map[string]int{"a:80": 2, "b:80": 1}, dials)
 	})
 }
+
+// TestConnectionsAreBounded has more requests at once than a server may have
+// connections: the rest is not sent, and a connection that is free again serves
+// the next one.
+func TestConnectionsAreBounded(t *testing.T) {
+	hold := make(chan struct{})
+	var open, most atomic.Int64
+	web := httptest.NewUnstartedServer(http.HandlerFunc(func(http.ResponseWriter, *http.Request) { <-hold }))
+	web.Config.ConnState = func(_ net.Conn, st http.ConnState) {
+		switch st {
+		case http.StateNew:
+			most.Store(max(most.Load(), open.Add(1)))
+		case http.StateClosed:
+			open.Add(-1)
+		default:
+		}
+	}
+	web.Start()
+	defer web.Close()
+	address := strings.TrimPrefix(web.URL, "http://")
+	fw := forwarder.New(forwarder.WithLimit(func(string) int { return 3 }))
+	defer fw.Close()
+	send := func() error {
+		rs, err := fw.Send(t.Context(), forwarder.Request{Address: address, Host: "h", Method: http.MethodGet, Path: "/"})
+		if err != nil {
+			return err
+		}
+		_, err = io.Copy(io.Discard, rs.Body)
+		return errors.Join(err, rs.Body.Close())
+	}
+	results := make(chan error, 5)
+	for range 5 {
+		go func() { results <- send() }()
+	}
+	for range 2 {
+		err := <-results
+		require.ErrorIs(t, err, forwarder.ErrFull)
+		require.True(t, forwarder.NotSent(err))
+	}
+	close(hold)
+	for range 3 {
+		require.NoError(t, <-results)
+	}
+	require.NoError(t, send())
+	require.LessOrEqual(t, most.Load(), int64(3))
+	_, err := fw.Send(t.Context(), forwarder.Request{Address: "127.0.0.1:1", Host: "h", Method: http.MethodGet, Path: "/"})
+	require.Error(t, err)
+	for range 5 {
+		_, err = fw.Send(t.Context(), forwarder.Request{Address: "127.0.0.1:1", Host: "h", Method: http.MethodGet, Path: "/"})
+		require.NotErrorIs(t, err, forwarder.ErrFull, "a connection that never opened counts for nothing")
+	}
+}
