--- a/internal/conductor/peers.go
+++ b/internal/conductor/peers.go
@@ -88,7 +88,7 @@
 }
 
 func (cd *Conductor) tellDemand(ctx context.Context, leader prober.Member) {
-	dr := &messenger.DemandReport{Node: cd.identity.ID, Adapters: cd.adapters.Wanted()}
+	dr := &messenger.DemandReport{Node: cd.identity.ID}
 	for model, load := range cd.admitter.Demand() {
 		dr.Models = append(dr.Models, messenger.ModelDemand{Model: model, Load: load})
 	}
--- a/internal/conductor/steward.go
+++ b/internal/conductor/steward.go
@@ -195,7 +195,7 @@
 	for _, sv := range inf.servers {
 		staying[sv.ID] = !sv.Leaving
 	}
-	demand := planner.WithAdapters(inf.settings, cd.demands.Sum(now, demandGrace), cd.demands.Adapters(now, demandGrace))
+	demand := cd.demands.Sum(now, demandGrace)
 	next := sw.planner.Next(planner.Input{
 		Settings: inf.settings,
 		Usable:   func(server string) bool { return staying[server] },
--- a/internal/coordination/adapterkeeper/adapterkeeper.go
+++ b/internal/coordination/adapterkeeper/adapterkeeper.go
@@ -91,8 +91,6 @@
 	mu      sync.Mutex
 	servers map[string]*server
 	leases  map[target]*lease
-	// wanted holds the adapters that were asked for since Wanted was called.
-	wanted map[string]bool
 }
 
 // Option changes a Keeper that is being made.
@@ -141,7 +139,6 @@
 		patience: askTimeout,
 		servers:  map[string]*server{},
 		leases:   map[target]*lease{},
-		wanted:   map[string]bool{},
 	}
 	for _, opt := range opts {
 		opt(kp)
--- a/internal/coordination/adapterkeeper/adapterkeeper_test.go
+++ b/internal/coordination/adapterkeeper/adapterkeeper_test.go
@@ -280,21 +280,3 @@
 		})
 	}
 }
-
-// TestWantedNamesWhatIsUsedAndWhatWasRefused is what placing counts as demand.
-func TestWantedNamesWhatIsUsedAndWhatWasRefused(t *testing.T) {
-	rg := newRig(t, "yes", testBound, 1, 2)
-	nd := rg.node("owner", "owner")
-	nd.takeOver()
-	require.Empty(t, nd.keeper.Wanted())
-	first, _ := rg.settings.Adapter("a0")
-	second, _ := rg.settings.Adapter("a1")
-	release, err := nd.keeper.Ensure(t.Context(), "w", first)
-	require.NoError(t, err)
-	_, err = nd.keeper.Ensure(t.Context(), "w", second)
-	require.Error(t, err)
-	require.Equal(t, []string{"a0", "a1"}, nd.keeper.Wanted())
-	require.Equal(t, []string{"a0"}, nd.keeper.Wanted(), "it is in use")
-	release()
-	require.Empty(t, nd.keeper.Wanted())
-}
--- a/internal/coordination/adapterkeeper/lease.go
+++ b/internal/coordination/adapterkeeper/lease.go
@@ -2,8 +2,6 @@
 
 import (
 	"context"
-	"maps"
-	"slices"
 	"time"
 
 	"github.com/go-faster/errors"
@@ -28,7 +26,6 @@
 func (kp *Keeper) Ensure(ctx context.Context, server string, ad *configurer.Adapter) (func(), error) {
 	tg := target{server, ad.Name()}
 	kp.mu.Lock()
-	kp.wanted[ad.Name()] = true
 	ls, ok := kp.leases[tg]
 	if !ok {
 		ls = &lease{}
@@ -48,21 +45,6 @@
 	return release, nil
 }
 
-// Wanted returns the adapters that requests of this node use, or asked for since
-// the last call, whether they got them or not.
-func (kp *Keeper) Wanted() []string {
-	kp.mu.Lock()
-	defer kp.mu.Unlock()
-	all := kp.wanted
-	kp.wanted = map[string]bool{}
-	for tg, ls := range kp.leases {
-		if ls.active > 0 {
-			all[tg.adapter] = true
-		}
-	}
-	return slices.Sorted(maps.Keys(all))
-}
-
 func (kp *Keeper) release(ls *lease) {
 	kp.mu.Lock()
 	defer kp.mu.Unlock()
--- a/internal/coordination/placer/report.go
+++ b/internal/coordination/placer/report.go
@@ -33,9 +33,8 @@
 }
 
 type report struct {
-	models   []messenger.ModelDemand
-	adapters []string
-	at       time.Time
+	models []messenger.ModelDemand
+	at     time.Time
 }
 
 // NewCollector returns a collector without reports.
@@ -45,7 +44,7 @@
 func (co *Collector) Note(now time.Time, dr *messenger.DemandReport) {
 	co.mu.Lock()
 	defer co.mu.Unlock()
-	co.latest[dr.Node] = report{models: dr.Models, adapters: dr.Adapters, at: now}
+	co.latest[dr.Node] = report{models: dr.Models, at: now}
 }
 
 // Sum adds up the reports and forgets the nodes that were silent for longer
@@ -66,22 +65,6 @@
 	return total
 }
 
-// Adapters returns the adapters that the reports name.
-func (co *Collector) Adapters(now time.Time, grace time.Duration) map[string]bool {
-	co.mu.Lock()
-	defer co.mu.Unlock()
-	all := map[string]bool{}
-	for _, rp := range co.latest {
-		if now.Sub(rp.at) > grace {
-			continue
-		}
-		for _, name := range rp.adapters {
-			all[name] = true
-		}
-	}
-	return all
-}
-
 // heard reports whether each member that lives has a report.
 func (co *Collector) heard(vw *prober.View) bool {
 	co.mu.Lock()
--- a/internal/protocol/messenger/demand.go
+++ b/internal/protocol/messenger/demand.go
@@ -17,8 +17,6 @@
 	Node string
 	// Models are the models with demand.
 	Models []ModelDemand
-	// Adapters are the adapters that requests use, or wanted lately.
-	Adapters []string
 }
 
 // Kind implements Message.
@@ -29,13 +27,9 @@
 	if err := EncodeAll(en, dr.Node); err != nil {
 		return err
 	}
-	err := EncodeList(en, dr.Models, func(en *msgpack.Encoder, md ModelDemand) error {
+	return EncodeList(en, dr.Models, func(en *msgpack.Encoder, md ModelDemand) error {
 		return EncodeAll(en, md.Model, md.Load)
 	})
-	if err != nil {
-		return err
-	}
-	return EncodeList(en, dr.Adapters, (*msgpack.Encoder).EncodeString)
 }
 
 // Decode implements Message.
@@ -48,10 +42,6 @@
 		err := DecodeAll(de, &md.Model, &md.Load)
 		return md, err
 	})
-	if err != nil {
-		return err
-	}
-	dr.Adapters, err = DecodeList(de, (*msgpack.Decoder).DecodeString)
 	return err
 }
 
--- a/internal/protocol/messenger/messenger_test.go
+++ b/internal/protocol/messenger/messenger_test.go
@@ -35,7 +35,7 @@
 		&Released{Done: true},
 		&AdapterLoad{From: "n1", Server: "w1", Adapter: "a"},
 		&AdapterState{Ready: true, Reason: "r"},
-		&DemandReport{Node: "n1", Models: []ModelDemand{{Model: "m", Load: 2.5}}, Adapters: []string{"a1", "a2"}},
+		&DemandReport{Node: "n1", Models: []ModelDemand{{Model: "m", Load: 2.5}}},
 		&DemandReceived{Epoch: 2, Number: 7},
 		&PlanFetch{Epoch: 2, Number: 7},
 		&PlanFetched{Record: []byte("r")},
