Tell every caller of a request that was not run when to return

By the code, those of admission for a deadline that passed, as when the process was stopped and went on, and for a class or model that a configuration took away, name no time.

Before: TestRefusalsSayWhenToReturn finds 0 s for both. After: each refusal of a passage that was not run names a time, a part of the class's target where admission gives none.

--- a/internal/coordination/dispatcher/passage.go
+++ b/internal/coordination/dispatcher/passage.go
@@ -292,7 +292,7 @@
 const comeBackDivisor = 4
 
 // honest gives the refusal, if there is one, the outcome that the sendings
-// allow.
+// allow, and tells the caller of a request that was not run when to return.
 func (pg *passing) honest(rf *refuser.Refusal) *refuser.Refusal {
 	if rf == nil {
 		return nil
@@ -300,6 +300,9 @@
 	if pg.mayRun {
 		rf = rf.WithOutcome(refuser.Unknown)
 	}
+	if rf.Outcome() == refuser.NotRun && rf.RetryAfter() <= 0 {
+		rf = rf.WithRetryAfter(pg.comeBack())
+	}
 	assertHonest(pg.ticket.ID, rf, pg.mayRun)
 	return rf
 }
--- a/internal/coordination/dispatcher/passage_test.go
+++ b/internal/coordination/dispatcher/passage_test.go
@@ -291,3 +291,40 @@
 	require.Equal(t, "whole", pd.Body.String())
 	require.True(t, bk.results[0].Failed)
 }
+
+// refusing refuses all requests.
+type refusing struct{ refusal *refuser.Refusal }
+
+func (rg refusing) Admit(context.Context, *configurer.Settings, *admitter.Ticket) (*admitter.Grant, *refuser.Refusal) {
+	return nil, rg.refusal
+}
+
+// TestRefusalsSayWhenToReturn covers refusals of requests that were not run, for
+// which admission names no time: a deadline that passed while the process stood
+// still, or a class that a new configuration took away.
+func TestRefusalsSayWhenToReturn(t *testing.T) {
+	st, faults := configurer.Parse([]configurer.File{{Name: "1.ini", Text: passageText}})
+	require.Empty(t, faults)
+	rt, _ := configurer.NewRouteTable(st.Routes()).Find("h", "/once/x")
+	for _, rf := range []*refuser.Refusal{
+		refuser.New(refuser.DeadlinePassed, "the deadline passed before the request arrived"),
+		refuser.New(refuser.Removed, "a new revision removed class %q", "c"),
+		refuser.New(refuser.NoWorker, "no replica").WithRetryAfter(7 * time.Second),
+	} {
+		wanted := rf.RetryAfter()
+		fw := forwarder.New()
+		defer fw.Close()
+		ds := dispatcher.New(refusing{rf}, fw, nil, dispatcher.WithSharedBudget(retrier.NewShared(retrier.Bound{Window: time.Second}, time.Now())))
+		ps := &dispatcher.Passage{Route: rt, Method: http.MethodPost, Host: "h", Path: "/once/x", Header: http.Header{}, Wire: testWire{}}
+		ps.Ticket = admitter.Ticket{ID: "id", Deadline: time.Now().Add(5 * time.Second)}
+		ps.Ticket.Class, _ = st.Class("c")
+		ps.Ticket.Model, _ = st.Model("m")
+		got, begun := ds.Pass(t.Context(), st, ps, httptest.NewRecorder())
+		require.False(t, begun)
+		require.Equal(t, refuser.NotRun, got.Outcome())
+		require.Positive(t, got.RetryAfter(), got)
+		if wanted > 0 {
+			require.Equal(t, wanted, got.RetryAfter())
+		}
+	}
+}
