--- a/deploy/days.sh
+++ b/deploy/days.sh
@@ -187,8 +187,8 @@
   {
     echo "# Days of single kinds of trouble"
     echo
-    echo "Written by \`deploy/days.sh play\`: each day of \`deploy/days\` with $seeds seeds and varied"
-    echo "figures on each site; mean worth, and the lowest. A day that does not fit a site"
+    echo "Written by \`deploy/days.sh play\`: each day of \`deploy/days\` on each site with varied"
+    echo "figures, seeds a day: $seeds; mean worth, and the lowest. A day that does not fit a site"
     echo "is left out there. Commit $(git rev-parse --short HEAD)$(git diff --quiet HEAD -- '*.go' || echo ' with changes')."
     echo
     echo "| day | site | plays | plays with a rule broken | faults | worth | lowest |"
--- a/internal/coordination/custodian/custodian_test.go
+++ b/internal/coordination/custodian/custodian_test.go
@@ -5,7 +5,6 @@
 	"fmt"
 	"math/rand/v2"
 	"sync"
-	"sync/atomic"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -25,62 +24,12 @@
 	servers = 8
 )
 
-// link is a VM's way to the store, which can be cut; what was asked for may
-// have been done.
-type link struct {
-	*platform.Keyspace
-	cut atomic.Bool
-}
-
-func (ln *link) check(op string) error {
-	if ln.cut.Load() {
-		return &storer.Error{Op: op, Kind: storer.Unavailable}
-	}
-	return nil
-}
-
-func (ln *link) Get(ctx context.Context, key string) (storer.Entry, error) {
-	if err := ln.check("get"); err != nil {
-		return storer.Entry{}, err
-	}
-	return ln.Keyspace.Get(ctx, key)
-}
-
-func (ln *link) Renew(ctx context.Context, ls storer.Lease) (time.Duration, error) {
-	if err := ln.check("renew"); err != nil {
-		return 0, err
-	}
-	return ln.Keyspace.Renew(ctx, ls)
-}
-
-func (ln *link) Grant(ctx context.Context, ttl time.Duration) (storer.Lease, time.Duration, error) {
-	if err := ln.check("grant"); err != nil {
-		return 0, 0, err
-	}
-	return ln.Keyspace.Grant(ctx, ttl)
-}
-
-func (ln *link) Commit(ctx context.Context, tx storer.Transaction) (int64, error) {
-	if err := ln.check("commit"); err != nil {
-		return 0, err
-	}
-	return ln.Keyspace.Commit(ctx, tx)
-}
-
-func (ln *link) Watch(ctx context.Context, prefix string, after int64, wait time.Duration) ([]storer.Change, int64, error) {
-	if err := ln.check("watch"); err != nil {
-		time.Sleep(10 * time.Millisecond)
-		return nil, 0, err
-	}
-	return ln.Keyspace.Watch(ctx, prefix, after, wait)
-}
-
 // vm is one VM that may lead and then sends orders to servers at random.
 type vm struct {
 	*registrar.Registrar
 	*custodian.Custodian
 	name string
-	link *link
+	link *platform.Link
 }
 
 // order is what a server saw last.
@@ -111,7 +60,7 @@
 	start := time.Now()
 	clock := func() time.Duration { return time.Since(start) }
 	for ix := range count {
-		m := &vm{name: fmt.Sprintf("n%d", ix), link: &link{Keyspace: fl.store}}
+		m := &vm{name: fmt.Sprintf("n%d", ix), link: platform.NewLink(fl.store)}
 		presence := func() messenger.Presence {
 			return messenger.Presence{ID: m.name, PeerAddress: m.name + ":1", CallerAddress: m.name + ":2", Zone: "z"}
 		}
@@ -178,9 +127,9 @@
 	m := fl.vms[random.IntN(len(fl.vms))]
 	switch random.IntN(300) {
 	case 0, 1:
-		m.link.cut.Store(true)
+		m.link.Cut(true)
 	case 2, 3, 4, 5:
-		m.link.cut.Store(false)
+		m.link.Cut(false)
 	case 6:
 		fl.store.SetDown(true)
 	case 7, 8, 9:
--- a/internal/coordination/registrar/registrar_test.go
+++ b/internal/coordination/registrar/registrar_test.go
@@ -17,7 +17,6 @@
 	"github.com/lagoonpass/lagoonpass/internal/coordination/registrar"
 	"github.com/lagoonpass/lagoonpass/internal/protocol/messenger"
 	"github.com/lagoonpass/lagoonpass/internal/standin/platform"
-	"github.com/lagoonpass/lagoonpass/internal/state/storer"
 )
 
 const (
@@ -25,52 +24,10 @@
 	handover = 3 * time.Second
 )
 
-// link is a node's way to the store, which can be cut.
-type link struct {
-	*platform.Keyspace
-	cut atomic.Bool
-}
-
-func (ln *link) check(op string) error {
-	if ln.cut.Load() {
-		return &storer.Error{Op: op, Kind: storer.Unavailable}
-	}
-	return nil
-}
-
-func (ln *link) Renew(ctx context.Context, ls storer.Lease) (time.Duration, error) {
-	if err := ln.check("renew"); err != nil {
-		return 0, err
-	}
-	return ln.Keyspace.Renew(ctx, ls)
-}
-
-func (ln *link) Grant(ctx context.Context, ttl time.Duration) (storer.Lease, time.Duration, error) {
-	if err := ln.check("grant"); err != nil {
-		return 0, 0, err
-	}
-	return ln.Keyspace.Grant(ctx, ttl)
-}
-
-func (ln *link) Commit(ctx context.Context, tx storer.Transaction) (int64, error) {
-	if err := ln.check("commit"); err != nil {
-		return 0, err
-	}
-	return ln.Keyspace.Commit(ctx, tx)
-}
-
-func (ln *link) Watch(ctx context.Context, prefix string, after int64, wait time.Duration) ([]storer.Change, int64, error) {
-	if err := ln.check("watch"); err != nil {
-		time.Sleep(10 * time.Millisecond)
-		return nil, 0, err
-	}
-	return ln.Keyspace.Watch(ctx, prefix, after, wait)
-}
-
 type node struct {
 	*registrar.Registrar
 	id      string
-	link    *link
+	link    *platform.Link
 	leaving atomic.Bool
 	paused  atomic.Int64
 }
@@ -88,7 +45,7 @@
 	fl := &fleet{store: platform.NewKeyspace(), stop: cancel}
 	start := time.Now()
 	for ix := range count {
-		nd := &node{id: fmt.Sprintf("n%d", ix), link: &link{Keyspace: fl.store}}
+		nd := &node{id: fmt.Sprintf("n%d", ix), link: platform.NewLink(fl.store)}
 		presence := func() messenger.Presence {
 			return messenger.Presence{ID: nd.id, PeerAddress: nd.id + ":1", CallerAddress: nd.id + ":2", Zone: "z", Leaving: nd.leaving.Load()}
 		}
@@ -154,12 +111,12 @@
 		defer fl.end()
 		fl.await(t, 5*time.Second, func() bool { return len(fl.leaders()) == 1 })
 		old := fl.leaders()[0]
-		old.link.cut.Store(true)
+		old.link.Cut(true)
 		fl.await(t, lifetime, func() bool { return len(fl.leaders()) == 0 })
 		gap := fl.await(t, 10*time.Second, func() bool { return len(fl.leaders()) == 1 })
 		require.GreaterOrEqual(t, gap, handover)
 		require.NotEqual(t, old.id, fl.leaders()[0].id)
-		old.link.cut.Store(false)
+		old.link.Cut(false)
 		time.Sleep(5 * time.Second)
 		require.Len(t, fl.leaders(), 1)
 		require.Len(t, old.View().Members(), 3, "it is registered again")
@@ -258,9 +215,9 @@
 	nd := fl.nodes[random.IntN(len(fl.nodes))]
 	switch random.IntN(400) {
 	case 0:
-		nd.link.cut.Store(true)
+		nd.link.Cut(true)
 	case 1, 2, 3:
-		nd.link.cut.Store(false)
+		nd.link.Cut(false)
 	case 4:
 		fl.store.SetDown(true)
 	case 5, 6, 7:
