--- a/internal/coordination/orderer/sequencer_test.go
+++ b/internal/coordination/orderer/sequencer_test.go
@@ -266,3 +266,38 @@
 		})
 	}
 }
+
+// TestOrderNeedsItsEntry has the record of orders refuse a server, and then
+// answers get lost: what is not entered is not sent, and an order without an
+// answer is told as such.
+func TestOrderNeedsItsEntry(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		sn, leads := &station{boot: "b1"}, true
+		sq := newSequencer(sn, &leads)
+		var refused error
+		var ended []bool
+		sq.OnOrder(func(_ context.Context, server string) (func(bool), error) {
+			require.Equal(t, "w", server)
+			if refused != nil {
+				return nil, refused
+			}
+			return func(answered bool) { ended = append(ended, answered) }, nil
+		})
+		as := inspect(t, sq)
+		load := orderer.Order{Server: "w", Action: string(accountant.Load), Model: "m", Basis: as.Basis}
+		refused = errors.New("another VM sent orders lately")
+		_, err := sq.Send(t.Context(), "a", load)
+		require.Equal(t, orderer.CodeNotLeader, code(err))
+		require.Zero(t, sn.accepted)
+		require.Empty(t, ended)
+		refused = nil
+		_, err = sq.Send(t.Context(), "a", load)
+		require.NoError(t, err)
+		require.Equal(t, []bool{true}, ended)
+		as = inspect(t, sq)
+		sn.lose = true
+		_, err = sq.Send(t.Context(), "a", orderer.Order{Server: "w", Action: string(accountant.Load), Model: "n", Basis: as.Basis})
+		require.Error(t, err)
+		require.Equal(t, []bool{true, false}, ended)
+	})
+}
