Use one piece of code for avoided servers, outcomes and lists of attempts

The change wrote again what was there: the list of abandoned attempts is encoded by messenger.EncodeList (its decoding keeps its own, stricter bounds), a server is added to those to be avoided by one function for both ways to dispatch, and each outcome of a passage is counted by one call, under the same names as before. Which states remember abandoned attempts is said in one place; a lost key, which is never granted again, no longer stores them. No other change of behaviour; the tests are as they were.

--- a/internal/coordination/dispatcher/execution.go
+++ b/internal/coordination/dispatcher/execution.go
@@ -187,10 +187,15 @@
 	return ok && ek.Resumes() && ex.progress.resumable()
 }
 
-func (ex *execution) avoidServer(server string) {
-	if !slices.Contains(ex.avoid, server) {
-		ex.avoid = append(slices.Clone(ex.avoid), server)
+func (ex *execution) avoidServer(server string) { ex.avoid = withServer(ex.avoid, server) }
+
+// withServer returns the servers with one more. The list itself stays, since
+// tickets that were submitted hold it.
+func withServer(servers []string, server string) []string {
+	if slices.Contains(servers, server) {
+		return servers
 	}
+	return append(slices.Clone(servers), server)
 }
 
 // drain reads the end of a whole answer, so that its connection can serve
--- a/internal/coordination/dispatcher/passage.go
+++ b/internal/coordination/dispatcher/passage.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"net/http"
-	"slices"
 	"time"
 
 	"github.com/apex/log"
@@ -138,7 +137,6 @@
 		if again, rf := pg.giveUp(ctx, fl); !again {
 			return pg.honest(rf)
 		}
-		pg.ds.registry.Inc("retry", string(fl.reason))
 		pg.count("retry", string(fl.reason))
 		log.WithFields(log.Fields{
 			"request": pg.ticket.ID, "reason": string(fl.reason), "detail": fl.detail, "servers": pg.servers,
@@ -162,8 +160,8 @@
 	rs, fl := pg.send(ctx, gr)
 	rs.Refused = fl != nil && fl.refused
 	pg.ds.account(gr, rs, fl)
-	if fl != nil && !slices.Contains(pg.ticket.Avoid, gr.Server()) {
-		pg.ticket.Avoid = append(slices.Clone(pg.ticket.Avoid), gr.Server())
+	if fl != nil {
+		pg.ticket.Avoid = withServer(pg.ticket.Avoid, gr.Server())
 	}
 	return fl
 }
@@ -328,7 +326,6 @@
 	case pg.Route.Streams() && pg.writer.pause > pg.Route.PauseTarget():
 		result = "late-pause"
 	}
-	pg.ds.registry.Inc("answer", result)
 	pg.count("answer", result)
 	pg.ds.registry.Observe(pg.queued, "queue-wait", pg.ticket.Class.Name())
 	pg.ds.registry.Observe(first, "first-token", pg.ticket.Class.Name())
@@ -342,8 +339,9 @@
 	}
 }
 
-// count counts an outcome for the class of the request.
+// count counts an outcome, among all requests and for the class of this one.
 func (pg *passing) count(what, reason string) {
+	pg.ds.registry.Inc(what, reason)
 	pg.ds.registry.Inc("class", pg.ticket.Class.Name(), what, reason)
 }
 
@@ -361,7 +359,6 @@
 		pg.logAnswer(line)
 		return
 	}
-	pg.ds.registry.Inc("refusal", string(rf.Reason()))
 	pg.count("refusal", string(rf.Reason()))
 	line.WithFields(log.Fields{
 		"reason":  string(rf.Reason()),
--- a/internal/coordination/recorder/entry.go
+++ b/internal/coordination/recorder/entry.go
@@ -61,6 +61,10 @@
 // gaveUp reports whether the attempt vouched for never sending.
 func (et *entry) gaveUp(attempt string) bool { return slices.Contains(et.abandonedBy, attempt) }
 
+// remembersAbandoned reports whether the key may be granted again, so that its
+// abandoned attempts matter.
+func (et *entry) remembersAbandoned() bool { return et.state == started || et.state == abandoned }
+
 // after returns the entry with the abandoned attempts of an earlier entry of
 // the key, and its own if it is one.
 func (et *entry) after(earlier *entry) *entry {
@@ -93,8 +97,8 @@
 	case err != nil:
 	case et.state == finished:
 		err = messenger.EncodeAll(en, rs.Status, rs.ContentType, rs.Body)
-	case et.state != resultGone:
-		err = encodeAttempts(en, et.abandonedBy)
+	case et.remembersAbandoned():
+		err = messenger.EncodeList(en, et.abandonedBy, (*msgpack.Encoder).EncodeString)
 	}
 	if err != nil {
 		return nil, errors.Wrap(err, "encode record entry")
@@ -114,11 +118,11 @@
 		return nil, errors.Wrap(errCorrupt, "entry")
 	}
 	et.id, et.request = hash(id), hash(request)
-	if et.state == resultGone {
-		return et, nil
-	}
-	if et.state != finished {
+	switch {
+	case et.remembersAbandoned():
 		return et, decodeAttempts(de, et)
+	case et.state != finished:
+		return et, nil
 	}
 	rs := &et.result
 	if err := messenger.DecodeAll(de, &rs.Status, &rs.ContentType, &rs.Body); err != nil {
@@ -127,18 +131,6 @@
 	return et, nil
 }
 
-func encodeAttempts(en *msgpack.Encoder, all []string) error {
-	if err := en.EncodeArrayLen(len(all)); err != nil {
-		return err
-	}
-	for _, attempt := range all {
-		if err := en.EncodeString(attempt); err != nil {
-			return err
-		}
-	}
-	return nil
-}
-
 func decodeAttempts(de *msgpack.Decoder, et *entry) error {
 	count, err := de.DecodeArrayLen()
 	if err != nil || count < 0 || count > maxAbandoned {
--- a/internal/coordination/recorder/ledger.go
+++ b/internal/coordination/recorder/ledger.go
@@ -137,7 +137,7 @@
 		sg.expect(fn.Time <= sg.ledger.watermark, fn, "a key that was never begun")
 	case et.attempt != fn.Attempt:
 		sg.expect(fn.Abandoned, fn, "a key that another attempt holds")
-		if fn.Abandoned && (et.state == started || et.state == abandoned) && !et.gaveUp(fn.Attempt) {
+		if fn.Abandoned && et.remembersAbandoned() && !et.gaveUp(fn.Attempt) {
 			sg.put(et.without(fn.Attempt))
 		}
 	case et.state == abandoned:
@@ -161,8 +161,7 @@
 		return entryOf(&fn.Begin, abandoned)
 	case fn.Lost:
 		return entryOf(&fn.Begin, lost)
-	}
-	if !fn.Kept {
+	case !fn.Kept:
 		return entryOf(&fn.Begin, resultGone)
 	}
 	et := entryOf(&fn.Begin, finished)
