Set gauges when the metrics are read, and keep what did not change

Twenty times a second each node set gauges that nobody needs before the metrics are read, a lock and a sum over a window for each pool among them. The registry has functions called before it is read now (OnRead), and the conductor sets its gauges there. Names and values are the same; they are as old as the reading instead of up to 50 ms. The bounds of connections are made again only when servers or settings change, as the settings and routes beside them. One test more.

--- a/internal/conductor/conductor.go
+++ b/internal/conductor/conductor.go
@@ -154,6 +154,7 @@
 	for _, opt := range opts {
 		opt(cd)
 	}
+	cd.registry.OnRead(cd.setGauges)
 	cd.forwarder = forwarder.New(forwarder.WithIdleTimeout(silentIdle), forwarder.WithLimit(cd.connections))
 	cd.registrar = registrar.New(bd.Store, ownPrefix, cd.presence,
 		registrar.WithReady(cd.Ready), registrar.WithRegistry(cd.registry))
@@ -217,17 +218,26 @@
 	waiter.Every(ctx, passInterval, func() {
 		if inf := cd.inForce.Load(); inf != nil {
 			cd.admitter.Refresh(inf.settings)
-			cd.registry.Set(cd.forwarder.Opened(), "backend-connections", "opened")
-			cd.registry.Set(int64(len(inf.servers)), "backend-servers", "registered")
-			cd.registry.Set(int64(time.Since(inf.since).Seconds()), "configuration", "age-s")
-			for _, po := range inf.settings.Pools() {
-				cd.registry.Set(int64(cd.budget.Left(po.Name(), time.Now())), "retry-budget", po.Name(), "left")
-			}
 		}
 	})
 	return nil
 }
 
+// setGauges sets what only a reader of the metrics wants to know.
+func (cd *Conductor) setGauges() {
+	inf := cd.inForce.Load()
+	if inf == nil {
+		return
+	}
+	now := time.Now()
+	cd.registry.Set(cd.forwarder.Opened(), "backend-connections", "opened")
+	cd.registry.Set(int64(len(inf.servers)), "backend-servers", "registered")
+	cd.registry.Set(int64(now.Sub(inf.since).Seconds()), "configuration", "age-s")
+	for _, po := range inf.settings.Pools() {
+		cd.registry.Set(int64(cd.budget.Left(po.Name(), now)), "retry-budget", po.Name(), "left")
+	}
+}
+
 func (cd *Conductor) presence() messenger.Presence {
 	return messenger.Presence{
 		ID:            cd.identity.ID,
--- a/internal/conductor/conductor_test.go
+++ b/internal/conductor/conductor_test.go
@@ -187,3 +187,15 @@
 	plan := planner.NewPlan(map[string][]string{"a": {"m", "n"}, "b": {"m"}})
 	require.Equal(t, "m:2.0/2 n:0.5/1", mostWanted(planner.Demand{"n": 0.5, "m": 2}, plan))
 }
+
+// Gauges are set when they are read, and not before anything is in force.
+func TestGaugesAreSetWhenRead(t *testing.T) {
+	cd := newNode()
+	require.NotContains(t, cd.registry.Values(), "backend-servers.registered")
+	configSink{cd}.Replace([]storer.Entry{configuration(1, settingsText)})
+	serverSink{cd}.Replace([]storer.Entry{registration("a", "p 10.0.0.1:1 1")})
+	values := cd.registry.Values()
+	require.EqualValues(t, 1, values["backend-servers.registered"])
+	require.Contains(t, values, "retry-budget.p.left")
+	require.Contains(t, values, "configuration.age-s")
+}
--- a/internal/conductor/knowledge.go
+++ b/internal/conductor/knowledge.go
@@ -202,16 +202,11 @@
 		next.since = old.since
 	}
 	if old != nil && old.base == next.base && samePlaces(old.servers, servers) {
-		next.settings, next.routes = old.settings, old.routes
+		next.settings, next.routes, next.connections = old.settings, old.routes, old.connections
 	} else {
 		next.settings = next.base.WithBackendServers(backendServers(next.base, servers))
 		next.routes = configurer.NewRouteTable(next.base.Routes())
-	}
-	next.connections = map[string]int{}
-	for _, sv := range servers {
-		if po, ok := next.settings.Pool(sv.Pool); ok {
-			next.connections[sv.Address] = po.Connections()
-		}
+		next.connections = connectionsOf(next.base, servers)
 	}
 	cd.inForce.Store(next)
 	cd.logServers(old, next)
@@ -267,6 +262,17 @@
 	}
 }
 
+// connectionsOf returns what each server accepts, by its address.
+func connectionsOf(st *configurer.Settings, servers []tracker.Server) map[string]int {
+	accepted := make(map[string]int, len(servers))
+	for _, sv := range servers {
+		if po, ok := st.Pool(sv.Pool); ok {
+			accepted[sv.Address] = po.Connections()
+		}
+	}
+	return accepted
+}
+
 func backendServers(st *configurer.Settings, servers []tracker.Server) []*configurer.BackendServer {
 	rooms := map[string]int64{}
 	for _, po := range st.Pools() {
--- a/internal/counter/counter.go
+++ b/internal/counter/counter.go
@@ -13,7 +13,9 @@
 package counter
 
 import (
+	"slices"
 	"strings"
+	"sync"
 
 	"github.com/rcrowley/go-metrics"
 )
@@ -22,6 +24,9 @@
 type Registry struct {
 	metrics    metrics.Registry
 	histograms histograms
+
+	mu     sync.Mutex
+	onRead []func()
 }
 
 // NewRegistry returns a registry without metrics.
@@ -48,6 +53,17 @@
 	metrics.GetOrRegisterGauge(strings.Join(parts, "."), rg.metrics).Update(value)
 }
 
+// OnRead has fn called before the metrics are read, so that it can set gauges
+// which nobody needs in between.
+func (rg *Registry) OnRead(fn func()) {
+	if rg == nil {
+		return
+	}
+	rg.mu.Lock()
+	defer rg.mu.Unlock()
+	rg.onRead = append(rg.onRead, fn)
+}
+
 // Values returns all counters and gauges by name, and of each histogram the
 // number of observations, quantiles and the maximum.
 func (rg *Registry) Values() map[string]int64 {
@@ -55,6 +71,12 @@
 	if rg == nil {
 		return values
 	}
+	rg.mu.Lock()
+	onRead := slices.Clone(rg.onRead)
+	rg.mu.Unlock()
+	for _, fn := range onRead {
+		fn()
+	}
 	rg.metrics.Each(func(name string, metric any) {
 		switch mt := metric.(type) {
 		case metrics.Counter:
