Name the reasons of refusals once in the explainer

It had the reasons written out a second time; the constants of pkg/refuser are the keys now. The lines of each request were kept beside all lines and both sorted again after each log; they are taken from the sorted lines where they are wanted. Two accessors that nothing calls are gone.

--- a/internal/explainer/cause.go
+++ b/internal/explainer/cause.go
@@ -5,6 +5,8 @@
 	"regexp"
 	"slices"
 	"strings"
+
+	"github.com/lagoonpass/lagoonpass/pkg/refuser"
 )
 
 // Cause is why a request failed or was late.
@@ -49,24 +51,24 @@
 )
 
 // byReason holds the causes that a reason names by itself.
-var byReason = map[string]Cause{
-	"deadline-unreachable": Overload,
-	"queue-full":           Overload,
-	"queue-bytes":          Overload,
-	"backend-unreachable":  ServerLost,
-	"backend-silent":       ServerLost,
-	"stream-broken":        ServerLost,
-	"backend-failed":       ServerFailed,
-	"backend-refused":      ServerRefused,
-	"deadline-passed":      Deadline,
-	"cancelled":            CallerLeft,
-	"not-configured":       NotConfigured,
-	"revision-behind":      NotConfigured,
-	"not-found":            NotAllowed,
-	"malformed":            NotAllowed,
-	"too-large":            NotAllowed,
-	"leaving":              NodeLeaving,
-	"retry-budget":         RetryBudget,
+var byReason = map[refuser.Reason]Cause{
+	refuser.DeadlineUnreachable: Overload,
+	refuser.QueueFull:           Overload,
+	refuser.QueueBytes:          Overload,
+	refuser.BackendUnreachable:  ServerLost,
+	refuser.BackendSilent:       ServerLost,
+	refuser.StreamBroken:        ServerLost,
+	refuser.BackendFailed:       ServerFailed,
+	refuser.BackendRefused:      ServerRefused,
+	refuser.DeadlinePassed:      Deadline,
+	refuser.Cancelled:           CallerLeft,
+	refuser.NotConfigured:       NotConfigured,
+	refuser.RevisionBehind:      NotConfigured,
+	refuser.NotFound:            NotAllowed,
+	refuser.Malformed:           NotAllowed,
+	refuser.TooLarge:            NotAllowed,
+	refuser.Leaving:             NodeLeaving,
+	refuser.RetryBudget:         RetryBudget,
 }
 
 // adapterDetail finds why an adapter was not ready on a server.
@@ -80,9 +82,9 @@
 		}
 		return ServerSlow
 	}
-	reason, detail := ln.Field("reason"), ln.Field("detail")
-	if reason == "no-worker" {
-		return causeOfNoWorker(detail)
+	reason := refuser.Reason(ln.Field("reason"))
+	if reason == refuser.NoWorker {
+		return causeOfNoWorker(ln.Field("detail"))
 	}
 	if cause, ok := byReason[reason]; ok {
 		if cause == Deadline && ln.number("servers") > 0 {
@@ -126,7 +128,7 @@
 // Cause returns why a request failed or was late. It reports false for one that
 // no line says so of.
 func (bk *Book) Cause(id string) (Cause, bool) {
-	ln := end(bk.requests[id])
+	ln := end(bk.byRequest()[id])
 	if ln == nil {
 		return "", false
 	}
@@ -149,21 +151,22 @@
 // frequent first.
 func (bk *Book) Summary() []Row {
 	rows := map[Cause]*Row{}
-	seen := map[string]bool{}
+	requests := bk.byRequest()
 	for _, ln := range bk.lines {
 		id := ln.Field("request")
-		cause, ok := bk.Cause(id)
-		if id == "" || seen[id] || !ok {
+		own := requests[id]
+		last := end(own)
+		if last == nil || ln != own[0] {
 			continue
 		}
-		seen[id] = true
+		cause := causeOf(last)
 		rw := rows[cause]
 		if rw == nil {
 			rw = &Row{Cause: cause, Example: id}
 			rows[cause] = rw
 		}
 		rw.Requests++
-		if end(bk.requests[id]).message == messageLate {
+		if last.message == messageLate {
 			rw.Late++
 		}
 	}
--- a/internal/explainer/explainer.go
+++ b/internal/explainer/explainer.go
@@ -62,12 +62,6 @@
 	fields  map[string]any
 }
 
-// Time returns when the line was written.
-func (ln *Line) Time() time.Time { return ln.time }
-
-// Message returns what happened.
-func (ln *Line) Message() string { return ln.message }
-
 // Field returns a field as text, or nothing.
 func (ln *Line) Field(name string) string {
 	value, ok := ln.fields[name]
@@ -105,14 +99,13 @@
 
 // Book holds the lines of all logs that were read.
 type Book struct {
-	lines    []*Line
-	requests map[string][]*Line
-	strange  int
-	omitted  int
+	lines   []*Line
+	strange int
+	omitted int
 }
 
 // NewBook returns a book without lines.
-func NewBook() *Book { return &Book{requests: map[string][]*Line{}} }
+func NewBook() *Book { return &Book{} }
 
 // Strange returns how many lines were no log lines.
 func (bk *Book) Strange() int { return bk.strange }
@@ -138,12 +131,20 @@
 		return errors.Wrapf(err, "read log %s", name)
 	}
 	slices.SortStableFunc(bk.lines, func(one, two *Line) int { return one.time.Compare(two.time) })
-	for _, lines := range bk.requests {
-		slices.SortStableFunc(lines, func(one, two *Line) int { return one.time.Compare(two.time) })
-	}
 	return nil
 }
 
+// byRequest returns the lines of each request in their order.
+func (bk *Book) byRequest() map[string][]*Line {
+	requests := map[string][]*Line{}
+	for _, ln := range bk.lines {
+		if id := ln.Field("request"); id != "" {
+			requests[id] = append(requests[id], ln)
+		}
+	}
+	return requests
+}
+
 func (bk *Book) take(name string, text []byte) {
 	start := bytes.IndexByte(text, '{')
 	var wl wireLine
@@ -161,16 +162,13 @@
 	if ln.message == messageOmitted {
 		bk.omitted += int(ln.number("count"))
 	}
-	if id := ln.Field("request"); id != "" {
-		bk.requests[id] = append(bk.requests[id], ln)
-	}
 }
 
 // Request returns the lines of a request over all logs in their order, and
 // between them what happened meanwhile to the servers that it was sent to and to
 // the leadership.
 func (bk *Book) Request(id string) []*Line {
-	own := bk.requests[id]
+	own := bk.byRequest()[id]
 	if len(own) == 0 {
 		return nil
 	}
