--- a/internal/coordination/watcher/fleet_test.go
+++ b/internal/coordination/watcher/fleet_test.go
@@ -224,6 +224,18 @@
 	return nil
 }
 
+// ownerAndUser returns the server's owner and another node, which has used the
+// server for a while.
+func (fl *fleet) ownerAndUser(server string) (owner, user *node) {
+	owner, user = fl.owner(server), fl.nodes[0]
+	if user == owner {
+		user = fl.nodes[1]
+	}
+	fl.work(user, 50*time.Millisecond)
+	time.Sleep(3 * time.Second)
+	return owner, user
+}
+
 func (fl *fleet) kill(nd *node) {
 	nd.stop()
 	fl.Kill(nd.Node)
--- a/internal/coordination/watcher/watcher_test.go
+++ b/internal/coordination/watcher/watcher_test.go
@@ -101,13 +101,7 @@
 		fl := newFleet(t, 2, 4)
 		defer fl.end()
 		fl.await(settled, fl.allKnown)
-		owner := fl.owner("w0000")
-		user := fl.nodes[0]
-		if user == owner {
-			user = fl.nodes[1]
-		}
-		fl.work(user, 50*time.Millisecond)
-		time.Sleep(3 * time.Second)
+		owner, user := fl.ownerAndUser("w0000")
 		fl.Cut(user.Address, owner.Address)
 		fl.Cut(owner.Address, user.Address)
 		fl.change("w0000", func(be *backend) { be.report.Leaving = true })
@@ -161,13 +155,7 @@
 		fl := newFleet(t, 4, 8)
 		defer fl.end()
 		fl.await(settled, fl.allKnown)
-		owner := fl.owner("w0000")
-		user := fl.nodes[0]
-		if user == owner {
-			user = fl.nodes[1]
-		}
-		fl.work(user, 50*time.Millisecond)
-		time.Sleep(3 * time.Second)
+		owner, user := fl.ownerAndUser("w0000")
 		fl.Cut(user.Address, owner.Address)
 		direct := func() bool {
 			reads := 0
