--- a/internal/coordination/registrar/leader.go
+++ b/internal/coordination/registrar/leader.go
@@ -15,6 +15,16 @@
 // removed, so the next leader waits for this time in addition to the handover.
 const leaderActiveShare = 0.6
 
+const (
+	// candidateDelay is the time between two nodes that campaign after the loss
+	// of a leader, and maxCandidateDelay the longest delay.
+	candidateDelay    = 250 * time.Millisecond
+	maxCandidateDelay = 4 * time.Second
+	// campaignRetry is the time until a node campaigns again that lost against
+	// another.
+	campaignRetry = time.Second
+)
+
 // leaderActiveTime returns how long a leader acts without a renewal.
 func (rg *Registrar) leaderActiveTime() time.Duration {
 	return time.Duration(leaderActiveShare * float64(rg.lifetime))
@@ -47,6 +57,7 @@
 	rg.mu.Lock()
 	term := rg.term
 	rg.resignLocked("node is leaving")
+	rg.lease = 0
 	rg.mu.Unlock()
 	if term == 0 {
 		return
@@ -65,6 +76,18 @@
 	rg.term = 0
 }
 
+// LeaderID returns the id of the leader according to the last replicated state,
+// or "" if there is none. A node whose own lease has ended is not the leader.
+func (rg *Registrar) LeaderID() string {
+	rg.mu.Lock()
+	defer rg.mu.Unlock()
+	id := string(rg.leaderEntry.Value)
+	if id == rg.presence().ID && rg.clock() >= rg.renewedAt+rg.lifetime {
+		return ""
+	}
+	return id
+}
+
 // noLeader reports whether the store is known to have no leader.
 func (rg *Registrar) noLeader() bool {
 	rg.mu.Lock()
@@ -79,16 +102,33 @@
 	}
 	rg.mu.Lock()
 	defer rg.mu.Unlock()
-	return rg.replicated && rg.leaderEntry.Revision == 0 && rg.term == 0 && rg.lease != 0
+	now := rg.clock()
+	if !rg.replicated || rg.leaderEntry.Revision != 0 || rg.term != 0 || now < rg.nextCampaign {
+		return false
+	}
+	return now >= rg.leaderless+min(time.Duration(rg.candidateRankLocked())*candidateDelay, maxCandidateDelay)
+}
+
+// candidateRankLocked returns how many nodes campaign before this one, so that
+// not all nodes call the store at once when there is no leader.
+func (rg *Registrar) candidateRankLocked() int {
+	rank, self := 0, rg.presence().ID
+	for _, mb := range rg.members {
+		if pr := mb.presence; pr.ID < self && !pr.Leaving && pr.ID != rg.previousLeader {
+			rank++
+		}
+	}
+	return rank
 }
 
 // campaign tries to become the leader. If the store's answer is lost, the
 // replicated key shows the outcome.
 func (rg *Registrar) campaign(ctx context.Context) {
 	key, id := rg.prefix+LeaderKey, rg.presence().ID
-	rg.mu.Lock()
-	lease := rg.lease
-	rg.mu.Unlock()
+	lease := rg.obtainLease(ctx)
+	if lease == 0 {
+		return
+	}
 	revision, err := rg.store.Commit(ctx, storer.Transaction{
 		Expected: map[string]int64{key: 0},
 		Writes:   []storer.Write{{Key: key, Value: []byte(id), Lease: lease}},
@@ -98,6 +138,7 @@
 	}
 	if err != nil {
 		rg.registry.Inc("leader", "not-elected")
+		rg.postponeCampaign(err)
 		return
 	}
 	rg.mu.Lock()
@@ -108,6 +149,17 @@
 	rg.updateLeadershipLocked()
 }
 
+// postponeCampaign sets the time of the next campaign. After a conflict another
+// node leads, which the replicated keys will show.
+func (rg *Registrar) postponeCampaign(err error) {
+	rg.mu.Lock()
+	defer rg.mu.Unlock()
+	if storer.Is(err, storer.Conflict) {
+		rg.nextCampaign = rg.clock() + campaignRetry
+		rg.lease = 0
+	}
+}
+
 // updateLeadershipLocked sets the term of this node's leadership by the
 // leader's key, as last replicated.
 func (rg *Registrar) updateLeadershipLocked() {
@@ -116,9 +168,20 @@
 	switch {
 	case own && rg.term != rg.leaderEntry.Revision:
 		rg.term, rg.electedAt = rg.leaderEntry.Revision, rg.clock()
+		rg.contacts = newContacts()
+		rg.contacts.lose(rg.previousLeader)
 		rg.registry.Inc("leader", "elected")
 		log.WithField("term", rg.term).Info("node leads")
 	case !own:
 		rg.resignLocked("leadership is gone from the store")
 	}
+	switch {
+	case rg.leaderEntry.Revision == 0 && rg.leaderless == 0:
+		rg.leaderless = max(rg.clock(), 1)
+	case rg.leaderEntry.Revision != 0:
+		rg.leaderless, rg.previousLeader = 0, string(rg.leaderEntry.Value)
+		if !own {
+			rg.lease = 0
+		}
+	}
 }
--- a/internal/coordination/registrar/members.go
+++ b/internal/coordination/registrar/members.go
@@ -19,14 +19,18 @@
 	rg.members = map[string]member{}
 	rg.leaderEntry = storer.Entry{}
 	for _, en := range entries {
+		rg.seen = max(rg.seen, en.Revision)
 		rg.applyEntryLocked(en)
 	}
-	for id := range previous {
-		if _, ok := rg.members[id]; !ok {
-			rg.goneAt[id] = rg.clock()
+	for key, mb := range previous {
+		if _, ok := rg.members[key]; !ok {
+			rg.goneAt[mb.presence.ID] = rg.clock()
 		}
 	}
-	rg.replicated = true
+	if !rg.replicated {
+		rg.replicated = true
+		rg.Notify()
+	}
 	rg.checkOwnRegistrationLocked()
 	rg.updateLeadershipLocked()
 	rg.mu.Unlock()
@@ -37,6 +41,7 @@
 func (rg *Registrar) Apply(changes []storer.Change) {
 	rg.mu.Lock()
 	for _, ch := range changes {
+		rg.seen = max(rg.seen, ch.Revision)
 		if ch.Deleted {
 			rg.deleteEntryLocked(ch.Entry)
 			continue
@@ -62,23 +67,27 @@
 		}
 		return
 	}
-	id, ok := strings.CutPrefix(en.Key, rg.prefix+nodesPrefix)
-	if !ok {
+	if !strings.HasPrefix(en.Key, rg.prefix+nodesPrefix) {
 		return
 	}
 	pr, ready, err := decodePresence(en.Value)
-	if err != nil || pr.ID != id {
+	if err != nil || pr.ID == "" {
 		rg.registry.Inc("member", "unreadable")
 		log.WithError(err).WithField("key", en.Key).Warn("node registration in the store is unreadable; it is ignored")
 		return
 	}
-	if known, ok := rg.members[id]; !ok || en.Revision >= known.revision {
-		if !ok {
-			log.WithField("node", id).WithField("zone", pr.Zone).Info("node registered")
-		}
-		rg.members[id] = member{presence: pr, ready: ready, revision: en.Revision}
-		delete(rg.goneAt, id)
+	known, ok := rg.members[en.Key]
+	if ok && en.Revision < known.revision {
+		return
 	}
+	if !ok || known.presence.ID != pr.ID {
+		log.WithField("node", pr.ID).WithField("zone", pr.Zone).Info("node registered")
+	}
+	if ok && known.presence.ID != pr.ID {
+		rg.goneAt[known.presence.ID] = rg.clock()
+	}
+	rg.members[en.Key] = member{presence: pr, ready: ready, revision: en.Revision}
+	delete(rg.goneAt, pr.ID)
 }
 
 func (rg *Registrar) deleteEntryLocked(en storer.Entry) {
@@ -89,19 +98,22 @@
 		}
 		return
 	}
-	id, ok := strings.CutPrefix(en.Key, rg.prefix+nodesPrefix)
-	if known, found := rg.members[id]; ok && found && en.Revision > known.revision {
-		log.WithField("node", id).Info("node is gone")
-		delete(rg.members, id)
-		rg.goneAt[id] = rg.clock()
+	if known, ok := rg.members[en.Key]; ok && en.Revision > known.revision {
+		log.WithField("node", known.presence.ID).Info("node is gone")
+		delete(rg.members, en.Key)
+		rg.goneAt[known.presence.ID] = rg.clock()
 	}
 }
 
 // checkOwnRegistrationLocked makes the node register again if its registration
 // is gone.
 func (rg *Registrar) checkOwnRegistrationLocked() {
-	id := rg.presence().ID
-	if _, ok := rg.members[id]; !ok && rg.written != nil {
+	if rg.seen < rg.revision {
+		// The registration was written after what has been replicated.
+		return
+	}
+	pr := rg.presence()
+	if mb, ok := rg.members[rg.nodeKey(pr.PeerAddress)]; rg.written != nil && (!ok || mb.presence.ID != pr.ID && mb.revision > rg.revision) {
 		rg.written, rg.revision = nil, 0
 		rg.Notify()
 	}
@@ -113,8 +125,8 @@
 	defer rg.mu.Unlock()
 	own := rg.presence()
 	members := []prober.Member{memberOf(own, rg.ready())}
-	for id, mb := range rg.members {
-		if id != own.ID && !rg.replacedLocked(mb) {
+	for _, mb := range rg.members {
+		if mb.presence.ID != own.ID && !rg.replacedLocked(mb) {
 			members = append(members, memberOf(mb.presence, mb.ready))
 		}
 	}
@@ -122,8 +134,7 @@
 }
 
 // replacedLocked reports whether a process that registered later has the
-// member's address: the member's process has ended, but its lease is still
-// valid.
+// member's address: the member's process has ended.
 func (rg *Registrar) replacedLocked(mb member) bool {
 	if mb.presence.PeerAddress == rg.presence().PeerAddress {
 		return true
--- a/internal/coordination/registrar/registrar.go
+++ b/internal/coordination/registrar/registrar.go
@@ -1,10 +1,14 @@
-// Package registrar keeps a node registered in the platform's store under a
-// lease, tracks the registered nodes, and elects one of them as leader.
+// Package registrar keeps a node registered in the platform's store, tracks the
+// registered nodes, and elects one of them as leader.
 //
-// A node's registration and leadership end with its lease. A leader acts only
-// while it knows that its lease is valid, counted from before it requested the
-// lease, by a clock that runs while the machine is suspended. A new leader
-// first waits until the previous one can no longer act.
+// A node writes its registration when it changes, and not otherwise. The leader
+// removes the registrations of nodes that neither report to it nor answer it.
+// Only leadership has a lease, so that the calls to the store do not grow with
+// the number of nodes.
+//
+// A leader acts only while it knows that its lease is valid, counted from before
+// it requested the lease, by a clock that runs while the machine is suspended. A
+// new leader first waits until the previous one can no longer act.
 //
 // # Usage
 //
@@ -29,10 +33,11 @@
 	"github.com/lagoonpass/lagoonpass/internal/state/replicator"
 	"github.com/lagoonpass/lagoonpass/internal/state/storer"
 	"github.com/lagoonpass/lagoonpass/internal/stopwatch"
+	"github.com/lagoonpass/lagoonpass/internal/waiter"
 )
 
 const (
-	// defaultLifetime is how long a node counts as alive without a renewal.
+	// defaultLifetime is how long a leader's lease lasts without a renewal.
 	defaultLifetime = 1200 * time.Millisecond
 	// renewalsPerLifetime is the number of renewals of the lease in its
 	// lifetime.
@@ -40,7 +45,13 @@
 	// retryInterval is the time between two steps after a failure, or while no
 	// node leads.
 	retryInterval = 100 * time.Millisecond
-	// nodesPrefix precedes node ids in keys, under the registrar's prefix.
+	// maxRegistrationDelay is twice the longest time between two attempts to write
+	// the registration.
+	maxRegistrationDelay = 2 * time.Second
+	// idleInterval is the time between two steps of a node that does not lead.
+	idleInterval = 500 * time.Millisecond
+	// nodesPrefix precedes the peer addresses of nodes in keys, under the
+	// registrar's prefix. A restarted node replaces its earlier registration.
 	nodesPrefix = "nodes/"
 	// goneNodeRetention is how long NodeCount counts a node after its
 	// registration ended.
@@ -63,6 +74,10 @@
 	// handover is the time in which no leader acts, between two leaders.
 	handover time.Duration
 	registry *counter.Registry
+	// followed says that the registrar is the sink of another replicator.
+	followed bool
+	// check asks the node at an address for its id.
+	check CheckFunc
 	// clock returns the time since a fixed point; it runs while the machine is
 	// suspended.
 	clock func() time.Duration
@@ -71,7 +86,7 @@
 	view atomic.Pointer[prober.View]
 
 	mu sync.Mutex
-	// lease is the node's lease; 0 means none.
+	// lease is the lease of the node's leadership or candidacy; 0 means none.
 	lease storer.Lease
 	// renewedAt is when the last successful renewal was requested.
 	renewedAt time.Duration
@@ -81,10 +96,20 @@
 	written []byte
 	// revision is the revision of the node's own registration; 0 means none.
 	revision int64
+	// failedRegistrations counts failed writes of the registration in a row, and
+	// nextRegistration is when the next one is due.
+	failedRegistrations int
+	nextRegistration    time.Duration
+	// reread says that revision was read from the store and may be newer than the
+	// replicated registrations.
+	reread bool
+	// seen is the highest revision of a replicated change.
+	seen int64
 	// replicated says that members and leaderEntry have been read from the
 	// store.
 	replicated bool
-	members    map[string]member
+	// members are the registrations by key.
+	members map[string]member
 	// goneAt holds when registrations ended, by node.
 	goneAt map[string]time.Duration
 	// leaderEntry is the leader's key as last replicated; revision 0 means no
@@ -94,8 +119,19 @@
 	term int64
 	// electedAt is when the node learned that it had been elected.
 	electedAt time.Duration
+	// leaderless is since when no node has led; 0 means that one leads.
+	leaderless time.Duration
+	// previousLeader is the id of the last leader.
+	previousLeader string
+	// nextCampaign is when the node may try again to become the leader.
+	nextCampaign time.Duration
+	// contacts says when each node was last heard of, while this node leads.
+	contacts contacts
 }
 
+// CheckFunc asks the process at a peer address for its id.
+type CheckFunc func(ctx context.Context, address string) (id string, err error)
+
 // member is the registration of a node.
 type member struct {
 	presence messenger.Presence
@@ -118,6 +154,14 @@
 // WithReady sets the function that reports whether the node serves callers.
 func WithReady(ready func() bool) Option { return func(rg *Registrar) { rg.ready = ready } }
 
+// WithCheck sets how the leader asks nodes that it has not heard of. Without it,
+// registrations of lost nodes are not removed.
+func WithCheck(check CheckFunc) Option { return func(rg *Registrar) { rg.check = check } }
+
+// WithoutReplication makes Run leave it to the caller to replicate the keys
+// under the prefix to the registrar, which is a replicator.Sink.
+func WithoutReplication() Option { return func(rg *Registrar) { rg.followed = true } }
+
 // WithClock replaces the clock. It must run while the machine is suspended.
 func WithClock(clock func() time.Duration) Option { return func(rg *Registrar) { rg.clock = clock } }
 
@@ -134,6 +178,7 @@
 		wake:     make(chan struct{}, 1),
 		members:  map[string]member{},
 		goneAt:   map[string]time.Duration{},
+		contacts: newContacts(),
 	}
 	for _, opt := range opts {
 		opt(rg)
@@ -152,8 +197,8 @@
 	defer rg.mu.Unlock()
 	count := 1
 	self := rg.presence().ID
-	for id := range rg.members {
-		if id != self {
+	for _, mb := range rg.members {
+		if mb.presence.ID != self {
 			count++
 		}
 	}
@@ -181,11 +226,16 @@
 func (rg *Registrar) Run(ctx context.Context) error {
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
-	rp := replicator.New(rg.store, rg.prefix, rg, replicator.WithRegistry(rg.registry))
 	var replication sync.WaitGroup
 	defer replication.Wait()
 	defer cancel()
-	replication.Go(func() { _ = rp.Run(ctx) })
+	if !rg.followed {
+		rp := replicator.New(rg.store, rg.prefix, rg, replicator.WithRegistry(rg.registry))
+		replication.Go(func() { _ = rp.Run(ctx) })
+	}
+	if rg.check != nil {
+		replication.Go(func() { waiter.Every(ctx, evictInterval, func() { rg.evictLost(ctx) }) })
+	}
 	for ctx.Err() == nil {
 		pause := rg.step(ctx)
 		tm := time.NewTimer(pause)
@@ -199,43 +249,57 @@
 	return nil
 }
 
-// step keeps the lease and the registration up to date, campaigns if there is
+// step keeps the registration and the lease up to date, campaigns if there is
 // no leader, and returns the time until the next step.
 func (rg *Registrar) step(ctx context.Context) time.Duration {
-	if !rg.keepLease(ctx) {
-		return retryInterval
-	}
-	if !rg.register(ctx) {
-		return retryInterval
+	rg.mu.Lock()
+	replicated := rg.replicated
+	rg.mu.Unlock()
+	if !replicated {
+		return idleInterval
 	}
+	// The lease comes first: a leader must not miss a renewal.
+	kept := rg.keepLease(ctx)
+	registered := rg.register(ctx)
 	if rg.mayCampaign() {
 		rg.campaign(ctx)
 	}
-	if rg.noLeader() {
+	switch {
+	case !kept || !registered || rg.noLeader():
 		return retryInterval
+	case rg.holdsLease():
+		return rg.lifetime / renewalsPerLifetime
 	}
-	return rg.lifetime / renewalsPerLifetime
+	return idleInterval
+}
+
+func (rg *Registrar) holdsLease() bool {
+	rg.mu.Lock()
+	defer rg.mu.Unlock()
+	return rg.lease != 0
 }
 
-// keepLease obtains or renews the lease if that is due, and reports whether the
-// node has a lease.
+// RenewedAt returns when the last successful renewal of the lease was requested,
+// by the registrar's clock.
+func (rg *Registrar) RenewedAt() time.Duration {
+	rg.mu.Lock()
+	defer rg.mu.Unlock()
+	return rg.renewedAt
+}
+
+// keepLease renews the lease if there is one and that is due. It reports false
+// if that failed.
 func (rg *Registrar) keepLease(ctx context.Context) bool {
 	rg.mu.Lock()
 	lease, due := rg.lease, rg.clock() >= rg.nextRenewalAt
 	rg.mu.Unlock()
-	if lease != 0 && !due {
+	if lease == 0 || !due {
 		return true
 	}
 	requestedAt := rg.clock()
-	var ttl time.Duration
-	var err error
-	if lease == 0 {
-		lease, ttl, err = rg.store.Grant(ctx, rg.lifetime)
-	} else {
-		ttl, err = rg.store.Renew(ctx, lease)
-	}
+	ttl, err := rg.store.Renew(ctx, lease)
 	if storer.Is(err, storer.NotFound) {
-		log.WithField("lease", int64(lease)).Warn("registration lease ended; the node registers again")
+		log.WithField("lease", int64(lease)).Warn("lease of the leadership ended")
 		rg.forgetLease()
 		return false
 	}
@@ -243,22 +307,41 @@
 		rg.registry.Inc("lease", "failed")
 		return false
 	}
+	rg.setLease(lease, requestedAt, ttl)
+	return true
+}
+
+// obtainLease returns the node's lease. It requests one if there is none, and
+// returns 0 if that fails.
+func (rg *Registrar) obtainLease(ctx context.Context) storer.Lease {
+	rg.mu.Lock()
+	lease := rg.lease
+	rg.mu.Unlock()
+	if lease != 0 {
+		return lease
+	}
+	requestedAt := rg.clock()
+	lease, ttl, err := rg.store.Grant(ctx, rg.lifetime)
+	if err != nil {
+		rg.registry.Inc("lease", "failed")
+		return 0
+	}
+	log.WithField("lease", int64(lease)).WithField("lifetime-ms", ttl.Milliseconds()).Info("lease granted to a candidate for the leadership")
+	rg.setLease(lease, requestedAt, ttl)
+	return lease
+}
+
+func (rg *Registrar) setLease(lease storer.Lease, requestedAt, ttl time.Duration) {
 	rg.mu.Lock()
 	defer rg.mu.Unlock()
-	if rg.lease != lease {
-		log.WithField("lease", int64(lease)).WithField("lifetime-ms", ttl.Milliseconds()).Info("registration lease granted")
-	}
-	rg.lease = lease
-	rg.renewedAt = requestedAt
+	rg.lease, rg.renewedAt = lease, requestedAt
 	rg.nextRenewalAt = requestedAt + ttl/renewalsPerLifetime
-	return true
 }
 
 func (rg *Registrar) forgetLease() {
 	rg.mu.Lock()
 	defer rg.mu.Unlock()
-	rg.lease, rg.written, rg.revision = 0, nil, 0
-	rg.nextRenewalAt = 0
+	rg.lease, rg.nextRenewalAt = 0, 0
 	rg.resignLocked("lease ended")
 }
 
@@ -267,34 +350,50 @@
 func (rg *Registrar) register(ctx context.Context) bool {
 	pr := rg.presence()
 	value := encodePresence(pr, rg.ready())
+	key := rg.nodeKey(pr.PeerAddress)
 	rg.mu.Lock()
-	lease, revision := rg.lease, rg.revision
+	revision := rg.revision
+	if !rg.reread {
+		revision = max(revision, rg.members[key].revision)
+	}
 	same := string(value) == string(rg.written)
+	early := rg.clock() < rg.nextRegistration
 	rg.mu.Unlock()
 	if same {
 		return true
 	}
-	key := rg.nodeKey(pr.ID)
+	if early {
+		return false
+	}
 	revision, err := rg.store.Commit(ctx, storer.Transaction{
 		Expected: map[string]int64{key: revision},
-		Writes:   []storer.Write{{Key: key, Value: value, Lease: lease}},
+		Writes:   []storer.Write{{Key: key, Value: value}},
 	})
 	switch {
-	case storer.Is(err, storer.NotFound):
-		rg.forgetLease()
-		return false
 	case storer.Is(err, storer.Conflict), storer.Is(err, storer.Uncertain):
+		rg.postponeRegistration()
 		rg.rereadRegistration(ctx, key)
 		return false
 	case err != nil:
+		rg.postponeRegistration()
 		return false
 	}
 	rg.mu.Lock()
 	defer rg.mu.Unlock()
-	rg.written, rg.revision = value, revision
+	rg.written, rg.revision, rg.reread = value, revision, false
+	rg.failedRegistrations = 0
 	return true
 }
 
+// postponeRegistration sets the time of the next attempt. The first one follows
+// soon, since an uncertain write has mostly taken effect.
+func (rg *Registrar) postponeRegistration() {
+	rg.mu.Lock()
+	defer rg.mu.Unlock()
+	rg.nextRegistration = rg.clock() + min(retryInterval<<min(rg.failedRegistrations, 8), maxRegistrationDelay)/2
+	rg.failedRegistrations++
+}
+
 // rereadRegistration reads the registration back after a write with an unknown
 // outcome or a conflict.
 func (rg *Registrar) rereadRegistration(ctx context.Context, key string) {
@@ -304,7 +403,7 @@
 	}
 	rg.mu.Lock()
 	defer rg.mu.Unlock()
-	rg.written, rg.revision = en.Value, en.Revision
+	rg.written, rg.revision, rg.reread = en.Value, en.Revision, true
 }
 
-func (rg *Registrar) nodeKey(id string) string { return rg.prefix + nodesPrefix + id }
+func (rg *Registrar) nodeKey(address string) string { return rg.prefix + nodesPrefix + address }
--- a/internal/coordination/registrar/registrar_test.go
+++ b/internal/coordination/registrar/registrar_test.go
@@ -30,6 +30,8 @@
 	link    *platform.Link
 	leaving atomic.Bool
 	paused  atomic.Int64
+	// unreachable makes checks of the node fail.
+	unreachable atomic.Bool
 }
 
 type fleet struct {
@@ -51,13 +53,24 @@
 		}
 		clock := func() time.Duration { return time.Since(start) + time.Duration(nd.paused.Load()) }
 		nd.Registrar = registrar.New(nd.link, "p/", presence, registrar.WithLifetime(lifetime),
-			registrar.WithHandover(handover), registrar.WithClock(clock))
+			registrar.WithHandover(handover), registrar.WithClock(clock), registrar.WithCheck(fl.check))
 		fl.nodes = append(fl.nodes, nd)
 		fl.done.Go(func() { _ = nd.Run(ctx) })
 	}
 	return fl
 }
 
+// check implements registrar.CheckFunc.
+func (fl *fleet) check(ctx context.Context, address string) (string, error) {
+	for _, nd := range fl.nodes {
+		if nd.id+":1" == address && !nd.unreachable.Load() {
+			return nd.id, nil
+		}
+	}
+	<-ctx.Done()
+	return "", ctx.Err()
+}
+
 func (fl *fleet) end() {
 	fl.stop()
 	fl.done.Wait()
@@ -148,7 +161,7 @@
 		old := fl.leaders()[0]
 		term, _ := old.Leads()
 		fl.store.Remove("p/leader")
-		fl.store.Remove("p/nodes/" + old.id)
+		fl.store.Remove("p/nodes/" + old.id + ":1")
 		fl.await(t, time.Second, func() bool { return len(fl.leaders()) == 0 })
 		fl.await(t, 10*time.Second, func() bool { return len(fl.leaders()) == 1 })
 		next, _ := fl.leaders()[0].Leads()
@@ -241,3 +254,66 @@
 		}
 	}
 }
+
+// TestLostNodeIsEvictedAndOthersStay loses one node for good. The leader removes
+// its registration; a node that only stopped reporting stays.
+func TestLostNodeIsEvictedAndOthersStay(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		fl := newFleet(4)
+		defer fl.end()
+		fl.await(t, 10*time.Second, func() bool { return len(fl.leaders()) == 1 })
+		var lost *node
+		for _, nd := range fl.nodes {
+			if nd != fl.leaders()[0] {
+				lost = nd
+			}
+		}
+		lost.link.SetCut(true)
+		lost.unreachable.Store(true)
+		fl.await(t, 4*time.Second, func() bool {
+			_, ok := fl.leaders()[0].View().Member(lost.id)
+			return !ok
+		})
+		time.Sleep(10 * time.Second)
+		require.Len(t, fl.leaders()[0].View().Members(), 3)
+		lost.link.SetCut(false)
+		lost.unreachable.Store(false)
+		fl.await(t, 5*time.Second, func() bool { return len(fl.leaders()[0].View().Members()) == 4 })
+	})
+}
+
+// TestLostLeaderIsEvictedByTheNext loses the leader for good. Its registration
+// has to go soon after the next leader begins, although that one has never heard
+// of it.
+func TestLostLeaderIsEvictedByTheNext(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		fl := newFleet(4)
+		defer fl.end()
+		fl.await(t, 10*time.Second, func() bool { return len(fl.leaders()) == 1 })
+		old := fl.leaders()[0]
+		old.link.SetCut(true)
+		old.unreachable.Store(true)
+		fl.await(t, 10*time.Second, func() bool { return len(fl.leaders()) == 1 && fl.leaders()[0] != old })
+		fl.await(t, 1500*time.Millisecond, func() bool {
+			_, ok := fl.leaders()[0].View().Member(old.id)
+			return !ok
+		})
+	})
+}
+
+// TestIdleFleetCallsStoreOnlyForItsLeader counts the calls of a fleet in which
+// nothing changes. Each node used to renew a lease.
+func TestIdleFleetCallsStoreOnlyForItsLeader(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		fl := newFleet(8)
+		defer fl.end()
+		fl.await(t, 10*time.Second, func() bool { return len(fl.leaders()) == 1 })
+		time.Sleep(5 * time.Second)
+		_, before := fl.store.Calls()
+		renewals := fl.store.Renewals()
+		time.Sleep(12 * time.Second)
+		_, after := fl.store.Calls()
+		require.Equal(t, before, after, "writes")
+		require.LessOrEqual(t, fl.store.Renewals()-renewals, int64(45))
+	})
+}
--- /dev/null
+++ b/internal/coordination/relayer/feed.go
@@ -0,0 +1,250 @@
+package relayer
+
+import (
+	"cmp"
+	"slices"
+	"sync"
+	"time"
+
+	"github.com/lagoonpass/lagoonpass/internal/protocol/messenger"
+	"github.com/lagoonpass/lagoonpass/internal/state/replicator"
+	"github.com/lagoonpass/lagoonpass/internal/state/storer"
+)
+
+const (
+	// maxLogChanges and maxLogBytes bound the changes that a node keeps for its
+	// followers. A follower that needs older ones gets all keys.
+	maxLogChanges = 2048
+	maxLogBytes   = 2 << 20
+	// outageRetention is how long followers are told that an outage of the store
+	// has ended. It exceeds the time in which registrations come back.
+	outageRetention = 10 * time.Second
+)
+
+// feed is a node's copy of the keys under one prefix. It passes each change to
+// the sink, and keeps the latest ones for other nodes.
+type feed struct {
+	prefix string
+	sink   replicator.Sink
+	pause  time.Duration
+	clock  func() time.Duration
+
+	// order keeps the calls of the sink in the order in which the copy changes.
+	order sync.Mutex
+
+	mu      sync.Mutex
+	entries map[string]storer.Entry
+	// log has the latest changes after logStart, in order.
+	log      []storer.Change
+	logStart int64
+	logBytes int
+	// position is the revision of the last change; zero means no copy.
+	position int64
+	// revision is the revision of the store up to which no change is missing.
+	revision int64
+	// down says that the store does not answer.
+	down bool
+	// backAt is when the store's last outage ended; zero means never.
+	backAt time.Duration
+}
+
+// Replace implements replicator.Sink.
+func (fd *feed) Replace(entries []storer.Entry) {
+	fd.order.Lock()
+	defer fd.order.Unlock()
+	fd.replaceOrdered(entries)
+}
+
+// replaceOrdered is Replace for callers that hold order.
+func (fd *feed) replaceOrdered(entries []storer.Entry) {
+	fd.mu.Lock()
+	fd.entries = make(map[string]storer.Entry, len(entries))
+	highest := int64(1)
+	for _, en := range entries {
+		fd.entries[en.Key] = en
+		highest = max(highest, en.Revision)
+	}
+	fd.log, fd.logBytes = nil, 0
+	fd.position = max(fd.position, highest)
+	fd.logStart = fd.position
+	fd.mu.Unlock()
+	fd.sink.Replace(entries)
+}
+
+// Apply implements replicator.Sink. It skips changes that the copy already has.
+func (fd *feed) Apply(changes []storer.Change) {
+	fd.order.Lock()
+	defer fd.order.Unlock()
+	fd.applyOrdered(changes)
+}
+
+// applyOrdered is Apply for callers that hold order.
+func (fd *feed) applyOrdered(changes []storer.Change) {
+	fd.mu.Lock()
+	fresh := make([]storer.Change, 0, len(changes))
+	for _, ch := range changes {
+		known, ok := fd.entries[ch.Key]
+		if ok && known.Revision >= ch.Revision || !ok && ch.Deleted {
+			continue
+		}
+		if ch.Deleted {
+			delete(fd.entries, ch.Key)
+		} else {
+			fd.entries[ch.Key] = ch.Entry
+		}
+		fresh = append(fresh, ch)
+		fd.position = max(fd.position, ch.Revision)
+		fd.log = append(fd.log, ch)
+		fd.logBytes += len(ch.Key) + len(ch.Value)
+	}
+	fd.trimLocked()
+	fd.mu.Unlock()
+	if len(fresh) > 0 {
+		fd.sink.Apply(fresh)
+	}
+}
+
+// trimLocked drops the oldest changes beyond the bounds of the log.
+func (fd *feed) trimLocked() {
+	dropped := 0
+	for dropped < len(fd.log) && (len(fd.log)-dropped > maxLogChanges || fd.logBytes > maxLogBytes) {
+		ch := fd.log[dropped]
+		fd.logBytes -= len(ch.Key) + len(ch.Value)
+		fd.logStart = max(fd.logStart, ch.Revision)
+		dropped++
+	}
+	fd.log = slices.Delete(fd.log, 0, dropped)
+}
+
+// StoreDown implements replicator.Sink.
+func (fd *feed) StoreDown() {
+	fd.order.Lock()
+	defer fd.order.Unlock()
+	fd.mu.Lock()
+	known := fd.down
+	fd.down = true
+	fd.mu.Unlock()
+	if !known {
+		fd.sink.StoreDown()
+	}
+}
+
+// StoreUp implements replicator.Sink.
+func (fd *feed) StoreUp() {
+	fd.order.Lock()
+	defer fd.order.Unlock()
+	fd.mu.Lock()
+	known := fd.down
+	fd.down = false
+	if known {
+		fd.backAt = fd.clock()
+	}
+	fd.mu.Unlock()
+	if known {
+		fd.sink.StoreUp()
+	}
+}
+
+// advance records that the copy has every change up to a revision.
+func (fd *feed) advance(revision int64) {
+	fd.mu.Lock()
+	defer fd.mu.Unlock()
+	fd.revision = max(fd.revision, revision)
+}
+
+// positions returns the revision of the last change, and the revision up to
+// which no change is missing.
+func (fd *feed) positions() (position, revision int64) {
+	fd.mu.Lock()
+	defer fd.mu.Unlock()
+	return fd.position, fd.revision
+}
+
+// part returns what a node with a copy at the position lacks. It returns false
+// if that node may have changes that this copy lacks. Its revision is zero if
+// neither node has a copy.
+func (fd *feed) part(position int64) (messenger.FeedPart, bool) {
+	fd.mu.Lock()
+	defer fd.mu.Unlock()
+	if fd.position == 0 || position > fd.revision {
+		return messenger.FeedPart{}, position == 0
+	}
+	pt := messenger.FeedPart{Revision: fd.revision, Down: fd.down}
+	if fd.backAt != 0 && !fd.down {
+		if back := fd.clock() - fd.backAt; back < outageRetention {
+			pt.Back = max(back, time.Millisecond)
+		}
+	}
+	if position == 0 || position < fd.logStart {
+		pt.Whole = true
+		for _, en := range fd.entries {
+			pt.Changes = append(pt.Changes, changeOf(storer.Change{Entry: en}))
+		}
+		slices.SortFunc(pt.Changes, func(one, two messenger.FeedChange) int { return cmp.Compare(one.Revision, two.Revision) })
+		return pt, true
+	}
+	for _, ch := range fd.log {
+		if ch.Revision > position {
+			pt.Changes = append(pt.Changes, changeOf(ch))
+		}
+	}
+	return pt, true
+}
+
+// take applies a part that another node sent. It ignores one that lacks changes
+// which have come in since the node was asked.
+func (fd *feed) take(pt messenger.FeedPart) {
+	if pt.Revision == 0 {
+		return
+	}
+	fd.takeOutage(pt)
+	fd.order.Lock()
+	defer fd.order.Unlock()
+	if position, _ := fd.positions(); pt.Revision < position {
+		return
+	}
+	switch {
+	case pt.Whole:
+		entries := make([]storer.Entry, 0, len(pt.Changes))
+		for _, fc := range pt.Changes {
+			entries = append(entries, storeChange(fc).Entry)
+		}
+		fd.replaceOrdered(entries)
+	case len(pt.Changes) > 0:
+		changes := make([]storer.Change, 0, len(pt.Changes))
+		for _, fc := range pt.Changes {
+			changes = append(changes, storeChange(fc))
+		}
+		fd.applyOrdered(changes)
+	}
+	fd.advance(pt.Revision)
+}
+
+// takeOutage passes an outage of the store to the sink that the sender saw. The
+// sink has to know of it before the changes that it caused, even if it was over
+// between two polls.
+func (fd *feed) takeOutage(pt messenger.FeedPart) {
+	if pt.Down {
+		fd.StoreDown()
+		return
+	}
+	fd.mu.Lock()
+	missed := pt.Back > 0 && !fd.down && fd.clock()-pt.Back > fd.backAt+outageMargin
+	fd.mu.Unlock()
+	if missed {
+		fd.StoreDown()
+	}
+	fd.StoreUp()
+}
+
+// outageMargin is how far two nodes may differ in when one outage ended.
+const outageMargin = time.Second
+
+func changeOf(ch storer.Change) messenger.FeedChange {
+	return messenger.FeedChange{Key: ch.Key, Value: ch.Value, Revision: ch.Revision, Lease: int64(ch.Lease), Deleted: ch.Deleted}
+}
+
+func storeChange(fc messenger.FeedChange) storer.Change {
+	en := storer.Entry{Key: fc.Key, Value: fc.Value, Revision: fc.Revision, Lease: storer.Lease(fc.Lease)}
+	return storer.Change{Entry: en, Deleted: fc.Deleted}
+}
--- /dev/null
+++ b/internal/coordination/relayer/relayer_test.go
@@ -0,0 +1,465 @@
+package relayer_test
+
+import (
+	"context"
+	"fmt"
+	"math/rand/v2"
+	"strconv"
+	"sync"
+	"sync/atomic"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/apex/log"
+	"github.com/stretchr/testify/require"
+
+	"github.com/lagoonpass/lagoonpass/internal/coordination/prober"
+	"github.com/lagoonpass/lagoonpass/internal/coordination/relayer"
+	"github.com/lagoonpass/lagoonpass/internal/protocol/messenger"
+	"github.com/lagoonpass/lagoonpass/internal/standin/platform"
+	"github.com/lagoonpass/lagoonpass/internal/state/storer"
+)
+
+// drainBound is the shortest time in which every node that reaches the store has
+// to know that a server leaves.
+const drainBound = 2 * time.Second
+
+// gate is a node's way to the store. It counts calls and can be cut, by an error
+// or by silence.
+type gate struct {
+	*platform.Keyspace
+	calls  *atomic.Int64
+	cut    atomic.Bool
+	silent atomic.Bool
+}
+
+func (gt *gate) pass(ctx context.Context) error {
+	gt.calls.Add(1)
+	if gt.silent.Load() {
+		<-ctx.Done()
+		return &storer.Error{Kind: storer.Unavailable, Cause: ctx.Err()}
+	}
+	if gt.cut.Load() {
+		return &storer.Error{Kind: storer.Unavailable}
+	}
+	return nil
+}
+
+// Snapshot implements storer.Keyspace.
+func (gt *gate) Snapshot(ctx context.Context, prefix string) ([]storer.Entry, int64, error) {
+	if err := gt.pass(ctx); err != nil {
+		return nil, 0, err
+	}
+	return gt.Keyspace.Snapshot(ctx, prefix)
+}
+
+// Watch implements storer.Keyspace. It fails within the time of the real client
+// if the link is cut while it waits.
+func (gt *gate) Watch(ctx context.Context, prefix string, after int64, wait time.Duration) ([]storer.Change, int64, error) {
+	ctx, cancel := context.WithTimeout(ctx, wait+500*time.Millisecond)
+	defer cancel()
+	if err := gt.pass(ctx); err != nil {
+		return nil, 0, err
+	}
+	deadline := time.Now().Add(wait)
+	for {
+		changes, revision, err := gt.Keyspace.Watch(ctx, prefix, after, 0)
+		if gt.silent.Load() {
+			<-ctx.Done()
+			return nil, 0, &storer.Error{Kind: storer.Unavailable, Cause: ctx.Err()}
+		}
+		if err != nil || len(changes) > 0 || time.Now().After(deadline) {
+			return changes, revision, err
+		}
+		time.Sleep(10 * time.Millisecond)
+		if ctx.Err() != nil {
+			return nil, 0, &storer.Error{Kind: storer.Unavailable, Cause: ctx.Err()}
+		}
+	}
+}
+
+// node is a node with a copy of the keys under "s/".
+type node struct {
+	*relayer.Relayer
+	fleet *fleet
+	id    string
+	gate  *gate
+	// mute makes all calls to the node and by it hang.
+	mute atomic.Bool
+	stop context.CancelFunc
+
+	mu       sync.Mutex
+	values   map[string]string
+	seen     map[string]int64
+	backward int
+	downs    int
+}
+
+// Replace implements replicator.Sink.
+func (nd *node) Replace(entries []storer.Entry) {
+	nd.mu.Lock()
+	defer nd.mu.Unlock()
+	nd.values = map[string]string{}
+	for _, en := range entries {
+		nd.setLocked(en)
+	}
+}
+
+// Apply implements replicator.Sink.
+func (nd *node) Apply(changes []storer.Change) {
+	nd.mu.Lock()
+	defer nd.mu.Unlock()
+	for _, ch := range changes {
+		if ch.Deleted {
+			delete(nd.values, ch.Key)
+			continue
+		}
+		nd.setLocked(ch.Entry)
+	}
+}
+
+func (nd *node) setLocked(en storer.Entry) {
+	if en.Revision < nd.seen[en.Key] {
+		nd.backward++
+	}
+	nd.seen[en.Key] = max(nd.seen[en.Key], en.Revision)
+	nd.values[en.Key] = string(en.Value)
+}
+
+// StoreDown implements replicator.Sink.
+func (nd *node) StoreDown() { nd.mu.Lock(); nd.downs++; nd.mu.Unlock() }
+
+// StoreUp implements replicator.Sink.
+func (nd *node) StoreUp() {}
+
+func (nd *node) value(key string) string {
+	nd.mu.Lock()
+	defer nd.mu.Unlock()
+	return nd.values[key]
+}
+
+// Call implements relayer.Caller.
+func (nd *node) Call(ctx context.Context, address string, call messenger.Message) (messenger.Message, error) {
+	found, ok := nd.fleet.byAddress.Load(address)
+	other, _ := found.(*node)
+	if nd.mute.Load() || !ok || other.mute.Load() {
+		<-ctx.Done()
+		return nil, &messenger.Error{Failure: messenger.Lost, Address: address, Cause: ctx.Err()}
+	}
+	page, err := other.Answer(ctx, call.(*messenger.FeedPoll))
+	if nd.mute.Load() || other.mute.Load() {
+		<-ctx.Done()
+		return nil, &messenger.Error{Failure: messenger.Lost, Address: address, Cause: ctx.Err()}
+	}
+	if err != nil {
+		return nil, &messenger.Error{Failure: messenger.Rejected, Address: address, Text: err.Error()}
+	}
+	return page, nil
+}
+
+type fleet struct {
+	store     *platform.Keyspace
+	calls     atomic.Int64
+	nodes     []*node
+	byAddress sync.Map // of *node
+	leader    atomic.Pointer[string]
+	members   []prober.Member
+	// confirms is the node whose other calls of the store succeed.
+	confirms *node
+	start    time.Time
+	ended    sync.WaitGroup
+}
+
+// newFleet starts nodes in three zones. The first of them leads.
+func newFleet(t *testing.T, count int) *fleet {
+	log.SetLevel(log.FatalLevel)
+	fl := &fleet{store: platform.NewKeyspace(), start: time.Now()}
+	for ix := range count {
+		id := fmt.Sprintf("n%02d", ix)
+		fl.members = append(fl.members, prober.Member{ID: id, Zone: strconv.Itoa(ix % 3), PeerAddress: id + ":1", State: prober.Alive})
+	}
+	fl.lead("n00")
+	for _, mb := range fl.members {
+		fl.nodes = append(fl.nodes, fl.run(t, mb))
+	}
+	t.Cleanup(fl.end)
+	return fl
+}
+
+func (fl *fleet) lead(id string) { fl.leader.Store(&id) }
+
+func (fl *fleet) run(t *testing.T, mb prober.Member) *node {
+	nd := &node{fleet: fl, id: mb.ID, gate: &gate{Keyspace: fl.store, calls: &fl.calls}, seen: map[string]int64{}, values: map[string]string{}}
+	clock := func() time.Duration { return time.Hour + time.Since(fl.start) }
+	confirmed := func() time.Duration {
+		if *fl.leader.Load() == nd.id && !nd.gate.cut.Load() && !nd.gate.silent.Load() && !nd.mute.Load() {
+			return clock()
+		}
+		return 0
+	}
+	nd.Relayer = relayer.New(nd.gate,
+		func() *prober.View { return prober.NewView(nd.id, fl.members) },
+		func() string { return *fl.leader.Load() }, nd,
+		[]relayer.Prefix{relayer.NewPrefix("s/", nd, 200*time.Millisecond)},
+		relayer.WithClock(clock), relayer.WithConfirmation(confirmed))
+	ctx, cancel := context.WithCancel(t.Context())
+	nd.stop = cancel
+	fl.byAddress.Store(mb.PeerAddress, nd)
+	fl.ended.Go(func() { _ = nd.Run(ctx) })
+	return nd
+}
+
+func (fl *fleet) end() {
+	for _, nd := range fl.nodes {
+		nd.stop()
+	}
+	fl.ended.Wait()
+}
+
+// await waits until all nodes but the given ones have the value of a key.
+func (fl *fleet) await(t *testing.T, limit time.Duration, key, value string, but ...*node) {
+	t.Helper()
+	began := time.Now()
+	for {
+		behind := ""
+		for _, nd := range fl.nodes {
+			if !contains(but, nd) && nd.value(key) != value {
+				behind += " " + nd.id
+			}
+		}
+		if behind == "" {
+			return
+		}
+		require.Less(t, time.Since(began), limit, "nodes without the change:%s", behind)
+		time.Sleep(10 * time.Millisecond)
+	}
+}
+
+func contains(nodes []*node, nd *node) bool {
+	for _, other := range nodes {
+		if other == nd {
+			return true
+		}
+	}
+	return false
+}
+
+// settle puts a first value and waits until all nodes have it and follow their
+// sources.
+func (fl *fleet) settle(t *testing.T) {
+	fl.store.Put("s/w", []byte("ready"))
+	fl.await(t, 10*time.Second, "s/w", "ready")
+	time.Sleep(3 * time.Second)
+}
+
+// callsFor returns the calls of the store of a fleet in a minute in which a
+// server changes twice a second.
+func callsFor(t *testing.T, count int) (calls int64) {
+	synctest.Test(t, func(t *testing.T) {
+		fl := newFleet(t, count)
+		fl.settle(t)
+		before := fl.calls.Load()
+		for ix := range 120 {
+			fl.store.Put("s/w", []byte(strconv.Itoa(ix)))
+			time.Sleep(500 * time.Millisecond)
+		}
+		calls = fl.calls.Load() - before
+		fl.end()
+	})
+	return calls
+}
+
+// Each node used to watch the store itself, so that one change cost as many
+// calls as there were nodes.
+func TestStoreCallsDoNotGrowWithNodes(t *testing.T) {
+	few, many := callsFor(t, 6), callsFor(t, 60)
+	require.LessOrEqual(t, many, few+few/10, "calls of 60 nodes")
+	require.LessOrEqual(t, few, int64(180), "calls of 6 nodes: one a change, and idle ones")
+}
+
+// A server that leaves must get no request later than the bound, also if the
+// node that reads the store for the others is lost at that moment.
+func TestLeavingServerIsKnownInTimeWhenReaderIsLost(t *testing.T) {
+	faults := map[string]func(fl *fleet, nd *node){
+		"refused by the store":    func(_ *fleet, nd *node) { nd.gate.cut.Store(true) },
+		"cut off from the store":  func(_ *fleet, nd *node) { nd.gate.silent.Store(true) },
+		"frozen":                  func(_ *fleet, nd *node) { nd.gate.silent.Store(true); nd.mute.Store(true) },
+		"cut off from the others": func(_ *fleet, nd *node) { nd.mute.Store(true) },
+	}
+	for name, fault := range faults {
+		for _, lost := range []int{0, 1, 2} { // the leader, and the first of two other zones
+			t.Run(fmt.Sprintf("%s/n%02d", name, lost), func(t *testing.T) {
+				synctest.Test(t, func(t *testing.T) {
+					fl := newFleet(t, 12)
+					defer fl.end()
+					fl.settle(t)
+					fault(fl, fl.nodes[lost])
+					fl.store.Put("s/w", []byte("leaving"))
+					fl.await(t, drainBound, "s/w", "leaving", fl.nodes[lost])
+				})
+			})
+		}
+	}
+}
+
+// The leader and both deputies are cut off from the store, while the others
+// reach it.
+func TestChangesArriveWhenAllReadersAreCutOff(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		fl := newFleet(t, 12)
+		defer fl.end()
+		fl.settle(t)
+		for _, nd := range fl.nodes[:3] {
+			nd.gate.silent.Store(true)
+		}
+		fl.store.Put("s/w", []byte("leaving"))
+		fl.await(t, drainBound, "s/w", "leaving", fl.nodes[:3]...)
+		fl.await(t, drainBound, "s/w", "leaving")
+	})
+}
+
+// Nodes that lose all their sources at once must not all turn to the store in
+// the same second, which bounds the calls of all nodes.
+func TestNodesTurnToStoreOneAfterTheOther(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		fl := newFleet(t, 78)
+		defer fl.end()
+		fl.settle(t)
+		for _, nd := range fl.nodes[:6] {
+			nd.stop()
+			nd.mute.Store(true)
+		}
+		for range 5 {
+			before := fl.calls.Load()
+			time.Sleep(time.Second)
+			require.Less(t, fl.calls.Load()-before, int64(78), "calls in a second")
+		}
+		fl.store.Put("s/w", []byte("leaving"))
+		fl.await(t, drainBound, "s/w", "leaving", fl.nodes[:6]...)
+	})
+}
+
+// A node that restarts has no copy, and one that was frozen an old one. Neither
+// may make another node go back.
+func TestNodeNeverGoesBackToAnOlderCopy(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		fl := newFleet(t, 9)
+		defer fl.end()
+		fl.settle(t)
+		old := fl.nodes[1]
+		old.gate.silent.Store(true)
+		old.mute.Store(true)
+		fl.store.Put("s/w", []byte("1"))
+		fl.await(t, drainBound, "s/w", "1", old)
+		fl.nodes[0].stop()
+		fl.nodes[0] = fl.run(t, fl.members[0])
+		fl.lead("")
+		old.mute.Store(false) // it answers, and is still cut off from the store
+		fl.store.Put("s/w", []byte("2"))
+		fl.await(t, 2*drainBound, "s/w", "2")
+		for _, nd := range fl.nodes {
+			require.Zero(t, nd.backward, nd.id)
+		}
+	})
+}
+
+// An outage that is over between two polls has to reach the sinks, because
+// servers whose registrations ended in it are about to come back.
+func TestFollowersLearnOfShortOutage(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		fl := newFleet(t, 6)
+		defer fl.end()
+		fl.settle(t)
+		fl.nodes[0].gate.cut.Store(true)
+		time.Sleep(300 * time.Millisecond)
+		fl.store.Put("s/w", []byte("1"))
+		fl.nodes[0].gate.cut.Store(false)
+		fl.await(t, drainBound, "s/w", "1")
+		time.Sleep(5 * time.Second)
+		for _, nd := range fl.nodes {
+			require.Positive(t, nd.downs, nd.id)
+		}
+	})
+}
+
+// A node that starts while the store is away takes the copies of a seed.
+func TestNodeStartsFromSeedWhileStoreIsAway(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		fl := newFleet(t, 3)
+		defer fl.end()
+		fl.settle(t)
+		nd := &node{fleet: fl, id: "n99", gate: &gate{Keyspace: fl.store, calls: &fl.calls}, seen: map[string]int64{}}
+		nd.gate.cut.Store(true)
+		nd.Relayer = relayer.New(nd.gate,
+			func() *prober.View { return prober.NewView(nd.id, []prober.Member{{ID: nd.id, State: prober.Leaving}}) },
+			func() string { return "" }, nd,
+			[]relayer.Prefix{relayer.NewPrefix("s/", nd, 0)},
+			relayer.WithClock(func() time.Duration { return time.Hour + time.Since(fl.start) }),
+			relayer.WithSeeds([]string{"n01:1"}))
+		ctx, cancel := context.WithCancel(t.Context())
+		nd.stop = cancel
+		fl.ended.Go(func() { _ = nd.Run(ctx) })
+		fl.nodes = append(fl.nodes, nd)
+		fl.await(t, 5*time.Second, "s/w", "ready")
+	})
+}
+
+// Random cuts, silences, freezes, outages, compactions and changes of the leader.
+// No node goes back, and all have the last value soon after the faults end.
+func TestCopiesConvergeAfterRandomFaults(t *testing.T) {
+	for seed := range uint64(30) {
+		t.Run(fmt.Sprint(seed), func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				fl := newFleet(t, 8)
+				defer fl.end()
+				fl.settle(t)
+				random := rand.New(rand.NewPCG(seed, 19))
+				for ix := range 600 {
+					fl.disturb(random)
+					if ix%5 == 0 {
+						fl.store.Put("s/w", []byte(strconv.Itoa(ix)))
+					}
+					time.Sleep(50 * time.Millisecond)
+				}
+				fl.store.SetDown(false)
+				for _, nd := range fl.nodes {
+					nd.gate.cut.Store(false)
+					nd.gate.silent.Store(false)
+					nd.mute.Store(false)
+				}
+				fl.store.Put("s/w", []byte("last"))
+				fl.await(t, 5*time.Second, "s/w", "last")
+				for _, nd := range fl.nodes {
+					require.Zero(t, nd.backward, nd.id)
+				}
+			})
+		})
+	}
+}
+
+func (fl *fleet) disturb(random *rand.Rand) {
+	nd := fl.nodes[random.IntN(len(fl.nodes))]
+	switch random.IntN(40) {
+	case 0:
+		nd.gate.cut.Store(true)
+	case 1:
+		nd.gate.silent.Store(true)
+	case 2:
+		nd.mute.Store(true)
+	case 3, 4, 5, 6:
+		nd.gate.cut.Store(false)
+		nd.gate.silent.Store(false)
+		nd.mute.Store(false)
+	case 7:
+		fl.store.SetDown(true)
+	case 8, 9, 10:
+		fl.store.SetDown(false)
+	case 11:
+		fl.store.Compact()
+	case 12:
+		fl.lead(nd.id)
+	case 13:
+		fl.lead("")
+	}
+}
--- a/internal/keyspacerunner/keyspacerunner.go
+++ b/internal/keyspacerunner/keyspacerunner.go
@@ -34,6 +34,7 @@
 	"github.com/lagoonpass/lagoonpass/internal/coordination/prober"
 	"github.com/lagoonpass/lagoonpass/internal/coordination/publisher"
 	"github.com/lagoonpass/lagoonpass/internal/coordination/registrar"
+	"github.com/lagoonpass/lagoonpass/internal/coordination/relayer"
 	"github.com/lagoonpass/lagoonpass/internal/coordination/retrier"
 	"github.com/lagoonpass/lagoonpass/internal/coordination/router"
 	"github.com/lagoonpass/lagoonpass/internal/coordination/tracker"
@@ -66,6 +67,13 @@
 	// together open. The rest is for probes and for nodes that not all peers
 	// know yet.
 	connectionShare = 0.9
+	// memberPause, configurationPause and serverPause are the times in which
+	// changes of one kind are taken together. With the time until a lost source of
+	// changes is replaced they stay within the bounds on leaving servers and on new
+	// configurations.
+	memberPause        = 300 * time.Millisecond
+	configurationPause = 200 * time.Millisecond
+	serverPause        = 400 * time.Millisecond
 	// refreshInterval is the time between two refreshes of the admitter.
 	refreshInterval = 50 * time.Millisecond
 )
@@ -84,6 +92,9 @@
 	OrderGap time.Duration
 	// Retries bounds the retries of all nodes together.
 	Retries retrier.Bound
+	// Seeds are peer addresses of nodes to ask if the store does not answer a
+	// node that starts.
+	Seeds []string
 }
 
 // Binding connects a Runner to the store and the protocols of a platform.
@@ -114,6 +125,7 @@
 	registry       *counter.Registry
 	holder         *publisher.Holder // the configuration in force
 	registrar      *registrar.Registrar
+	relayer        *relayer.Relayer       // copies the store's keys
 	orderRegistrar *orderregistrar.Record // the record of the servers to which orders were sent
 	pool           *messenger.Pool        // connections to peers
 	exchange       *watcher.Exchange      // exchanges loads with peers
@@ -166,7 +178,13 @@
 	rn.registry.OnRead(rn.setGauges)
 	rn.forwarder = forwarder.New(forwarder.WithIdleTimeout(defaultIdleTimeout), forwarder.WithLimit(rn.connections))
 	rn.registrar = registrar.New(bd.Store, ownPrefix, rn.presence,
-		registrar.WithReady(rn.Ready), registrar.WithRegistry(rn.registry))
+		registrar.WithReady(rn.Ready), registrar.WithRegistry(rn.registry),
+		registrar.WithoutReplication(), registrar.WithCheck(rn.checkPeer))
+	rn.relayer = relayer.New(bd.Store, rn.registrar.View, rn.registrar.LeaderID, rn.pool, []relayer.Prefix{
+		relayer.NewPrefix(ownPrefix, rn.registrar, memberPause),
+		relayer.NewPrefix(bd.ConfigPrefix, configSink{rn}, configurationPause),
+		relayer.NewPrefix(bd.ServerPrefix, serverSink{rn}, serverPause),
+	}, relayer.WithConfirmation(rn.registrar.RenewedAt), relayer.WithSeeds(id.Seeds), relayer.WithRegistry(rn.registry))
 	rn.orderRegistrar = orderregistrar.New(bd.Store, orderRecordKey, hostOf(id.PeerAddress), ownPrefix+registrar.LeaderKey, id.OrderGap)
 	rn.watcher = watcher.New(watcher.WithExchange(rn.exchange), watcher.WithRegistry(rn.registry))
 	rn.ejector = ejector.New(ejector.WithReplicas(rn.replicas), ejector.WithRegistry(rn.registry))
@@ -213,7 +231,7 @@
 		rn.pool.Close()
 	})
 	for _, loop := range []func(context.Context) error{
-		rn.registrar.Run, rn.followConfiguration, rn.followServers, rn.refreshAdmitter,
+		rn.registrar.Run, rn.relayer.Run, rn.expireServers, rn.refreshAdmitter,
 		rn.exchangeLoads, rn.reportDemand, rn.runLeader, rn.adapters.Run,
 	} {
 		loopCtx, cancel := context.WithCancel(ctx)
@@ -241,6 +259,7 @@
 	}
 	now := time.Now()
 	rn.registry.Set(rn.forwarder.Opened(), "backend-connections", "opened")
+	rn.registry.Set(rn.relayer.Age().Milliseconds(), "feed", "age-ms")
 	rn.registry.Set(int64(len(sn.servers)), "backend-servers", "registered")
 	rn.registry.Set(int64(now.Sub(sn.since).Seconds()), "configuration", "age-s")
 	for _, po := range sn.settings.Pools() {
--- a/internal/keyspacerunner/peers.go
+++ b/internal/keyspacerunner/peers.go
@@ -48,7 +48,16 @@
 	case *messenger.Retire:
 		rn.admitter.Exclude(tc.Server, tc.Model, tc.Duration)
 		return &messenger.Retired{}, nil
+	case *messenger.FeedPoll:
+		page, err := rn.relayer.Answer(ctx, tc)
+		if err != nil {
+			return nil, err
+		}
+		return page, nil
+	case *messenger.Check:
+		return &messenger.Checked{Node: rn.identity.ID}, nil
 	case *messenger.DemandReport:
+		rn.registrar.Hear(tc.Node)
 		rn.demands.Note(time.Now(), tc)
 		return &messenger.DemandReceived{}, nil
 	default:
@@ -126,6 +135,19 @@
 	waiter.Sleep(ctx, retireGrace)
 }
 
+// checkPeer implements registrar.CheckFunc.
+func (rn *Runner) checkPeer(ctx context.Context, address string) (string, error) {
+	answer, err := rn.pool.Call(ctx, address, &messenger.Check{})
+	if err != nil {
+		return "", err
+	}
+	ck, ok := answer.(*messenger.Checked)
+	if !ok {
+		return "", errors.Errorf("answer of kind %d to a check", answer.Kind())
+	}
+	return ck.Node, nil
+}
+
 // leaderView returns a view in which the leader owns all servers, because only
 // the leader sends orders.
 func (rn *Runner) leaderView() *prober.View {
--- a/internal/keyspacerunner/snapshot.go
+++ b/internal/keyspacerunner/snapshot.go
@@ -10,7 +10,6 @@
 	"github.com/lagoonpass/lagoonpass/internal/coordination/tracker"
 	"github.com/lagoonpass/lagoonpass/internal/coordination/watcher"
 	"github.com/lagoonpass/lagoonpass/internal/state/configurer"
-	"github.com/lagoonpass/lagoonpass/internal/state/replicator"
 	"github.com/lagoonpass/lagoonpass/internal/state/storer"
 	"github.com/lagoonpass/lagoonpass/internal/waiter"
 )
@@ -56,10 +55,6 @@
 // configSink receives the operator's configuration from the keyspace.
 type configSink struct{ *Runner }
 
-func (rn *Runner) followConfiguration(ctx context.Context) error {
-	return replicator.New(rn.binding.Store, rn.binding.ConfigPrefix, configSink{rn}, replicator.WithRegistry(rn.registry)).Run(ctx)
-}
-
 // Replace implements replicator.Sink.
 func (cs configSink) Replace(entries []storer.Entry) {
 	for _, en := range entries {
@@ -110,15 +105,10 @@
 // serverSink receives the registrations of backend servers from the keyspace.
 type serverSink struct{ *Runner }
 
-func (rn *Runner) followServers(ctx context.Context) error {
-	sink := serverSink{rn}
-	go sink.expireServers(ctx)
-	return replicator.New(rn.binding.Store, rn.binding.ServerPrefix, sink, replicator.WithRegistry(rn.registry)).Run(ctx)
-}
-
 // expireServers drops servers that did not register again after a store outage.
-func (ss serverSink) expireServers(ctx context.Context) {
-	waiter.Every(ctx, expiryInterval, ss.refresh)
+func (rn *Runner) expireServers(ctx context.Context) error {
+	waiter.Every(ctx, expiryInterval, rn.refresh)
+	return nil
 }
 
 // Replace implements replicator.Sink.
--- /dev/null
+++ b/internal/protocol/messenger/feed.go
@@ -0,0 +1,162 @@
+package messenger
+
+import (
+	"time"
+
+	"github.com/vmihailenco/msgpack/v5"
+)
+
+// FeedPoll asks a node for the changes of the store's keys that the sender does
+// not have.
+type FeedPoll struct {
+	// Positions are the revisions of the sender's last changes, one a prefix;
+	// zero means that it has no copy.
+	Positions []int64
+	// Wait is how long the receiver waits for a change before it answers.
+	Wait time.Duration
+}
+
+// Kind implements Message.
+func (*FeedPoll) Kind() Kind { return KindFeedPoll }
+
+// Encode implements Message.
+func (fp *FeedPoll) Encode(en *msgpack.Encoder) error {
+	err := EncodeList(en, fp.Positions, func(en *msgpack.Encoder, ps int64) error { return en.EncodeInt(ps) })
+	if err != nil {
+		return err
+	}
+	return EncodeAll(en, fp.Wait.Milliseconds())
+}
+
+// Decode implements Message.
+func (fp *FeedPoll) Decode(de *msgpack.Decoder) (err error) {
+	if fp.Positions, err = DecodeList(de, (*msgpack.Decoder).DecodeInt64); err != nil {
+		return err
+	}
+	fp.Wait, err = decodeMillis(de)
+	return err
+}
+
+// FeedChange is a key that was written or removed.
+type FeedChange struct {
+	// Key is the full key.
+	Key string
+	// Value is the value; it is empty if the key was removed.
+	Value []byte
+	// Revision is the revision of the change.
+	Revision int64
+	// Lease is the id of the key's lease, or zero.
+	Lease int64
+	// Deleted says that the key was removed.
+	Deleted bool
+}
+
+func (fc FeedChange) encode(en *msgpack.Encoder) error {
+	return EncodeAll(en, fc.Key, fc.Value, fc.Revision, fc.Lease, fc.Deleted)
+}
+
+func decodeFeedChange(de *msgpack.Decoder) (fc FeedChange, err error) {
+	err = DecodeAll(de, &fc.Key, &fc.Value, &fc.Revision, &fc.Lease, &fc.Deleted)
+	return fc, err
+}
+
+// FeedPart has the changes under one prefix.
+type FeedPart struct {
+	// Whole says that Changes are all keys under the prefix.
+	Whole bool
+	// Changes are in the order of their revisions, unless Whole is set.
+	Changes []FeedChange
+	// Revision is the revision of the store up to which no change is missing.
+	Revision int64
+	// Down says that the store does not answer the node that reads it.
+	Down bool
+	// Back is how long ago the store's last outage ended, or zero if that is
+	// long ago.
+	Back time.Duration
+}
+
+func (fp FeedPart) encode(en *msgpack.Encoder) error {
+	if err := EncodeAll(en, fp.Whole); err != nil {
+		return err
+	}
+	if err := EncodeList(en, fp.Changes, func(en *msgpack.Encoder, fc FeedChange) error { return fc.encode(en) }); err != nil {
+		return err
+	}
+	return EncodeAll(en, fp.Revision, fp.Down, fp.Back.Milliseconds())
+}
+
+func decodeFeedPart(de *msgpack.Decoder) (fp FeedPart, err error) {
+	if err = DecodeAll(de, &fp.Whole); err != nil {
+		return fp, err
+	}
+	if fp.Changes, err = DecodeList(de, decodeFeedChange); err != nil {
+		return fp, err
+	}
+	if err = DecodeAll(de, &fp.Revision, &fp.Down); err != nil {
+		return fp, err
+	}
+	fp.Back, err = decodeMillis(de)
+	return fp, err
+}
+
+// FeedPage answers a FeedPoll.
+type FeedPage struct {
+	// Age is how long ago the store is known to have answered the node from
+	// which the answer comes in the end.
+	Age time.Duration
+	// Parts are in the order of the poll's positions.
+	Parts []FeedPart
+}
+
+// Kind implements Message.
+func (*FeedPage) Kind() Kind { return KindFeedPage }
+
+// Encode implements Message.
+func (fp *FeedPage) Encode(en *msgpack.Encoder) error {
+	if err := EncodeAll(en, fp.Age.Milliseconds()); err != nil {
+		return err
+	}
+	return EncodeList(en, fp.Parts, func(en *msgpack.Encoder, pt FeedPart) error { return pt.encode(en) })
+}
+
+// Decode implements Message.
+func (fp *FeedPage) Decode(de *msgpack.Decoder) (err error) {
+	if fp.Age, err = decodeMillis(de); err != nil {
+		return err
+	}
+	fp.Parts, err = DecodeList(de, decodeFeedPart)
+	return err
+}
+
+// Check asks the process at an address for its id.
+type Check struct{}
+
+// Kind implements Message.
+func (*Check) Kind() Kind { return KindCheck }
+
+// Encode implements Message.
+func (*Check) Encode(*msgpack.Encoder) error { return nil }
+
+// Decode implements Message.
+func (*Check) Decode(*msgpack.Decoder) error { return nil }
+
+// Checked answers a Check.
+type Checked struct {
+	// Node is the id of the answering process.
+	Node string
+}
+
+// Kind implements Message.
+func (*Checked) Kind() Kind { return KindChecked }
+
+// Encode implements Message.
+func (ck *Checked) Encode(en *msgpack.Encoder) error { return EncodeAll(en, ck.Node) }
+
+// Decode implements Message.
+func (ck *Checked) Decode(de *msgpack.Decoder) error { return DecodeAll(de, &ck.Node) }
+
+// decodeMillis decodes a duration in milliseconds.
+func decodeMillis(de *msgpack.Decoder) (time.Duration, error) {
+	millis, err := de.DecodeInt64()
+	return time.Duration(millis) * time.Millisecond, err
+}
--- a/internal/protocol/messenger/kinds.go
+++ b/internal/protocol/messenger/kinds.go
@@ -30,6 +30,10 @@
 	KindPlanFetched     Kind = 53
 	KindRetire          Kind = 54
 	KindRetired         Kind = 55
+	KindFeedPoll        Kind = 60
+	KindFeedPage        Kind = 61
+	KindCheck           Kind = 62
+	KindChecked         Kind = 63
 )
 
 // builders return an empty message of each kind to decode into.
@@ -59,4 +63,9 @@
 	KindPlanFetched:    func() Message { return &PlanFetched{} },
 	KindRetire:         func() Message { return &Retire{} },
 	KindRetired:        func() Message { return &Retired{} },
+
+	KindFeedPoll: func() Message { return &FeedPoll{} },
+	KindFeedPage: func() Message { return &FeedPage{} },
+	KindCheck:    func() Message { return &Check{} },
+	KindChecked:  func() Message { return &Checked{} },
 }
--- a/internal/standin/platform/keyspace.go
+++ b/internal/standin/platform/keyspace.go
@@ -18,6 +18,7 @@
 	history []storer.Change // since oldest, in the order of revisions
 	oldest  int64           // revision of the last compaction
 	leases  map[storer.Lease]*leaseState
+	renewed int64 // calls of Renew
 }
 
 // leaseState is the duration and the expiry of a lease.
@@ -26,9 +27,12 @@
 	end time.Time
 }
 
-// NewKeyspace returns an empty keyspace.
+// NewKeyspace returns an empty keyspace. Its revision starts above zero, so that
+// a watch from the revision of an empty snapshot misses no write.
 func NewKeyspace() *Keyspace {
-	return &Keyspace{Memory: NewMemory(), leases: map[storer.Lease]*leaseState{}}
+	ks := &Keyspace{Memory: NewMemory(), leases: map[storer.Lease]*leaseState{}}
+	ks.revision = 1
+	return ks
 }
 
 // Compact discards the history, so that a watch after an older revision fails as
@@ -46,6 +50,13 @@
 	ks.drop(key)
 }
 
+// Renewals returns how often leases were renewed so far.
+func (ks *Keyspace) Renewals() int64 {
+	ks.mu.Lock()
+	defer ks.mu.Unlock()
+	return ks.renewed
+}
+
 // Put writes a key without a condition, as another client of the service may.
 func (ks *Keyspace) Put(key string, value []byte) {
 	ks.mu.Lock()
@@ -106,7 +117,7 @@
 	revision := ks.revision
 	ks.mu.Unlock()
 	entries, err := ks.List(ctx, prefix)
-	return entries, max(revision, 1), err
+	return entries, revision, err
 }
 
 // Watch implements storer.Keyspace.
@@ -184,6 +195,7 @@
 		return 0, err
 	}
 	defer ks.mu.Unlock()
+	ks.renewed++
 	state, ok := ks.leases[ls]
 	if !ok {
 		return 0, &storer.Error{Op: "renew", Kind: storer.NotFound}
--- a/internal/state/replicator/replicator.go
+++ b/internal/state/replicator/replicator.go
@@ -24,9 +24,9 @@
 )
 
 const (
-	// watchWait is how long one watch call waits for a change. It is also the
+	// defaultWait is how long one watch call waits for a change. It is also the
 	// delay until a silent connection is noticed.
-	watchWait = 2 * time.Second
+	defaultWait = 2 * time.Second
 	// minBackoff and maxBackoff bound the pause after a failed call, before
 	// jitter.
 	minBackoff = 50 * time.Millisecond
@@ -55,6 +55,10 @@
 	sink     Sink
 	registry *counter.Registry
 
+	wait     func() time.Duration // how long the next watch call waits
+	pause    time.Duration        // time after a watch that brought changes
+	progress func(revision int64)
+
 	revision int64 // revision from which to watch; 0 means reload
 	failures int   // failed calls in a row
 }
@@ -65,10 +69,33 @@
 // WithRegistry makes the replicator count failed and restarted watches in rg.
 func WithRegistry(rg *counter.Registry) Option { return func(rp *Replicator) { rp.registry = rg } }
 
+// WithRevision makes the replicator watch from a revision up to which the sink
+// already has every change.
+func WithRevision(revision int64) Option { return func(rp *Replicator) { rp.revision = revision } }
+
+// WithWait sets the function that returns how long the next watch call waits.
+func WithWait(wait func() time.Duration) Option { return func(rp *Replicator) { rp.wait = wait } }
+
+// WithPause sets the time after a watch that brought changes. Changes in that
+// time arrive together, with one call.
+func WithPause(pause time.Duration) Option { return func(rp *Replicator) { rp.pause = pause } }
+
+// WithProgress sets a function that is called after each answer of the store,
+// with the revision up to which the sink has every change.
+func WithProgress(progress func(revision int64)) Option {
+	return func(rp *Replicator) { rp.progress = progress }
+}
+
 // New returns a replicator of the keys under the prefix to sk. Call Run to
 // start it.
 func New(st storer.Keyspace, prefix string, sk Sink, opts ...Option) *Replicator {
-	rp := &Replicator{store: st, prefix: prefix, sink: sk}
+	rp := &Replicator{
+		store:    st,
+		prefix:   prefix,
+		sink:     sk,
+		wait:     func() time.Duration { return defaultWait },
+		progress: func(int64) {},
+	}
 	for _, opt := range opts {
 		opt(rp)
 	}
@@ -91,7 +118,7 @@
 	if rp.revision == 0 {
 		return rp.reload(ctx)
 	}
-	changes, revision, err := rp.store.Watch(ctx, rp.prefix, rp.revision, watchWait)
+	changes, revision, err := rp.store.Watch(ctx, rp.prefix, rp.revision, rp.wait())
 	if storer.Is(err, storer.TooOld) {
 		log.WithField("prefix", rp.prefix).WithField("revision", rp.revision).Warn("watch missed changes; reloading all keys under the prefix")
 		rp.registry.Inc("watch", "too-old")
@@ -109,6 +136,10 @@
 		rp.revision = max(rp.revision, ch.Revision)
 	}
 	rp.revision = max(rp.revision, revision)
+	rp.progress(rp.revision)
+	if len(changes) > 0 {
+		waiter.Sleep(ctx, rp.pause)
+	}
 	return nil
 }
 
@@ -121,6 +152,7 @@
 	rp.recordSuccess()
 	rp.sink.Replace(entries)
 	rp.revision = revision
+	rp.progress(rp.revision)
 	return nil
 }
 
