--- a/internal/coordination/orderregistrar/orderregistrar.go
+++ b/internal/coordination/orderregistrar/orderregistrar.go
@@ -9,6 +9,10 @@
 // would wait. A leader sends no orders to servers that are missing from the
 // record, so the next leader need not wait for those.
 //
+// If the store returned from an older copy, the record lacks its last entries. A
+// leader then delays its orders to all servers, unless its leadership continues
+// the one before, whose orders it knows.
+//
 // # Usage
 //
 //	rc := orderregistrar.New(store, "holders", "vm-1", "leader", 3*time.Second)
@@ -31,6 +35,7 @@
 	"github.com/apex/log"
 	"github.com/go-faster/errors"
 
+	"github.com/lagoonpass/lagoonpass/internal/coordination/registrar"
 	"github.com/lagoonpass/lagoonpass/internal/state/storer"
 	"github.com/lagoonpass/lagoonpass/internal/stopwatch"
 )
@@ -73,14 +78,22 @@
 
 	mu       sync.Mutex
 	term     int64             // 0 without a term
+	lastTerm int64             // the last one that began
 	begunAt  time.Duration     // start of the term
 	failedAt time.Duration     // time of the last failed write; 0 for none
 	revision int64             // of the record
 	holders  map[string]string // VM by server
-	// recordUnreadable is true if the record could not be decoded when the term
+	// restored is true if the store returned from an older copy since the process
+	// started.
+	restored bool
+	// recordIncomplete is true if the record could not be decoded, or lacks what
+	// the store lost with its last writes, when the term
 	// began.
-	recordUnreadable bool
+	recordIncomplete bool
 	activities       map[string]*activity // by server
+	// unwritten says that the stored record lacks entries of holders, all of which
+	// have to be written before the next order.
+	unwritten bool
 }
 
 // activity describes the recent orders of this VM to one server.
@@ -119,18 +132,21 @@
 // Begin reads the record for a new term. The previous leader must have stopped
 // before the call. After an error no orders may be sent.
 func (rc *Record) Begin(ctx context.Context, term int64) error {
-	en, err := rc.store.Get(ctx, rc.key)
-	if err != nil && !storer.Is(err, storer.NotFound) {
-		return errors.Wrap(err, "orderregistrar: read record of orders")
+	en, err := rc.read(ctx, term)
+	if err != nil {
+		return err
 	}
-	holders, err := decode(en.Value)
+	recordEra, holders, err := decode(en.Value)
 	if err != nil {
 		log.WithError(err).WithField("term", term).Error("orderregistrar: record of orders can't be decoded; orders to all servers are delayed")
 	}
 	rc.mu.Lock()
 	defer rc.mu.Unlock()
-	rc.term, rc.begunAt, rc.revision = term, rc.clock(), en.Revision
-	rc.holders, rc.recordUnreadable = holders, err != nil
+	rc.term, rc.lastTerm, rc.begunAt, rc.revision = term, term, rc.clock(), en.Revision
+	era, _ := registrar.SplitTerm(term)
+	lacksEntries := recordEra < era && (en.Revision != 0 || rc.restored)
+	rc.unwritten = false
+	rc.holders, rc.recordIncomplete = holders, err != nil || lacksEntries
 	rc.activities = map[string]*activity{}
 	for server, holder := range holders {
 		if holder == rc.holder {
@@ -138,11 +154,62 @@
 			rc.activities[server] = &activity{recentUntil: rc.begunAt + rc.gap + unansweredHold}
 		}
 	}
-	log.WithFields(log.Fields{"term": term, "record-revision": en.Revision, "held": rc.blockedCountLocked(), "entered": len(holders), "wait-ms": rc.gap.Milliseconds()}).
+	log.WithFields(log.Fields{"term": term, "record-revision": en.Revision, "held": rc.blockedCountLocked(), "entered": len(holders), "incomplete": rc.recordIncomplete, "wait-ms": rc.gap.Milliseconds()}).
 		Info("record of orders read")
 	return nil
 }
 
+// read returns the record, or an empty entry if there is none. A record of
+// another era than the term's may lack entries that the term relies on.
+func (rc *Record) read(ctx context.Context, term int64) (storer.Entry, error) {
+	en, err := rc.store.Get(ctx, rc.key)
+	if err != nil && !storer.Is(err, storer.NotFound) {
+		return storer.Entry{}, errors.Wrap(err, "orderregistrar: read record of orders")
+	}
+	if era, _ := registrar.SplitTerm(term); era != 0 && era != rc.store.Era() {
+		return storer.Entry{}, errors.Wrap(storer.ErrEraChanged, "orderregistrar: read record of orders")
+	}
+	return en, nil
+}
+
+// Continue begins a term that continues this VM's former one after the store
+// returned from an older copy. No other VM sent orders in between, so that the
+// entries that this process knows take the place of the record's. If the former
+// term had not begun here, it is the same as Begin.
+func (rc *Record) Continue(ctx context.Context, former, term int64) error {
+	rc.mu.Lock()
+	known := rc.lastTerm == former
+	rc.mu.Unlock()
+	if !known {
+		return rc.Begin(ctx, term)
+	}
+	en, err := rc.read(ctx, term)
+	if err != nil {
+		return err
+	}
+	rc.mu.Lock()
+	defer rc.mu.Unlock()
+	rc.term, rc.lastTerm, rc.revision = term, term, en.Revision
+	recentUntil := rc.clock() + rc.gap + unansweredHold
+	entered := len(rc.activities)
+	for _, ac := range rc.activities {
+		if ac.inFlight > 0 {
+			ac.inFlight, ac.recentUntil = 0, max(ac.recentUntil, recentUntil)
+		}
+	}
+	rc.unwritten = true
+	log.WithFields(log.Fields{"term": term, "record-revision": en.Revision, "entered": entered}).
+		Info("record of orders is continued after the store returned from an older copy")
+	return nil
+}
+
+// StoreRestored records that the store returned from an older copy.
+func (rc *Record) StoreRestored() {
+	rc.mu.Lock()
+	defer rc.mu.Unlock()
+	rc.restored = true
+}
+
 // Begun reports whether Begin succeeded for the term.
 func (rc *Record) Begun(term int64) bool {
 	rc.mu.Lock()
@@ -166,7 +233,7 @@
 
 func (rc *Record) maySendLocked(server string) bool {
 	holder, recorded := rc.holders[server]
-	known := !rc.recordUnreadable && (!recorded || holder == rc.holder)
+	known := !rc.recordIncomplete && (!recorded || holder == rc.holder)
 	return known || rc.clock() >= rc.begunAt+rc.gap
 }
 
@@ -241,7 +308,7 @@
 	defer rc.unlockWrites()
 	rc.mu.Lock()
 	current := rc.term == term
-	known := rc.holders[server] == rc.holder
+	known := rc.holders[server] == rc.holder && !rc.unwritten
 	paused := rc.writePausedLocked()
 	next := rc.currentEntriesLocked()
 	rc.mu.Unlock()
@@ -301,7 +368,8 @@
 
 // commit writes the record if the node is still the leader of the term.
 func (rc *Record) commit(ctx context.Context, term int64, next map[string]string) error {
-	value, err := encode(next)
+	era, leaderRevision := registrar.SplitTerm(term)
+	value, err := encode(era, next)
 	if err != nil {
 		return err
 	}
@@ -309,7 +377,8 @@
 	revision := rc.revision
 	rc.mu.Unlock()
 	written, err := rc.store.Commit(ctx, storer.Transaction{
-		Expected: map[string]int64{rc.leaderKey: term, rc.key: revision},
+		Era:      era,
+		Expected: map[string]int64{rc.leaderKey: leaderRevision, rc.key: revision},
 		Writes:   []storer.Write{{Key: rc.key, Value: value}},
 	})
 	if err != nil {
@@ -320,7 +389,7 @@
 	rc.mu.Lock()
 	defer rc.mu.Unlock()
 	if rc.term == term {
-		rc.holders, rc.revision = maps.Clone(next), written
+		rc.holders, rc.revision, rc.unwritten = maps.Clone(next), written, false
 	}
 	return nil
 }
--- a/internal/coordination/registrar/evict.go
+++ b/internal/coordination/registrar/evict.go
@@ -77,7 +77,8 @@
 	if len(lost) == 0 {
 		return
 	}
-	tx := storer.Transaction{Expected: map[string]int64{rg.prefix + LeaderKey: term}}
+	era, revision := SplitTerm(term)
+	tx := storer.Transaction{Era: era, Expected: map[string]int64{rg.prefix + LeaderKey: revision}}
 	for key, mb := range lost {
 		if len(tx.Deletes) == maxEvictions {
 			break
@@ -103,7 +104,7 @@
 	now, self := rg.clock(), rg.presence().ID
 	silent := map[string]member{}
 	for key, mb := range rg.members {
-		if id := mb.presence.ID; id != self && rg.contacts.silent(id, now) {
+		if id := mb.presence.ID; id != self && mb.keptUntil == 0 && rg.contacts.silent(id, now) {
 			silent[key] = mb
 		}
 	}
--- a/internal/coordination/registrar/leader.go
+++ b/internal/coordination/registrar/leader.go
@@ -16,6 +16,20 @@
 const leaderActiveShare = 0.6
 
 const (
+	// termEraBits is the position of the era in a term. Revisions are lower, and
+	// a term is exact as a number in JSON up to an era of some thousands.
+	termEraBits = 40
+	// formerLeaderTime is how long the others leave it to the former leader to
+	// campaign after the store returned from an older copy. That node knows the
+	// orders that the copy lacks.
+	formerLeaderTime = 500 * time.Millisecond
+	// maxContinuation is how long after that an election still continues the
+	// former leadership. No other leader can have sent orders by then, because it
+	// first waits for the orders of earlier leaders.
+	maxContinuation = 2 * time.Second
+	// reregistrationTime is how long nodes stay known whose registrations the
+	// store has lost.
+	reregistrationTime = 3 * time.Second
 	// candidateDelay is the time between two nodes that campaign after the loss
 	// of a leader, and maxCandidateDelay the longest delay.
 	candidateDelay    = 250 * time.Millisecond
@@ -25,6 +39,16 @@
 	campaignRetry = time.Second
 )
 
+// Term returns the term of a leadership that began with a revision of an era of
+// the store. Terms of later eras are higher, although revisions are given out
+// again.
+func Term(era, revision int64) int64 { return era<<termEraBits | revision }
+
+// SplitTerm returns the era and the revision of a term.
+func SplitTerm(term int64) (era, revision int64) {
+	return term >> termEraBits, term & (1<<termEraBits - 1)
+}
+
 // leaderActiveTime returns how long a leader acts without a renewal.
 func (rg *Registrar) leaderActiveTime() time.Duration {
 	return time.Duration(leaderActiveShare * float64(rg.lifetime))
@@ -40,6 +64,14 @@
 	return rg.term, rg.term != 0 && now < rg.renewedAt+rg.leaderActiveTime() && now >= rg.electedAt+rg.handover+rg.leaderActiveTime()
 }
 
+// FormerTerm returns the term that the node's leadership continues, because the
+// node led in it when the store returned from an older copy, or 0.
+func (rg *Registrar) FormerTerm() int64 {
+	rg.mu.Lock()
+	defer rg.mu.Unlock()
+	return rg.continued
+}
+
 // Leader returns the leader according to the last replicated state, and whether
 // there is one among the members.
 func (rg *Registrar) Leader() (prober.Member, bool) {
@@ -62,7 +94,13 @@
 	if term == 0 {
 		return
 	}
-	if err := rg.store.Delete(ctx, rg.prefix+LeaderKey, term); err != nil {
+	era, revision := SplitTerm(term)
+	_, err := rg.store.Commit(ctx, storer.Transaction{
+		Era:      era,
+		Expected: map[string]int64{rg.prefix + LeaderKey: revision},
+		Deletes:  []string{rg.prefix + LeaderKey},
+	})
+	if err != nil {
 		log.WithError(err).Warn("leader key was not deleted from the store; leadership ends with the lease")
 	}
 }
@@ -129,9 +167,13 @@
 	if lease == 0 {
 		return
 	}
+	rg.mu.Lock()
+	era, void := rg.era, rg.voidRevision
+	rg.mu.Unlock()
 	revision, err := rg.store.Commit(ctx, storer.Transaction{
-		Expected: map[string]int64{key: 0},
-		Writes:   []storer.Write{{Key: key, Value: []byte(id), Lease: lease}},
+		Era:      era,
+		Expected: map[string]int64{key: void},
+		Writes:   []storer.Write{{Key: key, Value: encodeLeader(id, era), Lease: lease}},
 	})
 	if storer.Is(err, storer.NotFound) {
 		rg.forgetLease()
@@ -143,8 +185,8 @@
 	}
 	rg.mu.Lock()
 	defer rg.mu.Unlock()
-	if revision > rg.leaderEntry.Revision {
-		rg.leaderEntry = storer.Entry{Key: key, Value: []byte(id), Revision: revision, Lease: lease}
+	if rg.era == era && revision > rg.leaderEntry.Revision {
+		rg.leaderEntry, rg.voidRevision = storer.Entry{Key: key, Value: []byte(id), Revision: revision, Lease: lease}, 0
 	}
 	rg.updateLeadershipLocked()
 }
@@ -166,8 +208,13 @@
 	own := rg.leaderEntry.Revision != 0 && rg.leaderEntry.Lease == rg.lease && rg.lease != 0 &&
 		string(rg.leaderEntry.Value) == rg.presence().ID
 	switch {
-	case own && rg.term != rg.leaderEntry.Revision:
-		rg.term, rg.electedAt = rg.leaderEntry.Revision, rg.clock()
+	case own && rg.term != Term(rg.era, rg.leaderEntry.Revision):
+		rg.term, rg.electedAt = Term(rg.era, rg.leaderEntry.Revision), rg.clock()
+		rg.continued = 0
+		if rg.electedAt < rg.restoredAt+maxContinuation {
+			rg.continued = rg.restoredTerm
+		}
+		rg.restoredTerm = 0
 		rg.contacts = newContacts()
 		rg.contacts.lose(rg.previousLeader)
 		rg.registry.Inc("leader", "elected")
--- a/internal/coordination/registrar/members.go
+++ b/internal/coordination/registrar/members.go
@@ -2,6 +2,7 @@
 
 import (
 	"encoding/json"
+	"strconv"
 	"strings"
 
 	"github.com/apex/log"
@@ -15,6 +16,9 @@
 // Replace implements replicator.Sink.
 func (rg *Registrar) Replace(entries []storer.Entry) {
 	rg.mu.Lock()
+	if rg.era == 0 {
+		rg.era = rg.store.Era()
+	}
 	previous := rg.members
 	rg.members = map[string]member{}
 	rg.leaderEntry = storer.Entry{}
@@ -23,9 +27,14 @@
 		rg.applyEntryLocked(en)
 	}
 	for key, mb := range previous {
-		if _, ok := rg.members[key]; !ok {
-			rg.goneAt[mb.presence.ID] = rg.clock()
+		if _, ok := rg.members[key]; ok {
+			continue
+		}
+		if mb.keptUntil > rg.clock() {
+			rg.members[key] = mb
+			continue
 		}
+		rg.goneAt[mb.presence.ID] = rg.clock()
 	}
 	if !rg.replicated {
 		rg.replicated = true
@@ -62,9 +71,7 @@
 
 func (rg *Registrar) applyEntryLocked(en storer.Entry) {
 	if en.Key == rg.prefix+LeaderKey {
-		if en.Revision > rg.leaderEntry.Revision {
-			rg.leaderEntry = en
-		}
+		rg.applyLeaderLocked(en)
 		return
 	}
 	if !strings.HasPrefix(en.Key, rg.prefix+nodesPrefix) {
@@ -93,7 +100,7 @@
 func (rg *Registrar) deleteEntryLocked(en storer.Entry) {
 	if en.Key == rg.prefix+LeaderKey {
 		if en.Revision > rg.leaderEntry.Revision {
-			rg.leaderEntry = storer.Entry{}
+			rg.leaderEntry, rg.voidRevision = storer.Entry{}, 0
 			rg.Notify()
 		}
 		return
@@ -105,6 +112,61 @@
 	}
 }
 
+// applyLeaderLocked takes over the leader's key. One that was written in a former
+// era is void: its holder has given up the leadership with the era.
+func (rg *Registrar) applyLeaderLocked(en storer.Entry) {
+	id, era := decodeLeader(en.Value)
+	switch {
+	case era < rg.era:
+		rg.voidRevision = en.Revision
+	case en.Revision > rg.leaderEntry.Revision:
+		en.Value = []byte(id)
+		rg.leaderEntry, rg.voidRevision = en, 0
+	}
+}
+
+// StoreRestored implements replicator.Sink. The node gives up its leadership and
+// its lease, which may be gone or given out again, and keeps the nodes that it
+// knows until those that the copy lacks have registered again.
+func (rg *Registrar) StoreRestored(era int64) {
+	rg.mu.Lock()
+	defer rg.mu.Unlock()
+	now := rg.clock()
+	rg.restoredTerm, rg.restoredAt = 0, now
+	if now < rg.renewedAt+rg.leaderActiveTime() {
+		rg.restoredTerm = rg.term
+	}
+	rg.resignLocked("store returned from an older copy")
+	rg.era, rg.lease, rg.nextRenewalAt = era, 0, 0
+	rg.leaderEntry, rg.voidRevision, rg.seen = storer.Entry{}, 0, 0
+	rg.revision, rg.reread, rg.replicated = 0, false, false
+	rg.leaderless = max(now, 1)
+	if rg.restoredTerm == 0 {
+		rg.leaderless += formerLeaderTime
+	}
+	for key, mb := range rg.members {
+		mb.revision, mb.keptUntil = 0, now+reregistrationTime
+		rg.members[key] = mb
+	}
+}
+
+// dropKept drops nodes that have not registered again after the store returned
+// from an older copy.
+func (rg *Registrar) dropKept() {
+	rg.mu.Lock()
+	now, dropped := rg.clock(), false
+	for key, mb := range rg.members {
+		if mb.keptUntil != 0 && now >= mb.keptUntil {
+			delete(rg.members, key)
+			rg.goneAt[mb.presence.ID], dropped = now, true
+		}
+	}
+	rg.mu.Unlock()
+	if dropped {
+		rg.rebuildView()
+	}
+}
+
 // checkOwnRegistrationLocked makes the node register again if its registration
 // is gone.
 func (rg *Registrar) checkOwnRegistrationLocked() {
@@ -113,9 +175,16 @@
 		return
 	}
 	pr := rg.presence()
-	if mb, ok := rg.members[rg.nodeKey(pr.PeerAddress)]; rg.written != nil && (!ok || mb.presence.ID != pr.ID && mb.revision > rg.revision) {
+	mb, ok := rg.members[rg.nodeKey(pr.PeerAddress)]
+	ok = ok && mb.keptUntil == 0
+	switch {
+	case rg.written == nil:
+	case !ok || mb.presence.ID != pr.ID && mb.revision > rg.revision:
 		rg.written, rg.revision = nil, 0
 		rg.Notify()
+	case rg.revision == 0 && mb.presence.ID == pr.ID:
+		// The registration is in the copy to which the store returned.
+		rg.revision = mb.revision
 	}
 }
 
@@ -165,6 +234,24 @@
 	}
 }
 
+// encodeLeader returns the value of the leader's key: the id, and the era unless
+// the store has none.
+func encodeLeader(id string, era int64) []byte {
+	if era == 0 {
+		return []byte(id)
+	}
+	return []byte(id + " " + strconv.FormatInt(era, 10))
+}
+
+func decodeLeader(value []byte) (id string, era int64) {
+	id, text, _ := strings.Cut(string(value), " ")
+	era, err := strconv.ParseInt(text, 10, 64)
+	if err != nil {
+		return id, 0
+	}
+	return id, era
+}
+
 // wirePresence is the stored form of a registration.
 type wirePresence struct {
 	ID            string `json:"id"`
--- a/internal/coordination/registrar/registrar.go
+++ b/internal/coordination/registrar/registrar.go
@@ -103,6 +103,8 @@
 	// reread says that revision was read from the store and may be newer than the
 	// replicated registrations.
 	reread bool
+	// era is the era of the store to which all revisions belong; 0 means none.
+	era int64
 	// seen is the highest revision of a replicated change.
 	seen int64
 	// replicated says that members and leaderEntry have been read from the
@@ -115,10 +117,19 @@
 	// leaderEntry is the leader's key as last replicated; revision 0 means no
 	// leader.
 	leaderEntry storer.Entry
+	// voidRevision is the revision of a leader's key of a former era, which no
+	// node acts on; 0 means none.
+	voidRevision int64
+	// restoredTerm is the term in which this node led when the store returned from
+	// an older copy, or 0, and restoredAt when the node learned of it.
+	restoredTerm int64
+	restoredAt   time.Duration
 	// term is the term of this node's leadership; 0 means it does not lead.
 	term int64
 	// electedAt is when the node learned that it had been elected.
 	electedAt time.Duration
+	// continued is the term of a former era that the leadership continues, or 0.
+	continued int64
 	// leaderless is since when no node has led; 0 means that one leads.
 	leaderless time.Duration
 	// previousLeader is the id of the last leader.
@@ -137,6 +148,9 @@
 	presence messenger.Presence
 	ready    bool
 	revision int64
+	// keptUntil is when the node is dropped whose registration the store lost with
+	// its last writes, if it has not registered again; 0 means never.
+	keptUntil time.Duration
 }
 
 // Option configures a Registrar.
@@ -258,6 +272,7 @@
 	if !replicated {
 		return idleInterval
 	}
+	rg.dropKept()
 	// The lease comes first: a leader must not miss a renewal.
 	kept := rg.keepLease(ctx)
 	registered := rg.register(ctx)
@@ -352,7 +367,7 @@
 	value := encodePresence(pr, rg.ready())
 	key := rg.nodeKey(pr.PeerAddress)
 	rg.mu.Lock()
-	revision := rg.revision
+	revision, era := rg.revision, rg.era
 	if !rg.reread {
 		revision = max(revision, rg.members[key].revision)
 	}
@@ -366,6 +381,7 @@
 		return false
 	}
 	revision, err := rg.store.Commit(ctx, storer.Transaction{
+		Era:      era,
 		Expected: map[string]int64{key: revision},
 		Writes:   []storer.Write{{Key: key, Value: value}},
 	})
@@ -380,8 +396,10 @@
 	}
 	rg.mu.Lock()
 	defer rg.mu.Unlock()
-	rg.written, rg.revision, rg.reread = value, revision, false
 	rg.failedRegistrations = 0
+	if rg.era == era {
+		rg.written, rg.revision, rg.reread = value, revision, false
+	}
 	return true
 }
 
--- a/internal/coordination/registrar/registrar_test.go
+++ b/internal/coordination/registrar/registrar_test.go
@@ -317,3 +317,70 @@
 		require.LessOrEqual(t, fl.store.Renewals()-renewals, int64(45))
 	})
 }
+
+// TestNeverTwoLeadersOverDrills has the store return from older copies, beside
+// the other faults. Leases are given out again, the copy has keys of leaders that
+// no longer lead, and terms still have to grow.
+func TestNeverTwoLeadersOverDrills(t *testing.T) {
+	for seed := range uint64(10) {
+		t.Run(fmt.Sprint(seed), func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				fl := newFleet(4)
+				fl.store.SetEra(7)
+				defer fl.end()
+				random := rand.New(rand.NewPCG(seed, 20))
+				last, lastAt, highest := "", time.Time{}, int64(0)
+				for step := range 3000 {
+					fl.disturb(random)
+					switch {
+					case step%300 == 0:
+						fl.store.Copy()
+					case step%300 == 299-random.IntN(100):
+						fl.store.Restore()
+					}
+					time.Sleep(20 * time.Millisecond)
+					leaders := fl.leaders()
+					require.LessOrEqual(t, len(leaders), 1)
+					if len(leaders) == 0 {
+						continue
+					}
+					if last != "" && last != leaders[0].id {
+						require.GreaterOrEqual(t, time.Since(lastAt), handover)
+					}
+					last, lastAt = leaders[0].id, time.Now()
+					if term, leads := leaders[0].Leads(); leads {
+						require.GreaterOrEqual(t, term, highest)
+						highest = term
+					}
+				}
+				require.NotEmpty(t, last)
+			})
+		})
+	}
+}
+
+// TestFleetStaysTogetherAfterDrill restores a copy from before two of the nodes
+// had registered. Nobody drops them, and they register again.
+func TestFleetStaysTogetherAfterDrill(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		fl := newFleet(4)
+		fl.store.SetEra(7)
+		defer fl.end()
+		fl.await(t, 10*time.Second, func() bool { return len(fl.leaders()) == 1 })
+		fl.store.Remove("p/nodes/n2:1")
+		fl.store.Remove("p/nodes/n3:1")
+		fl.store.Copy()
+		time.Sleep(5 * time.Second)
+		fl.store.Restore()
+		for range 1000 {
+			time.Sleep(10 * time.Millisecond)
+			for _, nd := range fl.nodes {
+				require.Len(t, nd.View().Members(), 4, nd.id)
+			}
+		}
+		registered, err := fl.store.List(t.Context(), "p/nodes/")
+		require.NoError(t, err)
+		require.Len(t, registered, 4)
+		require.Len(t, fl.leaders(), 1)
+	})
+}
--- a/internal/coordination/relayer/feed.go
+++ b/internal/coordination/relayer/feed.go
@@ -6,6 +6,8 @@
 	"sync"
 	"time"
 
+	"github.com/apex/log"
+
 	"github.com/lagoonpass/lagoonpass/internal/protocol/messenger"
 	"github.com/lagoonpass/lagoonpass/internal/state/replicator"
 	"github.com/lagoonpass/lagoonpass/internal/state/storer"
@@ -38,8 +40,13 @@
 	log      []storer.Change
 	logStart int64
 	logBytes int
-	// position is the revision of the last change; zero means no copy.
+	// era is the era of the store to which the revisions belong; zero means none.
+	era int64
+	// position is the revision of the last change, or of the last list of all
+	// keys; zero means no copy.
 	position int64
+	// listed says that the revision of the last list is not known yet.
+	listed bool
 	// revision is the revision of the store up to which no change is missing.
 	revision int64
 	// down says that the store does not answer.
@@ -59,14 +66,10 @@
 func (fd *feed) replaceOrdered(entries []storer.Entry) {
 	fd.mu.Lock()
 	fd.entries = make(map[string]storer.Entry, len(entries))
-	highest := int64(1)
 	for _, en := range entries {
 		fd.entries[en.Key] = en
-		highest = max(highest, en.Revision)
 	}
-	fd.log, fd.logBytes = nil, 0
-	fd.position = max(fd.position, highest)
-	fd.logStart = fd.position
+	fd.log, fd.logBytes, fd.listed = nil, 0, true
 	fd.mu.Unlock()
 	fd.sink.Replace(entries)
 }
@@ -83,6 +86,7 @@
 	fd.mu.Lock()
 	fresh := make([]storer.Change, 0, len(changes))
 	for _, ch := range changes {
+		fd.position = max(fd.position, ch.Revision)
 		known, ok := fd.entries[ch.Key]
 		if ok && known.Revision >= ch.Revision || !ok && ch.Deleted {
 			continue
@@ -93,7 +97,6 @@
 			fd.entries[ch.Key] = ch.Entry
 		}
 		fresh = append(fresh, ch)
-		fd.position = max(fd.position, ch.Revision)
 		fd.log = append(fd.log, ch)
 		fd.logBytes += len(ch.Key) + len(ch.Value)
 	}
@@ -145,31 +148,73 @@
 	}
 }
 
-// advance records that the copy has every change up to a revision.
-func (fd *feed) advance(revision int64) {
+// StoreRestored implements replicator.Sink. The copy stays in use until the keys
+// are read again, but is not passed on.
+func (fd *feed) StoreRestored(era int64) {
+	fd.order.Lock()
+	defer fd.order.Unlock()
+	fd.restoreOrdered(era)
+}
+
+// restoreOrdered is StoreRestored for callers that hold order.
+func (fd *feed) restoreOrdered(era int64) {
+	fd.mu.Lock()
+	former, position := fd.era, fd.position
+	if era <= former {
+		fd.mu.Unlock()
+		return
+	}
+	fd.era, fd.position, fd.revision = era, 0, 0
+	fd.log, fd.logBytes, fd.logStart = nil, 0, 0
+	fd.backAt = fd.clock()
+	fd.mu.Unlock()
+	log.WithFields(log.Fields{"prefix": fd.prefix, "former-era": former, "era": era, "former-position": position}).
+		Warn("store returned from an older copy; its keys are read again")
+	fd.sink.StoreRestored(era)
+}
+
+// advance records that the copy has every change up to a revision of an era.
+func (fd *feed) advance(era, revision int64) {
 	fd.mu.Lock()
 	defer fd.mu.Unlock()
+	if fd.era == 0 {
+		fd.era = era
+	}
+	if era != fd.era {
+		return
+	}
 	fd.revision = max(fd.revision, revision)
+	if fd.listed {
+		// The list lacks the removals before it.
+		fd.listed = false
+		fd.position = max(fd.position, revision)
+		fd.logStart = fd.position
+	}
 }
 
-// positions returns the revision of the last change, and the revision up to
-// which no change is missing.
-func (fd *feed) positions() (position, revision int64) {
+// positions returns the era, the revision of the last change, and the revision up
+// to which no change is missing.
+func (fd *feed) positions() (era, position, revision int64) {
 	fd.mu.Lock()
 	defer fd.mu.Unlock()
-	return fd.position, fd.revision
+	return fd.era, fd.position, fd.revision
 }
 
 // part returns what a node with a copy at the position lacks. It returns false
 // if that node may have changes that this copy lacks. Its revision is zero if
 // neither node has a copy.
-func (fd *feed) part(position int64) (messenger.FeedPart, bool) {
+func (fd *feed) part(ps messenger.FeedPosition) (messenger.FeedPart, bool) {
 	fd.mu.Lock()
 	defer fd.mu.Unlock()
-	if fd.position == 0 || position > fd.revision {
-		return messenger.FeedPart{}, position == 0
+	position := ps.Revision
+	if ps.Era < fd.era {
+		// The sender's copy is of a former era.
+		position = 0
 	}
-	pt := messenger.FeedPart{Revision: fd.revision, Down: fd.down}
+	if ps.Era > fd.era || fd.position == 0 || fd.listed || position > fd.revision {
+		return messenger.FeedPart{}, ps.Revision == 0
+	}
+	pt := messenger.FeedPart{Era: fd.era, Revision: fd.revision, Down: fd.down}
 	if fd.backAt != 0 && !fd.down {
 		if back := fd.clock() - fd.backAt; back < outageRetention {
 			pt.Back = max(back, time.Millisecond)
@@ -200,7 +245,10 @@
 	fd.takeOutage(pt)
 	fd.order.Lock()
 	defer fd.order.Unlock()
-	if position, _ := fd.positions(); pt.Revision < position {
+	if era, _, _ := fd.positions(); era != 0 && pt.Whole {
+		fd.restoreOrdered(pt.Era)
+	}
+	if era, position, _ := fd.positions(); pt.Era < era || pt.Revision < position {
 		return
 	}
 	switch {
@@ -217,7 +265,7 @@
 		}
 		fd.applyOrdered(changes)
 	}
-	fd.advance(pt.Revision)
+	fd.advance(pt.Era, pt.Revision)
 }
 
 // takeOutage passes an outage of the store to the sink that the sender saw. The
--- a/internal/coordination/relayer/relayer.go
+++ b/internal/coordination/relayer/relayer.go
@@ -24,6 +24,7 @@
 import (
 	"context"
 	"math/rand/v2"
+	"slices"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -44,6 +45,8 @@
 	// pollWait is how long a poll waits for a change. A node learns at this
 	// interval how old its copy is.
 	pollWait = 200 * time.Millisecond
+	// minPollInterval is the least time between two polls that bring changes.
+	minPollInterval = 20 * time.Millisecond
 	// pollTimeout bounds a poll. A peer without an answer by then is frozen or
 	// cut off.
 	pollTimeout = 600 * time.Millisecond
@@ -56,15 +59,15 @@
 	maxRelayedAge = 1200 * time.Millisecond
 	// minBlock and maxBlock bound the time in which a peer that failed is not
 	// asked again.
-	minBlock = 500 * time.Millisecond
+	minBlock = time.Second
 	maxBlock = 8 * time.Second
 	// rankDelay is the time between two nodes that turn to the store, and
 	// maxRankDelay the longest one.
-	rankDelay    = 100 * time.Millisecond
+	rankDelay    = 125 * time.Millisecond
 	maxRankDelay = 4 * time.Second
 	// maxAskedAtOnce is how many nodes are asked at once if no source has a
 	// current copy.
-	maxAskedAtOnce = 3
+	maxAskedAtOnce = 4
 	// retryDelay is the pause before sources are tried again.
 	retryDelay = 50 * time.Millisecond
 	// reviewInterval is the time between two looks at whether a node should read
@@ -74,11 +77,10 @@
 	// other calls, and deputyWait at one without such calls.
 	readerWait = 4 * time.Second
 	deputyWait = 500 * time.Millisecond
-	// settleTime is how long a node that starts follows only the first prefix,
-	// the one with the nodes, to learn whether there is a node to ask.
+	// settleTime is how long the first nodes of a fleet that starts follow only
+	// the first prefix, to learn which of them is to read the store.
 	settleTime = 400 * time.Millisecond
-	// maxSettleTime is settleTime for a node that knows others, which may not
-	// have a copy yet.
+	// maxSettleTime is settleTime for those that are not.
 	maxSettleTime = 2 * time.Second
 	// minStoreBackoff and maxStoreBackoff bound the time between two attempts of a
 	// node that is no reader to reach the store.
@@ -132,6 +134,8 @@
 	// copy then.
 	answeredAt time.Duration
 	sourceAge  time.Duration
+	// reachedAt is when the store last answered this node.
+	reachedAt time.Duration
 	// failures are the peers that failed, by address.
 	failures map[string]failure
 	// storeFailures counts failed attempts in a row to reach the store, and
@@ -193,6 +197,9 @@
 
 // Run keeps the copies up to date until the context ends, and returns nil.
 func (rl *Relayer) Run(ctx context.Context) error {
+	for ctx.Err() == nil && !rl.readNodes(ctx) {
+		waiter.Sleep(ctx, minStoreBackoff/2+rand.N(minStoreBackoff))
+	}
 	for ctx.Err() == nil {
 		sc := Choose(rl.view(), rl.leader())
 		switch {
@@ -205,6 +212,30 @@
 	return nil
 }
 
+// readNodes reads the keys under the first prefix, so that the node knows which
+// others it can ask. If the store does not answer, it asks the seeds. It reports
+// whether it has a copy.
+func (rl *Relayer) readNodes(ctx context.Context) bool {
+	fd := rl.feeds[0]
+	entries, revision, err := rl.store.Snapshot(ctx, fd.prefix)
+	if err == nil {
+		fd.Replace(entries)
+		fd.advance(rl.store.Era(), revision)
+		// The node is no source for others: it does not follow the store yet.
+		rl.mu.Lock()
+		defer rl.mu.Unlock()
+		rl.reachedAt = rl.clock()
+		return true
+	}
+	rl.noteStoreFailure(err)
+	for _, address := range rl.seeds {
+		if !rl.blocked(address) && rl.poll(ctx, prober.Member{PeerAddress: address}) {
+			return true
+		}
+	}
+	return false
+}
+
 // Age returns how old the node's copy may be.
 func (rl *Relayer) Age() time.Duration {
 	rl.mu.Lock()
@@ -267,29 +298,18 @@
 	rl.changed = make(chan struct{})
 }
 
-// askPeers takes changes from the first peer with a current copy. It reports
-// false, after a pause, if there is none.
+// askPeers takes changes from the best peer that has not failed lately, and if
+// that fails from some of the others. It reports false, after a pause, if none
+// has a current copy.
 func (rl *Relayer) askPeers(ctx context.Context, sc Sources) bool {
-	for _, mb := range sc.Peers() {
-		limit := maxRelayedAge
-		if mb.ID == rl.leader() {
-			limit = maxAge
-		}
-		if !rl.blocked(mb.PeerAddress) && rl.poll(ctx, mb.PeerAddress, limit) {
+	candidates := slices.Concat(sc.Peers(), sc.Others())
+	candidates = slices.DeleteFunc(candidates, func(mb prober.Member) bool { return rl.blocked(mb.PeerAddress) })
+	if len(candidates) > 0 {
+		if rl.poll(ctx, candidates[0]) || rl.askSome(ctx, candidates[1:]) {
 			return true
 		}
 	}
-	if len(sc.Peers()) == 0 {
-		for _, address := range rl.seeds {
-			if !rl.blocked(address) && rl.poll(ctx, address, maxRelayedAge) {
-				return true
-			}
-		}
-	}
 	rl.noteStale()
-	if rl.askSome(ctx, sc.Others()) {
-		return true
-	}
 	waiter.Sleep(ctx, retryDelay)
 	return false
 }
@@ -309,7 +329,7 @@
 			break
 		}
 		polls.Go(func() {
-			if rl.poll(ctx, mb.PeerAddress, maxRelayedAge) {
+			if rl.poll(ctx, mb) {
 				current.Store(true)
 			}
 		})
@@ -326,8 +346,12 @@
 }
 
 // poll asks a peer for changes and takes them. It reports whether the peer's
-// copy is not older than the limit.
-func (rl *Relayer) poll(ctx context.Context, address string, limit time.Duration) bool {
+// copy is current.
+func (rl *Relayer) poll(ctx context.Context, mb prober.Member) bool {
+	address, limit := mb.PeerAddress, maxRelayedAge
+	if mb.ID != "" && mb.ID == rl.leader() {
+		limit = maxAge
+	}
 	rl.mu.Lock()
 	present := rl.source == address
 	rl.mu.Unlock()
@@ -336,8 +360,8 @@
 		call.Wait, timeout = pollWait, pollTimeout
 	}
 	for _, fd := range rl.feeds {
-		position, _ := fd.positions()
-		call.Positions = append(call.Positions, position)
+		era, position, _ := fd.positions()
+		call.Positions = append(call.Positions, messenger.FeedPosition{Era: era, Revision: position})
 	}
 	ctx, cancel := context.WithTimeout(ctx, timeout)
 	defer cancel()
@@ -355,6 +379,7 @@
 	// A copy that is too old may still have changes that this one lacks.
 	for ix, fd := range rl.feeds {
 		if page.Age <= limit || !page.Parts[ix].Down {
+			rl.store.NoteEra(page.Parts[ix].Era)
 			fd.take(page.Parts[ix])
 		}
 	}
@@ -366,6 +391,7 @@
 	rl.settle(address, page.Age)
 	if !present || anyChange(page) {
 		rl.announce()
+		waiter.Sleep(ctx, minPollInterval)
 	}
 	return true
 }
@@ -455,13 +481,21 @@
 	var readers sync.WaitGroup
 	defer readers.Wait()
 	defer cancel()
-	began := rl.clock()
+	began, era := rl.clock(), rl.store.Era()
+	settleUntil := began
+	if _, position, _ := rl.feeds[len(rl.feeds)-1].positions(); position == 0 && len(rl.view().Members()) == 1 {
+		settleUntil += settleTime
+	}
 	started := 0
 	for ctx.Err() == nil {
-		started = rl.startReaders(ctx, &readers, started, began)
+		started = rl.startReaders(ctx, &readers, started, began, settleUntil)
 		if !waiter.Sleep(ctx, reviewInterval) {
 			return
 		}
+		if era != 0 && era != rl.store.Era() {
+			// Watches of the former era may wait for long.
+			return
+		}
 		sc := Choose(rl.view(), rl.leader())
 		if rl.askSome(ctx, sc.Before()) {
 			return
@@ -479,8 +513,11 @@
 // reachStore asks the store for changes once, and reports whether it answered.
 func (rl *Relayer) reachStore(ctx context.Context) bool {
 	fd := rl.feeds[0]
-	_, revision := fd.positions()
-	if revision == 0 {
+	_, _, revision := fd.positions()
+	rl.mu.Lock()
+	reached := rl.clock()-rl.reachedAt < maxAge
+	rl.mu.Unlock()
+	if reached {
 		return true
 	}
 	_, _, err := rl.store.Watch(ctx, fd.prefix, revision, 0)
@@ -509,21 +546,21 @@
 }
 
 // startReaders starts to follow prefixes that are not followed yet, and returns
-// how many are. A node that starts follows the first one alone for a while.
-func (rl *Relayer) startReaders(ctx context.Context, readers *sync.WaitGroup, started int, began time.Duration) int {
+// how many are. Until a time it follows only the first one, and longer if it
+// learns meanwhile of others that read the store before it.
+func (rl *Relayer) startReaders(ctx context.Context, readers *sync.WaitGroup, started int, began, settleUntil time.Duration) int {
 	wanted := len(rl.feeds)
-	settle := settleTime
-	if !Choose(rl.view(), rl.leader()).Reader() {
-		settle = maxSettleTime
+	if settles := settleUntil > began; settles && !Choose(rl.view(), rl.leader()).Reader() {
+		settleUntil += maxSettleTime - settleTime
 	}
-	if position, _ := rl.feeds[wanted-1].positions(); position == 0 && rl.clock()-began < settle {
+	if settleUntil > rl.clock() {
 		wanted = 1
 	}
 	for _, fd := range rl.feeds[started:max(started, wanted)] {
-		_, revision := fd.positions()
+		era, _, revision := fd.positions()
 		rp := replicator.New(rl.store, fd.prefix, fd,
 			replicator.WithRegistry(rl.registry),
-			replicator.WithRevision(revision),
+			replicator.WithRevision(era, revision),
 			replicator.WithPause(fd.pause),
 			replicator.WithWait(rl.watchWait),
 			replicator.WithProgress(func(revision int64) { rl.progress(fd, revision) }))
@@ -542,8 +579,11 @@
 
 // progress records an answer of the store.
 func (rl *Relayer) progress(fd *feed, revision int64) {
-	fd.advance(revision)
+	fd.advance(rl.store.Era(), revision)
 	fd.StoreUp()
 	rl.settle("", 0)
+	rl.mu.Lock()
+	rl.reachedAt = rl.clock()
+	rl.mu.Unlock()
 	rl.announce()
 }
--- a/internal/coordination/tracker/tracker.go
+++ b/internal/coordination/tracker/tracker.go
@@ -85,6 +85,17 @@
 	storeDown bool
 	// storeBackAt is when the last outage of the store ended, or zero.
 	storeBackAt time.Time
+	// removed holds the last sequences of incarnations whose registrations ended.
+	removed map[incarnation]removal
+	// restored is set from the return of the store from an older copy until the
+	// list of that copy is applied.
+	restored bool
+}
+
+// removal is the end of an incarnation's registration.
+type removal struct {
+	sequence int64
+	at       time.Time
 }
 
 // incarnation identifies one start of a server.
@@ -97,7 +108,7 @@
 
 // New returns a tracker without servers.
 func New() *Tracker {
-	return &Tracker{entries: map[string]*entry{}, leaving: map[incarnation]time.Time{}}
+	return &Tracker{entries: map[string]*entry{}, leaving: map[incarnation]time.Time{}, removed: map[incarnation]removal{}}
 }
 
 // Replace applies the complete list of registrations. Known servers that are
@@ -105,9 +116,13 @@
 func (tk *Tracker) Replace(now time.Time, servers []Server) {
 	present := map[string]bool{}
 	for _, sv := range servers {
+		if tk.restored && tk.wasRemoved(sv) {
+			continue
+		}
 		present[sv.ID] = true
 		tk.Update(now, sv)
 	}
+	tk.restored = false
 	for id := range tk.entries {
 		if !present[id] {
 			tk.Remove(now, id)
@@ -115,6 +130,22 @@
 	}
 }
 
+// wasRemoved reports whether the registration is one that ended before the store
+// returned from an older copy. A server that is alive registers again with a
+// higher sequence.
+func (tk *Tracker) wasRemoved(sv Server) bool {
+	rm, ok := tk.removed[incarnation{sv.ID, sv.Incarnation}]
+	return ok && sv.Sequence <= rm.sequence
+}
+
+// MarkStoreRestored records that the store returned from an older copy. What
+// servers wrote since then is missing until they write it again, so that a grace
+// period begins.
+func (tk *Tracker) MarkStoreRestored(now time.Time) {
+	tk.restored = true
+	tk.storeDown, tk.storeBackAt = false, now
+}
+
 // Update applies one registration. It ignores a registration that is older than
 // the known one.
 func (tk *Tracker) Update(now time.Time, sv Server) {
@@ -159,7 +190,7 @@
 		return
 	}
 	if !tk.inGracePeriod(now) || en.server.Leaving {
-		delete(tk.entries, id)
+		tk.delete(now, id)
 		return
 	}
 	if en.missingSince.IsZero() {
@@ -167,6 +198,18 @@
 	}
 }
 
+// delete removes a server and remembers its last registration.
+func (tk *Tracker) delete(now time.Time, id string) {
+	sv := tk.entries[id].server
+	tk.removed[incarnation{sv.ID, sv.Incarnation}] = removal{sv.Sequence, now}
+	delete(tk.entries, id)
+	for key, rm := range tk.removed {
+		if now.Sub(rm.at) > leavingRetention {
+			delete(tk.removed, key)
+		}
+	}
+}
+
 // inGracePeriod reports whether a registration may be missing because of an
 // outage of the store although its server is alive.
 func (tk *Tracker) inGracePeriod(now time.Time) bool {
@@ -191,7 +234,7 @@
 	servers := make([]Server, 0, len(tk.entries))
 	for id, en := range tk.entries {
 		if !en.missingSince.IsZero() && !inGracePeriod {
-			delete(tk.entries, id)
+			tk.delete(now, id)
 			continue
 		}
 		servers = append(servers, en.server)
--- a/internal/coordination/tracker/tracker_test.go
+++ b/internal/coordination/tracker/tracker_test.go
@@ -77,3 +77,24 @@
 	tk.Remove(start, "a")
 	require.Empty(t, ids(tk, start))
 }
+
+// TestServersSurviveReturnOfStoreFromOlderCopy has the copy lack one server, its
+// leaving mark on another, and the end of a third.
+func TestServersSurviveReturnOfStoreFromOlderCopy(t *testing.T) {
+	tk := tracker.New()
+	tk.Replace(start, []tracker.Server{server("gone", 1, 5, false), server("leaves", 1, 4, false)})
+	tk.Update(start, server("leaves", 1, 6, true))
+	tk.Update(start, server("new", 1, 1, false))
+	tk.Remove(start, "gone")
+	require.Equal(t, []string{"leaves leaves", "new"}, ids(tk, start))
+
+	tk.MarkStoreRestored(startPlus(time.Second))
+	tk.Replace(startPlus(time.Second), []tracker.Server{server("gone", 1, 5, false), server("leaves", 1, 4, false)})
+	require.Equal(t, []string{"leaves leaves", "new"}, ids(tk, startPlus(time.Second)))
+	later := startPlus(time.Second + tracker.ReregisterGracePeriod)
+	require.Equal(t, []string{"leaves leaves"}, ids(tk, later), "a server that does not register again is gone")
+	tk.Update(later, server("gone", 1, 9, false))
+	require.Equal(t, []string{"gone", "leaves leaves"}, ids(tk, later), "one that was only silent comes back")
+	tk.Update(later, server("gone", 2, 1, false))
+	require.Equal(t, []string{"gone", "leaves leaves"}, ids(tk, later), "and so does another start")
+}
--- a/internal/explainer/cause.go
+++ b/internal/explainer/cause.go
@@ -5,6 +5,7 @@
 	"regexp"
 	"slices"
 	"strings"
+	"time"
 
 	"github.com/lagoonpass/lagoonpass/pkg/refuser"
 )
@@ -19,6 +20,9 @@
 	AdapterSlotsFull Cause = "adapter-places-taken"
 	// NoLeader means that no node could send the order to load the adapter.
 	NoLeader Cause = "no-leader"
+	// StoreRestored means that no node could send the order because the store had
+	// just returned from an older copy.
+	StoreRestored Cause = "store-restored"
 	// OrderAhead means that the server or the leader was busy with another
 	// order.
 	OrderAhead Cause = "order-ahead"
@@ -146,7 +150,26 @@
 	if ln == nil {
 		return "", false
 	}
-	return causeOf(ln), true
+	return ls.causeOf(ln), true
+}
+
+// restorationTime is how long after the return of the store from an older copy
+// the lack of a leader is put down to it.
+const restorationTime = 6 * time.Second
+
+// causeOf returns the cause for the final line of a request, with regard to what
+// else was logged.
+func (ls *LogSet) causeOf(final *Line) Cause {
+	cause := causeOf(final)
+	if cause != NoLeader {
+		return cause
+	}
+	for _, ln := range ls.lines {
+		if ago := final.time.Sub(ln.time); ln.message == messageRestored && ago >= 0 && ago < restorationTime {
+			return StoreRestored
+		}
+	}
+	return cause
 }
 
 // Row is one line of a summary.
@@ -173,7 +196,7 @@
 		if final == nil || ln != requestLines[0] {
 			continue
 		}
-		cause := causeOf(final)
+		cause := ls.causeOf(final)
 		rw := rows[cause]
 		if rw == nil {
 			rw = &Row{Cause: cause, Example: id}
--- a/internal/explainer/explainer.go
+++ b/internal/explainer/explainer.go
@@ -41,6 +41,9 @@
 	messageFailed  = "request not answered"
 	messageLate    = "request answered late"
 	messageRefused = "request refused"
+	// messageRestored is the message of a node that learns that the store returned
+	// from an older copy.
+	messageRestored = "store returned from an older copy; its keys are read again"
 	// messageOmitted is the message of a line that counts the lines dropped
 	// before it.
 	messageOmitted = "log lines left out"
@@ -48,6 +51,7 @@
 
 // leadershipMessages holds the messages that say which node may send orders.
 var leadershipMessages = map[string]bool{
+	messageRestored:                true,
 	"node leads":                   true,
 	"node no longer leads":         true,
 	"leader begins to send orders": true,
--- a/internal/explainer/explainer_test.go
+++ b/internal/explainer/explainer_test.go
@@ -78,3 +78,17 @@
 	require.Equal(t, 1, ls.Unparsed())
 	require.Equal(t, []explainer.Row{{Cause: explainer.ServerFailed, Requests: 2, Example: "r"}}, ls.Summary()[:1])
 }
+
+// Requests that no node could order for are put down to a return of the store
+// from an older copy if one came shortly before.
+func TestLackOfLeaderAfterStoreReturnedHasItsOwnCause(t *testing.T) {
+	restored := line(20, "store returned from an older copy; its keys are read again", `"former-era":7,"era":8`)
+	for second, want := range map[int]explainer.Cause{19: explainer.NoLeader, 22: explainer.StoreRestored, 40: explainer.NoLeader} {
+		ls := explainer.NewLogSet()
+		refused := line(second, "request not answered", `"request":"r","reason":"no-worker","detail":"p/m/a1 on w: no-fence: adapter is not ready"`)
+		require.NoError(t, ls.Read("n", strings.NewReader(restored+"\n"+refused+"\n")))
+		found, ok := ls.Cause("r")
+		require.True(t, ok)
+		require.Equal(t, want, found)
+	}
+}
--- a/internal/keyspacerunner/leader.go
+++ b/internal/keyspacerunner/leader.go
@@ -164,7 +164,13 @@
 	}
 	ctx, cancel := context.WithTimeout(ctx, callTimeout)
 	defer cancel()
-	if err := rn.orderRegistrar.Begin(ctx, term); err != nil {
+	var err error
+	if former := rn.registrar.FormerTerm(); former != 0 {
+		err = rn.orderRegistrar.Continue(ctx, former, term)
+	} else {
+		err = rn.orderRegistrar.Begin(ctx, term)
+	}
+	if err != nil {
 		rn.registry.Inc("leader", "not-begun")
 		log.WithError(err).WithField("term", term).Warn("leader cannot read the record of orders; it sends no orders until it can")
 		return false
--- a/internal/keyspacerunner/snapshot.go
+++ b/internal/keyspacerunner/snapshot.go
@@ -77,6 +77,10 @@
 // StoreUp implements replicator.Sink.
 func (cs configSink) StoreUp() {}
 
+// StoreRestored implements replicator.Sink. The configuration stays in force
+// until a higher version is read, since the copy may lack it for a moment.
+func (cs configSink) StoreRestored(int64) {}
+
 // applyEntry puts a configuration in force if it is newer and has no faults.
 func (cs configSink) applyEntry(en storer.Entry) {
 	if en.Key != cs.binding.ConfigKey {
@@ -158,6 +162,14 @@
 	ss.tracker.MarkStoreUp(time.Now())
 }
 
+// StoreRestored implements replicator.Sink.
+func (ss serverSink) StoreRestored(int64) {
+	ss.mu.Lock()
+	defer ss.mu.Unlock()
+	ss.tracker.MarkStoreRestored(time.Now())
+	ss.orderRegistrar.StoreRestored()
+}
+
 // decode decodes a registration. It logs a faulty registration once.
 func (ss serverSink) decode(en storer.Entry) (tracker.Server, bool) {
 	sv, err := ss.binding.DecodeServer(en.Key, en.Value)
--- a/internal/protocol/messenger/feed.go
+++ b/internal/protocol/messenger/feed.go
@@ -6,12 +6,20 @@
 	"github.com/vmihailenco/msgpack/v5"
 )
 
+// FeedPosition is how far a copy of the keys under a prefix goes.
+type FeedPosition struct {
+	// Era is the era of the store, or zero.
+	Era int64
+	// Revision is the revision of the last change; zero means that there is no
+	// copy.
+	Revision int64
+}
+
 // FeedPoll asks a node for the changes of the store's keys that the sender does
 // not have.
 type FeedPoll struct {
-	// Positions are the revisions of the sender's last changes, one a prefix;
-	// zero means that it has no copy.
-	Positions []int64
+	// Positions say how far the sender's copies go, one a prefix.
+	Positions []FeedPosition
 	// Wait is how long the receiver waits for a change before it answers.
 	Wait time.Duration
 }
@@ -21,7 +29,9 @@
 
 // Encode implements Message.
 func (fp *FeedPoll) Encode(en *msgpack.Encoder) error {
-	err := EncodeList(en, fp.Positions, func(en *msgpack.Encoder, ps int64) error { return en.EncodeInt(ps) })
+	err := EncodeList(en, fp.Positions, func(en *msgpack.Encoder, ps FeedPosition) error {
+		return EncodeAll(en, ps.Era, ps.Revision)
+	})
 	if err != nil {
 		return err
 	}
@@ -30,7 +40,11 @@
 
 // Decode implements Message.
 func (fp *FeedPoll) Decode(de *msgpack.Decoder) (err error) {
-	if fp.Positions, err = DecodeList(de, (*msgpack.Decoder).DecodeInt64); err != nil {
+	fp.Positions, err = DecodeList(de, func(de *msgpack.Decoder) (ps FeedPosition, err error) {
+		err = DecodeAll(de, &ps.Era, &ps.Revision)
+		return ps, err
+	})
+	if err != nil {
 		return err
 	}
 	fp.Wait, err = decodeMillis(de)
@@ -66,6 +80,8 @@
 	Whole bool
 	// Changes are in the order of their revisions, unless Whole is set.
 	Changes []FeedChange
+	// Era is the era of the store to which the revisions belong, or zero.
+	Era int64
 	// Revision is the revision of the store up to which no change is missing.
 	Revision int64
 	// Down says that the store does not answer the node that reads it.
@@ -82,7 +98,7 @@
 	if err := EncodeList(en, fp.Changes, func(en *msgpack.Encoder, fc FeedChange) error { return fc.encode(en) }); err != nil {
 		return err
 	}
-	return EncodeAll(en, fp.Revision, fp.Down, fp.Back.Milliseconds())
+	return EncodeAll(en, fp.Era, fp.Revision, fp.Down, fp.Back.Milliseconds())
 }
 
 func decodeFeedPart(de *msgpack.Decoder) (fp FeedPart, err error) {
@@ -92,7 +108,7 @@
 	if fp.Changes, err = DecodeList(de, decodeFeedChange); err != nil {
 		return fp, err
 	}
-	if err = DecodeAll(de, &fp.Revision, &fp.Down); err != nil {
+	if err = DecodeAll(de, &fp.Era, &fp.Revision, &fp.Down); err != nil {
 		return fp, err
 	}
 	fp.Back, err = decodeMillis(de)
--- a/internal/state/replicator/replicator.go
+++ b/internal/state/replicator/replicator.go
@@ -17,6 +17,7 @@
 	"time"
 
 	"github.com/apex/log"
+	"github.com/go-faster/errors"
 
 	"github.com/lagoonpass/lagoonpass/internal/counter"
 	"github.com/lagoonpass/lagoonpass/internal/state/storer"
@@ -43,6 +44,10 @@
 	// StoreDown reports that the store stopped answering. It is called once for
 	// each outage.
 	StoreDown()
+	// StoreRestored reports that the store returned from an older copy and begins
+	// an era. Revisions and leases that were seen before mean nothing any more. A
+	// call of Replace follows.
+	StoreRestored(era int64)
 	// StoreUp reports that the store answers again. Calls of Replace or Apply
 	// follow.
 	StoreUp()
@@ -60,6 +65,7 @@
 	progress func(revision int64)
 
 	revision int64 // revision from which to watch; 0 means reload
+	era      int64 // era of revision; 0 means none
 	failures int   // failed calls in a row
 }
 
@@ -69,9 +75,11 @@
 // WithRegistry makes the replicator count failed and restarted watches in rg.
 func WithRegistry(rg *counter.Registry) Option { return func(rp *Replicator) { rp.registry = rg } }
 
-// WithRevision makes the replicator watch from a revision up to which the sink
-// already has every change.
-func WithRevision(revision int64) Option { return func(rp *Replicator) { rp.revision = revision } }
+// WithRevision makes the replicator watch from a revision of an era up to which
+// the sink already has every change.
+func WithRevision(era, revision int64) Option {
+	return func(rp *Replicator) { rp.era, rp.revision = era, revision }
+}
 
 // WithWait sets the function that returns how long the next watch call waits.
 func WithWait(wait func() time.Duration) Option { return func(rp *Replicator) { rp.wait = wait } }
@@ -115,7 +123,7 @@
 
 // step makes one call to the store and passes the result to the sink.
 func (rp *Replicator) step(ctx context.Context) error {
-	if rp.revision == 0 {
+	if rp.revision == 0 || rp.era != 0 && rp.era != rp.store.Era() {
 		return rp.reload(ctx)
 	}
 	changes, revision, err := rp.store.Watch(ctx, rp.prefix, rp.revision, rp.wait())
@@ -129,6 +137,9 @@
 		return err
 	}
 	rp.recordSuccess()
+	if rp.era == 0 {
+		rp.era = rp.store.Era()
+	}
 	if len(changes) > 0 {
 		rp.sink.Apply(changes)
 	}
@@ -145,10 +156,19 @@
 
 // reload reads all keys and replaces the sink's entries.
 func (rp *Replicator) reload(ctx context.Context) error {
+	begun := rp.store.Era()
 	entries, revision, err := rp.store.Snapshot(ctx, rp.prefix)
 	if err != nil {
 		return err
 	}
+	era := rp.store.Era()
+	if begun != 0 && begun != era {
+		return errors.Wrap(storer.ErrEraChanged, "replicator: reload keys")
+	}
+	if rp.era != 0 && era > rp.era {
+		rp.sink.StoreRestored(era)
+	}
+	rp.era = era
 	rp.recordSuccess()
 	rp.sink.Replace(entries)
 	rp.revision = revision
--- a/internal/state/replicator/replicator_test.go
+++ b/internal/state/replicator/replicator_test.go
@@ -20,6 +20,7 @@
 	replaced int
 	lost     int
 	regained int
+	era      int64
 }
 
 func (rs *recordingSink) Replace(entries []storer.Entry) {
@@ -43,6 +44,8 @@
 func (rs *recordingSink) StoreDown() { rs.lost++ }
 func (rs *recordingSink) StoreUp()   { rs.regained++ }
 
+func (rs *recordingSink) StoreRestored(era int64) { rs.era = era }
+
 // TestReplicatorFollowsChangesAndRecoversFromOutage writes and removes keys,
 // then makes the store unavailable and compacts its history.
 func TestReplicatorFollowsChangesAndRecoversFromOutage(t *testing.T) {
@@ -80,3 +83,32 @@
 		wait()
 	})
 }
+
+// TestReplicatorReloadsAfterStoreReturnedFromOlderCopy has a revision given out
+// again for another key. A watch from there alone would miss that key.
+func TestReplicatorReloadsAfterStoreReturnedFromOlderCopy(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		log.SetLevel(log.FatalLevel)
+		ctx, cancel := context.WithCancel(t.Context())
+		defer cancel()
+		ks, rs := platform.NewKeyspace(), &recordingSink{}
+		ks.SetEra(7)
+		ks.Put("p/a", []byte("1"))
+		ks.Copy()
+		go func() { _ = replicator.New(platform.NewLink(ks), "p/", rs).Run(ctx) }()
+		time.Sleep(5 * time.Second)
+		ks.Put("p/lost", []byte("2"))
+		time.Sleep(5 * time.Second)
+		synctest.Wait()
+		require.Equal(t, map[string]string{"p/a": "1", "p/lost": "2"}, rs.values)
+
+		ks.Restore()
+		ks.Put("p/again", []byte("3")) // the revision of p/lost
+		time.Sleep(5 * time.Second)
+		synctest.Wait()
+		require.Equal(t, map[string]string{"p/a": "1", "p/again": "3"}, rs.values)
+		require.Equal(t, int64(8), rs.era)
+		cancel()
+		time.Sleep(5 * time.Second)
+	})
+}
--- a/internal/state/storer/keyspace.go
+++ b/internal/state/storer/keyspace.go
@@ -20,6 +20,11 @@
 
 // Transaction changes several keys atomically.
 type Transaction struct {
+	// Era is the era of the store in which the premises, that is the expected
+	// revisions and the leases, were read, or 0 if the answers named none. A
+	// transaction of another era than the present one is refused as a Conflict
+	// before it is sent.
+	Era int64
 	// Expected maps keys to their expected revisions; zero means that the key
 	// must not exist.
 	Expected map[string]int64
@@ -58,4 +63,12 @@
 	Renew(ctx context.Context, ls Lease) (time.Duration, error)
 	// Revoke ends the lease and removes the keys attached to it.
 	Revoke(ctx context.Context, ls Lease) error
+	// Era returns the highest era of the store's answers so far, or 0 if the
+	// store has no eras. It rises when the store returned from an older copy:
+	// revisions are given out again, and leases are gone. Calls that were
+	// answered in another era than the one in which they began fail, as Eras
+	// says.
+	Era() int64
+	// NoteEra records an era that another node saw.
+	NoteEra(era int64)
 }
