Let idle models make room for those that are asked for

Cause: a model's last replica was never evicted, in the planner (removable) and in the orderer (last-replicas), however little it was asked for.

Change: with [planning] idle-models-yield, set on the platform, a model without a replica takes the place of one with less than half of its demand, if no spare replica makes room. The orderer leaves last replicas to the plan then.

--- a/internal/coordination/orderer/goal.go
+++ b/internal/coordination/orderer/goal.go
@@ -54,8 +54,11 @@
 	for _, ad := range st.Adapters() {
 		gs.adapterBytes = max(gs.adapterBytes, ad.Memory())
 	}
-	for _, md := range st.Models() {
-		gs.minReplicas[md.Name()] = md.MinReplicas()
+	// Where idle models yield, the plan decides about last replicas as well.
+	if !st.Planning().IdleModelsYield() {
+		for _, md := range st.Models() {
+			gs.minReplicas[md.Name()] = md.MinReplicas()
+		}
 	}
 	return gs
 }
--- a/internal/coordination/planner/even.go
+++ b/internal/coordination/planner/even.go
@@ -21,7 +21,7 @@
 		if !wk.allows(mi, si) || wk.holds(mi, si) {
 			continue
 		}
-		victims, unserved, ok := wk.victims(mi, si)
+		victims, unserved, ok := wk.victims(mi, si, wk.removable)
 		if !ok || unserved > 0 {
 			continue
 		}
--- a/internal/coordination/planner/improve.go
+++ b/internal/coordination/planner/improve.go
@@ -134,7 +134,7 @@
 		if gain <= best.gain {
 			continue
 		}
-		victims, unserved, ok := wk.victims(mi, si)
+		victims, unserved, ok := wk.victims(mi, si, wk.removable)
 		if !ok || gain-unserved <= best.gain {
 			continue
 		}
--- a/internal/coordination/planner/repair.go
+++ b/internal/coordination/planner/repair.go
@@ -3,13 +3,17 @@
 import "sort"
 
 // repair adds the missing replicas of all models, starting with the largest
-// model.
+// model. Models that are asked for and have no replica come first if idle models
+// yield to them.
 func (wk *workspace) repair() {
 	order := make([]int, len(wk.models))
 	for ix := range order {
 		order[ix] = ix
 	}
 	sort.SliceStable(order, func(ix, jx int) bool {
+		if one, two := wk.claim(order[ix]), wk.claim(order[jx]); one != two {
+			return one > two
+		}
 		return wk.models[order[ix]].memory > wk.models[order[jx]].memory
 	})
 	for _, mi := range order {
@@ -22,6 +26,24 @@
 	}
 }
 
+// claim returns the demand of a model without a replica for which idle models
+// yield, or 0.
+func (wk *workspace) claim(mi int) float64 {
+	md := &wk.models[mi]
+	if !wk.idleModelsYield || len(md.replicas) > 0 {
+		return 0
+	}
+	return md.demand
+}
+
+// yields reports whether the replicas of a model make room for another one that
+// has none, also the last replica. The load of more models than fit is thus
+// shared over time.
+func (wk *workspace) yields(mi, other int) bool {
+	md := &wk.models[mi]
+	return yieldRatio*max(md.demand, md.mean) < wk.claim(other)
+}
+
 func (wk *workspace) anyServer(int) bool { return true }
 
 // repairZones adds a replica in another zone if all replicas are in one zone
@@ -51,7 +73,13 @@
 		wk.place(mi, best)
 		return true
 	}
-	return wk.repairByEviction(mi, zones, allowed)
+	if wk.repairByEviction(mi, zones, allowed, wk.removable) {
+		return true
+	}
+	// Last replicas go only if spare ones do not make room.
+	return wk.claim(mi) > 0 && wk.repairByEviction(mi, zones, allowed, func(other, si int) bool {
+		return wk.removable(other, si) || wk.yields(other, mi)
+	})
 }
 
 // rankForRepair ranks a server for a new replica: a zone without a replica
@@ -65,16 +93,17 @@
 	return rank
 }
 
-// repairByEviction places a replica where the evictions leave the least demand
-// unserved. A zone without a replica counts as much as the server's slots.
-func (wk *workspace) repairByEviction(mi int, zones map[string]int, allowed func(si int) bool) bool {
+// repairByEviction places a replica where the evictions of evictable replicas
+// leave the least demand unserved. A zone without a replica counts as much as the
+// server's slots.
+func (wk *workspace) repairByEviction(mi int, zones map[string]int, allowed func(si int) bool, evictable func(mi, si int) bool) bool {
 	best, bestRank := -1, 0.0
 	var bestVictims []int
 	for si := range wk.servers {
 		if !allowed(si) || !wk.allows(mi, si) || wk.holds(mi, si) {
 			continue
 		}
-		victims, unserved, ok := wk.victims(mi, si)
+		victims, unserved, ok := wk.victims(mi, si, evictable)
 		if !ok {
 			continue
 		}
@@ -103,7 +132,7 @@
 // victims returns the models whose replicas on a server can be evicted to make
 // room for a model, by ascending demandAfterRemoval, and the demand that the
 // evictions leave unserved. It reports whether they free enough memory.
-func (wk *workspace) victims(mi, si int) (victims []int, unserved float64, ok bool) {
+func (wk *workspace) victims(mi, si int, evictable func(mi, si int) bool) (victims []int, unserved float64, ok bool) {
 	sv := &wk.servers[si]
 	missing := wk.models[mi].memory - sv.free
 	if missing <= 0 {
@@ -111,7 +140,7 @@
 	}
 	options := make([]int, 0, len(sv.models))
 	for _, other := range sv.models {
-		if wk.removable(other, si) {
+		if evictable(other, si) {
 			options = append(options, other)
 		}
 	}
--- a/internal/coordination/planner/work.go
+++ b/internal/coordination/planner/work.go
@@ -19,6 +19,10 @@
 	// minPressure is a lower bound in the adjustment of flows, so that an idle
 	// server does not attract a whole flow at once.
 	minPressure = 0.05
+	// yieldRatio is how many times the demand of a model with a replica a model
+	// without one must have to take its place. Both wait for a load if models
+	// take turns too often.
+	yieldRatio = 2
 )
 
 // workspace is a plan during a planning pass. Models and servers are identified
@@ -31,6 +35,9 @@
 	weights weights
 	// spareWhenIdle is set if models without demand keep their spare replicas.
 	spareWhenIdle bool
+	// idleModelsYield is set if the last replica of a model may be evicted for a
+	// model without one.
+	idleModelsYield bool
 	// serving is Input.Serving.
 	serving func(model, server string) bool
 }
@@ -87,10 +94,11 @@
 func newWorkspace(in Input, demand Demand) *workspace {
 	pn := in.Settings.Planning()
 	wk := &workspace{
-		byName:        map[string]int{},
-		weights:       weights{move: pn.MoveWeight(), attainment: pn.AttainmentWeight(), exchangeThreshold: pn.ExchangeThreshold()},
-		spareWhenIdle: pn.SpareWhenIdle(),
-		serving:       in.Serving,
+		byName:          map[string]int{},
+		weights:         weights{move: pn.MoveWeight(), attainment: pn.AttainmentWeight(), exchangeThreshold: pn.ExchangeThreshold()},
+		spareWhenIdle:   pn.SpareWhenIdle(),
+		idleModelsYield: pn.IdleModelsYield(),
+		serving:         in.Serving,
 	}
 	wk.addServers(in)
 	wk.addModels(in, demand)
--- a/internal/state/configurer/domain.go
+++ b/internal/state/configurer/domain.go
@@ -429,6 +429,7 @@
 	meanSmoothing     time.Duration
 	spareReplicas     int
 	spareWhenIdle     bool
+	idleModelsYield   bool
 	exchangeThreshold float64
 }
 
@@ -446,6 +447,10 @@
 // first.
 func (pl *Planning) SpareReplicas() int { return pl.spareReplicas }
 
+// IdleModelsYield reports whether the last replica of a model may be evicted for
+// a model without a replica that has clearly more demand.
+func (pl *Planning) IdleModelsYield() bool { return pl.idleModelsYield }
+
 // SpareWhenIdle reports whether models without demand keep their spare
 // replicas.
 func (pl *Planning) SpareWhenIdle() bool { return pl.spareWhenIdle }
