Keep changes of a former era out of a copy of the next

A watch was answered in one era, and before its changes were applied the copy of the next era came in from a peer; the changes were then applied to that one, and its revision was raised to one of the former era.

Change: what a replicator reads carries its era, and the feed takes it only in that era. Test: TestChangesOfFormerEraAreNotApplied.

--- a/internal/coordination/relayer/feed.go
+++ b/internal/coordination/relayer/feed.go
@@ -55,6 +55,46 @@
 	backAt time.Duration
 }
 
+// reader is the sink of one replicator, which may still be in a former era when
+// the copy has come from a peer in the next one. It must be used by one goroutine
+// only.
+type reader struct {
+	*feed
+	// era is the era of what the replicator reads; zero means not known.
+	era int64
+}
+
+// currentOrdered reports whether the copy is of the reader's era. Its caller holds
+// order.
+func (rd *reader) currentOrdered() bool {
+	era, _, _ := rd.positions()
+	return era == 0 || rd.era == 0 || era == rd.era
+}
+
+// Replace implements replicator.Sink.
+func (rd *reader) Replace(entries []storer.Entry) {
+	rd.order.Lock()
+	defer rd.order.Unlock()
+	if rd.currentOrdered() {
+		rd.replaceOrdered(entries)
+	}
+}
+
+// Apply implements replicator.Sink.
+func (rd *reader) Apply(changes []storer.Change) {
+	rd.order.Lock()
+	defer rd.order.Unlock()
+	if rd.currentOrdered() {
+		rd.applyOrdered(changes)
+	}
+}
+
+// StoreRestored implements replicator.Sink.
+func (rd *reader) StoreRestored(era int64) {
+	rd.era = era
+	rd.feed.StoreRestored(era)
+}
+
 // Replace implements replicator.Sink.
 func (fd *feed) Replace(entries []storer.Entry) {
 	fd.order.Lock()
--- a/internal/coordination/relayer/relayer.go
+++ b/internal/coordination/relayer/relayer.go
@@ -558,12 +558,13 @@
 	}
 	for _, fd := range rl.feeds[started:max(started, wanted)] {
 		era, _, revision := fd.positions()
-		rp := replicator.New(rl.store, fd.prefix, fd,
+		rd := &reader{feed: fd, era: era}
+		rp := replicator.New(rl.store, fd.prefix, rd,
 			replicator.WithRegistry(rl.registry),
 			replicator.WithRevision(era, revision),
 			replicator.WithPause(fd.pause),
 			replicator.WithWait(rl.watchWait),
-			replicator.WithProgress(func(revision int64) { rl.progress(fd, revision) }))
+			replicator.WithProgress(func(revision int64) { rl.progress(rd, revision) }))
 		readers.Go(func() { _ = rp.Run(ctx) })
 	}
 	return max(started, wanted)
@@ -578,9 +579,12 @@
 }
 
 // progress records an answer of the store.
-func (rl *Relayer) progress(fd *feed, revision int64) {
-	fd.advance(rl.store.Era(), revision)
-	fd.StoreUp()
+func (rl *Relayer) progress(rd *reader, revision int64) {
+	if rd.era == 0 {
+		rd.era = rl.store.Era()
+	}
+	rd.advance(rd.era, revision)
+	rd.StoreUp()
 	rl.settle("", 0)
 	rl.mu.Lock()
 	rl.reachedAt = rl.clock()
