--- /dev/null
+++ b/internal/coordination/relayer/answer.go
@@ -0,0 +1,56 @@
+package relayer
+
+import (
+	"context"
+
+	"github.com/go-faster/errors"
+
+	"github.com/lagoonpass/lagoonpass/internal/protocol/messenger"
+)
+
+// Answer returns the changes that a peer lacks. If there are none, it waits for
+// one, at most for the time that the poll says.
+func (rl *Relayer) Answer(ctx context.Context, fp *messenger.FeedPoll) (*messenger.FeedPage, error) {
+	ctx, cancel := context.WithTimeout(ctx, min(fp.Wait, pollTimeout))
+	defer cancel()
+	for {
+		rl.mu.Lock()
+		changed := rl.changed
+		rl.mu.Unlock()
+		page, news, err := rl.page(fp)
+		if err != nil || news {
+			return page, err
+		}
+		select {
+		case <-changed:
+		case <-ctx.Done():
+			page, _, err = rl.page(fp)
+			return page, err
+		}
+	}
+}
+
+// page returns the answer to a poll, and whether it has changes.
+func (rl *Relayer) page(fp *messenger.FeedPoll) (*messenger.FeedPage, bool, error) {
+	if len(fp.Positions) != len(rl.feeds) {
+		return nil, false, errors.Errorf("relayer: poll has %d positions, not %d", len(fp.Positions), len(rl.feeds))
+	}
+	page, news := &messenger.FeedPage{Age: rl.Age()}, false
+	for ix, fd := range rl.feeds {
+		pt, ok := fd.part(fp.Positions[ix])
+		if !ok || ix == 0 && pt.Revision == 0 {
+			return nil, false, ErrNoCopy
+		}
+		news = news || pt.Whole || len(pt.Changes) > 0
+		page.Parts = append(page.Parts, pt)
+	}
+	return page, news, nil
+}
+
+// announce wakes the polls of other nodes.
+func (rl *Relayer) announce() {
+	rl.mu.Lock()
+	defer rl.mu.Unlock()
+	close(rl.changed)
+	rl.changed = make(chan struct{})
+}
--- a/internal/coordination/relayer/relayer_test.go
+++ b/internal/coordination/relayer/relayer_test.go
@@ -32,8 +32,10 @@
 	eras   storer.Eras
 	calls  *atomic.Int64
 	called atomic.Bool
-	cut    atomic.Bool
-	silent atomic.Bool
+	// silenced counts how often the open connections went silent.
+	silenced atomic.Int64
+	cut      atomic.Bool
+	silent   atomic.Bool
 }
 
 func (gt *gate) pass(ctx context.Context) error {
@@ -76,10 +78,10 @@
 	if err := gt.pass(ctx); err != nil {
 		return nil, 0, err
 	}
-	deadline, begun := time.Now().Add(wait), gt.Era()
+	deadline, begun, silenced := time.Now().Add(wait), gt.Era(), gt.silenced.Load()
 	for {
 		changes, revision, err := gt.Keyspace.Watch(ctx, prefix, after, 0)
-		if gt.silent.Load() {
+		if gt.silent.Load() || gt.silenced.Load() != silenced {
 			<-ctx.Done()
 			return nil, 0, &storer.Error{Kind: storer.Unavailable, Cause: ctx.Err()}
 		}
@@ -627,3 +629,21 @@
 		})
 	}
 }
+
+// The reader's open watches go silent for good, while new calls of the store work,
+// its renewals among them. A machine is held to its bounds 3 s after that at the
+// earliest.
+func TestSilentWatchIsNoticedBeforeBoundsApply(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		fl := newFleet(t, 6)
+		defer fl.end()
+		fl.settle(t)
+		for range 5 {
+			fl.store.Put("s/w", []byte("ready"))
+			time.Sleep(700 * time.Millisecond)
+			fl.nodes[0].gate.silenced.Add(1)
+			fl.store.Put("s/w", []byte("leaving"))
+			fl.await(t, 3*time.Second, "s/w", "leaving")
+		}
+	})
+}
