Show a node's own readiness in its view at once

Cause: platform/launcher TestTwoNodesServeRequestsUntilPlannedStop failed in 4 of 27 plays beside other work ("both nodes are named", first at 06:24, its output not kept; then traced). A node's view was built anew only with the next changes of the store, which are taken together for 300 ms: a node that was ready named no addresses to callers until then (503). The test took an empty body for a failure and stopped asking.

Test: TestOwnReadinessIsInTheViewAtOnce, which fails without the change. feed.Apply, which nobody called, is gone.

--- a/internal/coordination/registrar/registrar.go
+++ b/internal/coordination/registrar/registrar.go
@@ -377,6 +377,8 @@
 	if same {
 		return true
 	}
+	// Whoever asks this node for addresses need not wait for the store.
+	rg.rebuildView()
 	if early {
 		return false
 	}
--- a/internal/coordination/registrar/registrar_test.go
+++ b/internal/coordination/registrar/registrar_test.go
@@ -384,3 +384,31 @@
 		require.Len(t, fl.leaders(), 1)
 	})
 }
+
+// TestOwnReadinessIsInTheViewAtOnce has a node become ready while its store is cut
+// off. Its view, from which it names addresses to callers, must not wait for the
+// store.
+func TestOwnReadinessIsInTheViewAtOnce(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		log.SetLevel(log.FatalLevel)
+		link := platform.NewLink(platform.NewKeyspace())
+		var ready atomic.Bool
+		presence := func() messenger.Presence {
+			return messenger.Presence{ID: "n", PeerAddress: "n:1", CallerAddress: "n:2", Zone: "z"}
+		}
+		rg := registrar.New(link, "p/", presence, registrar.WithReady(ready.Load))
+		ctx, cancel := context.WithCancel(t.Context())
+		var done sync.WaitGroup
+		done.Go(func() { _ = rg.Run(ctx) })
+		time.Sleep(5 * time.Second)
+		link.SetCut(true)
+		ready.Store(true)
+		rg.Notify()
+		time.Sleep(10 * time.Millisecond)
+		mb, ok := rg.View().Member("n")
+		require.True(t, ok)
+		require.Equal(t, prober.Alive, mb.State)
+		cancel()
+		done.Wait()
+	})
+}
--- a/internal/coordination/relayer/feed.go
+++ b/internal/coordination/relayer/feed.go
@@ -114,14 +114,8 @@
 	fd.sink.Replace(entries)
 }
 
-// Apply implements replicator.Sink. It skips changes that the copy already has.
-func (fd *feed) Apply(changes []storer.Change) {
-	fd.order.Lock()
-	defer fd.order.Unlock()
-	fd.applyOrdered(changes)
-}
-
-// applyOrdered is Apply for callers that hold order.
+// applyOrdered applies the changes that the copy does not have yet. Its caller
+// holds order.
 func (fd *feed) applyOrdered(changes []storer.Change) {
 	fd.mu.Lock()
 	fresh := make([]storer.Change, 0, len(changes))
