Read large values from the store on each node

Change: values over 32 KiB are named in a page and read from the store; a node that starts beside others lists all prefixes itself. A poll tells the highest revision of a key that its sender has seen, besides that of its last list, so that such a node can follow a source at once. Tests: TestLargeValuesAreReadFromTheStore, TestNodeThatStartsFollowsAtOnce.

--- a/internal/coordination/relayer/answer.go
+++ b/internal/coordination/relayer/answer.go
@@ -41,12 +41,25 @@
 		if !ok || ix == 0 && pt.Revision == 0 {
 			return nil, false, ErrNoCopy
 		}
+		if !fp.Inline {
+			omitLargeValues(pt.Changes)
+		}
 		news = news || pt.Whole || len(pt.Changes) > 0
 		page.Parts = append(page.Parts, pt)
 	}
 	return page, news, nil
 }
 
+// omitLargeValues removes values that all followers at once would wait for, over
+// the link of one machine. The store has a faster one.
+func omitLargeValues(changes []messenger.FeedChange) {
+	for ix := range changes {
+		if len(changes[ix].Value) > maxInlineBytes {
+			changes[ix].Value, changes[ix].Omitted = nil, true
+		}
+	}
+}
+
 // announce wakes the polls of other nodes.
 func (rl *Relayer) announce() {
 	rl.mu.Lock()
--- a/internal/coordination/relayer/ask.go
+++ b/internal/coordination/relayer/ask.go
@@ -68,15 +68,14 @@
 		limit = maxAge
 	}
 	rl.mu.Lock()
-	present := rl.source == address
+	present, inline := rl.source == address, rl.clock() < rl.inlineUntil
 	rl.mu.Unlock()
-	call, timeout := &messenger.FeedPoll{}, probeTimeout
+	call, timeout := &messenger.FeedPoll{Inline: inline}, probeTimeout
 	if present {
 		call.Wait, timeout = pollWait, pollTimeout
 	}
 	for _, fd := range rl.feeds {
-		era, position, _ := fd.positions()
-		call.Positions = append(call.Positions, messenger.FeedPosition{Era: era, Revision: position})
+		call.Positions = append(call.Positions, fd.messagePosition())
 	}
 	ctx, cancel := context.WithTimeout(ctx, timeout)
 	defer cancel()
@@ -91,6 +90,9 @@
 		}
 		return false
 	}
+	if !rl.readOmitted(ctx, page) {
+		return false
+	}
 	// A copy that is too old may still have changes that this one lacks.
 	for ix, fd := range rl.feeds {
 		if page.Age <= limit || !page.Parts[ix].Down {
@@ -111,6 +113,31 @@
 	return true
 }
 
+// readOmitted reads the values that a page lacks from the store. It reports false
+// if the store does not answer; the values are then asked for inline for a while.
+func (rl *Relayer) readOmitted(ctx context.Context, page *messenger.FeedPage) bool {
+	for _, pt := range page.Parts {
+		for ix := range pt.Changes {
+			fc := &pt.Changes[ix]
+			if !fc.Omitted {
+				continue
+			}
+			en, err := rl.store.Get(ctx, fc.Key)
+			if err != nil || en.Revision < fc.Revision || pt.Era != rl.store.Era() {
+				rl.registry.Inc("feed", "value-unread")
+				rl.mu.Lock()
+				rl.inlineUntil = rl.clock() + inlineTime
+				rl.mu.Unlock()
+				return false
+			}
+			// The value may be a later one. The revision stays that of the page, whose
+			// other changes do not go further.
+			fc.Value = en.Value
+		}
+	}
+	return true
+}
+
 func anyChange(page *messenger.FeedPage) bool {
 	for _, pt := range page.Parts {
 		if len(pt.Changes) > 0 {
--- a/internal/coordination/relayer/feed.go
+++ b/internal/coordination/relayer/feed.go
@@ -45,6 +45,8 @@
 	// position is the revision of the last change, or of the last list of all
 	// keys; zero means no copy.
 	position int64
+	// seen is the highest revision of a change or of a key in a list.
+	seen int64
 	// listed says that the revision of the last list is not known yet.
 	listed bool
 	// revision is the revision of the store up to which no change is missing.
@@ -108,6 +110,7 @@
 	fd.entries = make(map[string]storer.Entry, len(entries))
 	for _, en := range entries {
 		fd.entries[en.Key] = en
+		fd.seen = max(fd.seen, en.Revision)
 	}
 	fd.log, fd.logBytes, fd.listed = nil, 0, true
 	fd.mu.Unlock()
@@ -120,7 +123,7 @@
 	fd.mu.Lock()
 	fresh := make([]storer.Change, 0, len(changes))
 	for _, ch := range changes {
-		fd.position = max(fd.position, ch.Revision)
+		fd.position, fd.seen = max(fd.position, ch.Revision), max(fd.seen, ch.Revision)
 		known, ok := fd.entries[ch.Key]
 		if ok && known.Revision >= ch.Revision || !ok && ch.Deleted {
 			continue
@@ -198,7 +201,7 @@
 		fd.mu.Unlock()
 		return
 	}
-	fd.era, fd.position, fd.revision = era, 0, 0
+	fd.era, fd.position, fd.revision, fd.seen = era, 0, 0, 0
 	fd.log, fd.logBytes, fd.logStart = nil, 0, 0
 	fd.backAt = fd.clock()
 	fd.mu.Unlock()
@@ -226,6 +229,13 @@
 	}
 }
 
+// messagePosition returns how far the copy goes.
+func (fd *feed) messagePosition() messenger.FeedPosition {
+	fd.mu.Lock()
+	defer fd.mu.Unlock()
+	return messenger.FeedPosition{Era: fd.era, Revision: fd.position, Seen: fd.seen}
+}
+
 // positions returns the era, the revision of the last change, and the revision up
 // to which no change is missing.
 func (fd *feed) positions() (era, position, revision int64) {
@@ -240,12 +250,12 @@
 func (fd *feed) part(ps messenger.FeedPosition) (messenger.FeedPart, bool) {
 	fd.mu.Lock()
 	defer fd.mu.Unlock()
-	position := ps.Revision
+	position, seen := ps.Revision, ps.Seen
 	if ps.Era < fd.era {
 		// The sender's copy is of a former era.
-		position = 0
+		position, seen = 0, 0
 	}
-	if ps.Era > fd.era || fd.position == 0 || fd.listed || position > fd.revision {
+	if ps.Era > fd.era || fd.position == 0 || fd.listed || seen > fd.revision {
 		return messenger.FeedPart{}, ps.Revision == 0
 	}
 	pt := messenger.FeedPart{Era: fd.era, Revision: fd.revision, Down: fd.down}
--- a/internal/coordination/relayer/relayer.go
+++ b/internal/coordination/relayer/relayer.go
@@ -71,6 +71,12 @@
 	// reviewInterval is the time between two looks at whether a node should read
 	// the store.
 	reviewInterval = 250 * time.Millisecond
+	// maxInlineBytes is the size of the largest value that is passed on. Others are
+	// read from the store by each node.
+	maxInlineBytes = 32 << 10
+	// inlineTime is how long a node that does not reach the store asks for large
+	// values inline.
+	inlineTime = 5 * time.Second
 	// readerWait is how long a watch waits at the node whose age is confirmed by
 	// other calls, and deputyWait at one without such calls. A connection that has
 	// gone silent shows only after that time.
@@ -141,6 +147,8 @@
 	// nextAttempt is when the next one is due.
 	storeFailures int
 	nextAttempt   time.Duration
+	// inlineUntil is until when large values are asked for inline.
+	inlineUntil time.Duration
 	// staleSince is since when no source has had a current copy; zero means that
 	// one has.
 	staleSince time.Duration
@@ -220,6 +228,7 @@
 	if err == nil {
 		fd.Replace(entries)
 		fd.advance(rl.store.Era(), revision)
+		rl.readRest(ctx)
 		// The node is no source for others: it does not follow the store yet.
 		rl.mu.Lock()
 		defer rl.mu.Unlock()
@@ -235,6 +244,24 @@
 	return false
 }
 
+// readRest reads the keys under the other prefixes, unless the node knows no
+// other one. After the loss of all nodes, one of them would take long to pass
+// all keys on to the others. What can't be read now follows from a peer.
+func (rl *Relayer) readRest(ctx context.Context) {
+	if len(rl.view().Members()) == 1 {
+		return
+	}
+	for _, fd := range rl.feeds[1:] {
+		begun := rl.store.Era()
+		entries, revision, err := rl.store.Snapshot(ctx, fd.prefix)
+		if err != nil || begun != rl.store.Era() {
+			return
+		}
+		fd.Replace(entries)
+		fd.advance(begun, revision)
+	}
+}
+
 // Age returns how old the node's copy may be.
 func (rl *Relayer) Age() time.Duration {
 	rl.mu.Lock()
--- a/internal/coordination/relayer/relayer_test.go
+++ b/internal/coordination/relayer/relayer_test.go
@@ -57,6 +57,19 @@
 // NoteEra implements storer.Keyspace.
 func (gt *gate) NoteEra(era int64) { gt.eras.NoteEra(era) }
 
+// Get implements storer.Store.
+func (gt *gate) Get(ctx context.Context, key string) (storer.Entry, error) {
+	if err := gt.pass(ctx); err != nil {
+		return storer.Entry{}, err
+	}
+	begun := gt.Era()
+	en, err := gt.Keyspace.Get(ctx, key)
+	if storer.Is(err, storer.Unavailable) {
+		return en, err
+	}
+	return en, gt.eras.Judge("get", key, storer.Lookup, begun, gt.Keyspace.Era(), err)
+}
+
 // Snapshot implements storer.Keyspace.
 func (gt *gate) Snapshot(ctx context.Context, prefix string) ([]storer.Entry, int64, error) {
 	if err := gt.pass(ctx); err != nil {
@@ -188,6 +201,9 @@
 		return nil, &messenger.Error{Failure: messenger.Lost, Address: address, Cause: ctx.Err()}
 	}
 	page, err := other.Answer(ctx, call.(*messenger.FeedPoll))
+	if err == nil {
+		nd.fleet.relayed.Add(int64(messenger.FrameBytes(page)))
+	}
 	if nd.mute.Load() || other.mute.Load() {
 		<-ctx.Done()
 		return nil, &messenger.Error{Failure: messenger.Lost, Address: address, Cause: ctx.Err()}
@@ -210,6 +226,7 @@
 type fleet struct {
 	store     *platform.Keyspace
 	calls     atomic.Int64
+	relayed   atomic.Int64 // bytes of answers between nodes
 	nodes     []*node
 	byAddress sync.Map // of *node
 	leader    atomic.Pointer[string]
@@ -647,3 +664,44 @@
 		}
 	})
 }
+
+// A large value is not passed on by the one node that all others ask, whose link
+// it would fill for seconds. A node that is cut off from the store gets it all the
+// same.
+func TestLargeValuesAreReadFromTheStore(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		fl := newFleet(t, 30)
+		defer fl.end()
+		fl.settle(t)
+		fl.nodes[7].gate.cut.Store(true)
+		before := fl.relayed.Load()
+		large := string(make([]byte, 200<<10))
+		fl.store.Put("s/large", []byte(large))
+		fl.await(t, drainBound, "s/large", large)
+		require.Less(t, fl.relayed.Load()-before, int64(3*len(large)))
+		fl.store.Remove("s/large")
+		fl.await(t, drainBound, "s/large", "")
+	})
+}
+
+// The revision of a list counts the changes of all keys of the store. A node that
+// has just listed must be able to follow one that has not heard of the store since
+// an earlier revision and lacks nothing.
+func TestNodeThatStartsFollowsAtOnce(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		fl := newFleet(t, 9)
+		defer fl.end()
+		fl.settle(t)
+		fl.nodes[8].stop()
+		for range 20 {
+			fl.store.Put("other/key", []byte("x"))
+		}
+		before := fl.calls.Load()
+		fl.nodes[8] = fl.run(t, fl.members[8])
+		time.Sleep(time.Second)
+		fl.store.Put("s/w", []byte("leaving"))
+		fl.await(t, drainBound, "s/w", "leaving")
+		// Two lists, and what the reader asks for in two or three seconds.
+		require.LessOrEqual(t, fl.calls.Load()-before, int64(2+2*3))
+	})
+}
--- a/internal/protocol/messenger/feed.go
+++ b/internal/protocol/messenger/feed.go
@@ -10,9 +10,12 @@
 type FeedPosition struct {
 	// Era is the era of the store, or zero.
 	Era int64
-	// Revision is the revision of the last change; zero means that there is no
-	// copy.
+	// Revision is the revision of the last change or list of all keys; zero means
+	// that there is no copy.
 	Revision int64
+	// Seen is the highest revision of a key in the copy. It is lower than that of a
+	// list if other keys changed last.
+	Seen int64
 }
 
 // FeedPoll asks a node for the changes of the store's keys that the sender does
@@ -22,6 +25,9 @@
 	Positions []FeedPosition
 	// Wait is how long the receiver waits for a change before it answers.
 	Wait time.Duration
+	// Inline asks for large values as well, because the sender does not reach the
+	// store.
+	Inline bool
 }
 
 // Kind implements Message.
@@ -30,25 +36,27 @@
 // Encode implements Message.
 func (fp *FeedPoll) Encode(en *msgpack.Encoder) error {
 	err := EncodeList(en, fp.Positions, func(en *msgpack.Encoder, ps FeedPosition) error {
-		return EncodeAll(en, ps.Era, ps.Revision)
+		return EncodeAll(en, ps.Era, ps.Revision, ps.Seen)
 	})
 	if err != nil {
 		return err
 	}
-	return EncodeAll(en, fp.Wait.Milliseconds())
+	return EncodeAll(en, fp.Wait.Milliseconds(), fp.Inline)
 }
 
 // Decode implements Message.
 func (fp *FeedPoll) Decode(de *msgpack.Decoder) (err error) {
 	fp.Positions, err = DecodeList(de, func(de *msgpack.Decoder) (ps FeedPosition, err error) {
-		err = DecodeAll(de, &ps.Era, &ps.Revision)
+		err = DecodeAll(de, &ps.Era, &ps.Revision, &ps.Seen)
 		return ps, err
 	})
 	if err != nil {
 		return err
 	}
-	fp.Wait, err = decodeMillis(de)
-	return err
+	if fp.Wait, err = decodeMillis(de); err != nil {
+		return err
+	}
+	return DecodeAll(de, &fp.Inline)
 }
 
 // FeedChange is a key that was written or removed.
@@ -63,14 +71,16 @@
 	Lease int64
 	// Deleted says that the key was removed.
 	Deleted bool
+	// Omitted says that the value is large and has to be read from the store.
+	Omitted bool
 }
 
 func (fc FeedChange) encode(en *msgpack.Encoder) error {
-	return EncodeAll(en, fc.Key, fc.Value, fc.Revision, fc.Lease, fc.Deleted)
+	return EncodeAll(en, fc.Key, fc.Value, fc.Revision, fc.Lease, fc.Deleted, fc.Omitted)
 }
 
 func decodeFeedChange(de *msgpack.Decoder) (fc FeedChange, err error) {
-	err = DecodeAll(de, &fc.Key, &fc.Value, &fc.Revision, &fc.Lease, &fc.Deleted)
+	err = DecodeAll(de, &fc.Key, &fc.Value, &fc.Revision, &fc.Lease, &fc.Deleted, &fc.Omitted)
 	return fc, err
 }
 
--- a/internal/protocol/messenger/messenger_test.go
+++ b/internal/protocol/messenger/messenger_test.go
@@ -39,10 +39,10 @@
 		&DemandReceived{Epoch: 2, Number: 7},
 		&PlanFetch{Epoch: 2, Number: 7},
 		&PlanFetched{Record: []byte("r")},
-		&FeedPoll{Positions: []FeedPosition{{Era: 2, Revision: 4}, {}}, Wait: 200 * time.Millisecond},
+		&FeedPoll{Positions: []FeedPosition{{Era: 2, Revision: 4, Seen: 3}, {}}, Wait: 200 * time.Millisecond, Inline: true},
 		&FeedPage{Age: 30 * time.Millisecond, Parts: []FeedPart{
 			{Whole: true, Changes: []FeedChange{{Key: "k", Value: []byte("v"), Revision: 4, Lease: 9}}, Era: 2, Revision: 7},
-			{Changes: []FeedChange{{Key: "k", Value: []byte{}, Revision: 6, Deleted: true}}, Down: true, Back: time.Second},
+			{Changes: []FeedChange{{Key: "k", Value: []byte{}, Revision: 6, Deleted: true}, {Key: "l", Value: []byte{}, Revision: 7, Omitted: true}}, Down: true, Back: time.Second},
 		}},
 		&Check{},
 		&Checked{Node: "n1"},
