--- a/internal/coordination/relayer/ask.go
+++ b/internal/coordination/relayer/ask.go
@@ -77,9 +77,9 @@
 	for _, fd := range rl.feeds {
 		call.Positions = append(call.Positions, fd.messagePosition())
 	}
-	ctx, cancel := context.WithTimeout(ctx, timeout)
+	callCtx, cancel := context.WithTimeout(ctx, timeout)
 	defer cancel()
-	answer, err := rl.caller.Call(ctx, address, call)
+	answer, err := rl.caller.Call(callCtx, address, call)
 	page, ok := answer.(*messenger.FeedPage)
 	if err != nil || !ok || len(page.Parts) != len(rl.feeds) {
 		rl.registry.Inc("feed", "unanswered")
@@ -90,8 +90,9 @@
 		}
 		return false
 	}
-	if !rl.readOmitted(ctx, page) {
-		return false
+	if !rl.readOmitted(callCtx, page) {
+		// One peer is enough to ask for large values inline.
+		return !call.Inline && rl.poll(ctx, mb)
 	}
 	// A copy that is too old may still have changes that this one lacks.
 	for ix, fd := range rl.feeds {
