--- a/internal/coordination/dispatcher/dispatcher.go
+++ b/internal/coordination/dispatcher/dispatcher.go
@@ -30,6 +30,7 @@
 	"github.com/lagoonpass/lagoonpass/internal/coordination/admitter"
 	"github.com/lagoonpass/lagoonpass/internal/coordination/ejector"
 	"github.com/lagoonpass/lagoonpass/internal/coordination/retrier"
+	"github.com/lagoonpass/lagoonpass/internal/coordination/tallier"
 	"github.com/lagoonpass/lagoonpass/internal/counter"
 	"github.com/lagoonpass/lagoonpass/internal/state/configurer"
 	"github.com/lagoonpass/lagoonpass/internal/transport/forwarder"
@@ -94,6 +95,8 @@
 	budget    *retrier.Budget
 	// shared is the retry budget of all nodes, or nil if only budget applies.
 	shared *retrier.SharedBudget
+	// tally counts the results of proxied requests by model and adapter.
+	tally *tallier.Tally
 	// suspects are the requests that crashed engines.
 	suspects *retrier.Suspects
 	// buffered is the number of answer bytes that callers have not read.
@@ -112,6 +115,10 @@
 // WithEjector makes the dispatcher report the result of each attempt to ej.
 func WithEjector(ej *ejector.Ejector) Option { return func(ds *Dispatcher) { ds.ejector = ej } }
 
+// WithTally makes the dispatcher count the results of proxied requests by model
+// and adapter.
+func WithTally(tl *tallier.Tally) Option { return func(ds *Dispatcher) { ds.tally = tl } }
+
 // WithRandom sets the source of the backoff jitter.
 func WithRandom(random *rand.Rand) Option { return func(ds *Dispatcher) { ds.random = random } }
 
--- a/internal/coordination/dispatcher/proxy.go
+++ b/internal/coordination/dispatcher/proxy.go
@@ -361,6 +361,15 @@
 	pe.ds.registry.Inc("class", pe.ticket.Class.Name(), what, reason)
 }
 
+// subject returns the name of the request's adapter, which begins with that of
+// its model, or of the model if it needs no adapter.
+func (pe *proxyExecution) subject() string {
+	if ad := pe.ticket.Adapter; ad != nil {
+		return ad.Name()
+	}
+	return pe.ticket.Model.Name()
+}
+
 // logEnd logs a refusal, or calls logAnswer if there is none.
 func (pe *proxyExecution) logEnd(rf *refuser.Refusal) {
 	line := log.WithFields(log.Fields{
@@ -371,10 +380,15 @@
 		"queued-ms": pe.queued.Milliseconds(),
 		"total-ms":  time.Since(pe.began).Milliseconds(),
 	})
+	if ad := pe.ticket.Adapter; ad != nil {
+		line = line.WithField("adapter", ad.Name())
+	}
 	if rf == nil {
+		pe.ds.tally.Answered(pe.subject())
 		pe.logAnswer(line)
 		return
 	}
+	pe.ds.tally.Unanswered(pe.subject(), string(rf.Reason()))
 	pe.count("refusal", string(rf.Reason()))
 	line.WithFields(log.Fields{
 		"reason":  string(rf.Reason()),
--- a/internal/coordination/planner/even.go
+++ b/internal/coordination/planner/even.go
@@ -32,8 +32,7 @@
 	if best.server < 0 {
 		return 0
 	}
-	wk.evict(best.victims, best.server)
-	wk.place(mi, best.server)
+	wk.addReplica(mi, best.server, ReasonEven, best.victims)
 	return 1
 }
 
--- a/internal/coordination/planner/improve.go
+++ b/internal/coordination/planner/improve.go
@@ -147,12 +147,12 @@
 // half of minGain. It reports whether the move was kept.
 func (wk *workspace) tryMove(mv move) bool {
 	before := wk.servedTotal()
-	wk.evict(mv.victims, mv.server)
-	wk.place(mv.model, mv.server)
+	wk.addReplica(mv.model, mv.server, ReasonDemand, mv.victims)
 	wk.balance()
 	if gain := wk.servedTotal() - before; gain > 0 && gain >= wk.minGain()/2 {
 		return true
 	}
+	wk.changes = wk.changes[:len(wk.changes)-1]
 	wk.remove(mv.model, mv.server)
 	for _, victim := range mv.victims {
 		wk.place(victim, mv.server)
--- a/internal/coordination/planner/planner.go
+++ b/internal/coordination/planner/planner.go
@@ -74,6 +74,8 @@
 	// before one is made, and consecutivePasses counts them.
 	requiredPasses    int
 	consecutivePasses int
+	// changes are those of the last pass.
+	changes []Change
 }
 
 // New returns a planner with the weights of the settings.
@@ -109,6 +111,7 @@
 		moves = wk.exchange()
 	}
 	pl.budget.record(moves, in.Now)
+	pl.changes = wk.changes
 	return wk.plan()
 }
 
--- a/internal/coordination/planner/repair.go
+++ b/internal/coordination/planner/repair.go
@@ -18,7 +18,11 @@
 	})
 	for _, mi := range order {
 		for len(wk.models[mi].replicas) < wk.models[mi].minReplicas {
-			if !wk.repairOne(mi, wk.anyServer) {
+			reason := ReasonSpare
+			if len(wk.models[mi].replicas) < wk.models[mi].serving {
+				reason = ReasonMissing
+			}
+			if !wk.repairOne(mi, reason, wk.anyServer) {
 				break
 			}
 		}
@@ -53,12 +57,12 @@
 	if len(zones) != 1 || wk.models[mi].minReplicas < 2 {
 		return
 	}
-	wk.repairOne(mi, func(si int) bool { return zones[wk.servers[si].zone] == 0 })
+	wk.repairOne(mi, ReasonZone, func(si int) bool { return zones[wk.servers[si].zone] == 0 })
 }
 
 // repairOne places one replica on an allowed server and reports whether it did.
 // It evicts spare replicas of other models if there is no free memory.
-func (wk *workspace) repairOne(mi int, allowed func(si int) bool) bool {
+func (wk *workspace) repairOne(mi int, reason Reason, allowed func(si int) bool) bool {
 	zones := wk.zonesOf(mi)
 	best, bestRank := -1, 0.0
 	for si := range wk.servers {
@@ -70,14 +74,14 @@
 		}
 	}
 	if best >= 0 {
-		wk.place(mi, best)
+		wk.addReplica(mi, best, reason, nil)
 		return true
 	}
-	if wk.repairByEviction(mi, zones, allowed, wk.removable) {
+	if wk.repairByEviction(mi, reason, zones, allowed, wk.removable) {
 		return true
 	}
 	// Last replicas go only if spare ones do not make room.
-	return wk.claim(mi) > 0 && wk.repairByEviction(mi, zones, allowed, func(other, si int) bool {
+	return wk.claim(mi) > 0 && wk.repairByEviction(mi, reason, zones, allowed, func(other, si int) bool {
 		return wk.removable(other, si) || wk.yields(other, mi)
 	})
 }
@@ -96,7 +100,7 @@
 // repairByEviction places a replica where the evictions of evictable replicas
 // leave the least demand unserved. A zone without a replica counts as much as the
 // server's slots.
-func (wk *workspace) repairByEviction(mi int, zones map[string]int, allowed func(si int) bool, evictable func(mi, si int) bool) bool {
+func (wk *workspace) repairByEviction(mi int, reason Reason, zones map[string]int, allowed func(si int) bool, evictable func(mi, si int) bool) bool {
 	best, bestRank := -1, 0.0
 	var bestVictims []int
 	for si := range wk.servers {
@@ -118,8 +122,7 @@
 	if best < 0 {
 		return false
 	}
-	wk.evict(bestVictims, best)
-	wk.place(mi, best)
+	wk.addReplica(mi, best, reason, bestVictims)
 	return true
 }
 
--- a/internal/coordination/planner/work.go
+++ b/internal/coordination/planner/work.go
@@ -40,6 +40,8 @@
 	idleModelsYield bool
 	// serving is Input.Serving.
 	serving func(model, server string) bool
+	// changes are the replicas that the pass added.
+	changes []Change
 }
 
 // weights are the settings that determine when a move is justified.
--- a/internal/keyspacerunner/keyspacerunner.go
+++ b/internal/keyspacerunner/keyspacerunner.go
@@ -37,6 +37,7 @@
 	"github.com/lagoonpass/lagoonpass/internal/coordination/relayer"
 	"github.com/lagoonpass/lagoonpass/internal/coordination/retrier"
 	"github.com/lagoonpass/lagoonpass/internal/coordination/router"
+	"github.com/lagoonpass/lagoonpass/internal/coordination/tallier"
 	"github.com/lagoonpass/lagoonpass/internal/coordination/tracker"
 	"github.com/lagoonpass/lagoonpass/internal/coordination/watcher"
 	"github.com/lagoonpass/lagoonpass/internal/counter"
@@ -136,6 +137,7 @@
 	forwarder      *forwarder.Forwarder
 	budget         *retrier.SharedBudget // retries of all nodes together
 	dispatch       *dispatcher.Dispatcher
+	tally          *tallier.Tally    // results of this node's requests by model and adapter
 	demands        *placer.Collector // demand reports of all nodes, for the leader's plan
 	// snapshot is nil until both configuration and servers are known.
 	snapshot atomic.Pointer[snapshot]
@@ -169,6 +171,7 @@
 		exchange: watcher.NewExchange(id.ID, watcher.WithByteBudget(exchangeBytesPerSecond)),
 		budget:   retrier.NewSharedBudget(id.Retries, time.Now()),
 		demands:  placer.NewCollector(),
+		tally:    tallier.New(),
 		tracker:  tracker.New(),
 		faulty:   map[string]bool{},
 	}
@@ -196,7 +199,7 @@
 		adapterkeeper.WithEngines(rn), adapterkeeper.WithTokens(rn), adapterkeeper.WithBatchedLeases(adapterLease), adapterkeeper.WithWaitTimeout(adapterWaitTimeout),
 		adapterkeeper.WithReportedAdapters(rn.reportsAdapter), adapterkeeper.WithRegistry(rn.registry))
 	rn.dispatch = dispatcher.New(rn.admitter, rn.forwarder, rn.adapters,
-		dispatcher.WithRegistry(rn.registry), dispatcher.WithEjector(rn.ejector), dispatcher.WithSharedBudget(rn.budget))
+		dispatcher.WithRegistry(rn.registry), dispatcher.WithEjector(rn.ejector), dispatcher.WithSharedBudget(rn.budget), dispatcher.WithTally(rn.tally))
 	return rn
 }
 
@@ -232,7 +235,7 @@
 	})
 	for _, loop := range []func(context.Context) error{
 		rn.registrar.Run, rn.relayer.Run, rn.expireServers, rn.refreshAdmitter,
-		rn.exchangeLoads, rn.reportDemand, rn.runLeader, rn.adapters.Run,
+		rn.exchangeLoads, rn.reportDemand, rn.reportUnserved, rn.runLeader, rn.adapters.Run,
 	} {
 		loopCtx, cancel := context.WithCancel(ctx)
 		gr.Add(func() error { return loop(loopCtx) }, func(error) { cancel() })
--- a/internal/keyspacerunner/leader.go
+++ b/internal/keyspacerunner/leader.go
@@ -216,7 +216,8 @@
 		Now:      now,
 	})
 	if moves := next.Moves(ts.plan); moves > 0 {
-		log.WithField("term", ts.term).WithField("moves", moves).WithField("wanted", topDemand(demand, next)).Info("plan changed")
+		log.WithField("term", ts.term).WithField("moves", moves).WithField("wanted", topDemand(demand, next)).
+			WithField("changes", describeChanges(ts.planner.Changes())).Info("plan changed")
 		rn.registry.Add(int64(moves), "plan", "moves")
 	}
 	ts.plan = next
@@ -238,6 +239,23 @@
 	return strings.TrimSpace(text.String())
 }
 
+// maxChangesLogged is how many changes a log line about a plan names.
+const maxChangesLogged = 6
+
+// describeChanges describes changes as a list of MODEL@SERVER:REASON, each
+// followed by -MODEL for every model that made room.
+func describeChanges(changes []planner.Change) string {
+	var text strings.Builder
+	for _, ch := range changes[:min(maxChangesLogged, len(changes))] {
+		fmt.Fprintf(&text, "%s@%s:%s", ch.Model(), ch.Server(), ch.Reason())
+		for _, evicted := range ch.Evicted() {
+			text.WriteString("-" + evicted)
+		}
+		text.WriteByte(' ')
+	}
+	return strings.TrimSpace(text.String())
+}
+
 // adopt adds models to the plan that appeared on a server outside the plan, for
 // example through an order of an earlier leader, if the server has the memory.
 func (ts *termState) adopt(sn *snapshot) {
