--- /dev/null
+++ b/internal/coordination/planner/spare_test.go
@@ -0,0 +1,67 @@
+package planner_test
+
+import (
+	"fmt"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"github.com/lagoonpass/lagoonpass/internal/coordination/planner"
+	"github.com/lagoonpass/lagoonpass/internal/state/configurer"
+)
+
+// fullFleet returns settings with six servers that have room for two of seven
+// models each, and a plan that fills them: m0 on all servers, of m1 to m6 one
+// replica each.
+func fullFleet(t *testing.T) (*configurer.Settings, *planner.Plan) {
+	var text strings.Builder
+	text.WriteString("[planning]\ninterval = 500ms\nsmoothing = 1500ms\nmemory = 6s\nspare-when-idle = no\nmoves-per-hour = 100000\nmove-weight = 10\n[engine-kind.k]\n")
+	byServer := map[string][]string{}
+	for ix := range 6 {
+		fmt.Fprintf(&text, "[backend-server.w%d]\nkind = k\naddress = 10.0.0.%d:80\nzone = z%d\nmemory = 80GiB\nslots = 64\n", ix, ix+1, ix%3)
+		byServer[fmt.Sprintf("w%d", ix)] = []string{"m0", fmt.Sprintf("m%d", ix+1)}
+	}
+	for ix := range 7 {
+		fmt.Fprintf(&text, "[model.m%d]\nmemory = 34GiB\n", ix)
+	}
+	st, faults := configurer.Parse([]configurer.File{{Name: "1.ini", Text: text.String()}})
+	require.Empty(t, faults)
+	return st, planner.NewPlan(byServer)
+}
+
+// Guards against callers of the model in demand being refused while models that
+// got a single long prompt hold spare replicas in its place.
+func TestSpareReplicasTakeNoPlaceOfReplicasUnderDemand(t *testing.T) {
+	st, plan := fullFleet(t)
+	pl := planner.New(st)
+	now := time.Unix(1000, 0)
+	fewest := len(plan.Servers("m0"))
+	for step := range 48 {
+		now = now.Add(500 * time.Millisecond)
+		demand := planner.Demand{"m0": 500}
+		if step%4 == 0 {
+			demand[fmt.Sprintf("m%d", 1+step/4%6)] = 74
+		}
+		plan = pl.Next(planner.Input{Settings: st, Usable: planner.AllUsable, Demand: demand, Current: plan, Now: now})
+		fewest = min(fewest, len(plan.Servers("m0")))
+	}
+	require.Equal(t, 6, fewest, "the model in demand fills all six replicas")
+	for ix := range 7 {
+		require.NotEmpty(t, plan.Servers(fmt.Sprintf("m%d", ix)))
+	}
+}
+
+// The spare replica is placed where demand leaves room for it.
+func TestSpareReplicasTakePlacesThatDemandLeaves(t *testing.T) {
+	st, plan := fullFleet(t)
+	pl := planner.New(st)
+	now := time.Unix(1000, 0)
+	for range 8 {
+		now = now.Add(500 * time.Millisecond)
+		plan = pl.Next(planner.Input{Settings: st, Usable: planner.AllUsable, Demand: planner.Demand{"m0": 90, "m1": 20}, Current: plan, Now: now})
+	}
+	require.GreaterOrEqual(t, len(plan.Servers("m1")), 2)
+	require.GreaterOrEqual(t, len(plan.Servers("m0")), 3)
+}
