Place spare replicas only where demand leaves room

Cause: repair ran before the demand was spread over the replicas, so that every eviction seemed to cost nothing. A model with one long prompt in half a second counted as asked for by 30 to 90 requests at once and got a spare replica, and only replicas beyond the least number can go: those of the models in demand. Change: flows are balanced before the repair and after each eviction in it; where spares depend on demand (spare-when-idle = no) a spare replica takes the place of none whose demand the others cannot carry.

--- a/internal/coordination/planner/planner.go
+++ b/internal/coordination/planner/planner.go
@@ -104,6 +104,7 @@
 	pl.demand.observe(in.Demand, in.Now)
 	wk := newWorkspace(in, pl.demand.value)
 	wk.setMeans(pl.demand.mean)
+	wk.balance()
 	wk.repair()
 	wk.balance()
 	moves := wk.improve(pl.allowedMoves(in, wk))
--- a/internal/coordination/planner/repair.go
+++ b/internal/coordination/planner/repair.go
@@ -4,7 +4,7 @@
 
 // repair adds the missing replicas of all models, starting with the largest
 // model. Models that are asked for and have no replica come first if idle models
-// yield to them.
+// yield to them. The flows must be balanced.
 func (wk *workspace) repair() {
 	order := make([]int, len(wk.models))
 	for ix := range order {
@@ -108,7 +108,7 @@
 			continue
 		}
 		victims, unserved, ok := wk.victims(mi, si, evictable)
-		if !ok {
+		if !ok || unserved > 0 && wk.yieldsToDemand(reason) {
 			continue
 		}
 		rank := -unserved
@@ -123,9 +123,17 @@
 		return false
 	}
 	wk.addReplica(mi, best, reason, bestVictims)
+	// The demand of the evicted replicas now flows to others.
+	wk.balance()
 	return true
 }
 
+// yieldsToDemand reports whether a replica that is added for the reason takes no
+// place from one whose demand the model's other replicas cannot serve.
+func (wk *workspace) yieldsToDemand(reason Reason) bool {
+	return !wk.spareWhenIdle && reason != ReasonMissing
+}
+
 func (wk *workspace) evict(victims []int, si int) {
 	for _, victim := range victims {
 		wk.remove(victim, si)
--- a/internal/state/configurer/schema.go
+++ b/internal/state/configurer/schema.go
@@ -211,7 +211,7 @@
 		durationKey("interval", "10s", 100*time.Millisecond, time.Hour, "time between two planning passes", func(pl *Planning) *time.Duration { return &pl.interval }),
 		intKey("spare-replicas", "1", 0, 100, "replicas beyond one that a model keeps, so that the loss of a server leaves one", func(pl *Planning) *int { return &pl.spareReplicas }),
 		boolKey("idle-models-yield", "no", "a model's last replica makes room for a model without one that is asked for more", func(pl *Planning) *bool { return &pl.idleModelsYield }),
-		boolKey("spare-when-idle", "yes", "models that nobody asks for keep their spare replicas", func(pl *Planning) *bool { return &pl.spareWhenIdle }),
+		boolKey("spare-when-idle", "yes", "models that nobody asks for keep their spare replicas; if no, spare replicas also yield to unserved demand", func(pl *Planning) *bool { return &pl.spareWhenIdle }),
 		floatKey("even-from", "0", 0, 1, "part of a server's slots that a replica has to carry before a model gets another one only to even out demand", func(pl *Planning) *float64 { return &pl.exchangeThreshold }),
 		durationKey("smoothing", "8s", time.Millisecond, time.Hour, "time over which demand is smoothed", func(pl *Planning) *time.Duration { return &pl.smoothing }),
 		durationKey("memory", "1h", time.Millisecond, 24*time.Hour, "time over which a model's mean demand is remembered", func(pl *Planning) *time.Duration { return &pl.meanSmoothing }),
