Keep the leader's state over a late renewal

Cause: when a renewal was late, the leader threw away plan, demand and the state of its orders, and began the same term anew: with the models that servers held and not those being loaded, with the first sample of demand at its full value, with a back-off on every server that was loading, and with the whole wait for orders of earlier leaders once more. Evidence: the test failed before, the state of the term was another one. Change: a term that is renewed goes on; in between no order is sent and no lease of an adapter is granted. No other node has led in the same term.

--- a/internal/coordination/orderer/orderer.go
+++ b/internal/coordination/orderer/orderer.go
@@ -54,6 +54,7 @@
 	events      chan Event
 
 	fenceFloor int64 // see WithFenceFloor
+	suspended  bool  // no tasks are started
 
 	mu            sync.Mutex
 	ownerships    map[string]Ownership // by server
@@ -118,6 +119,7 @@
 // tasks that are due, without waiting for them. It stops reconciling servers
 // that are missing from goals.
 func (od *Orderer) Reconcile(ctx context.Context, now time.Time, goals []*Goal) {
+	od.suspended = false
 	owned := map[string]bool{}
 	for _, gl := range goals {
 		owned[gl.server] = true
@@ -159,9 +161,15 @@
 	od.startNext(ctx, now, ev.reconciler)
 }
 
+// Suspend starts no more tasks until the next call of Reconcile.
+func (od *Orderer) Suspend() { od.suspended = true }
+
 // startNext starts the reconciler's next task, if any, in a new goroutine.
 func (od *Orderer) startNext(ctx context.Context, now time.Time, rc *reconciler) {
 	od.publish(rc)
+	if od.suspended {
+		return
+	}
 	tk := rc.next(now)
 	if tk == nil {
 		return
--- a/internal/keyspacerunner/keyspacerunner.go
+++ b/internal/keyspacerunner/keyspacerunner.go
@@ -126,6 +126,7 @@
 	registry       *counter.Registry
 	holder         *publisher.Holder // the configuration in force
 	registrar      *registrar.Registrar
+	leadership     leadership             // the registrar; tests replace it
 	relayer        *relayer.Relayer       // copies the store's keys
 	orderRegistrar *orderregistrar.Record // the record of the servers to which orders were sent
 	pool           *messenger.Pool        // connections to peers
@@ -183,6 +184,7 @@
 	rn.registrar = registrar.New(bd.Store, ownPrefix, rn.presence,
 		registrar.WithReady(rn.Ready), registrar.WithRegistry(rn.registry),
 		registrar.WithoutReplication(), registrar.WithCheck(rn.checkPeer))
+	rn.leadership = rn.registrar
 	rn.relayer = relayer.New(bd.Store, rn.registrar.View, rn.registrar.LeaderID, rn.pool, []relayer.Prefix{
 		relayer.NewPrefix(ownPrefix, rn.registrar, memberPause),
 		relayer.NewPrefix(bd.ConfigPrefix, configSink{rn}, configurationPause),
--- a/internal/keyspacerunner/keyspacerunner_test.go
+++ b/internal/keyspacerunner/keyspacerunner_test.go
@@ -39,10 +39,16 @@
 
 // newNode returns a node that decodes a configuration from "VERSION SETTINGS"
 // and a registration from "POOL ADDRESS INCARNATION".
-func newNode() *Runner {
+func newNode() *Runner { return newNodeWith(nil, nil) }
+
+// newNodeWith returns a node like newNode that uses the store and the client of
+// engines.
+func newNodeWith(store storer.Keyspace, engines orderer.EngineClient) *Runner {
 	log.SetHandler(discard.New())
 	return New(Identity{ID: "n1", Zone: "z", PeerAddress: "n1:1", CallerAddress: "n1:2"}, Binding{
-		ConfigKey: "conf/all",
+		Store:        store,
+		EngineClient: engines,
+		ConfigKey:    "conf/all",
 		DecodeConfig: func(value []byte) (int64, []configurer.File, error) {
 			number, text, _ := strings.Cut(string(value), " ")
 			version, err := strconv.ParseInt(number, 10, 64)
--- a/internal/keyspacerunner/leader.go
+++ b/internal/keyspacerunner/leader.go
@@ -46,11 +46,22 @@
 	nextPlanning time.Time
 	// nextPrune is when the record of orders is pruned next.
 	nextPrune time.Time
+	// paused is true while a renewal of the leadership is missing.
+	paused bool
+}
+
+// leadership tells in which term this node leads.
+type leadership interface {
+	// Leads returns the term of this node's leadership. While a renewal of it is
+	// missing, ok is false and the term stays. The term is 0 once it has ended.
+	Leads() (term int64, ok bool)
+	// FormerTerm returns the term of a former era that the term continues, or 0.
+	FormerTerm() int64
 }
 
 func (rn *Runner) newTermState(term int64, sn *snapshot) *termState {
 	guard := func() (int64, bool) {
-		current, leads := rn.registrar.Leads()
+		current, leads := rn.leadership.Leads()
 		return term, leads && current == term
 	}
 	held := heldPlan(sn)
@@ -129,15 +140,20 @@
 
 // updateLeadership starts or ends the node's term, and sends orders during it.
 func (rn *Runner) updateLeadership(ctx context.Context, now time.Time) {
-	term, leads := rn.registrar.Leads()
+	term, leads := rn.leadership.Leads()
 	ts, sn := rn.termState.Load(), rn.snapshot.Load()
-	if ts != nil && (!leads || term != ts.term) {
-		log.WithField("term", ts.term).Info("leader stops sending orders")
+	if ts != nil && term != ts.term {
+		if !ts.paused {
+			log.WithField("term", ts.term).Info("leader stops sending orders")
+		}
 		ts.orderer.Reconcile(ctx, now, nil)
 		rn.termState.Store(nil)
 		rn.orderRegistrar.End()
 		ts = nil
 	}
+	if ts != nil && ts.paused == leads {
+		ts.setPaused(!leads)
+	}
 	if !leads || sn == nil || !rn.takeOver(ctx, term) {
 		return
 	}
@@ -156,6 +172,19 @@
 	}
 }
 
+// setPaused stops the orders of the term, or lets them go on. No other node has
+// led in between, so that what the leader knows stays valid.
+func (ts *termState) setPaused(paused bool) {
+	ts.paused = paused
+	line := log.WithField("term", ts.term).WithField("renewed", !paused)
+	if paused {
+		ts.orderer.Suspend()
+		line.Info("leader stops sending orders")
+		return
+	}
+	line.Info("leader begins to send orders")
+}
+
 // takeOver reads the record of the earlier leaders' orders once a term, and
 // reports whether the record is known.
 func (rn *Runner) takeOver(ctx context.Context, term int64) bool {
@@ -165,7 +194,7 @@
 	ctx, cancel := context.WithTimeout(ctx, callTimeout)
 	defer cancel()
 	var err error
-	if former := rn.registrar.FormerTerm(); former != 0 {
+	if former := rn.leadership.FormerTerm(); former != 0 {
 		err = rn.orderRegistrar.Continue(ctx, former, term)
 	} else {
 		err = rn.orderRegistrar.Begin(ctx, term)
@@ -321,7 +350,7 @@
 // Fence implements adapterkeeper.Orders.
 func (rn *Runner) Fence(server string) (orderer.Ownership, bool) {
 	ts := rn.termState.Load()
-	if ts == nil {
+	if _, leads := rn.leadership.Leads(); ts == nil || !leads {
 		return orderer.Ownership{}, false
 	}
 	return ts.orderer.Fence(server)
