Do not take a single prompt for lasting demand

Cause: the first sample of a model that the planner had not seen counted in full, also in its long-term demand, and a spare replica was kept by the greater of both: one long prompt in half a second got a model a spare replica. Evidence: the test failed before, a replica was moved for a single prompt. Change: only the first demand of all counts in full; the long-term demand alone decides on a spare replica.

--- a/internal/coordination/planner/smoother.go
+++ b/internal/coordination/planner/smoother.go
@@ -1,6 +1,7 @@
 package planner
 
 import (
+	"maps"
 	"math"
 	"time"
 
@@ -28,8 +29,13 @@
 }
 
 // observe adds the demand since the last call. A model that is not in seen has
-// no demand.
+// no demand. The first demand of all counts in full; a model that is seen for
+// the first time later had none before.
 func (sm *smoother) observe(seen Demand, now time.Time) {
+	if sm.updatedAt.IsZero() {
+		maps.Copy(sm.value, seen)
+		maps.Copy(sm.mean, seen)
+	}
 	elapsed := now.Sub(sm.updatedAt)
 	sm.updatedAt = now
 	for model := range sm.value {
@@ -43,11 +49,6 @@
 }
 
 func (sm *smoother) update(model string, value float64, elapsed time.Duration) {
-	if _, known := sm.value[model]; !known {
-		sm.value[model] = value
-		sm.mean[model] = value
-		return
-	}
 	sm.value[model] = blend(sm.value[model], value, elapsed, sm.valueConstant)
 	sm.mean[model] = blend(sm.mean[model], value, elapsed, sm.meanConstant)
 }
--- a/internal/coordination/planner/spare_test.go
+++ b/internal/coordination/planner/spare_test.go
@@ -65,3 +65,21 @@
 	require.GreaterOrEqual(t, len(plan.Servers("m1")), 2)
 	require.GreaterOrEqual(t, len(plan.Servers("m0")), 3)
 }
+
+// Guards against a single long prompt that is taken for lasting demand because
+// the planner had not seen its model before.
+func TestSinglePromptForUnknownModelMovesNothing(t *testing.T) {
+	st, plan := fullFleet(t)
+	pl := planner.New(st)
+	now := time.Unix(1000, 0)
+	for step := range 12 {
+		now = now.Add(500 * time.Millisecond)
+		demand := planner.Demand{"m0": 90}
+		if step >= 2 && step < 8 {
+			demand[fmt.Sprintf("m%d", step-1)] = 74
+		}
+		next := pl.Next(planner.Input{Settings: st, Usable: planner.AllUsable, Demand: demand, Current: plan, Now: now})
+		require.Zero(t, next.Moves(plan), "pass %d: %v", step, pl.Changes())
+		plan = next
+	}
+}
--- a/internal/coordination/planner/work.go
+++ b/internal/coordination/planner/work.go
@@ -12,8 +12,8 @@
 	// safePressure is the share of its slots that a server can fill without
 	// refusing requests when demand varies.
 	safePressure = 0.9
-	// minSpareShare is the least demand, as a share of a server's slots, at which
-	// a model keeps its spare replica if idle models do not. An occasional request
+	// minSpareShare is the least long-term demand, as a share of a server's slots,
+	// at which a model keeps its spare replica if idle models do not. An occasional request
 	// does not justify the memory and the load.
 	minSpareShare = 0.1
 	// minPressure is a lower bound in the adjustment of flows, so that an idle
@@ -146,7 +146,7 @@
 	for mi := range wk.models {
 		md := &wk.models[mi]
 		md.mean = mean[md.name]
-		if !wk.spareWhenIdle && max(md.mean, md.demand) < minSpareShare*wk.meanSlots() {
+		if !wk.spareWhenIdle && md.mean < minSpareShare*wk.meanSlots() {
 			md.minReplicas = md.serving
 		}
 	}
