Load what demand waits for before spare replicas

Cause: the weight store allows a few loads a second, and the plan asked for spare replicas and for replicas under demand alike, so that the first took the tokens of the second. Change: where spares depend on demand (spare-when-idle = no), none is planned while a model has unserved demand or a planned replica under demand does not serve yet.

--- a/internal/coordination/planner/repair.go
+++ b/internal/coordination/planner/repair.go
@@ -22,12 +22,38 @@
 			if len(wk.models[mi].replicas) < wk.models[mi].serving {
 				reason = ReasonMissing
 			}
-			if !wk.repairOne(mi, reason, wk.anyServer) {
+			if wk.yieldsToDemand(reason) && wk.demandWaits() || !wk.repairOne(mi, reason, wk.anyServer) {
 				break
 			}
 		}
-		wk.repairZones(mi)
+		if !wk.yieldsToDemand(ReasonZone) || !wk.demandWaits() {
+			wk.repairZones(mi)
+		}
+	}
+}
+
+// demandWaits reports whether demand waits for a load: a model has more than its
+// replicas serve, or planned replicas under demand do not serve yet. Loads are
+// few a second, and those for demand come first.
+func (wk *workspace) demandWaits() bool {
+	if wk.needsMove() {
+		return true
+	}
+	if wk.serving == nil {
+		return false
+	}
+	for mi := range wk.models {
+		md := &wk.models[mi]
+		if md.demand < minSpareShare*wk.meanSlots() {
+			continue
+		}
+		for _, rp := range md.replicas {
+			if !wk.serving(md.name, wk.servers[rp.server].name) {
+				return true
+			}
+		}
 	}
+	return false
 }
 
 // claim returns the demand of a model without a replica for which idle models
--- a/internal/coordination/planner/spare_test.go
+++ b/internal/coordination/planner/spare_test.go
@@ -83,3 +83,79 @@
 		plan = next
 	}
 }
+
+// loader carries out plans as engines do: it begins at most one load a pass,
+// and a load takes some passes.
+type loader struct {
+	passes  int            // of a load
+	ready   map[string]int // pass from which on MODEL@SERVER serves
+	current int
+}
+
+// follow begins the load of the first planned replica that is missing.
+func (ld *loader) follow(pl *planner.Plan) {
+	ld.current++
+	begun := false
+	planned := map[string]bool{}
+	names := pl.ServerNames()
+	for ix := range names {
+		// Servers take the token of a load in no particular order.
+		server := names[(ix+7*ld.current)%len(names)]
+		for _, model := range pl.Models(server) {
+			key := model + "@" + server
+			planned[key] = true
+			if _, ok := ld.ready[key]; !ok && !begun {
+				ld.ready[key], begun = ld.current+ld.passes, true
+			}
+		}
+	}
+	for key := range ld.ready {
+		if !planned[key] {
+			delete(ld.ready, key)
+		}
+	}
+}
+
+func (ld *loader) serving(model, server string) bool {
+	ready, ok := ld.ready[model+"@"+server]
+	return ok && ready <= ld.current
+}
+
+// Guards against loads of spare replicas that keep the model in demand waiting
+// for its own.
+func TestLoadsForDemandComeBeforeSpareReplicas(t *testing.T) {
+	st := shiftSettings(t)
+	byServer := map[string][]string{}
+	ld := &loader{passes: 10, ready: map[string]int{}}
+	for ix := range 18 {
+		server := fmt.Sprintf("w%02d", ix)
+		byServer[server] = []string{fmt.Sprintf("m%02d", 1+ix)}
+		if ix < 2 {
+			byServer[server] = append(byServer[server], fmt.Sprintf("m%02d", 19+ix))
+		}
+		for _, model := range byServer[server] {
+			ld.ready[model+"@"+server] = 0
+		}
+	}
+	pl, plan := planner.New(st), planner.NewPlan(byServer)
+	now := time.Unix(1000, 0)
+	passes := 0
+	for serving := 1; serving < 6; {
+		passes++
+		require.Less(t, passes, 60)
+		now = now.Add(500 * time.Millisecond)
+		demand := planner.Demand{"m01": 400}
+		for ix := range 12 {
+			demand[fmt.Sprintf("m%02d", 2+ix)] = 10
+		}
+		plan = pl.Next(planner.Input{Settings: st, Usable: planner.AllUsable, Demand: demand, Current: plan, Serving: ld.serving, Now: now})
+		ld.follow(plan)
+		serving = 0
+		for _, server := range plan.Servers("m01") {
+			if ld.serving("m01", server) {
+				serving++
+			}
+		}
+	}
+	require.LessOrEqual(t, passes, 5+ld.passes+2, "five loads one after the other, the last one's time, and two passes to notice")
+}
