Let adapters take turns on a full server

Cause: each request for a loaded adapter renewed its lease, and only an adapter without a lease can be evicted, so that five adapters in steady use kept the five places of a server. Change: while another adapter waits for a place, the one that has been loaded for longest, 2 s at least, gets no new requests on the server; its place goes on when its running requests have ended.

--- a/internal/coordination/adapterkeeper/adapterkeeper.go
+++ b/internal/coordination/adapterkeeper/adapterkeeper.go
@@ -174,7 +174,7 @@
 	if !found || !known {
 		return Rules{}, 0, false
 	}
-	rules = Rules{Lease: kp.lease, Address: bs.Address(), Reserve: bs.AdapterReserve(), TakeoverReserve: takeoverReserve(st)}
+	rules = Rules{Lease: kp.lease, TakeTurns: kp.batchRenewals, Address: bs.Address(), Reserve: bs.AdapterReserve(), TakeoverReserve: takeoverReserve(st)}
 	if ek, ok := st.EngineKind(bs.Kind()); ok {
 		rules.ChecksFencing, rules.CountsOrders, rules.Bound = ek.ChecksFencing(), ek.CountsOrders(), ek.LateOrderBound()
 	}
--- a/internal/coordination/adapterkeeper/owner.go
+++ b/internal/coordination/adapterkeeper/owner.go
@@ -56,6 +56,13 @@
 	reason string
 }
 
+// refusedLoad is the pending load of adapters that have to make room.
+var refusedLoad = func() *pendingLoad {
+	pl := &pendingLoad{done: make(chan struct{}), reason: reasonNoRoom}
+	close(pl.done)
+	return pl
+}()
+
 func (kp *Keeper) server(name string) *server {
 	kp.mu.Lock()
 	defer kp.mu.Unlock()
@@ -100,6 +107,9 @@
 	sv.table.rules = rules
 	en, ok := sv.table.entries[adapter]
 	if ok && en.state == loaded && sv.table.inspected && ow.Claim == sv.table.claim {
+		if sv.table.yields(now, adapter) {
+			return refusedLoad, false
+		}
 		en.lastUsed = now
 		en.leasedUntil = now.Add(sv.table.rules.Lease)
 		return nil, true
--- a/internal/coordination/adapterkeeper/table.go
+++ b/internal/coordination/adapterkeeper/table.go
@@ -43,6 +43,9 @@
 	Lease time.Duration
 	// Bound is the longest delay with which an order can arrive; 0 if unknown.
 	Bound time.Duration
+	// TakeTurns is set if adapters in use make room for others that wait. Requests
+	// for a lease then only come from new requests, not from running ones.
+	TakeTurns bool
 }
 
 // state is the state of an adapter on a server as the owner knows it.
@@ -64,6 +67,8 @@
 	lastUsed time.Time
 	// leasedUntil is when the last lease ends; the adapter is kept until then.
 	leasedUntil time.Time
+	// loadedAt is when the adapter was loaded, or first found.
+	loadedAt time.Time
 }
 
 // unansweredOrder is an order that was sent and not answered.
@@ -117,6 +122,8 @@
 	stateVersion int64
 	entries      map[string]*entry
 	unanswered   []unansweredOrder
+	// waiting has the adapters that found no place, and when.
+	waiting map[string]time.Time
 }
 
 // reset clears the table, since another node may have owned the server.
@@ -241,6 +248,7 @@
 	}
 	victim, evictable := tb.leastRecentlyUsed(now)
 	if evictable < missing {
+		tb.noteWaiting(now, name)
 		return step{action: refuse, reason: reasonNoRoom}
 	}
 	return step{action: unload, name: victim, bytes: tb.entries[victim].bytes}
@@ -306,8 +314,9 @@
 		delete(tb.entries, st.name)
 		return
 	}
-	tb.entries[st.name].state = loaded
-	tb.entries[st.name].leasedUntil = now.Add(tb.rules.Lease)
+	en := tb.entries[st.name]
+	en.state, en.loadedAt, en.leasedUntil = loaded, now, now.Add(tb.rules.Lease)
+	delete(tb.waiting, st.name)
 }
 
 // dropSuperseded removes the unanswered orders that an engine which counts
@@ -353,7 +362,7 @@
 	for name, bytes := range adapters {
 		en, ok := tb.entries[name]
 		if !ok {
-			en = &entry{lastUsed: now, leasedUntil: now.Add(tb.rules.Lease)}
+			en = &entry{lastUsed: now, loadedAt: now, leasedUntil: now.Add(tb.rules.Lease)}
 			tb.entries[name] = en
 		}
 		en.bytes = max(en.bytes, bytes)
--- a/internal/coordination/adapterkeeper/use.go
+++ b/internal/coordination/adapterkeeper/use.go
@@ -71,7 +71,12 @@
 		sv.mu.Lock()
 		if en, ok := sv.table.entries[at.Adapter]; ok {
 			now := kp.now()
-			en.lastUsed, en.leasedUntil = now, now.Add(kp.lease)
+			lease := kp.lease
+			if sv.table.yields(now, at.Adapter) {
+				// Long enough for the next renewal, while requests run.
+				lease /= 2
+			}
+			en.lastUsed, en.leasedUntil = now, now.Add(lease)
 		}
 		sv.mu.Unlock()
 	}
