Tell callers when an adapter may be ready

Cause: the refusal asked callers to come back after a quarter of their first-token target, 150 to 200 ms, whatever the reason. Callers come back once or twice. A place for an adapter becomes free within a lease of 1.2 s, and the orders of a lost leader go on some 2 s later. Evidence: the test failed before (75 ms). Change: the error of the adapter keeper carries the time after which another try makes sense, and the refusal passes it on.

--- a/internal/coordination/adapterkeeper/adapterkeeper.go
+++ b/internal/coordination/adapterkeeper/adapterkeeper.go
@@ -196,6 +196,34 @@
 	return sum
 }
 
+// takeoverTime is how long it usually takes until orders can be sent again after
+// a server's owner was lost.
+const takeoverTime = 2 * time.Second
+
+// notReady is an ErrNotReady with the time after which another try makes sense.
+type notReady struct {
+	error
+	after time.Duration
+}
+
+// Unwrap returns the error without the time.
+func (nr *notReady) Unwrap() error { return nr.error }
+
+// RetryAfter returns the time after which another try makes sense.
+func (nr *notReady) RetryAfter() time.Duration { return nr.after }
+
+// notReadyError returns the error for a reason for which an adapter is not ready.
+func (kp *Keeper) notReadyError(tg target, reason string) error {
+	err := errors.Wrapf(ErrNotReady, "%s on %s: %s", tg.adapter, tg.server, reason)
+	switch reason {
+	case reasonNoRoom:
+		return &notReady{err, kp.lease}
+	case reasonNoOwner, reasonNewOwner, reasonUnreachable:
+		return &notReady{err, takeoverTime}
+	}
+	return err
+}
+
 // ErrNotReady means that an adapter could not be made ready. The request that
 // needs it was not sent to the server.
 var ErrNotReady = errors.New("adapter is not ready")
--- a/internal/coordination/adapterkeeper/lease.go
+++ b/internal/coordination/adapterkeeper/lease.go
@@ -98,7 +98,7 @@
 	if reason == "" {
 		ls.until = requested.Add(kp.lease - kp.lease/useMarginDivisor)
 	} else {
-		ls.err = errors.Wrapf(ErrNotReady, "%s on %s: %s", tg.adapter, tg.server, reason)
+		ls.err = kp.notReadyError(tg, reason)
 	}
 	ls.requestDone = nil
 	close(requestDone)
--- a/internal/coordination/dispatcher/execution.go
+++ b/internal/coordination/dispatcher/execution.go
@@ -56,6 +56,8 @@
 	unsent bool
 	// crashed says that the connection was lost, as in a crash of the engine.
 	crashed bool
+	// retryAfter is the time after which another try makes sense; 0 if unknown.
+	retryAfter time.Duration
 	// admissionRefusal is set if admission refused the request.
 	admissionRefusal *refuser.Refusal
 }
--- a/internal/coordination/dispatcher/proxy.go
+++ b/internal/coordination/dispatcher/proxy.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"github.com/apex/log"
+	"github.com/go-faster/errors"
 
 	"github.com/lagoonpass/lagoonpass/internal/coordination/admitter"
 	"github.com/lagoonpass/lagoonpass/internal/coordination/retrier"
@@ -182,7 +183,7 @@
 	if ad := pe.ticket.Adapter; ad != nil {
 		release, err := pe.ds.adapters.Ensure(ctx, gr.Server(), ad)
 		if err != nil {
-			return admitter.Result{}, &failure{reason: refuser.NoWorker, detail: err.Error(), unsent: true}
+			return admitter.Result{}, &failure{reason: refuser.NoWorker, detail: err.Error(), unsent: true, retryAfter: retryAfterOf(err)}
 		}
 		defer release()
 	}
@@ -250,7 +251,7 @@
 	if fl.admissionRefusal != nil {
 		return false, pe.deliverBufferedFailure(fl.admissionRefusal)
 	}
-	refusal := refuser.New(fl.reason, "%s", fl.detail).WithRetryAfter(pe.retryAfter())
+	refusal := refuser.New(fl.reason, "%s", fl.detail).WithRetryAfter(max(pe.retryAfter(), fl.retryAfter))
 	if fl.final {
 		return false, refusal
 	}
@@ -296,6 +297,16 @@
 	return max(pe.ticket.Class.FirstToken()/retryAfterDivisor, minRetryAfter)
 }
 
+// retryAfterOf returns the time after which the error says that another try makes
+// sense, or 0.
+func retryAfterOf(err error) time.Duration {
+	var timed interface{ RetryAfter() time.Duration }
+	if errors.As(err, &timed) {
+		return timed.RetryAfter()
+	}
+	return 0
+}
+
 // retryAfterDivisor divides a class's first-token target to get the time after
 // which a server that refused is likely to have capacity again.
 const retryAfterDivisor = 4
--- a/internal/coordination/dispatcher/proxy_test.go
+++ b/internal/coordination/dispatcher/proxy_test.go
@@ -14,6 +14,7 @@
 	"time"
 
 	"github.com/apex/log"
+	"github.com/go-faster/errors"
 	"github.com/stretchr/testify/require"
 
 	"github.com/lagoonpass/lagoonpass/internal/coordination/admitter"
@@ -334,3 +335,41 @@
 		}
 	}
 }
+
+// noPlace is an error of an adapter for which no place is free for a known time.
+type noPlace struct{}
+
+func (noPlace) Error() string { return "no place" }
+
+func (noPlace) RetryAfter() time.Duration { return 2 * time.Second }
+
+// busyAdapters is an Adapters without a free place.
+type busyAdapters struct{}
+
+func (busyAdapters) Ensure(context.Context, string, *configurer.Adapter) (func(), error) {
+	return nil, errors.Wrap(noPlace{}, "adapter")
+}
+
+// Guards against callers who come back at once and use up their retries while no
+// adapter can be loaded.
+func TestRefusalForAdapterTellsWhenItMayBeReady(t *testing.T) {
+	st, faults := configurer.Parse([]configurer.File{{Name: "1.ini", Text: proxySettings + "[adapter.m/a1]\nmodel = m\nmemory = 1MiB\n"}})
+	require.Empty(t, faults)
+	bk := &backends{t: t, servers: make([]*httptest.Server, 4)}
+	for ix := range bk.servers {
+		bk.servers[ix] = &httptest.Server{URL: "http://127.0.0.1:1"}
+	}
+	fw := forwarder.New()
+	t.Cleanup(fw.Close)
+	ds := dispatcher.New(bk, fw, busyAdapters{}, dispatcher.WithSharedBudget(retrier.NewSharedBudget(retrier.Bound{Window: time.Second}, time.Now())))
+	rt, _ := configurer.NewRouteTable(st.Routes()).Find("h", "/stream/x")
+	ps := &dispatcher.ProxyRequest{Route: rt, Method: http.MethodPost, Host: "h", Path: "/stream/x", Header: http.Header{}, Wire: testWire{}}
+	ps.Ticket = admitter.Ticket{ID: "id", Deadline: time.Now().Add(15 * time.Second)}
+	ps.Ticket.Class, _ = st.Class("c")
+	ps.Ticket.Model, _ = st.Model("m")
+	ps.Ticket.Adapter, _ = st.Adapter("m/a1")
+	rf, _ := ds.Proxy(t.Context(), st, ps, httptest.NewRecorder())
+	require.Equal(t, refuser.NoWorker, rf.Reason())
+	require.Equal(t, refuser.NotRun, rf.Outcome())
+	require.Equal(t, 2*time.Second, rf.RetryAfter())
+}
