--- a/internal/coordination/dispatcher/answer.go
+++ b/internal/coordination/dispatcher/answer.go
@@ -142,6 +142,9 @@
 // receive forwards the answer, or returns why the attempt failed.
 func (pa *proxyAttempt) receive(ctx context.Context, rs *http.Response) *failure {
 	cl := pa.Wire.Classify(rs)
+	if (cl.Genuine || cl.NotRun) && !cl.Misdirected {
+		pa.ds.onSignals(pa.server, pa.sent, cl.Signals)
+	}
 	if cl.NotRun {
 		detail := "server " + pa.server + " refused: status " + strconv.Itoa(rs.StatusCode)
 		_, _ = io.Copy(io.Discard, io.LimitReader(rs.Body, maxBufferedBytes))
--- a/internal/coordination/dispatcher/dispatcher.go
+++ b/internal/coordination/dispatcher/dispatcher.go
@@ -31,6 +31,7 @@
 	"github.com/lagoonpass/lagoonpass/internal/coordination/ejector"
 	"github.com/lagoonpass/lagoonpass/internal/coordination/retrier"
 	"github.com/lagoonpass/lagoonpass/internal/coordination/tallier"
+	"github.com/lagoonpass/lagoonpass/internal/coordination/throttler"
 	"github.com/lagoonpass/lagoonpass/internal/counter"
 	"github.com/lagoonpass/lagoonpass/internal/state/configurer"
 	"github.com/lagoonpass/lagoonpass/internal/transport/forwarder"
@@ -97,6 +98,8 @@
 	shared *retrier.SharedBudget
 	// tally counts the results of proxied requests by model and adapter.
 	tally *tallier.Tally
+	// onSignals is called with what servers say about themselves.
+	onSignals SignalsFunc
 	// suspects are the requests that crashed engines.
 	suspects *retrier.Suspects
 	// buffered is the number of answer bytes that callers have not read.
@@ -119,6 +122,14 @@
 // and adapter.
 func WithTally(tl *tallier.Tally) Option { return func(ds *Dispatcher) { ds.tally = tl } }
 
+// SignalsFunc is called with what a server says about itself in its answer to a
+// request that was sent at the given time.
+type SignalsFunc func(server string, sent time.Time, sg throttler.Signals)
+
+// WithSignals sets the function that is called for each answer of a server to a
+// proxied request.
+func WithSignals(fn SignalsFunc) Option { return func(ds *Dispatcher) { ds.onSignals = fn } }
+
 // WithRandom sets the source of the backoff jitter.
 func WithRandom(random *rand.Rand) Option { return func(ds *Dispatcher) { ds.random = random } }
 
@@ -131,6 +142,7 @@
 		ejector:   ejector.New(),
 		budget:    retrier.NewBudget(),
 		suspects:  retrier.NewSuspects(),
+		onSignals: func(string, time.Time, throttler.Signals) {},
 		random:    rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64())),
 	}
 	for _, opt := range opts {
--- a/internal/coordination/dispatcher/proxy.go
+++ b/internal/coordination/dispatcher/proxy.go
@@ -10,6 +10,7 @@
 
 	"github.com/lagoonpass/lagoonpass/internal/coordination/admitter"
 	"github.com/lagoonpass/lagoonpass/internal/coordination/retrier"
+	"github.com/lagoonpass/lagoonpass/internal/coordination/throttler"
 	"github.com/lagoonpass/lagoonpass/internal/state/configurer"
 	"github.com/lagoonpass/lagoonpass/internal/transport/forwarder"
 	"github.com/lagoonpass/lagoonpass/pkg/refuser"
@@ -66,6 +67,8 @@
 	Misdirected bool
 	// Genuine says that the answer comes from a backend server itself.
 	Genuine bool
+	// Signals is what the server says about itself.
+	Signals throttler.Signals
 }
 
 // Wire maps between the headers of a protocol and the dispatcher's values.
--- a/internal/keyspacerunner/keyspacerunner.go
+++ b/internal/keyspacerunner/keyspacerunner.go
@@ -38,6 +38,7 @@
 	"github.com/lagoonpass/lagoonpass/internal/coordination/retrier"
 	"github.com/lagoonpass/lagoonpass/internal/coordination/router"
 	"github.com/lagoonpass/lagoonpass/internal/coordination/tallier"
+	"github.com/lagoonpass/lagoonpass/internal/coordination/throttler"
 	"github.com/lagoonpass/lagoonpass/internal/coordination/tracker"
 	"github.com/lagoonpass/lagoonpass/internal/coordination/watcher"
 	"github.com/lagoonpass/lagoonpass/internal/counter"
@@ -147,6 +148,10 @@
 	// termState is nil unless the node leads.
 	termState atomic.Pointer[termState]
 
+	signalsMu sync.Mutex
+	// signals has the last signals of each server that gave some.
+	signals map[string]throttler.Signals
+
 	mu      sync.Mutex
 	tracker *tracker.Tracker
 	// synced is set when the registrations were read for the first time.
@@ -173,6 +178,7 @@
 		budget:   retrier.NewSharedBudget(id.Retries, time.Now()),
 		demands:  placer.NewCollector(),
 		tally:    tallier.New(),
+		signals:  map[string]throttler.Signals{},
 		tracker:  tracker.New(),
 		faulty:   map[string]bool{},
 	}
@@ -201,7 +207,7 @@
 		adapterkeeper.WithEngines(rn), adapterkeeper.WithTokens(rn), adapterkeeper.WithBatchedLeases(adapterLease), adapterkeeper.WithWaitTimeout(adapterWaitTimeout),
 		adapterkeeper.WithReportedAdapters(rn.reportsAdapter), adapterkeeper.WithRegistry(rn.registry))
 	rn.dispatch = dispatcher.New(rn.admitter, rn.forwarder, rn.adapters,
-		dispatcher.WithRegistry(rn.registry), dispatcher.WithEjector(rn.ejector), dispatcher.WithSharedBudget(rn.budget), dispatcher.WithTally(rn.tally))
+		dispatcher.WithRegistry(rn.registry), dispatcher.WithEjector(rn.ejector), dispatcher.WithSharedBudget(rn.budget), dispatcher.WithTally(rn.tally), dispatcher.WithSignals(rn.noteSignals))
 	return rn
 }
 
--- /dev/null
+++ b/internal/keyspacerunner/signals.go
@@ -0,0 +1,49 @@
+package keyspacerunner
+
+import (
+	"time"
+
+	"github.com/apex/log"
+
+	"github.com/lagoonpass/lagoonpass/internal/coordination/throttler"
+)
+
+// maxSignalling bounds the servers whose signals are kept for the log.
+const maxSignalling = 4096
+
+// noteSignals logs what a server says about itself, when it changes.
+func (rn *Runner) noteSignals(server string, _ time.Time, sg throttler.Signals) {
+	if !rn.signalsChanged(server, sg) {
+		return
+	}
+	line := log.WithField("server", server)
+	switch {
+	case sg.Leaving:
+		rn.registry.Inc("signal", "leaving")
+		line.Info("backend server says that it leaves")
+	case sg.Pause > 0:
+		rn.registry.Inc("signal", "pause")
+		line.WithField("pause-ms", sg.Pause.Milliseconds()).Info("backend server wants no requests from this node")
+	case sg.Limit > 0:
+		rn.registry.Inc("signal", "limit")
+		line.WithField("limit", sg.Limit).Info("backend server names a limit")
+	default:
+		line.Info("backend server takes all requests again")
+	}
+}
+
+// signalsChanged stores a server's signals and reports whether they changed.
+func (rn *Runner) signalsChanged(server string, sg throttler.Signals) bool {
+	rn.signalsMu.Lock()
+	defer rn.signalsMu.Unlock()
+	former := rn.signals[server]
+	switch {
+	case former == sg && sg.Pause == 0:
+		return false
+	case sg == throttler.Signals{}:
+		delete(rn.signals, server)
+	case len(rn.signals) < maxSignalling:
+		rn.signals[server] = sg
+	}
+	return true
+}
