--- /dev/null
+++ b/internal/coordination/throttler/throttler_test.go
@@ -0,0 +1,100 @@
+package throttler_test
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+	"pgregory.net/rapid"
+
+	"github.com/lagoonpass/lagoonpass/internal/coordination/throttler"
+)
+
+// fleet is a number of nodes that send requests to one server.
+type fleet struct {
+	ids   []string
+	nodes []*throttler.Throttler
+}
+
+func newFleet(count int) *fleet {
+	fl := &fleet{}
+	for ix := range count {
+		id := fmt.Sprintf("n%d", ix)
+		fl.ids = append(fl.ids, id)
+		fl.nodes = append(fl.nodes, throttler.New(id, func() []string { return fl.ids }))
+	}
+	return fl
+}
+
+// most returns the greatest number of times within a window.
+func most(times []time.Time, window time.Duration) int {
+	greatest, first := 0, 0
+	for ix, at := range times {
+		for at.Sub(times[first]) > window {
+			first++
+		}
+		greatest = max(greatest, ix-first+1)
+	}
+	return greatest
+}
+
+// Guards against a server that names a limit and gets more from all nodes
+// together, whether they were idle before or not.
+func TestLimitHoldsForAllNodesTogether(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		fl := newFleet(rapid.SampledFrom([]int{1, 2, 4, 5, 30, 300}).Draw(t, "nodes"))
+		limit := rapid.SampledFrom([]float64{0.2, 1, 1.1, 3, 25}).Draw(t, "limit")
+		idle := time.Duration(rapid.IntRange(0, 20).Draw(t, "idle")) * time.Second
+		now := time.Unix(1000, 0)
+		for _, th := range fl.nodes {
+			th.Observe(now, "w", now, throttler.Signals{Limit: limit})
+		}
+		now = now.Add(idle)
+		var sent []time.Time
+		for range 400 {
+			now = now.Add(50 * time.Millisecond)
+			for _, th := range fl.nodes {
+				if th.Wait(now, "w") == 0 {
+					th.Sent(now, "w")
+					sent = append(sent, now)
+				}
+			}
+		}
+		if got, allowed := most(sent, 4*time.Second), 1.5*4*limit+5; float64(got) > allowed {
+			t.Fatalf("%d requests in 4 s, allowed %.1f", got, allowed)
+		}
+		if float64(len(sent)) < 0.7*20*limit-1 {
+			t.Fatalf("only %d requests in 20 s at %.1f a second", len(sent), limit)
+		}
+	})
+}
+
+// The share of a node is about the same whether it sends at once or asks again
+// and again.
+func TestWaitTellsWhenShareIsFree(t *testing.T) {
+	fl := newFleet(4)
+	now := time.Unix(1000, 0)
+	th := fl.nodes[0]
+	require.Zero(t, th.Wait(now, "w"), "no limit")
+	th.Observe(now, "w", now, throttler.Signals{Limit: 2})
+	now = now.Add(10 * time.Second)
+	require.Zero(t, th.Wait(now, "w"))
+	th.Sent(now, "w")
+	require.Equal(t, 2*time.Second, th.Wait(now, "w"), "a quarter of two a second")
+	require.Zero(t, th.Wait(now.Add(2*time.Second), "w"))
+}
+
+// Guards against answers that overtake each other: one to a request that was sent
+// before the limit was named does not end it.
+func TestLimitEndsWithLaterAnswerOnly(t *testing.T) {
+	th := newFleet(1).nodes[0]
+	named := time.Unix(1000, 0)
+	th.Observe(named, "w", named.Add(-time.Second), throttler.Signals{Limit: 0.1})
+	th.Sent(named, "w")
+	require.NotZero(t, th.Wait(named, "w"))
+	th.Observe(named.Add(time.Second), "w", named.Add(-time.Second/2), throttler.Signals{})
+	require.NotZero(t, th.Wait(named.Add(time.Second), "w"))
+	th.Observe(named.Add(3*time.Second), "w", named.Add(2*time.Second), throttler.Signals{})
+	require.Zero(t, th.Wait(named.Add(3*time.Second), "w"))
+}
