Keep the limits that backend servers name, over all nodes together

Cause: nothing read Server-Limit, so that routing gave the worker its usual part. Change: throttler gives each node an equal share of a limit, saved up to one request; beyond 2 nodes a request plus 3, only some nodes use the server. The admitter sends within the share, prefers other servers, gives what is free to the most urgent that wait, and refuses at once, with the time to return, what cannot be served. A limit ends with an answer to a request sent after it was named, or with the process.

--- a/internal/coordination/admitter/estimate.go
+++ b/internal/coordination/admitter/estimate.go
@@ -20,9 +20,11 @@
 // or nil.
 func (sc *Scheduler) refuseUnreachable(now time.Time, en *Entry) *refuser.Refusal {
 	wait, known := sc.estimateWait(now, en)
-	if !known {
+	throttled := sc.throttledWait(now, en)
+	if !known && throttled == 0 {
 		return nil
 	}
+	wait = max(wait, min(throttled, maxRetryAfter))
 	minAfter := minRetryAfter
 	remaining := sc.statsFor(en.ticket.Model.Name()).duration.value
 	if en.ownPrefillTime > 0 {
@@ -36,6 +38,9 @@
 		return nil
 	}
 	after := min(max(lateBy, minAfter), maxRetryAfter)
+	if throttled > 0 {
+		after = sc.throttledRetryAfter(throttled)
+	}
 	return refuser.New(refuser.DeadlineUnreachable,
 		"about %v of waiting are ahead and the deadline is in %v", wait.Round(time.Millisecond), en.ticket.Deadline.Sub(now).Round(time.Millisecond)).
 		WithRetryAfter(after)
--- a/internal/coordination/admitter/options.go
+++ b/internal/coordination/admitter/options.go
@@ -6,6 +6,7 @@
 
 	"github.com/lagoonpass/lagoonpass/internal/coordination/estimator"
 	"github.com/lagoonpass/lagoonpass/internal/coordination/router"
+	"github.com/lagoonpass/lagoonpass/internal/coordination/throttler"
 )
 
 // SchedulerOption configures a Scheduler.
@@ -31,6 +32,12 @@
 	return func(sc *Scheduler) { sc.nodeID, sc.zone, sc.region = id, zone, region }
 }
 
+// WithMembers sets the function that returns the ids of the nodes that share the
+// limits of servers; by default the node has them for itself.
+func WithMembers(fn func() []string) SchedulerOption {
+	return func(sc *Scheduler) { sc.members = fn }
+}
+
 // WithOnDecision sets a function that is called for each entry that leaves the
 // queue, granted or refused. Withdrawn entries are left out.
 func WithOnDecision(fn func(*Entry)) SchedulerOption {
@@ -43,6 +50,7 @@
 	sc := &Scheduler{
 		random:         random,
 		liveNodes:      func() int { return 1 },
+		members:        func() []string { return nil },
 		queues:         map[string]*modelQueue{},
 		servers:        map[string]*serverState{},
 		stats:          map[string]*modelStats{},
@@ -57,6 +65,7 @@
 	for _, opt := range opts {
 		opt(sc)
 	}
+	sc.throttle = throttler.New(sc.nodeID, sc.members)
 	sc.request.Weight = sc.weight
 	sc.eligible = func(tg *router.Target) bool { return sc.fits(sc.choosingAt, sc.choosing, tg) }
 	sc.eligiblePrefill = func(tg *router.Target) bool { return sc.prefillServerFits(sc.choosingAt, tg) }
--- a/internal/coordination/admitter/scheduler.go
+++ b/internal/coordination/admitter/scheduler.go
@@ -9,6 +9,7 @@
 	"github.com/lagoonpass/lagoonpass/internal/checker"
 	"github.com/lagoonpass/lagoonpass/internal/coordination/estimator"
 	"github.com/lagoonpass/lagoonpass/internal/coordination/router"
+	"github.com/lagoonpass/lagoonpass/internal/coordination/throttler"
 	"github.com/lagoonpass/lagoonpass/internal/state/configurer"
 	"github.com/lagoonpass/lagoonpass/pkg/refuser"
 )
@@ -68,6 +69,10 @@
 	nextSeq uint64
 	// engines predicts prefill times and times to the first token.
 	engines *estimator.Estimator
+	// throttle keeps the node within the limits that servers name, and members
+	// returns the ids of the nodes that share them.
+	throttle *throttler.Throttler
+	members  func() []string
 	// excluded holds the end of each exclusion.
 	excluded map[replica]time.Time
 	// commonPrefixes holds the prefixes that all replicas are assumed to cache.
@@ -119,6 +124,10 @@
 	}
 	en := sc.newEntry(now, tk)
 	sc.addArrivedDemand(en)
+	if sc.waitingRequests > 0 && sc.throttle.Active() {
+		// What a server takes again goes to those that wait, the most urgent first.
+		sc.grantWaitingAll(now)
+	}
 	if len(candidates) == 0 {
 		// Requests without a ready replica count as demand. Otherwise a model
 		// that lost all replicas would get fewer of them.
@@ -271,6 +280,7 @@
 	sc.assertGrant(tg, sc.window(now, tg, en.ticket.Resumed))
 	en.stage = stageGranted
 	en.target = tg
+	sc.throttle.Sent(now, tg.Name)
 	tg.Load.Dispatched(now)
 	sc.addBacklog(en, tg)
 	sc.server(tg.Name).add(now, en.class, 1)
--- /dev/null
+++ b/internal/coordination/admitter/throttle.go
@@ -0,0 +1,74 @@
+package admitter
+
+import (
+	"time"
+
+	"github.com/lagoonpass/lagoonpass/internal/coordination/throttler"
+)
+
+// returnSpreadDivisor gives the fraction of a wait over which callers that are
+// refused are told to return, so that they do not come in the same instant.
+const returnSpreadDivisor = 5
+
+// Observe records what a server said in its answer to a request that was sent at
+// the given time.
+func (ad *Admitter) Observe(server string, sent time.Time, sg throttler.Signals) {
+	ad.mu.Lock()
+	defer ad.mu.Unlock()
+	ad.scheduler.Observe(ad.now(), server, sent, sg)
+}
+
+// Forget removes what a server said, because another process has its name.
+func (ad *Admitter) Forget(server string) {
+	ad.mu.Lock()
+	defer ad.mu.Unlock()
+	ad.scheduler.throttle.Forget(server)
+}
+
+// Observe implements Admitter.Observe.
+func (sc *Scheduler) Observe(now time.Time, server string, sent time.Time, sg throttler.Signals) {
+	sc.throttle.Observe(now, server, sent, sg)
+}
+
+// throttledWait returns how long a new entry would wait because of what the
+// servers of its model take: the time until the first of them takes another
+// request, and if all name limits, the time for the entries ahead of it. It
+// returns 0 if a server takes requests without a limit, or none is known.
+func (sc *Scheduler) throttledWait(now time.Time, en *Entry) time.Duration {
+	candidates := sc.table.Candidates(en.ticket.Model.Name())
+	least, rate, all, count := throttler.Never, 0.0, true, 0
+	for _, tg := range candidates {
+		if tg.Leaving {
+			continue
+		}
+		count++
+		least = min(least, sc.throttle.Wait(now, tg.Name))
+		share, limited := sc.throttle.Rate(now, tg.Name)
+		rate += share
+		all = all && limited
+	}
+	switch {
+	case count == 0:
+		return 0
+	case !all || least == throttler.Never:
+		return least
+	}
+	ahead := 0
+	if mq, ok := sc.queues[en.ticket.Model.Name()]; ok {
+		for class := range min(en.class+1, len(mq.byClass)) {
+			ahead += mq.byClass[class].count
+		}
+	}
+	return least + seconds(float64(ahead)/rate)
+}
+
+// throttledRetryAfter returns when a caller that is refused for the wait should
+// return: when the servers take requests again, spread over some time. If they
+// take none of this node, another node may be asked at once.
+func (sc *Scheduler) throttledRetryAfter(wait time.Duration) time.Duration {
+	if wait == throttler.Never {
+		return refusalExclusionTime
+	}
+	after := max(wait, refusalExclusionTime)
+	return min(after+time.Duration(sc.random.Int64N(int64(after/returnSpreadDivisor))), maxRetryAfter)
+}
--- a/internal/coordination/throttler/throttler.go
+++ b/internal/coordination/throttler/throttler.go
@@ -21,31 +21,149 @@
 import (
 	"math"
 	"time"
+
+	"github.com/cespare/xxhash/v2"
 )
 
 // Never is the wait for a server that takes no request of this node.
 const Never time.Duration = math.MaxInt64
 
+const (
+	// minUsers and usersPerRequest give the number of nodes that may use a server
+	// with a limit: enough of them to use the limit up, and few enough that their
+	// saved requests do not exceed it by much.
+	minUsers        = 3
+	usersPerRequest = 2
+	// savedTime is the time for which a node saves up a share of more than two
+	// requests a second.
+	savedTime = 500 * time.Millisecond
+	// shareLifetime is how long a share is used before the nodes are counted
+	// again.
+	shareLifetime = time.Second
+)
+
 // Throttler holds what servers said to one node.
 type Throttler struct {
 	// node is the id of this node, and members returns those of all nodes.
 	node    string
 	members func() []string
+	// limits holds the servers that name a limit.
+	limits map[string]*limit
+}
+
+// limit is the limit of one server and this node's share of it.
+type limit struct {
+	// rate is the limit in requests a second, and namedAt when it was last named.
+	rate    float64
+	namedAt time.Time
+	// share is this node's part of rate, and countedAt when it was computed.
+	share     float64
+	countedAt time.Time
+	// saved is the number of requests that the node may send, as of savedAt.
+	saved   float64
+	savedAt time.Time
 }
 
 // New returns a throttler of the node with this id. The function members returns
 // the ids of the nodes that share limits.
 func New(node string, members func() []string) *Throttler {
-	return &Throttler{node: node, members: members}
+	return &Throttler{node: node, members: members, limits: map[string]*limit{}}
 }
 
 // Observe records what a server said in its answer to a request that was sent at
-// the given time.
-func (*Throttler) Observe(time.Time, string, time.Time, Signals) {}
+// the given time. A limit ends with an answer that names none, unless the request
+// was sent before the limit was last named.
+func (th *Throttler) Observe(now time.Time, server string, sent time.Time, sg Signals) {
+	lm, ok := th.limits[server]
+	switch {
+	case sg.Limit > 0 && ok:
+		th.save(now, server, lm)
+		if lm.rate != sg.Limit {
+			lm.countedAt = time.Time{}
+		}
+		lm.rate, lm.namedAt = sg.Limit, now
+	case sg.Limit > 0:
+		lm = &limit{rate: sg.Limit, namedAt: now, savedAt: now}
+		th.limits[server] = lm
+		th.count(now, server, lm)
+		// Nodes hear of a limit at about the same time. Their first requests are
+		// spread over the time in which each has one.
+		lm.saved = float64(th.hash(server, th.node)%1024) / 1024
+	case ok && sent.After(lm.namedAt):
+		delete(th.limits, server)
+	}
+}
+
+// Active reports whether any server names a limit.
+func (th *Throttler) Active() bool { return len(th.limits) > 0 }
+
+// Forget removes what a server said, because another process has its name.
+func (th *Throttler) Forget(server string) { delete(th.limits, server) }
 
 // Wait returns the time until the server takes a request of this node, 0 if it
 // does now, or Never.
-func (*Throttler) Wait(time.Time, string) time.Duration { return 0 }
+func (th *Throttler) Wait(now time.Time, server string) time.Duration {
+	lm, ok := th.limits[server]
+	if !ok {
+		return 0
+	}
+	th.save(now, server, lm)
+	switch {
+	case lm.saved >= 1:
+		return 0
+	case lm.share == 0:
+		return Never
+	}
+	return time.Duration((1 - lm.saved) / lm.share * float64(time.Second))
+}
 
 // Sent counts a request that is sent to the server now.
-func (*Throttler) Sent(time.Time, string) {}
+func (th *Throttler) Sent(now time.Time, server string) {
+	if lm, ok := th.limits[server]; ok {
+		th.save(now, server, lm)
+		lm.saved--
+	}
+}
+
+// Rate returns the requests a second that the server takes of this node, and
+// whether that is limited.
+func (th *Throttler) Rate(now time.Time, server string) (rate float64, limited bool) {
+	lm, ok := th.limits[server]
+	if !ok {
+		return 0, false
+	}
+	th.save(now, server, lm)
+	return lm.share, true
+}
+
+// save adds what the node may send since the last call.
+func (th *Throttler) save(now time.Time, server string, lm *limit) {
+	lm.saved = min(lm.saved+lm.share*max(now.Sub(lm.savedAt), 0).Seconds(), max(lm.share*savedTime.Seconds(), 1))
+	lm.savedAt = now
+	if now.Sub(lm.countedAt) >= shareLifetime {
+		th.count(now, server, lm)
+	}
+}
+
+// count computes this node's share of a limit.
+func (th *Throttler) count(now time.Time, server string, lm *limit) {
+	lm.countedAt = now
+	nodes, rank := 1, 0
+	own := th.hash(server, th.node)
+	for _, id := range th.members() {
+		if id == th.node {
+			continue
+		}
+		nodes++
+		if other := th.hash(server, id); other < own || other == own && id < th.node {
+			rank++
+		}
+	}
+	users := min(nodes, int(usersPerRequest*lm.rate)+minUsers)
+	lm.share = 0
+	if rank < users {
+		lm.share = lm.rate / float64(users)
+	}
+}
+
+func (*Throttler) hash(server, node string) uint64 { return xxhash.Sum64String(server + "\x00" + node) }
--- a/internal/keyspacerunner/keyspacerunner.go
+++ b/internal/keyspacerunner/keyspacerunner.go
@@ -202,7 +202,7 @@
 	random := rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64()))
 	rn.admitter = admitter.New(rn.watcher, rn.ejector, random,
 		admitter.WithNodes(rn.nodes), admitter.WithCounters(rn.registry),
-		admitter.WithScheduler(admitter.WithLocation(id.ID, id.Zone, id.Region), admitter.WithPolicy(router.NewQuickest(random))))
+		admitter.WithScheduler(admitter.WithLocation(id.ID, id.Zone, id.Region), admitter.WithMembers(rn.memberIDs), admitter.WithPolicy(router.NewQuickest(random))))
 	rn.adapters = adapterkeeper.New(rn, rn.Settings, rn.leaderView, rn.pool,
 		adapterkeeper.WithEngines(rn), adapterkeeper.WithTokens(rn), adapterkeeper.WithBatchedLeases(adapterLease), adapterkeeper.WithWaitTimeout(adapterWaitTimeout),
 		adapterkeeper.WithReportedAdapters(rn.reportsAdapter), adapterkeeper.WithRegistry(rn.registry))
@@ -291,6 +291,16 @@
 
 func (rn *Runner) nodes() int { return max(len(rn.registrar.View().Members()), 1) }
 
+// memberIDs returns the ids of the registered nodes.
+func (rn *Runner) memberIDs() []string {
+	members := rn.registrar.View().Members()
+	ids := make([]string, 0, len(members))
+	for _, mb := range members {
+		ids = append(ids, mb.ID)
+	}
+	return ids
+}
+
 // connections returns how many connections this node may have to a server. It
 // is the node's share of the number that the operator configured for the
 // server, at least 1, or 0 if the server is unknown.
--- a/internal/keyspacerunner/signals.go
+++ b/internal/keyspacerunner/signals.go
@@ -11,8 +11,10 @@
 // maxSignalling bounds the servers whose signals are kept for the log.
 const maxSignalling = 4096
 
-// noteSignals logs what a server says about itself, when it changes.
-func (rn *Runner) noteSignals(server string, _ time.Time, sg throttler.Signals) {
+// noteSignals applies what a server says about itself, and logs it when it
+// changes.
+func (rn *Runner) noteSignals(server string, sent time.Time, sg throttler.Signals) {
+	rn.admitter.Observe(server, sent, sg)
 	if !rn.signalsChanged(server, sg) {
 		return
 	}
@@ -47,3 +49,11 @@
 	}
 	return true
 }
+
+// forgetSignals removes what a server said, because its process has ended.
+func (rn *Runner) forgetSignals(server string) {
+	rn.admitter.Forget(server)
+	rn.signalsMu.Lock()
+	defer rn.signalsMu.Unlock()
+	delete(rn.signals, server)
+}
--- a/internal/keyspacerunner/snapshot.go
+++ b/internal/keyspacerunner/snapshot.go
@@ -259,12 +259,14 @@
 		line := log.WithFields(log.Fields{"server": sv.ID, "pool": sv.Pool, "address": sv.Address, "incarnation": sv.Incarnation, "sequence": sv.Sequence})
 		switch {
 		case !ok || known.Incarnation != sv.Incarnation:
+			rn.forgetSignals(sv.ID)
 			line.WithField("leaving", sv.Leaving).Info("backend server appeared")
 		case sv.Leaving && !known.Leaving:
 			line.WithField("remaining-ms", sv.Remaining.Milliseconds()).Info("backend server leaves")
 		}
 	}
 	for id, sv := range previous {
+		rn.forgetSignals(id)
 		log.WithField("server", id).WithField("address", sv.Address).Info("backend server is gone")
 	}
 }
