Send nothing to a server for the time that its Retry-After names

Cause: a refusal kept a server out for 300 ms, and for the same model only, whatever the server asked for. Evidence: the tests failed before: no wait at all for a pause of 3 s, and a request granted while the only server paused for 8 s. Change: throttler keeps pauses for a server as a whole; nodes return spread over a tenth of the pause. Requests that cannot be served before the end of all pauses are refused at once and told that time.

--- a/internal/coordination/admitter/throttle.go
+++ b/internal/coordination/admitter/throttle.go
@@ -6,9 +6,13 @@
 	"github.com/lagoonpass/lagoonpass/internal/coordination/throttler"
 )
 
-// returnSpreadDivisor gives the fraction of a wait over which callers that are
-// refused are told to return, so that they do not come in the same instant.
-const returnSpreadDivisor = 5
+const (
+	// returnSpreadDivisor gives the fraction of a wait over which callers that are
+	// refused are told to return, so that they do not come in the same instant.
+	returnSpreadDivisor = 5
+	// maxReturnSpread is the longest time over which they return.
+	maxReturnSpread = time.Second
+)
 
 // Observe records what a server said in its answer to a request that was sent at
 // the given time.
@@ -70,5 +74,6 @@
 		return refusalExclusionTime
 	}
 	after := max(wait, refusalExclusionTime)
-	return min(after+time.Duration(sc.random.Int64N(int64(after/returnSpreadDivisor))), maxRetryAfter)
+	spread := min(after/returnSpreadDivisor, maxReturnSpread)
+	return min(after+time.Duration(sc.random.Int64N(int64(spread))), maxRetryAfter)
 }
--- a/internal/coordination/admitter/throttle_test.go
+++ b/internal/coordination/admitter/throttle_test.go
@@ -82,3 +82,19 @@
 		require.Positive(t, rf.RetryAfter())
 	}
 }
+
+// Guards against requests that are queued for servers that all pause for longer
+// than callers wait.
+func TestRequestsAreRefusedAtOnceWhileAllServersPause(t *testing.T) {
+	ps := throttledSim(t, 1, throttler.Signals{Pause: 8 * time.Second})
+	en, rf := ps.sc.Submit(ps.now, ps.ticket(1, 600))
+	require.Nil(t, en)
+	require.Equal(t, refuser.DeadlineUnreachable, rf.Reason())
+	require.GreaterOrEqual(t, rf.RetryAfter(), 8*time.Second, "the caller returns when the server takes requests again")
+	require.LessOrEqual(t, rf.RetryAfter(), 10*time.Second)
+
+	ps.now = ps.now.Add(9 * time.Second)
+	en, rf = ps.sc.Submit(ps.now, ps.ticket(2, 600))
+	require.Nil(t, rf)
+	require.True(t, en.Granted())
+}
--- a/internal/coordination/throttler/throttler.go
+++ b/internal/coordination/throttler/throttler.go
@@ -40,6 +40,10 @@
 	// shareLifetime is how long a share is used before the nodes are counted
 	// again.
 	shareLifetime = time.Second
+	// returnSpreadDivisor gives the fraction of a pause over which nodes return
+	// after it, and maxReturnSpread is the longest such time.
+	returnSpreadDivisor = 10
+	maxReturnSpread     = time.Second
 )
 
 // Throttler holds what servers said to one node.
@@ -49,6 +53,8 @@
 	members func() []string
 	// limits holds the servers that name a limit.
 	limits map[string]*limit
+	// pauses holds until when servers want no requests of this node.
+	pauses map[string]time.Time
 }
 
 // limit is the limit of one server and this node's share of it.
@@ -67,13 +73,16 @@
 // New returns a throttler of the node with this id. The function members returns
 // the ids of the nodes that share limits.
 func New(node string, members func() []string) *Throttler {
-	return &Throttler{node: node, members: members, limits: map[string]*limit{}}
+	return &Throttler{node: node, members: members, limits: map[string]*limit{}, pauses: map[string]time.Time{}}
 }
 
 // Observe records what a server said in its answer to a request that was sent at
 // the given time. A limit ends with an answer that names none, unless the request
-// was sent before the limit was last named.
+// was sent before the limit was last named. A pause ends with its time only.
 func (th *Throttler) Observe(now time.Time, server string, sent time.Time, sg Signals) {
+	if sg.Pause > 0 {
+		th.pause(now, server, sg.Pause)
+	}
 	lm, ok := th.limits[server]
 	switch {
 	case sg.Limit > 0 && ok:
@@ -94,15 +103,42 @@
 	}
 }
 
-// Active reports whether any server names a limit.
-func (th *Throttler) Active() bool { return len(th.limits) > 0 }
+// pause records that a server wants no requests. Nodes that hear it at the same
+// time return one after the other.
+func (th *Throttler) pause(now time.Time, server string, dn time.Duration) {
+	for other, until := range th.pauses {
+		if !now.Before(until) {
+			delete(th.pauses, other)
+		}
+	}
+	spread := min(dn/returnSpreadDivisor, maxReturnSpread)
+	until := now.Add(dn + spread*time.Duration(th.hash(server, th.node)%1024)/1024)
+	if until.After(th.pauses[server]) {
+		th.pauses[server] = until
+	}
+}
+
+// Active reports whether any server names a limit or a pause.
+func (th *Throttler) Active() bool { return len(th.limits) > 0 || len(th.pauses) > 0 }
 
 // Forget removes what a server said, because another process has its name.
-func (th *Throttler) Forget(server string) { delete(th.limits, server) }
+func (th *Throttler) Forget(server string) {
+	delete(th.limits, server)
+	delete(th.pauses, server)
+}
 
 // Wait returns the time until the server takes a request of this node, 0 if it
 // does now, or Never.
 func (th *Throttler) Wait(now time.Time, server string) time.Duration {
+	paused := time.Duration(0)
+	if until, ok := th.pauses[server]; ok {
+		paused = max(until.Sub(now), 0)
+	}
+	return max(paused, th.limitWait(now, server))
+}
+
+// limitWait returns the wait for this node's share of a limit.
+func (th *Throttler) limitWait(now time.Time, server string) time.Duration {
 	lm, ok := th.limits[server]
 	if !ok {
 		return 0
--- a/internal/coordination/throttler/throttler_test.go
+++ b/internal/coordination/throttler/throttler_test.go
@@ -98,3 +98,32 @@
 	th.Observe(named.Add(3*time.Second), "w", named.Add(2*time.Second), throttler.Signals{})
 	require.Zero(t, th.Wait(named.Add(3*time.Second), "w"))
 }
+
+// Guards against requests to a server that turned one away and named a time for
+// which it wants none.
+func TestPausedServerGetsNothingUntilThePauseEnds(t *testing.T) {
+	th := newFleet(4).nodes[0]
+	now := time.Unix(1000, 0)
+	th.Observe(now, "w", now, throttler.Signals{Pause: 3 * time.Second})
+	require.GreaterOrEqual(t, th.Wait(now, "w"), 3*time.Second)
+	// Answers to requests that were sent before do not end it, nor does a shorter
+	// pause.
+	th.Observe(now.Add(time.Second), "w", now.Add(-time.Second), throttler.Signals{})
+	th.Observe(now.Add(time.Second), "w", now.Add(-time.Second), throttler.Signals{Pause: time.Second / 2})
+	require.NotZero(t, th.Wait(now.Add(2900*time.Millisecond), "w"))
+	require.Zero(t, th.Wait(now.Add(3500*time.Millisecond), "w"))
+}
+
+// Guards against all nodes coming back in the instant in which a pause ends.
+func TestNodesReturnFromPauseOneAfterTheOther(t *testing.T) {
+	fl := newFleet(20)
+	now := time.Unix(1000, 0)
+	waits := map[time.Duration]bool{}
+	for _, th := range fl.nodes {
+		th.Observe(now, "w", now, throttler.Signals{Pause: 3 * time.Second})
+		wait := th.Wait(now, "w")
+		require.LessOrEqual(t, wait, 3300*time.Millisecond)
+		waits[wait.Round(time.Millisecond)] = true
+	}
+	require.Greater(t, len(waits), 10)
+}
