Send no more requests to a server that says in an answer that it leaves

Cause: only the registration told that a server leaves. Evidence: the tests failed before; the server stayed in use. Change: the tracker marks the incarnation as leaving, and admission, the planner and orders follow at once. An answer to a request that was sent before the present incarnation was known marks nothing.

--- a/internal/coordination/tracker/tracker.go
+++ b/internal/coordination/tracker/tracker.go
@@ -70,6 +70,8 @@
 // entry is a registered server.
 type entry struct {
 	server Server
+	// since is when the server's incarnation was first known.
+	since time.Time
 	// missingSince is when the registration was first found missing, or zero
 	// if it is present.
 	missingSince time.Time
@@ -159,10 +161,28 @@
 	} else if sv.Leaving {
 		tk.leaving[key] = now
 	}
-	tk.entries[sv.ID] = &entry{server: sv}
+	since := now
+	if ok && known.server.Incarnation == sv.Incarnation {
+		since = known.since
+	}
+	tk.entries[sv.ID] = &entry{server: sv, since: since}
 	tk.pruneLeaving(now)
 }
 
+// MarkLeaving records that a server said that it leaves, in its answer to a
+// request that was sent at the given time. It ignores an answer to a request that
+// was sent before the server's present incarnation was known, and reports whether
+// the mark is new.
+func (tk *Tracker) MarkLeaving(now time.Time, id string, sent time.Time) bool {
+	en, ok := tk.entries[id]
+	if !ok || en.server.Leaving || sent.Before(en.since) {
+		return false
+	}
+	en.server.Leaving = true
+	tk.leaving[incarnation{id, en.server.Incarnation}] = now
+	return true
+}
+
 // older reports whether sv was registered before known.
 func older(sv, known Server) bool {
 	if sv.Incarnation != known.Incarnation {
--- a/internal/coordination/tracker/tracker_test.go
+++ b/internal/coordination/tracker/tracker_test.go
@@ -98,3 +98,19 @@
 	tk.Update(later, server("gone", 2, 1, false))
 	require.Equal(t, []string{"gone", "leaves leaves"}, ids(tk, later), "and so does another start")
 }
+
+// Guards against requests to a server that says in its answers that it leaves,
+// while its registration still says that it is ready.
+func TestServerThatSaysItLeavesIsLeavingWithinItsIncarnation(t *testing.T) {
+	tk, now := tracker.New(), time.Unix(1000, 0)
+	tk.Replace(now, []tracker.Server{{ID: "a", Incarnation: 1, Sequence: 1}})
+	require.False(t, tk.MarkLeaving(now.Add(time.Second), "unknown", now.Add(time.Second)))
+	require.False(t, tk.MarkLeaving(now.Add(time.Second), "a", now.Add(-time.Second)), "an answer of a former process")
+	require.True(t, tk.MarkLeaving(now.Add(2*time.Second), "a", now.Add(time.Second)))
+	require.False(t, tk.MarkLeaving(now.Add(2*time.Second), "a", now.Add(time.Second)), "it is known")
+	require.True(t, tk.Servers(now.Add(2 * time.Second))[0].Leaving)
+	tk.Update(now.Add(3*time.Second), tracker.Server{ID: "a", Incarnation: 1, Sequence: 2})
+	require.True(t, tk.Servers(now.Add(3 * time.Second))[0].Leaving)
+	tk.Update(now.Add(4*time.Second), tracker.Server{ID: "a", Incarnation: 2, Sequence: 1})
+	require.False(t, tk.Servers(now.Add(4 * time.Second))[0].Leaving, "the next process takes requests")
+}
--- a/internal/keyspacerunner/signals.go
+++ b/internal/keyspacerunner/signals.go
@@ -15,6 +15,9 @@
 // changes.
 func (rn *Runner) noteSignals(server string, sent time.Time, sg throttler.Signals) {
 	rn.admitter.Observe(server, sent, sg)
+	if sg.Leaving && rn.markLeaving(server, sent) {
+		rn.refresh()
+	}
 	if !rn.signalsChanged(server, sg) {
 		return
 	}
@@ -57,3 +60,11 @@
 	defer rn.signalsMu.Unlock()
 	delete(rn.signals, server)
 }
+
+// markLeaving records that a server said that it leaves, and reports whether that
+// is new.
+func (rn *Runner) markLeaving(server string, sent time.Time) bool {
+	rn.mu.Lock()
+	defer rn.mu.Unlock()
+	return rn.tracker.MarkLeaving(time.Now(), server, sent)
+}
