Bound what a planning pass spends on spare replicas

The first plan of a fleet had no spares before the last model was placed. Change: asked once a pass, after which one spare replica is added; the flows of evicted replicas move to the others of their models; only passes yield, not the first plan.

--- a/internal/coordination/planner/repair.go
+++ b/internal/coordination/planner/repair.go
@@ -16,25 +16,28 @@
 		}
 		return wk.models[order[ix]].memory > wk.models[order[jx]].memory
 	})
+	waits := wk.sparesYield && wk.demandWaits()
 	for _, mi := range order {
 		for len(wk.models[mi].replicas) < wk.models[mi].minReplicas {
 			reason := ReasonSpare
 			if len(wk.models[mi].replicas) < wk.models[mi].serving {
 				reason = ReasonMissing
 			}
-			if wk.yieldsToDemand(reason) && wk.demandWaits() || !wk.repairOne(mi, reason, wk.anyServer) {
+			if waits && reason == ReasonSpare || !wk.repairOne(mi, reason, wk.anyServer) {
 				break
 			}
+			waits = waits || wk.sparesYield && reason == ReasonSpare
 		}
-		if !wk.yieldsToDemand(ReasonZone) || !wk.demandWaits() {
-			wk.repairZones(mi)
+		if !waits && wk.repairZones(mi) {
+			waits = wk.sparesYield
 		}
 	}
 }
 
 // demandWaits reports whether demand waits for a load: a model has more than its
 // replicas serve, or planned replicas under demand do not serve yet. Loads are
-// few a second, and those for demand come first.
+// few a second, and those for demand come before spare replicas, of which one is
+// added at a time.
 func (wk *workspace) demandWaits() bool {
 	if wk.needsMove() {
 		return true
@@ -42,9 +45,10 @@
 	if wk.serving == nil {
 		return false
 	}
+	least := minSpareShare * wk.meanSlots()
 	for mi := range wk.models {
 		md := &wk.models[mi]
-		if md.demand < minSpareShare*wk.meanSlots() {
+		if md.demand < least {
 			continue
 		}
 		for _, rp := range md.replicas {
@@ -77,13 +81,13 @@
 func (wk *workspace) anyServer(int) bool { return true }
 
 // repairZones adds a replica in another zone if all replicas are in one zone
-// and the model needs at least two replicas.
-func (wk *workspace) repairZones(mi int) {
+// and the model needs at least two replicas. It reports whether it did.
+func (wk *workspace) repairZones(mi int) bool {
 	zones := wk.zonesOf(mi)
 	if len(zones) != 1 || wk.models[mi].minReplicas < 2 {
-		return
+		return false
 	}
-	wk.repairOne(mi, ReasonZone, func(si int) bool { return zones[wk.servers[si].zone] == 0 })
+	return wk.repairOne(mi, ReasonZone, func(si int) bool { return zones[wk.servers[si].zone] == 0 })
 }
 
 // repairOne places one replica on an allowed server and reports whether it did.
@@ -134,7 +138,7 @@
 			continue
 		}
 		victims, unserved, ok := wk.victims(mi, si, evictable)
-		if !ok || unserved > 0 && wk.yieldsToDemand(reason) {
+		if !ok || unserved > 0 && wk.sparesYield && reason != ReasonMissing {
 			continue
 		}
 		rank := -unserved
@@ -148,16 +152,27 @@
 	if best < 0 {
 		return false
 	}
+	wk.moveFlows(bestVictims, best)
 	wk.addReplica(mi, best, reason, bestVictims)
-	// The demand of the evicted replicas now flows to others.
-	wk.balance()
 	return true
 }
 
-// yieldsToDemand reports whether a replica that is added for the reason takes no
-// place from one whose demand the model's other replicas cannot serve.
-func (wk *workspace) yieldsToDemand(reason Reason) bool {
-	return !wk.spareWhenIdle && reason != ReasonMissing
+// moveFlows moves the flows of replicas that are about to be evicted from a server
+// to the other replicas of their models, in equal parts.
+func (wk *workspace) moveFlows(victims []int, si int) {
+	for _, victim := range victims {
+		md := &wk.models[victim]
+		part := wk.flow(victim, si) / float64(max(len(md.replicas)-1, 1))
+		for ix := range md.replicas {
+			rp := &md.replicas[ix]
+			if rp.server == si {
+				wk.servers[si].load -= rp.flow
+				continue
+			}
+			rp.flow += part
+			wk.servers[rp.server].load += part
+		}
+	}
 }
 
 func (wk *workspace) evict(victims []int, si int) {
--- a/internal/coordination/planner/work.go
+++ b/internal/coordination/planner/work.go
@@ -13,8 +13,8 @@
 	// refusing requests when demand varies.
 	safePressure = 0.9
 	// minSpareShare is the least long-term demand, as a share of a server's slots,
-	// at which a model keeps its spare replica if idle models do not. An occasional request
-	// does not justify the memory and the load.
+	// at which a model keeps its spare replica if idle models do not. An occasional
+	// request does not justify the memory and the load.
 	minSpareShare = 0.1
 	// minPressure is a lower bound in the adjustment of flows, so that an idle
 	// server does not attract a whole flow at once.
@@ -35,6 +35,8 @@
 	weights weights
 	// spareWhenIdle is set if models without demand keep their spare replicas.
 	spareWhenIdle bool
+	// sparesYield is set if spare replicas take no memory and no load from demand.
+	sparesYield bool
 	// idleModelsYield is set if the last replica of a model may be evicted for a
 	// model without one.
 	idleModelsYield bool
@@ -143,10 +145,12 @@
 // setMeans sets the long-term mean demand of each model. Idle models need no
 // spare replica unless spareWhenIdle is set.
 func (wk *workspace) setMeans(mean Demand) {
+	wk.sparesYield = !wk.spareWhenIdle
+	least := minSpareShare * wk.meanSlots()
 	for mi := range wk.models {
 		md := &wk.models[mi]
 		md.mean = mean[md.name]
-		if !wk.spareWhenIdle && md.mean < minSpareShare*wk.meanSlots() {
+		if !wk.spareWhenIdle && md.mean < least {
 			md.minReplicas = md.serving
 		}
 	}
