Let the node of an accepted job die before it begins the run

The test killed the node after it had accepted the job, by when it could have begun the run. Change: the node's store fails from the write of the accepted job on, so that the job is what the comment of the test says: accepted and not begun. All that was asserted still is.

--- a/internal/coordination/jobrunner/cluster_test.go
+++ b/internal/coordination/jobrunner/cluster_test.go
@@ -25,6 +25,8 @@
 type nodeStore struct {
 	*platform.Memory
 	dead atomic.Bool
+	// diesAfterWrite makes the node die with its next successful write.
+	diesAfterWrite atomic.Bool
 }
 
 // checkAlive returns an error if the node is dead.
@@ -46,7 +48,11 @@
 	if err := ns.checkAlive(key); err != nil {
 		return 0, err
 	}
-	return ns.Memory.Swap(ctx, key, value, revision)
+	written, err := ns.Memory.Swap(ctx, key, value, revision)
+	if err == nil && ns.diesAfterWrite.Load() {
+		ns.dead.Store(true)
+	}
+	return written, err
 }
 
 // node is an entry node with a job runner and a recorder. It also executes its
--- a/internal/coordination/jobrunner/jobrunner_test.go
+++ b/internal/coordination/jobrunner/jobrunner_test.go
@@ -83,12 +83,14 @@
 }
 
 // TestAcceptedJobSurvivesDeathOfItsNode guards against hazard 22: the node that
-// accepted a job dies before any other node was notified of it.
+// accepted a job dies before any other node was notified of it, and before it
+// began the run itself.
 func TestAcceptedJobSurvivesDeathOfItsNode(t *testing.T) {
 	inBubble(t, func(t *testing.T, cl *cluster) {
 		cl.mu.Lock()
 		cl.dropNotices = true
 		cl.mu.Unlock()
+		cl.nodes[0].store.diesAfterWrite.Store(true)
 		jb := cl.accept(t, 0, newSubmission("book", "b1"))
 		cl.kill(0)
 		require.Equal(t, Done, cl.await(t, 1, jb.ID(), 3*time.Minute).State())
