Tell all nodes when a server no longer names a limit

What callers saw: refused by some nodes of a large fleet for as long as they run, after all servers of a service had named limits for a moment. Cause: beyond 2 nodes a request plus 3, a node has no share of a limit and sends the server nothing; only answers told the end of a limit. Change: the node that hears the end tells all others (messenger.LimitEnd); a limit that was not named for 30 s or more, by the number of nodes, is asked for again, by one node after the other within a tenth of the limit. The test of the limit now answers each request with the limit, as servers do; its bound is the same.

--- a/internal/coordination/admitter/throttle.go
+++ b/internal/coordination/admitter/throttle.go
@@ -15,11 +15,18 @@
 )
 
 // Observe records what a server said in its answer to a request that was sent at
-// the given time.
-func (ad *Admitter) Observe(server string, sent time.Time, sg throttler.Signals) {
+// the given time. It reports whether a limit of the server ended.
+func (ad *Admitter) Observe(server string, sent time.Time, sg throttler.Signals) (limitEnded bool) {
 	ad.mu.Lock()
 	defer ad.mu.Unlock()
-	ad.scheduler.Observe(ad.now(), server, sent, sg)
+	return ad.scheduler.Observe(ad.now(), server, sent, sg)
+}
+
+// EndLimit removes a server's limit, because another node heard that it ended.
+func (ad *Admitter) EndLimit(server string) {
+	ad.mu.Lock()
+	defer ad.mu.Unlock()
+	ad.scheduler.throttle.EndLimit(server)
 }
 
 // Forget removes what a server said, because another process has its name.
@@ -30,8 +37,8 @@
 }
 
 // Observe implements Admitter.Observe.
-func (sc *Scheduler) Observe(now time.Time, server string, sent time.Time, sg throttler.Signals) {
-	sc.throttle.Observe(now, server, sent, sg)
+func (sc *Scheduler) Observe(now time.Time, server string, sent time.Time, sg throttler.Signals) (limitEnded bool) {
+	return sc.throttle.Observe(now, server, sent, sg)
 }
 
 // throttledWait returns how long a new entry would wait because of what the
--- a/internal/coordination/throttler/throttler.go
+++ b/internal/coordination/throttler/throttler.go
@@ -40,6 +40,11 @@
 	// shareLifetime is how long a share is used before the nodes are counted
 	// again.
 	shareLifetime = time.Second
+	// minLifetime is how long a limit is kept at least after it was last named. A
+	// node that sends the server nothing then asks again. Nodes do so at different
+	// times, and all of them together with askShare of the limit.
+	minLifetime = 30 * time.Second
+	askShare    = 0.1
 	// returnSpreadDivisor gives the fraction of a pause over which nodes return
 	// after it, and maxReturnSpread is the longest such time.
 	returnSpreadDivisor = 10
@@ -65,6 +70,8 @@
 	// share is this node's part of rate, and countedAt when it was computed.
 	share     float64
 	countedAt time.Time
+	// lifetime is how long the limit is kept after it was last named.
+	lifetime time.Duration
 	// saved is the number of requests that the node may send, as of savedAt.
 	saved   float64
 	savedAt time.Time
@@ -79,7 +86,8 @@
 // Observe records what a server said in its answer to a request that was sent at
 // the given time. A limit ends with an answer that names none, unless the request
 // was sent before the limit was last named. A pause ends with its time only.
-func (th *Throttler) Observe(now time.Time, server string, sent time.Time, sg Signals) {
+// Observe reports whether a limit ended.
+func (th *Throttler) Observe(now time.Time, server string, sent time.Time, sg Signals) (limitEnded bool) {
 	if sg.Pause > 0 {
 		th.pause(now, server, sg.Pause)
 	}
@@ -100,9 +108,14 @@
 		lm.saved = float64(th.hash(server, th.node)%1024) / 1024
 	case ok && sent.After(lm.namedAt):
 		delete(th.limits, server)
+		return true
 	}
+	return false
 }
 
+// EndLimit removes a server's limit, because another node heard that it ended.
+func (th *Throttler) EndLimit(server string) { delete(th.limits, server) }
+
 // pause records that a server wants no requests. Nodes that hear it at the same
 // time return one after the other.
 func (th *Throttler) pause(now time.Time, server string, dn time.Duration) {
@@ -143,6 +156,10 @@
 	if !ok {
 		return 0
 	}
+	if now.Sub(lm.namedAt) > lm.lifetime {
+		delete(th.limits, server)
+		return 0
+	}
 	th.save(now, server, lm)
 	switch {
 	case lm.saved >= 1:
@@ -200,6 +217,8 @@
 	if rank < users {
 		lm.share = lm.rate / float64(users)
 	}
+	lifetime := max(minLifetime, time.Duration(float64(nodes)/lm.rate/askShare*float64(time.Second)))
+	lm.lifetime = lifetime + lifetime*time.Duration(own%1024)/1024
 }
 
 func (*Throttler) hash(server, node string) uint64 { return xxhash.Sum64String(server + "\x00" + node) }
--- a/internal/coordination/throttler/throttler_test.go
+++ b/internal/coordination/throttler/throttler_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"slices"
 	"testing"
 	"time"
 
@@ -57,6 +58,7 @@
 			for _, th := range fl.nodes {
 				if th.Wait(now, "w") == 0 {
 					th.Sent(now, "w")
+					th.Observe(now, "w", now, throttler.Signals{Limit: limit})
 					sent = append(sent, now)
 				}
 			}
@@ -127,3 +129,35 @@
 	}
 	require.Greater(t, len(waits), 10)
 }
+
+// Guards against nodes without a share, which send a server nothing, keeping to a
+// limit for ever that the server no longer names.
+func TestNodesWithoutShareAskAgainOneAfterTheOther(t *testing.T) {
+	const limit = 2
+	fl := newFleet(40)
+	now := time.Unix(1000, 0)
+	for _, th := range fl.nodes {
+		th.Observe(now, "w", now, throttler.Signals{Limit: limit})
+	}
+	var asked []time.Time
+	waiting := slices.Clone(fl.nodes)
+	for range 4000 {
+		now = now.Add(100 * time.Millisecond)
+		waiting = slices.DeleteFunc(waiting, func(th *throttler.Throttler) bool {
+			if th.Wait(now, "w") == throttler.Never {
+				return false
+			}
+			if _, limited := th.Rate(now, "w"); !limited {
+				asked = append(asked, now)
+			}
+			return true
+		})
+	}
+	require.Empty(t, waiting)
+	require.Greater(t, len(asked), 30)
+	require.LessOrEqual(t, most(asked, 4*time.Second), 4, "what the shares leave of the bound")
+
+	fl.nodes[0].Observe(now, "w", now, throttler.Signals{Limit: limit})
+	fl.nodes[0].EndLimit("w")
+	require.Zero(t, fl.nodes[0].Wait(now, "w"))
+}
--- a/internal/keyspacerunner/peers.go
+++ b/internal/keyspacerunner/peers.go
@@ -48,6 +48,9 @@
 	case *messenger.Retire:
 		rn.admitter.Exclude(tc.Server, tc.Model, tc.Duration)
 		return &messenger.Retired{}, nil
+	case *messenger.LimitEnd:
+		rn.admitter.EndLimit(tc.Server)
+		return &messenger.LimitEnded{}, nil
 	case *messenger.FeedPoll:
 		page, err := rn.relayer.Answer(ctx, tc)
 		if err != nil {
@@ -120,19 +123,32 @@
 	rn.admitter.Exclude(server, model, retireTime)
 	ctx, cancel := context.WithTimeout(ctx, callTimeout)
 	defer cancel()
+	rn.tellAll(ctx, &messenger.Retire{Server: server, Model: model, Duration: retireTime}, "retire")
+	waiter.Sleep(ctx, retireGrace)
+}
+
+// tellLimitEnd tells all nodes that a server no longer names a limit.
+func (rn *Runner) tellLimitEnd(server string) {
+	ctx, cancel := context.WithTimeout(context.Background(), callTimeout)
+	defer cancel()
+	rn.tellAll(ctx, &messenger.LimitEnd{Server: server}, "limit-end")
+}
+
+// tellAll calls all other nodes and counts, under the name what, those that do
+// not answer.
+func (rn *Runner) tellAll(ctx context.Context, call messenger.Message, what string) {
 	var wg sync.WaitGroup
 	for _, mb := range rn.registrar.View().Members() {
 		if mb.ID == rn.identity.ID {
 			continue
 		}
 		wg.Go(func() {
-			if _, err := rn.pool.Call(ctx, mb.PeerAddress, &messenger.Retire{Server: server, Model: model, Duration: retireTime}); err != nil {
-				rn.registry.Inc("retire", "untold")
+			if _, err := rn.pool.Call(ctx, mb.PeerAddress, call); err != nil {
+				rn.registry.Inc(what, "untold")
 			}
 		})
 	}
 	wg.Wait()
-	waiter.Sleep(ctx, retireGrace)
 }
 
 // checkPeer implements registrar.CheckFunc.
--- a/internal/keyspacerunner/signals.go
+++ b/internal/keyspacerunner/signals.go
@@ -14,7 +14,9 @@
 // noteSignals applies what a server says about itself, and logs it when it
 // changes.
 func (rn *Runner) noteSignals(server string, sent time.Time, sg throttler.Signals) {
-	rn.admitter.Observe(server, sent, sg)
+	if rn.admitter.Observe(server, sent, sg) {
+		go rn.tellLimitEnd(server)
+	}
 	if sg.Leaving && rn.markLeaving(server, sent) {
 		rn.refresh()
 	}
--- a/internal/protocol/messenger/kinds.go
+++ b/internal/protocol/messenger/kinds.go
@@ -30,6 +30,8 @@
 	KindPlanFetched     Kind = 53
 	KindRetire          Kind = 54
 	KindRetired         Kind = 55
+	KindLimitEnd        Kind = 56
+	KindLimitEnded      Kind = 57
 	KindFeedPoll        Kind = 60
 	KindFeedPage        Kind = 61
 	KindCheck           Kind = 62
@@ -63,6 +65,8 @@
 	KindPlanFetched:    func() Message { return &PlanFetched{} },
 	KindRetire:         func() Message { return &Retire{} },
 	KindRetired:        func() Message { return &Retired{} },
+	KindLimitEnd:       func() Message { return &LimitEnd{} },
+	KindLimitEnded:     func() Message { return &LimitEnded{} },
 
 	KindFeedPoll: func() Message { return &FeedPoll{} },
 	KindFeedPage: func() Message { return &FeedPage{} },
