Count the users of a limit without overflow

Cause: reading the change: a limit of 1e19 or more made the number of nodes that may use a server negative, so that none might. Change: counted in floating point. Result: a case in TestWaitTellsWhenShareIsFree.

--- a/internal/coordination/throttler/throttler.go
+++ b/internal/coordination/throttler/throttler.go
@@ -212,10 +212,10 @@
 			rank++
 		}
 	}
-	users := min(nodes, int(usersPerRequest*lm.rate)+minUsers)
+	users := min(float64(nodes), math.Floor(usersPerRequest*lm.rate)+minUsers)
 	lm.share = 0
-	if rank < users {
-		lm.share = lm.rate / float64(users)
+	if float64(rank) < users {
+		lm.share = lm.rate / users
 	}
 	lifetime := max(minLifetime, time.Duration(float64(nodes)/lm.rate/askShare*float64(time.Second)))
 	lm.lifetime = lifetime + lifetime*time.Duration(own%1024)/1024
--- a/internal/coordination/throttler/throttler_test.go
+++ b/internal/coordination/throttler/throttler_test.go
@@ -79,6 +79,8 @@
 	now := time.Unix(1000, 0)
 	th := fl.nodes[0]
 	require.Zero(t, th.Wait(now, "w"), "no limit")
+	th.Observe(now, "huge", now, throttler.Signals{Limit: 1e300})
+	require.Zero(t, th.Wait(now.Add(time.Second), "huge"))
 	th.Observe(now, "w", now, throttler.Signals{Limit: 2})
 	now = now.Add(10 * time.Second)
 	require.Zero(t, th.Wait(now, "w"))
