--- a/internal/coordination/throttler/throttler.go
+++ b/internal/coordination/throttler/throttler.go
@@ -1,8 +1,8 @@
 // Package throttler keeps a node's requests within what backend servers say in
 // their answers that they take.
 //
-// A limit holds for all nodes together. Nodes exchange no messages about it: each
-// has an equal share, which it saves up to one request at most. If there are
+// A limit holds for all nodes together. Nodes exchange no messages about its use:
+// each has an equal share, which it saves up to one request at most. If there are
 // more nodes than a server's limit has room for, only some of them, chosen by the
 // hash of server and node, send it requests; the shares of all others would add
 // up to more than the limit as soon as each is used once.
