Log crashes of backend servers with the requests that met them

Change: crashdetector gathers the connections that a node loses to a server at one time, asks the address once whether it refuses connections, and logs the requests without a piece of their answer with the parts of their prompts. No decision follows from it yet. Result: a crash, a reset and a planned stop are told apart in its test.

--- /dev/null
+++ b/internal/coordination/crashdetector/crashdetector_test.go
@@ -0,0 +1,49 @@
+package crashdetector_test
+
+import (
+	"context"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"github.com/lagoonpass/lagoonpass/internal/coordination/crashdetector"
+)
+
+// TestOnlyServersThatRefuseConnectionsCrashed tells a crash from a reset, a
+// planned stop and a server that breaks off answers.
+func TestOnlyServersThatRefuseConnectionsCrashed(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		asked := 0
+		refuses := func(_ context.Context, address string) bool { asked++; return address != "up" }
+		var crashes []crashdetector.Crash
+		var alive []crashdetector.Loss
+		dt := crashdetector.New(refuses,
+			crashdetector.WithLeaving(func(server string) bool { return server == "leaving" }),
+			crashdetector.WithOnCrash(func(cr crashdetector.Crash) { crashes = append(crashes, cr) }),
+			crashdetector.WithOnAlive(func(losses []crashdetector.Loss) { alive = append(alive, losses...) }))
+		began := time.Now()
+		dt.Lost("w1", "down", crashdetector.Loss{ID: "one"})
+		dt.Lost("w1", "down", crashdetector.Loss{ID: "two", Answering: true})
+		dt.Lost("leaving", "down", crashdetector.Loss{ID: "three"})
+		dt.Lost("w2", "up", crashdetector.Loss{ID: "four"})
+		time.Sleep(time.Second)
+		require.Equal(t, 3, asked, "one connection per server")
+		require.Equal(t, []crashdetector.Loss{{ID: "four"}}, alive)
+		require.Equal(t, []crashdetector.Crash{{Server: "w1", At: began, Losses: []crashdetector.Loss{{ID: "one"}, {ID: "two", Answering: true}}}}, crashes)
+	})
+}
+
+func TestLossesAreBounded(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		count := 0
+		dt := crashdetector.New(func(context.Context, string) bool { return true },
+			crashdetector.WithOnCrash(func(cr crashdetector.Crash) { count = len(cr.Losses) }))
+		for range 5000 {
+			dt.Lost("w1", "down", crashdetector.Loss{})
+		}
+		time.Sleep(time.Second)
+		require.Equal(t, 1024, count)
+	})
+}
--- a/internal/coordination/dispatcher/answer.go
+++ b/internal/coordination/dispatcher/answer.go
@@ -6,11 +6,13 @@
 	"net/http"
 	"strconv"
 	"strings"
+	"syscall"
 	"time"
 
 	"github.com/go-faster/errors"
 
 	"github.com/lagoonpass/lagoonpass/internal/coordination/admitter"
+	"github.com/lagoonpass/lagoonpass/internal/coordination/crashdetector"
 	"github.com/lagoonpass/lagoonpass/internal/protocol/eventreader"
 	"github.com/lagoonpass/lagoonpass/internal/transport/forwarder"
 	"github.com/lagoonpass/lagoonpass/pkg/refuser"
@@ -136,9 +138,23 @@
 		fl.reason = refuser.StreamBroken
 	}
 	pa.ds.forwarder.DropIdle(pa.address)
+	if !unsent && connectionLost(err) {
+		pa.ds.crashes.Lost(pa.server, pa.address, pa.loss())
+	}
 	return fl
 }
 
+// loss describes the request to the detector of crashes.
+func (pa *proxyAttempt) loss() crashdetector.Loss {
+	return crashdetector.Loss{ID: pa.ticket.ID, Parts: pa.Parts, Sent: pa.sent, Answering: pa.result.Tokens > 0}
+}
+
+// connectionLost reports whether the error is the end of a connection, as opposed
+// to an answer that cannot be read.
+func connectionLost(err error) bool {
+	return errors.Is(err, io.EOF) || errors.Is(err, io.ErrUnexpectedEOF) || errors.Is(err, syscall.ECONNRESET) || errors.Is(err, syscall.EPIPE)
+}
+
 // receive forwards the answer, or returns why the attempt failed.
 func (pa *proxyAttempt) receive(ctx context.Context, rs *http.Response) *failure {
 	cl := pa.Wire.Classify(rs)
--- a/internal/coordination/dispatcher/dispatcher.go
+++ b/internal/coordination/dispatcher/dispatcher.go
@@ -28,6 +28,7 @@
 	"github.com/cespare/xxhash/v2"
 
 	"github.com/lagoonpass/lagoonpass/internal/coordination/admitter"
+	"github.com/lagoonpass/lagoonpass/internal/coordination/crashdetector"
 	"github.com/lagoonpass/lagoonpass/internal/coordination/ejector"
 	"github.com/lagoonpass/lagoonpass/internal/coordination/retrier"
 	"github.com/lagoonpass/lagoonpass/internal/coordination/tallier"
@@ -102,6 +103,8 @@
 	onSignals SignalsFunc
 	// suspects are the requests that crashed engines.
 	suspects *retrier.Suspects
+	// crashes is told of lost connections of proxied requests.
+	crashes *crashdetector.Detector
 	// buffered is the number of answer bytes that callers have not read.
 	buffered atomic.Int64
 
@@ -130,6 +133,10 @@
 // proxied request.
 func WithSignals(fn SignalsFunc) Option { return func(ds *Dispatcher) { ds.onSignals = fn } }
 
+// WithCrashes makes the dispatcher tell dt of lost connections of proxied
+// requests.
+func WithCrashes(dt *crashdetector.Detector) Option { return func(ds *Dispatcher) { ds.crashes = dt } }
+
 // WithRandom sets the source of the backoff jitter.
 func WithRandom(random *rand.Rand) Option { return func(ds *Dispatcher) { ds.random = random } }
 
@@ -148,6 +155,9 @@
 	for _, opt := range opts {
 		opt(ds)
 	}
+	if ds.crashes == nil {
+		ds.crashes = crashdetector.New(fw.Refuses, crashdetector.WithRegistry(ds.registry))
+	}
 	return ds
 }
 
--- a/internal/coordination/dispatcher/proxy.go
+++ b/internal/coordination/dispatcher/proxy.go
@@ -42,6 +42,8 @@
 	Body []byte
 	// LastEvent is the id of the last event that the caller has, or empty.
 	LastEvent string
+	// Parts are the ids of the parts of the prompt that other requests may share.
+	Parts []uint64
 	// Wire encodes and decodes the headers of the protocol.
 	Wire Wire
 }
--- a/internal/keyspacerunner/keyspacerunner.go
+++ b/internal/keyspacerunner/keyspacerunner.go
@@ -26,6 +26,7 @@
 
 	"github.com/lagoonpass/lagoonpass/internal/coordination/adapterkeeper"
 	"github.com/lagoonpass/lagoonpass/internal/coordination/admitter"
+	"github.com/lagoonpass/lagoonpass/internal/coordination/crashdetector"
 	"github.com/lagoonpass/lagoonpass/internal/coordination/dispatcher"
 	"github.com/lagoonpass/lagoonpass/internal/coordination/ejector"
 	"github.com/lagoonpass/lagoonpass/internal/coordination/orderer"
@@ -139,8 +140,9 @@
 	forwarder      *forwarder.Forwarder
 	budget         *retrier.SharedBudget // retries of all nodes together
 	dispatch       *dispatcher.Dispatcher
-	tally          *tallier.Tally    // results of this node's requests by model and adapter
-	demands        *placer.Collector // demand reports of all nodes, for the leader's plan
+	crashes        *crashdetector.Detector // tells crashes of backend servers from other losses
+	tally          *tallier.Tally          // results of this node's requests by model and adapter
+	demands        *placer.Collector       // demand reports of all nodes, for the leader's plan
 	// snapshot is nil until both configuration and servers are known.
 	snapshot atomic.Pointer[snapshot]
 	// leaving is set when a planned stop has begun.
@@ -206,8 +208,10 @@
 	rn.adapters = adapterkeeper.New(rn, rn.Settings, rn.leaderView, rn.pool,
 		adapterkeeper.WithEngines(rn), adapterkeeper.WithTokens(rn), adapterkeeper.WithBatchedLeases(adapterLease), adapterkeeper.WithWaitTimeout(adapterWaitTimeout),
 		adapterkeeper.WithReportedAdapters(rn.reportsAdapter), adapterkeeper.WithRegistry(rn.registry))
+	rn.crashes = crashdetector.New(rn.forwarder.Refuses, crashdetector.WithLeaving(rn.hasLeft), crashdetector.WithRegistry(rn.registry))
 	rn.dispatch = dispatcher.New(rn.admitter, rn.forwarder, rn.adapters,
-		dispatcher.WithRegistry(rn.registry), dispatcher.WithEjector(rn.ejector), dispatcher.WithSharedBudget(rn.budget), dispatcher.WithTally(rn.tally), dispatcher.WithSignals(rn.noteSignals))
+		dispatcher.WithRegistry(rn.registry), dispatcher.WithEjector(rn.ejector), dispatcher.WithSharedBudget(rn.budget), dispatcher.WithTally(rn.tally), dispatcher.WithSignals(rn.noteSignals),
+		dispatcher.WithCrashes(rn.crashes))
 	return rn
 }
 
@@ -316,6 +320,12 @@
 	return max(int(connectionShare*float64(total))/rn.nodes(), 1)
 }
 
+// hasLeft reports whether a server leaves or is no longer registered.
+func (rn *Runner) hasLeft(server string) bool {
+	rp, ok := rn.watcher.Snapshot().Report(server)
+	return !ok || rp.Leaving
+}
+
 // hostOf returns the host of an address, which identifies the VM.
 func hostOf(address string) string {
 	if host, _, err := net.SplitHostPort(address); err == nil {
--- a/internal/transport/forwarder/forwarder.go
+++ b/internal/transport/forwarder/forwarder.go
@@ -24,6 +24,7 @@
 	"net"
 	"net/http"
 	"sync"
+	"syscall"
 	"time"
 
 	"github.com/go-faster/errors"
@@ -201,6 +202,24 @@
 	return rs, nil
 }
 
+// Refuses reports whether the server refuses connections, as after the end of its
+// process. A connection that it accepts is kept for a later request.
+func (fw *Forwarder) Refuses(ctx context.Context, address string) bool {
+	if !fw.reserveSlot(address) {
+		return false
+	}
+	raw, err := fw.dial(ctx, "tcp", address)
+	if err != nil {
+		fw.releaseSlot(address)
+		return errors.Is(err, syscall.ECONNREFUSED)
+	}
+	fw.mu.Lock()
+	fw.opened++
+	fw.mu.Unlock()
+	fw.putIdle(newConnection(fw, address, raw))
+	return false
+}
+
 // connect returns an idle connection or opens one. It returns
 // ErrConnectionLimit if the limit doesn't allow another connection.
 func (fw *Forwarder) connect(ctx context.Context, address string) (*connection, error) {
