Ask whether the server crashed before an answer without length is complete

Callers saw: a stream or body that has neither a length nor chunks and was cut by the crash of its server between two events ended as if it were whole. Cause: such an answer ends with its connection, and so does a crash; nothing told them apart. A stream without any event passed too. Change: the node connects to the server once before such an answer ends; if the address refuses, the answer is broken off, and sent again or resumed where that is allowed.

--- a/internal/coordination/dispatcher/answer.go
+++ b/internal/coordination/dispatcher/answer.go
@@ -22,6 +22,10 @@
 // its first byte goes to the caller, so that a retry can replace a broken one.
 const maxBufferedBytes = 256 << 10
 
+// refuseTimeout bounds the question whether a server whose answer ended with its
+// connection has crashed.
+const refuseTimeout = 250 * time.Millisecond
+
 // bufferedAnswer is an answer that was read completely.
 type bufferedAnswer struct {
 	// head has the status and headers; its body is read.
@@ -194,6 +198,9 @@
 		return pa.receiveLarge(ctx, rs, body)
 	}
 	pa.result.Duration = time.Since(pa.sent)
+	if fl := pa.brokenOff(ctx, rs); fl != nil {
+		return fl
+	}
 	ba := &bufferedAnswer{head: rs, body: body}
 	if !success && rs.StatusCode >= http.StatusInternalServerError {
 		pa.bufferedFailure = ba
@@ -220,7 +227,11 @@
 			}
 		}
 		if err == io.EOF {
-			return nil
+			fl := pa.brokenOff(ctx, rs)
+			if fl != nil {
+				fl.final = true
+			}
+			return fl
 		}
 		if err != nil {
 			fl := pa.classifyError(ctx, err, false)
@@ -237,7 +248,7 @@
 		ev, err := rd.NextRaw()
 		if err == io.EOF {
 			pa.result.Duration = time.Since(pa.sent)
-			return pa.endStream(rs)
+			return pa.endStream(ctx, rs)
 		}
 		if err != nil {
 			return pa.classifyError(ctx, err, false)
@@ -254,8 +265,15 @@
 	}
 }
 
-// endStream finishes the answer after the server ended its stream.
-func (pa *proxyAttempt) endStream(rs *http.Response) *failure {
+// endStream finishes the answer after the server ended its stream. A stream
+// without events that ends with its connection is no answer.
+func (pa *proxyAttempt) endStream(ctx context.Context, rs *http.Response) *failure {
+	if fl := pa.brokenOff(ctx, rs); fl != nil {
+		return fl
+	}
+	if unframed(rs) && !pa.writer.begun() {
+		return &failure{reason: refuser.BackendFailed, detail: "server " + pa.server + " closed a stream without events"}
+	}
 	pa.writer.open(pa.Wire, rs, -1)
 	if err := pa.writer.flush(); err != nil {
 		return callerFailure(err)
@@ -294,6 +312,24 @@
 	return nil
 }
 
+// unframed reports whether the answer has neither a length nor chunks and ends
+// with its connection.
+func unframed(rs *http.Response) bool { return rs.ContentLength < 0 && len(rs.TransferEncoding) == 0 }
+
+// brokenOff returns a failure if the answer ended with its connection because its
+// server crashed. An answer without a length or chunks does not show it.
+func (pa *proxyAttempt) brokenOff(ctx context.Context, rs *http.Response) *failure {
+	if !unframed(rs) {
+		return nil
+	}
+	askCtx, cancel := context.WithTimeout(ctx, refuseTimeout)
+	defer cancel()
+	if !pa.ds.forwarder.Refuses(askCtx, pa.address) {
+		return nil
+	}
+	return pa.classifyError(ctx, io.ErrUnexpectedEOF, false)
+}
+
 // eventNumber parses the id of an event as a number.
 func eventNumber(id string) (int64, bool) {
 	number, err := strconv.ParseInt(strings.TrimSpace(id), 10, 64)
--- a/internal/coordination/dispatcher/proxy_test.go
+++ b/internal/coordination/dispatcher/proxy_test.go
@@ -196,6 +196,26 @@
 	}
 }
 
+// withoutLength makes the answer of a handler end with its connection.
+func withoutLength(handler http.HandlerFunc) http.HandlerFunc {
+	return func(wr http.ResponseWriter, rq *http.Request) {
+		wr.Header().Set("Transfer-Encoding", "identity")
+		handler(wr, rq)
+	}
+}
+
+// thenCrash ends the server after the answer of a handler, as if its process
+// ended.
+func thenCrash(handler http.HandlerFunc) http.HandlerFunc {
+	return func(wr http.ResponseWriter, rq *http.Request) {
+		handler(wr, rq)
+		_ = http.NewResponseController(wr).Flush()
+		time.Sleep(time.Millisecond)
+		_ = rq.Context().Value(http.ServerContextKey).(*http.Server).Close()
+		panic(http.ErrAbortHandler)
+	}
+}
+
 func abortStream() { panic(http.ErrAbortHandler) }
 
 // TestProxiedRequestHandlesEachAttemptResult covers the ways in which attempts
@@ -225,6 +245,12 @@
 		{name: "stream", route: "stream", handlers: []http.HandlerFunc{events(2, func() {})}, status: 200, body: "id: 1\ndata: x\n\nid: 2\ndata: x\n\n", sent: 1},
 		{name: "broken stream", route: "stream", handlers: []http.HandlerFunc{events(1, abortStream), events(2, func() {})}, status: 200, body: "id: 1\ndata: x\n\n", reason: refuser.StreamBroken, outcome: refuser.Unknown, sent: 1},
 		{name: "resumed stream", route: "resumable", handlers: []http.HandlerFunc{events(1, abortStream), events(2, func() {})}, status: 200, body: "id: 1\ndata: x\n\nid: 2\ndata: x\n\n", sent: 2},
+		{name: "without length", route: "safe", handlers: []http.HandlerFunc{withoutLength(whole)}, status: 200, body: "whole", sent: 1},
+		{name: "without length, cut by a crash", route: "safe", handlers: []http.HandlerFunc{thenCrash(withoutLength(whole)), whole}, status: 200, body: "whole", sent: 2},
+		{name: "stream without length", route: "stream", handlers: []http.HandlerFunc{withoutLength(events(2, func() {}))}, status: 200, body: "id: 1\ndata: x\n\nid: 2\ndata: x\n\n", sent: 1},
+		{name: "stream without length, cut by a crash", route: "stream", handlers: []http.HandlerFunc{thenCrash(withoutLength(events(1, func() {})))}, status: 200, body: "id: 1\ndata: x\n\n", reason: refuser.StreamBroken, outcome: refuser.Unknown, sent: 1},
+		{name: "stream without length, cut by a crash and resumed", route: "resumable", handlers: []http.HandlerFunc{thenCrash(withoutLength(events(1, func() {}))), events(2, func() {})}, status: 200, body: "id: 1\ndata: x\n\nid: 2\ndata: x\n\n", sent: 2},
+		{name: "stream without length or events", route: "stream", handlers: []http.HandlerFunc{withoutLength(events(0, func() {}))}, reason: refuser.BackendFailed, outcome: refuser.Unknown, sent: 1},
 	} {
 		t.Run(ts.name, func(t *testing.T) {
 			pr, bk := runProxy(t, ts.route, nil, ts.handlers...)
