Keep a part of prompts that crashes servers from them, on all nodes

Cause: nothing counted crashes on the path of the platform's callers; retrier.Suspects, which the other path asks, counts by the whole body and on each node for itself, so that requests of which no two are alike, seen by four nodes, never reach its count. Change: crashdetector tells crashes from resets and planned ends; quarantiner finds the part that explains the crashes, which completed answers clear; isolator shares evidence and exclusions among nodes and the store; dispatcher refuses requests with an excluded part at once, those that wait with it too, and says when to return (content-excluded).

--- a/internal/coordination/crashdetector/crashdetector.go
+++ b/internal/coordination/crashdetector/crashdetector.go
@@ -49,9 +49,6 @@
 	// Answering says that a piece of the answer, such as an event of a stream, had
 	// arrived complete.
 	Answering bool
-	// Complete says that the answer may be whole: it has no length and ends with
-	// its connection.
-	Complete bool
 }
 
 // Crash is the end of a server's process, as one node sees it.
@@ -69,7 +66,6 @@
 	refuses  func(ctx context.Context, address string) bool
 	leaving  func(server string) bool
 	onCrash  func(Crash)
-	onAlive  func([]Loss)
 	registry *counter.Registry
 
 	mu sync.Mutex
@@ -83,10 +79,6 @@
 // WithOnCrash sets the function that is called for each crash.
 func WithOnCrash(fn func(Crash)) Option { return func(dt *Detector) { dt.onCrash = fn } }
 
-// WithOnAlive sets the function that is called with the losses to a server that
-// did not crash.
-func WithOnAlive(fn func([]Loss)) Option { return func(dt *Detector) { dt.onAlive = fn } }
-
 // WithLeaving sets the function that reports whether a server leaves or is no
 // longer registered. The end of its process is then no crash.
 func WithLeaving(fn func(server string) bool) Option { return func(dt *Detector) { dt.leaving = fn } }
@@ -101,7 +93,6 @@
 		refuses:   refuses,
 		leaving:   func(string) bool { return false },
 		onCrash:   func(Crash) {},
-		onAlive:   func([]Loss) {},
 		gathering: map[string]*Crash{},
 	}
 	for _, opt := range opts {
@@ -139,7 +130,6 @@
 	case !refused:
 		dt.registry.Inc("connection-loss", "server-alive")
 		line.Info("connections to backend server lost; it still accepts connections")
-		dt.onAlive(cr.Losses)
 	case dt.leaving(cr.Server):
 		dt.registry.Inc("connection-loss", "server-left")
 		line.Info("connections to backend server lost; it has left")
--- a/internal/coordination/crashdetector/crashdetector_test.go
+++ b/internal/coordination/crashdetector/crashdetector_test.go
@@ -18,11 +18,9 @@
 		asked := 0
 		refuses := func(_ context.Context, address string) bool { asked++; return address != "up" }
 		var crashes []crashdetector.Crash
-		var alive []crashdetector.Loss
 		dt := crashdetector.New(refuses,
 			crashdetector.WithLeaving(func(server string) bool { return server == "leaving" }),
-			crashdetector.WithOnCrash(func(cr crashdetector.Crash) { crashes = append(crashes, cr) }),
-			crashdetector.WithOnAlive(func(losses []crashdetector.Loss) { alive = append(alive, losses...) }))
+			crashdetector.WithOnCrash(func(cr crashdetector.Crash) { crashes = append(crashes, cr) }))
 		began := time.Now()
 		dt.Lost("w1", "down", crashdetector.Loss{ID: "one"})
 		dt.Lost("w1", "down", crashdetector.Loss{ID: "two", Answering: true})
@@ -30,7 +28,6 @@
 		dt.Lost("w2", "up", crashdetector.Loss{ID: "four"})
 		time.Sleep(time.Second)
 		require.Equal(t, 3, asked, "one connection per server")
-		require.Equal(t, []crashdetector.Loss{{ID: "four"}}, alive)
 		require.Equal(t, []crashdetector.Crash{{Server: "w1", At: began, Losses: []crashdetector.Loss{{ID: "one"}, {ID: "two", Answering: true}}}}, crashes)
 	})
 }
--- a/internal/coordination/dispatcher/answer.go
+++ b/internal/coordination/dispatcher/answer.go
@@ -214,6 +214,7 @@
 
 // receiveLarge forwards an answer that is too large to buffer.
 func (pa *proxyAttempt) receiveLarge(ctx context.Context, rs *http.Response, start []byte) *failure {
+	pa.answering.Store(true)
 	pa.writer.open(pa.Wire, rs, int(rs.ContentLength))
 	if err := pa.writer.write(start); err != nil {
 		return callerFailure(err)
@@ -297,6 +298,7 @@
 		}
 	}
 	if pa.result.Tokens == 0 {
+		pa.answering.Store(true)
 		pa.result.FirstToken = time.Since(pa.sent)
 		pa.grant.FirstTokenReceived()
 	}
--- a/internal/coordination/dispatcher/dispatcher.go
+++ b/internal/coordination/dispatcher/dispatcher.go
@@ -105,6 +105,8 @@
 	suspects *retrier.Suspects
 	// crashes is told of lost connections of proxied requests.
 	crashes *crashdetector.Detector
+	// quarantine keeps proxied requests from servers that they would crash.
+	quarantine Quarantine
 	// buffered is the number of answer bytes that callers have not read.
 	buffered atomic.Int64
 
@@ -137,20 +139,44 @@
 // requests.
 func WithCrashes(dt *crashdetector.Detector) Option { return func(ds *Dispatcher) { ds.crashes = dt } }
 
+// Quarantine keeps requests from servers that they would crash.
+type Quarantine interface {
+	// Admit returns how long a request with the parts is kept from servers, or
+	// zero. A request on trial is sent once.
+	Admit(ctx context.Context, parts []uint64) (wait time.Duration, trial bool)
+	// Watch has the function called, without blocking, when one of the parts is
+	// excluded, until stop is called.
+	Watch(parts []uint64, excluded func()) (stop func())
+	// Succeeded records a complete answer to a request with the parts.
+	Succeeded(parts []uint64)
+}
+
+// noQuarantine is the default Quarantine, which excludes nothing.
+type noQuarantine struct{}
+
+func (noQuarantine) Admit(context.Context, []uint64) (time.Duration, bool) { return 0, false }
+func (noQuarantine) Watch([]uint64, func()) func()                         { return func() {} }
+func (noQuarantine) Succeeded([]uint64)                                    {}
+
+// WithQuarantine sets what keeps proxied requests from servers that they would
+// crash.
+func WithQuarantine(qt Quarantine) Option { return func(ds *Dispatcher) { ds.quarantine = qt } }
+
 // WithRandom sets the source of the backoff jitter.
 func WithRandom(random *rand.Rand) Option { return func(ds *Dispatcher) { ds.random = random } }
 
 // New returns a dispatcher that sends requests that am admits.
 func New(am Admission, fw *forwarder.Forwarder, ad Adapters, opts ...Option) *Dispatcher {
 	ds := &Dispatcher{
-		admission: am,
-		forwarder: fw,
-		adapters:  ad,
-		ejector:   ejector.New(),
-		budget:    retrier.NewBudget(),
-		suspects:  retrier.NewSuspects(),
-		onSignals: func(string, time.Time, throttler.Signals) {},
-		random:    rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64())),
+		admission:  am,
+		forwarder:  fw,
+		adapters:   ad,
+		ejector:    ejector.New(),
+		budget:     retrier.NewBudget(),
+		suspects:   retrier.NewSuspects(),
+		quarantine: noQuarantine{},
+		onSignals:  func(string, time.Time, throttler.Signals) {},
+		random:     rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64())),
 	}
 	for _, opt := range opts {
 		opt(ds)
--- a/internal/coordination/dispatcher/proxy.go
+++ b/internal/coordination/dispatcher/proxy.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"net/http"
+	"sync/atomic"
 	"time"
 
 	"github.com/apex/log"
@@ -88,9 +89,11 @@
 // proxyExecution is the state of one proxied request over all its attempts.
 type proxyExecution struct {
 	*ProxyRequest
-	ds        *Dispatcher
-	settings  *configurer.Settings
-	writer    *answerWriter
+	ds       *Dispatcher
+	settings *configurer.Settings
+	writer   *answerWriter
+	// answering is set once a piece of the answer was received.
+	answering atomic.Bool
 	callerCtx context.Context
 	ticket    admitter.Ticket
 	began     time.Time
@@ -111,6 +114,8 @@
 	admitted bool
 	// queued is the time spent waiting for grants.
 	queued time.Duration
+	// trial says that the request has an excluded part and is sent once.
+	trial bool
 }
 
 // Proxy runs the request and writes its answer to wr. It returns nil if the
@@ -120,6 +125,8 @@
 func (ds *Dispatcher) Proxy(ctx context.Context, st *configurer.Settings, rq *ProxyRequest, wr http.ResponseWriter) (rf *refuser.Refusal, begun bool) {
 	up, cancel := context.WithDeadline(ctx, rq.Ticket.Deadline)
 	defer cancel()
+	up, exclude := context.WithCancelCause(up)
+	defer exclude(nil)
 	pe := &proxyExecution{
 		ProxyRequest: rq,
 		ds:           ds,
@@ -132,6 +139,12 @@
 	if ds.shared != nil {
 		ds.shared.Arrived(pe.key(), pe.began)
 	}
+	// A part that is excluded later ends the request unless its answer has begun.
+	defer ds.quarantine.Watch(rq.Parts, func() {
+		if !pe.answering.Load() {
+			exclude(errExcluded)
+		}
+	})()
 	rf = pe.run(up)
 	pe.logEnd(rf)
 	return rf, pe.writer.begun()
@@ -142,6 +155,11 @@
 
 // run makes attempts until the answer is complete or no retry is allowed.
 func (pe *proxyExecution) run(ctx context.Context) *refuser.Refusal {
+	wait, trial := pe.ds.quarantine.Admit(ctx, pe.Parts)
+	if wait > 0 {
+		return excludedRefusal().WithRetryAfter(wait)
+	}
+	pe.trial = trial
 	for {
 		fl := pe.runAttempt(ctx)
 		if fl == nil {
@@ -251,7 +269,7 @@
 // the final refusal, or nil if it delivered a buffered 5xx answer.
 func (pe *proxyExecution) retryOrRefuse(ctx context.Context, fl *failure) (again bool, rf *refuser.Refusal) {
 	if ctx.Err() != nil {
-		return false, pe.endRefusal()
+		return false, pe.endRefusal(ctx)
 	}
 	if fl.admissionRefusal != nil {
 		return false, pe.deliverBufferedFailure(fl.admissionRefusal)
@@ -266,7 +284,7 @@
 		}
 		return false, pe.deliverBufferedFailure(refusal)
 	}
-	unrepeatable := !fl.refused && !pe.Route.Repeatable() || pe.writer.begun() && !pe.Route.Resumable()
+	unrepeatable := pe.trial || !fl.refused && !pe.Route.Repeatable() || pe.writer.begun() && !pe.Route.Resumable()
 	if unrepeatable || pe.servers >= pe.Route.AttemptLimit() {
 		return false, pe.deliverBufferedFailure(refusal)
 	}
@@ -290,13 +308,24 @@
 }
 
 // endRefusal returns the refusal for a request whose context ended.
-func (pe *proxyExecution) endRefusal() *refuser.Refusal {
+func (pe *proxyExecution) endRefusal(ctx context.Context) *refuser.Refusal {
 	if pe.callerCtx.Err() != nil {
 		return refuser.New(refuser.Cancelled, "caller is gone")
 	}
+	if errors.Is(context.Cause(ctx), errExcluded) {
+		wait, _ := pe.ds.quarantine.Admit(ctx, pe.Parts)
+		return excludedRefusal().WithRetryAfter(max(wait, pe.retryAfter()))
+	}
 	return refuser.New(refuser.DeadlinePassed, "no whole answer before the deadline").WithRetryAfter(pe.retryAfter())
 }
 
+// errExcluded ends requests with a part that is excluded while they wait.
+var errExcluded = errors.New("a part of the prompt is excluded")
+
+func excludedRefusal() *refuser.Refusal {
+	return refuser.New(refuser.ContentExcluded, "a part of the prompt crashed backend servers")
+}
+
 // retryAfter returns how long the caller of a refused request should wait.
 func (pe *proxyExecution) retryAfter() time.Duration {
 	return max(pe.ticket.Class.FirstToken()/retryAfterDivisor, minRetryAfter)
@@ -400,6 +429,7 @@
 		line = line.WithField("adapter", ad.Name())
 	}
 	if rf == nil {
+		pe.ds.quarantine.Succeeded(pe.Parts)
 		pe.ds.tally.Answered(pe.subject())
 		pe.logAnswer(line)
 		return
--- /dev/null
+++ b/internal/coordination/quarantiner/convict.go
@@ -0,0 +1,98 @@
+package quarantiner
+
+import (
+	"cmp"
+	"slices"
+	"time"
+)
+
+// candidate is a suspect with enough crashes to be excluded.
+type candidate struct {
+	part uint64
+	// unanswered are the crashes in which a request had no piece of its answer,
+	// and all has the others too.
+	unanswered, all []*event
+	// good says that answers with the part were completed not long before.
+	good bool
+}
+
+// convict excludes the parts whose evidence suffices, the one with the most
+// crashes first, and returns them. What an excluded part explains does not count
+// against the next.
+func (qt *Quarantine) convict(now time.Time) []uint64 {
+	var excluded []uint64
+	for {
+		guilty := qt.guilty(now)
+		if len(guilty) == 0 {
+			return excluded
+		}
+		for _, cd := range guilty {
+			excluded = append(excluded, cd.part)
+			qt.exclude(cd.part, now, 0)
+			for _, ev := range cd.all {
+				qt.explain(ev)
+			}
+		}
+	}
+}
+
+// guilty returns the suspect that is excluded next. After maxCrashes crashes those
+// with as much evidence go with it.
+func (qt *Quarantine) guilty(now time.Time) []candidate {
+	var all []candidate
+	for part, sp := range qt.suspects {
+		if len(sp.marks) < minCrashes {
+			continue
+		}
+		cd := candidate{part: part, unanswered: sp.crashes(now, true), all: sp.crashes(now, false)}
+		cd.good = len(cd.all) > 0 && cd.all[0].at.Sub(qt.lastGood(part)) < goodLifetime
+		all = append(all, cd)
+	}
+	slices.SortFunc(all, compare)
+	for ix, cd := range all {
+		switch {
+		case len(cd.unanswered) >= minCrashes && !cd.good && !qt.hasRival(cd):
+			return all[ix : ix+1]
+		case len(cd.all) >= maxCrashes:
+			end := ix + 1
+			for end < len(all) && compare(cd, all[end]) == 0 {
+				end++
+			}
+			return all[ix:end]
+		}
+	}
+	return nil
+}
+
+// compare orders candidates, the likeliest cause first.
+func compare(one, two candidate) int {
+	if one.good != two.good {
+		return map[bool]int{true: 1, false: -1}[one.good]
+	}
+	return cmp.Or(cmp.Compare(len(two.unanswered), len(one.unanswered)), cmp.Compare(len(two.all), len(one.all)))
+}
+
+// hasRival reports whether another part explains all crashes of the candidate as
+// well. Parts with completed answers not long before are no rivals.
+func (qt *Quarantine) hasRival(cd candidate) bool {
+	for part, sp := range qt.suspects {
+		if part == cd.part || cd.unanswered[0].at.Sub(qt.lastGood(part)) < goodLifetime {
+			continue
+		}
+		if sp.explainsAll(cd.unanswered) {
+			return true
+		}
+	}
+	return false
+}
+
+// explainsAll reports whether a request with the suspect and without a piece of
+// its answer was in flight in all of the crashes.
+func (sp *suspect) explainsAll(events []*event) bool {
+	for _, ev := range events {
+		if !slices.ContainsFunc(sp.marks, func(mk mark) bool { return mk.event == ev && !mk.answering }) {
+			return false
+		}
+	}
+	return true
+}
--- /dev/null
+++ b/internal/coordination/quarantiner/plays_test.go
@@ -0,0 +1,126 @@
+package quarantiner_test
+
+import (
+	"flag"
+	"fmt"
+	"os"
+	"path/filepath"
+	"slices"
+	"strconv"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"github.com/lagoonpass/lagoonpass/internal/coordination/quarantiner"
+)
+
+var update = flag.Bool("update", false, "write the golden files")
+
+// TestPlaysEndAsRecorded plays what nodes see of crashes and completed answers.
+// A line of a play is a time in seconds and one of
+//
+//	crash SERVER PART...   parts in flight; ~ after a part whose requests had a
+//	                       piece of their answer, @S the seconds it was in flight
+//	good PART...           an answer was completed
+//	flood SERVER COUNT     a crash with that many new parts in flight
+//	check PART...          whether a request may be sent
+//	try PART               whether it may be sent on trial
+//
+// The golden file has the lines with their results.
+func TestPlaysEndAsRecorded(t *testing.T) {
+	plays, err := filepath.Glob("testdata/*.play")
+	require.NoError(t, err)
+	require.NotEmpty(t, plays)
+	for _, path := range plays {
+		t.Run(strings.TrimSuffix(filepath.Base(path), ".play"), func(t *testing.T) {
+			text, err := os.ReadFile(path)
+			require.NoError(t, err)
+			pl := &player{quarantine: quarantiner.New(), ids: map[string]uint64{}}
+			var out strings.Builder
+			for line := range strings.Lines(string(text)) {
+				line = strings.TrimSpace(line)
+				if line == "" || line[0] == '#' {
+					fmt.Fprintln(&out, line)
+					continue
+				}
+				fmt.Fprintf(&out, "%s -> %s\n", line, pl.play(t, strings.Fields(line)))
+			}
+			golden := strings.TrimSuffix(path, ".play") + ".golden"
+			if *update {
+				require.NoError(t, os.WriteFile(golden, []byte(out.String()), 0o600))
+			}
+			want, err := os.ReadFile(golden)
+			require.NoError(t, err)
+			require.Equal(t, string(want), out.String())
+		})
+	}
+}
+
+// player plays lines on one record.
+type player struct {
+	quarantine *quarantiner.Quarantine
+	names      []string
+	ids        map[string]uint64
+}
+
+// part returns the id of a part by its name.
+func (pl *player) part(name string) uint64 {
+	if _, ok := pl.ids[name]; !ok {
+		pl.names = append(pl.names, name)
+		pl.ids[name] = uint64(len(pl.names))
+	}
+	return pl.ids[name]
+}
+
+func (pl *player) parts(names []string) (ids []uint64) {
+	for _, name := range names {
+		ids = append(ids, pl.part(name))
+	}
+	return ids
+}
+
+func (pl *player) namesOf(ids []uint64) string {
+	var names []string
+	for _, id := range ids {
+		names = append(names, pl.names[id-1])
+	}
+	slices.Sort(names)
+	return strings.Join(append([]string{fmt.Sprint(len(ids))}, names...), " ")
+}
+
+func (pl *player) play(t *testing.T, words []string) string {
+	seconds, err := strconv.ParseFloat(words[0], 64)
+	require.NoError(t, err)
+	now := time.Unix(1000, 0).Add(time.Duration(seconds * float64(time.Second)))
+	switch words[1] {
+	case "crash":
+		rp := quarantiner.Report{Server: words[2]}
+		for _, word := range words[3:] {
+			name, flight, _ := strings.Cut(word, "@")
+			mk := quarantiner.Mark{InFlight: 50 * time.Millisecond, Answering: strings.HasSuffix(name, "~")}
+			if flight != "" {
+				mk.InFlight, err = time.ParseDuration(flight + "s")
+				require.NoError(t, err)
+			}
+			mk.Part = pl.part(strings.TrimSuffix(name, "~"))
+			rp.Marks = append(rp.Marks, mk)
+		}
+		return "excluded " + pl.namesOf(pl.quarantine.Record(now, rp))
+	case "flood":
+		count, err := strconv.Atoi(words[3])
+		require.NoError(t, err)
+		rp := quarantiner.Report{Server: words[2]}
+		for range count {
+			rp.Marks = append(rp.Marks, quarantiner.Mark{Part: pl.part(fmt.Sprint("new", len(pl.names)))})
+		}
+		return "excluded " + pl.namesOf(pl.quarantine.Record(now, rp))
+	case "good":
+		return "lifted " + pl.namesOf(pl.quarantine.Succeeded(now, pl.parts(words[2:])))
+	case "try":
+		return fmt.Sprint(pl.quarantine.Try(now, pl.part(words[2])))
+	}
+	vd := pl.quarantine.Check(now, pl.parts(words[2:]))
+	return fmt.Sprintf("wait %v trial %v", vd.Wait, vd.Trial)
+}
--- a/internal/keyspacerunner/keyspacerunner.go
+++ b/internal/keyspacerunner/keyspacerunner.go
@@ -29,6 +29,7 @@
 	"github.com/lagoonpass/lagoonpass/internal/coordination/crashdetector"
 	"github.com/lagoonpass/lagoonpass/internal/coordination/dispatcher"
 	"github.com/lagoonpass/lagoonpass/internal/coordination/ejector"
+	"github.com/lagoonpass/lagoonpass/internal/coordination/isolator"
 	"github.com/lagoonpass/lagoonpass/internal/coordination/orderer"
 	"github.com/lagoonpass/lagoonpass/internal/coordination/orderregistrar"
 	"github.com/lagoonpass/lagoonpass/internal/coordination/placer"
@@ -53,6 +54,9 @@
 const (
 	// ownPrefix is the prefix of the system's own keys.
 	ownPrefix = "lagoonpass/"
+	// excludedPrefix precedes the parts of prompts that are kept from servers,
+	// under ownPrefix.
+	excludedPrefix = "excluded/"
 	// orderRecordKey is the key of the record of the servers to which orders were
 	// sent. Nodes do not watch it.
 	orderRecordKey = "lagoonpass-holders"
@@ -141,6 +145,7 @@
 	budget         *retrier.SharedBudget // retries of all nodes together
 	dispatch       *dispatcher.Dispatcher
 	crashes        *crashdetector.Detector // tells crashes of backend servers from other losses
+	isolator       *isolator.Isolator      // keeps requests from servers that they would crash
 	tally          *tallier.Tally          // results of this node's requests by model and adapter
 	demands        *placer.Collector       // demand reports of all nodes, for the leader's plan
 	// snapshot is nil until both configuration and servers are known.
@@ -194,7 +199,7 @@
 		registrar.WithoutReplication(), registrar.WithCheck(rn.checkPeer))
 	rn.leadership = rn.registrar
 	rn.relayer = relayer.New(bd.Store, rn.registrar.View, rn.registrar.LeaderID, rn.pool, []relayer.Prefix{
-		relayer.NewPrefix(ownPrefix, rn.registrar, memberPause),
+		relayer.NewPrefix(ownPrefix, ownSink{rn.registrar, rn}, memberPause),
 		relayer.NewPrefix(bd.ConfigPrefix, configSink{rn}, configurationPause),
 		relayer.NewPrefix(bd.ServerPrefix, serverSink{rn}, serverPause),
 	}, relayer.WithConfirmation(rn.registrar.RenewedAt), relayer.WithSeeds(id.Seeds), relayer.WithRegistry(rn.registry))
@@ -208,10 +213,13 @@
 	rn.adapters = adapterkeeper.New(rn, rn.Settings, rn.leaderView, rn.pool,
 		adapterkeeper.WithEngines(rn), adapterkeeper.WithTokens(rn), adapterkeeper.WithBatchedLeases(adapterLease), adapterkeeper.WithWaitTimeout(adapterWaitTimeout),
 		adapterkeeper.WithReportedAdapters(rn.reportsAdapter), adapterkeeper.WithRegistry(rn.registry))
-	rn.crashes = crashdetector.New(rn.forwarder.Refuses, crashdetector.WithLeaving(rn.hasLeft), crashdetector.WithRegistry(rn.registry))
+	rn.isolator = isolator.New(rn.pool, rn.peerAddresses, rn.leaderAddress,
+		isolator.WithStore(bd.Store, ownPrefix+excludedPrefix), isolator.WithRegistry(rn.registry))
+	rn.crashes = crashdetector.New(rn.forwarder.Refuses, crashdetector.WithLeaving(rn.hasLeft), crashdetector.WithRegistry(rn.registry),
+		crashdetector.WithOnCrash(rn.isolator.Crashed))
 	rn.dispatch = dispatcher.New(rn.admitter, rn.forwarder, rn.adapters,
 		dispatcher.WithRegistry(rn.registry), dispatcher.WithEjector(rn.ejector), dispatcher.WithSharedBudget(rn.budget), dispatcher.WithTally(rn.tally), dispatcher.WithSignals(rn.noteSignals),
-		dispatcher.WithCrashes(rn.crashes))
+		dispatcher.WithCrashes(rn.crashes), dispatcher.WithQuarantine(rn.isolator))
 	return rn
 }
 
@@ -247,7 +255,7 @@
 	})
 	for _, loop := range []func(context.Context) error{
 		rn.registrar.Run, rn.relayer.Run, rn.expireServers, rn.refreshAdmitter,
-		rn.exchangeLoads, rn.reportDemand, rn.reportUnserved, rn.runLeader, rn.adapters.Run,
+		rn.exchangeLoads, rn.reportDemand, rn.reportUnserved, rn.runLeader, rn.adapters.Run, rn.isolator.Run,
 	} {
 		loopCtx, cancel := context.WithCancel(ctx)
 		gr.Add(func() error { return loop(loopCtx) }, func(error) { cancel() })
@@ -320,12 +328,6 @@
 	return max(int(connectionShare*float64(total))/rn.nodes(), 1)
 }
 
-// hasLeft reports whether a server leaves or is no longer registered.
-func (rn *Runner) hasLeft(server string) bool {
-	rp, ok := rn.watcher.Snapshot().Report(server)
-	return !ok || rp.Leaving
-}
-
 // hostOf returns the host of an address, which identifies the VM.
 func hostOf(address string) string {
 	if host, _, err := net.SplitHostPort(address); err == nil {
--- a/internal/keyspacerunner/peers.go
+++ b/internal/keyspacerunner/peers.go
@@ -64,6 +64,9 @@
 		rn.demands.Note(time.Now(), tc)
 		return &messenger.DemandReceived{}, nil
 	default:
+		if answer := rn.isolator.Handle(call); answer != nil {
+			return answer, nil
+		}
 		return nil, errors.Errorf("no answer to a message of kind %d", call.Kind())
 	}
 }
--- /dev/null
+++ b/internal/keyspacerunner/quarantine.go
@@ -0,0 +1,54 @@
+package keyspacerunner
+
+import (
+	"github.com/lagoonpass/lagoonpass/internal/coordination/registrar"
+	"github.com/lagoonpass/lagoonpass/internal/state/storer"
+)
+
+// ownSink receives the system's own keys: the registrations of nodes, and the
+// parts of prompts that are kept from servers.
+type ownSink struct {
+	*registrar.Registrar
+	runner *Runner
+}
+
+// Replace implements replicator.Sink.
+func (os ownSink) Replace(entries []storer.Entry) {
+	os.Registrar.Replace(entries)
+	os.runner.isolator.Replace(entries)
+}
+
+// Apply implements replicator.Sink.
+func (os ownSink) Apply(changes []storer.Change) {
+	os.Registrar.Apply(changes)
+	os.runner.isolator.Apply(changes)
+}
+
+// StoreRestored implements replicator.Sink.
+func (os ownSink) StoreRestored(era int64) {
+	os.Registrar.StoreRestored(era)
+	os.runner.isolator.StoreRestored()
+}
+
+// peerAddresses returns the addresses of the other nodes.
+func (rn *Runner) peerAddresses() []string {
+	var addresses []string
+	for _, mb := range rn.registrar.View().Members() {
+		if mb.ID != rn.identity.ID {
+			addresses = append(addresses, mb.PeerAddress)
+		}
+	}
+	return addresses
+}
+
+// leaderAddress returns the address of the leader and whether that is this node.
+func (rn *Runner) leaderAddress() (address string, self, ok bool) {
+	leader, ok := rn.registrar.Leader()
+	return leader.PeerAddress, leader.ID == rn.identity.ID, ok
+}
+
+// hasLeft reports whether a server leaves or is no longer registered.
+func (rn *Runner) hasLeft(server string) bool {
+	rp, ok := rn.watcher.Snapshot().Report(server)
+	return !ok || rp.Leaving
+}
--- a/internal/protocol/messenger/kinds.go
+++ b/internal/protocol/messenger/kinds.go
@@ -32,6 +32,12 @@
 	KindRetired         Kind = 55
 	KindLimitEnd        Kind = 56
 	KindLimitEnded      Kind = 57
+	KindCrashReport     Kind = 70
+	KindExclude         Kind = 71
+	KindVouch           Kind = 72
+	KindVouched         Kind = 73
+	KindTrial           Kind = 74
+	KindTrialAnswer     Kind = 75
 	KindFeedPoll        Kind = 60
 	KindFeedPage        Kind = 61
 	KindCheck           Kind = 62
@@ -68,6 +74,13 @@
 	KindLimitEnd:       func() Message { return &LimitEnd{} },
 	KindLimitEnded:     func() Message { return &LimitEnded{} },
 
+	KindCrashReport: func() Message { return &CrashReport{} },
+	KindExclude:     func() Message { return &Exclude{} },
+	KindVouch:       func() Message { return &Vouch{} },
+	KindVouched:     func() Message { return &Vouched{} },
+	KindTrial:       func() Message { return &Trial{} },
+	KindTrialAnswer: func() Message { return &TrialAnswer{} },
+
 	KindFeedPoll: func() Message { return &FeedPoll{} },
 	KindFeedPage: func() Message { return &FeedPage{} },
 	KindCheck:    func() Message { return &Check{} },
--- a/pkg/refuser/refuser.go
+++ b/pkg/refuser/refuser.go
@@ -61,6 +61,7 @@
 	BackendSilent       Reason = "backend-silent"
 	StreamBroken        Reason = "stream-broken"
 	RetryBudget         Reason = "retry-budget"
+	ContentExcluded     Reason = "content-excluded"
 	KeyMissing          Reason = "key-missing"
 	KeyUntimed          Reason = "key-untimed"
 	KeyExpired          Reason = "key-expired"
@@ -104,6 +105,7 @@
 	BackendFailed:       http.StatusBadGateway,
 	BackendSilent:       http.StatusGatewayTimeout,
 	StreamBroken:        http.StatusBadGateway,
+	ContentExcluded:     http.StatusServiceUnavailable,
 	RetryBudget:         http.StatusServiceUnavailable,
 	KeyMissing:          http.StatusBadRequest,
 	KeyUntimed:          http.StatusBadRequest,
