Store and tell an exclusion at once, and see requests that are sent again

Change: the node that sees the last crash tells all nodes of the exclusion; it goes to the store at once, by that node if none leads; a crash is as old as its earliest report, and a request sent up to 5 ms before it counts as later.

--- a/internal/coordination/isolator/isolator.go
+++ b/internal/coordination/isolator/isolator.go
@@ -4,9 +4,9 @@
 //
 // What a node sees of a crash goes to all nodes at once; their answers say what
 // they completed of it. An exclusion also goes to the store, since nodes that
-// start later, or all at the same time, have no other memory. Only the leader
-// writes it there. A node that knows of an exclusion which is not in the store
-// tells the leader.
+// start later, or all at the same time, have no other memory. The leader writes it
+// there; while no node leads, the node that saw the last crash does. A node that
+// knows of an exclusion which is not in the store tells the leader.
 //
 // # Usage
 //
@@ -30,7 +30,6 @@
 	"github.com/lagoonpass/lagoonpass/internal/counter"
 	"github.com/lagoonpass/lagoonpass/internal/protocol/messenger"
 	"github.com/lagoonpass/lagoonpass/internal/state/storer"
-	"github.com/lagoonpass/lagoonpass/internal/waiter"
 )
 
 const (
@@ -69,6 +68,8 @@
 	store    storer.Keyspace
 	prefix   string
 	registry *counter.Registry
+	// wake starts the next comparison with the store at once.
+	wake chan struct{}
 
 	mu sync.Mutex
 	// stored has the failures of the exclusions in the store by part.
@@ -100,6 +101,7 @@
 		leader:     leader,
 		stored:     map[uint64]int{},
 		askedAt:    map[uint64]time.Time{},
+		wake:       make(chan struct{}, 1),
 	}
 	for _, opt := range opts {
 		opt(is)
@@ -170,7 +172,13 @@
 	if len(rp.Marks) == 0 {
 		return
 	}
-	is.record(rp)
+	// Nodes that started since the first crashes do not have all of the evidence.
+	for _, part := range is.record(rp) {
+		go is.share(&messenger.Exclude{Part: part}, nil)
+		if _, _, ok := is.leader(); !ok {
+			go is.write(context.Background(), []quarantiner.Exclusion{{Part: part}}, nil)
+		}
+	}
 	call := &messenger.CrashReport{Server: rp.Server, Age: rp.Age}
 	for _, mk := range rp.Marks {
 		call.Marks = append(call.Marks, messenger.CrashMark{Part: mk.Part, Answering: mk.Answering, InFlight: mk.InFlight})
@@ -204,13 +212,30 @@
 	}
 }
 
-// record takes up a report and logs what is excluded because of it.
-func (is *Isolator) record(rp quarantiner.Report) {
-	for _, part := range is.quarantine.Record(time.Now(), rp) {
+// record takes up a report, and logs and returns what is excluded because of it.
+func (is *Isolator) record(rp quarantiner.Report) []uint64 {
+	excluded := is.quarantine.Record(time.Now(), rp)
+	for _, part := range excluded {
 		is.registry.Inc("quarantine", "excluded")
 		log.WithFields(log.Fields{"part": hex(part), "server": rp.Server}).
 			Warn("part of prompts crashes backend servers; requests with it are refused")
 	}
+	if len(excluded) > 0 {
+		is.syncSoon()
+	}
+	return excluded
+}
+
+// syncSoon starts a comparison with the store, since a node's memory of an
+// exclusion may not last until the next one.
+func (is *Isolator) syncSoon() {
+	is.mu.Lock()
+	is.nextReport = time.Time{}
+	is.mu.Unlock()
+	select {
+	case is.wake <- struct{}{}:
+	default:
+	}
 }
 
 func (is *Isolator) logLifted(part uint64, why string) {
@@ -245,6 +270,7 @@
 
 func (is *Isolator) exclude(es quarantiner.Exclusion) {
 	if is.quarantine.Exclude(time.Now(), es) {
+		is.syncSoon()
 		is.registry.Inc("quarantine", "excluded")
 		log.WithFields(log.Fields{"part": hex(es.Part), "failures": es.Failures}).
 			Warn("another node excludes a part of prompts; requests with it are refused")
@@ -294,8 +320,17 @@
 // Run keeps the exclusions in the store up to date until the context ends, and
 // returns nil.
 func (is *Isolator) Run(ctx context.Context) error {
-	waiter.Every(ctx, syncInterval, func() { is.sync(ctx) })
-	return nil
+	tk := time.NewTicker(syncInterval)
+	defer tk.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return nil
+		case <-tk.C:
+		case <-is.wake:
+		}
+		is.sync(ctx)
+	}
 }
 
 // sync compares this node's exclusions with those in the store. The leader writes
@@ -360,7 +395,7 @@
 	surplus = surplus[:min(len(surplus), maxWrites-len(missing))]
 	tx := storer.Transaction{}
 	for _, es := range missing {
-		is.share(&messenger.Exclude{Part: es.Part, Failures: es.Failures, Age: es.Age}, nil)
+		go is.share(&messenger.Exclude{Part: es.Part, Failures: es.Failures, Age: es.Age}, nil)
 		tx.Writes = append(tx.Writes, storer.Write{Key: is.prefix + hex(es.Part), Value: []byte(strconv.Itoa(es.Failures))})
 	}
 	for _, part := range surplus {
--- a/internal/coordination/quarantiner/evidence.go
+++ b/internal/coordination/quarantiner/evidence.go
@@ -64,6 +64,9 @@
 func (qt *Quarantine) eventOf(server string, at time.Time) *event {
 	for _, ev := range qt.events {
 		if ev.server == server && ev.at.Sub(at).Abs() < sameCrashTime {
+			if at.Before(ev.at) {
+				ev.at = at
+			}
 			return ev
 		}
 	}
@@ -151,7 +154,7 @@
 	for _, mk := range marks {
 		if len(counted) > 0 {
 			former := counted[len(counted)-1].at
-			if mk.sent.Before(former) && mk.event.at.Sub(former) < momentTime {
+			if mk.sent.Add(sentSlack).Before(former) && mk.event.at.Sub(former) < momentTime {
 				continue
 			}
 		}
--- a/internal/coordination/quarantiner/quarantiner.go
+++ b/internal/coordination/quarantiner/quarantiner.go
@@ -52,6 +52,9 @@
 	// the requests that they ended, unless one request was sent after the other
 	// crash.
 	momentTime = 100 * time.Millisecond
+	// sentSlack is how far the times of two nodes may be apart that say whether a
+	// request was sent after a crash.
+	sentSlack = 5 * time.Millisecond
 	// evidenceLifetime is how long a crash is evidence.
 	evidenceLifetime = 10 * time.Minute
 	// goodLifetime is how long before a crash a completed answer makes it unlikely
