--- a/internal/coordination/crashdetector/crashdetector.go
+++ b/internal/coordination/crashdetector/crashdetector.go
@@ -15,13 +15,13 @@
 
 import (
 	"context"
-	"strconv"
 	"strings"
 	"sync"
 	"time"
 
 	"github.com/apex/log"
 
+	"github.com/lagoonpass/lagoonpass/internal/coordination/fingerprinter"
 	"github.com/lagoonpass/lagoonpass/internal/counter"
 )
 
@@ -42,8 +42,8 @@
 type Loss struct {
 	// ID is the id of the request.
 	ID string
-	// Parts are the ids of the parts of its prompt that other requests may share.
-	Parts []uint64
+	// Contents are what other requests may have in common with it.
+	Contents []fingerprinter.Content
 	// Sent is when the request was sent to the server.
 	Sent time.Time
 	// Answering says that a piece of the answer, such as an event of a stream, had
@@ -141,7 +141,7 @@
 }
 
 // unanswered names the first requests without a piece of their answer, with the
-// parts of their prompts.
+// contents.
 func unanswered(losses []Loss) string {
 	var names []string
 	for _, ls := range losses {
@@ -149,8 +149,8 @@
 			continue
 		}
 		name := ls.ID
-		for _, part := range ls.Parts {
-			name += "/" + strconv.FormatUint(part, 16)
+		for _, content := range ls.Contents {
+			name += "/" + content.String()
 		}
 		names = append(names, name)
 	}
--- a/internal/coordination/dispatcher/dispatcher.go
+++ b/internal/coordination/dispatcher/dispatcher.go
@@ -30,6 +30,7 @@
 	"github.com/lagoonpass/lagoonpass/internal/coordination/admitter"
 	"github.com/lagoonpass/lagoonpass/internal/coordination/crashdetector"
 	"github.com/lagoonpass/lagoonpass/internal/coordination/ejector"
+	"github.com/lagoonpass/lagoonpass/internal/coordination/fingerprinter"
 	"github.com/lagoonpass/lagoonpass/internal/coordination/retrier"
 	"github.com/lagoonpass/lagoonpass/internal/coordination/tallier"
 	"github.com/lagoonpass/lagoonpass/internal/coordination/throttler"
@@ -141,22 +142,25 @@
 
 // Quarantine keeps requests from servers that they would crash.
 type Quarantine interface {
-	// Admit returns how long a request with the parts is kept from servers, or
+	// Admit returns how long a request with the contents is kept from servers, or
 	// zero. A request on trial is sent once.
-	Admit(ctx context.Context, parts []uint64) (wait time.Duration, trial bool)
-	// Watch has the function called, without blocking, when one of the parts is
+	Admit(ctx context.Context, contents []fingerprinter.Content) (wait time.Duration, trial bool)
+	// Watch has the function called, without blocking, when one of the contents is
 	// excluded, until stop is called.
-	Watch(parts []uint64, excluded func()) (stop func())
-	// Succeeded records a complete answer to a request with the parts.
-	Succeeded(parts []uint64)
+	Watch(contents []fingerprinter.Content, excluded func()) (stop func())
+	// Succeeded records a complete answer to a request with the contents.
+	Succeeded(contents []fingerprinter.Content)
 }
 
 // noQuarantine is the default Quarantine, which excludes nothing.
 type noQuarantine struct{}
 
-func (noQuarantine) Admit(context.Context, []uint64) (time.Duration, bool) { return 0, false }
-func (noQuarantine) Watch([]uint64, func()) func()                         { return func() {} }
-func (noQuarantine) Succeeded([]uint64)                                    {}
+func (noQuarantine) Admit(context.Context, []fingerprinter.Content) (time.Duration, bool) {
+	return 0, false
+}
+
+func (noQuarantine) Watch([]fingerprinter.Content, func()) func() { return func() {} }
+func (noQuarantine) Succeeded([]fingerprinter.Content)            {}
 
 // WithQuarantine sets what keeps proxied requests from servers that they would
 // crash.
--- a/internal/coordination/dispatcher/proxy.go
+++ b/internal/coordination/dispatcher/proxy.go
@@ -10,6 +10,7 @@
 	"github.com/go-faster/errors"
 
 	"github.com/lagoonpass/lagoonpass/internal/coordination/admitter"
+	"github.com/lagoonpass/lagoonpass/internal/coordination/fingerprinter"
 	"github.com/lagoonpass/lagoonpass/internal/coordination/retrier"
 	"github.com/lagoonpass/lagoonpass/internal/coordination/throttler"
 	"github.com/lagoonpass/lagoonpass/internal/state/configurer"
@@ -114,7 +115,9 @@
 	admitted bool
 	// queued is the time spent waiting for grants.
 	queued time.Duration
-	// trial says that the request has an excluded part and is sent once.
+	// contents are what other requests may have in common with this one.
+	contents []fingerprinter.Content
+	// trial says that the request has an excluded content and is sent once.
 	trial bool
 }
 
@@ -134,13 +137,14 @@
 		callerCtx:    ctx,
 		writer:       newAnswerWriter(wr, rq.LastEvent),
 		ticket:       rq.Ticket,
+		contents:     fingerprinter.Parts(rq.Parts),
 		began:        time.Now(),
 	}
 	if ds.shared != nil {
 		ds.shared.Arrived(pe.key(), pe.began)
 	}
-	// A part that is excluded later ends the request unless its answer has begun.
-	defer ds.quarantine.Watch(rq.Parts, func() {
+	// A content that is excluded later ends the request unless its answer has begun.
+	defer ds.quarantine.Watch(pe.contents, func() {
 		if !pe.answering.Load() {
 			exclude(errExcluded)
 		}
@@ -155,7 +159,7 @@
 
 // run makes attempts until the answer is complete or no retry is allowed.
 func (pe *proxyExecution) run(ctx context.Context) *refuser.Refusal {
-	wait, trial := pe.ds.quarantine.Admit(ctx, pe.Parts)
+	wait, trial := pe.ds.quarantine.Admit(ctx, pe.contents)
 	if wait > 0 {
 		return excludedRefusal().WithRetryAfter(wait)
 	}
@@ -313,17 +317,17 @@
 		return refuser.New(refuser.Cancelled, "caller is gone")
 	}
 	if errors.Is(context.Cause(ctx), errExcluded) {
-		wait, _ := pe.ds.quarantine.Admit(ctx, pe.Parts)
+		wait, _ := pe.ds.quarantine.Admit(ctx, pe.contents)
 		return excludedRefusal().WithRetryAfter(max(wait, pe.retryAfter()))
 	}
 	return refuser.New(refuser.DeadlinePassed, "no whole answer before the deadline").WithRetryAfter(pe.retryAfter())
 }
 
-// errExcluded ends requests with a part that is excluded while they wait.
-var errExcluded = errors.New("a part of the prompt is excluded")
+// errExcluded ends requests with a content that is excluded while they wait.
+var errExcluded = errors.New("a content is excluded")
 
 func excludedRefusal() *refuser.Refusal {
-	return refuser.New(refuser.ContentExcluded, "a part of the prompt crashed backend servers")
+	return refuser.New(refuser.ContentExcluded, "its content crashed backend servers")
 }
 
 // retryAfter returns how long the caller of a refused request should wait.
@@ -429,7 +433,7 @@
 		line = line.WithField("adapter", ad.Name())
 	}
 	if rf == nil {
-		pe.ds.quarantine.Succeeded(pe.Parts)
+		pe.ds.quarantine.Succeeded(pe.contents)
 		pe.ds.tally.Answered(pe.subject())
 		pe.logAnswer(line)
 		return
--- a/internal/coordination/isolator/isolator.go
+++ b/internal/coordination/isolator/isolator.go
@@ -13,7 +13,7 @@
 //	is := isolator.New(pool, peers, leader, isolator.WithStore(store, "prefix/"))
 //	dt := crashdetector.New(refuses, crashdetector.WithOnCrash(is.Crashed))
 //	go is.Run(ctx)
-//	if wait, _ := is.Admit(ctx, parts); wait > 0 { ... } // refuse the request
+//	if wait, _ := is.Admit(ctx, contents); wait > 0 { ... } // refuse the request
 package isolator
 
 import (
@@ -26,6 +26,7 @@
 	"github.com/apex/log"
 
 	"github.com/lagoonpass/lagoonpass/internal/coordination/crashdetector"
+	"github.com/lagoonpass/lagoonpass/internal/coordination/fingerprinter"
 	"github.com/lagoonpass/lagoonpass/internal/coordination/quarantiner"
 	"github.com/lagoonpass/lagoonpass/internal/counter"
 	"github.com/lagoonpass/lagoonpass/internal/protocol/messenger"
@@ -37,7 +38,7 @@
 	syncInterval = 500 * time.Millisecond
 	// callTimeout bounds the calls of peers and of the store.
 	callTimeout = 300 * time.Millisecond
-	// askInterval is the time between two requests for a trial of one part.
+	// askInterval is the time between two requests for a trial of one content.
 	askInterval = time.Second
 	// minReportInterval is the least time between two reports of an exclusion to
 	// the leader.
@@ -72,10 +73,10 @@
 	wake chan struct{}
 
 	mu sync.Mutex
-	// stored has the failures of the exclusions in the store by part.
-	stored map[uint64]int
-	// askedAt is when a trial was last requested by part.
-	askedAt map[uint64]time.Time
+	// stored has the failures of the exclusions in the store by content.
+	stored map[fingerprinter.Content]int
+	// askedAt is when a trial was last requested by content.
+	askedAt map[fingerprinter.Content]time.Time
 	// nextReport is when exclusions are next reported to the leader.
 	nextReport time.Time
 }
@@ -99,8 +100,8 @@
 		caller:     ca,
 		peers:      peers,
 		leader:     leader,
-		stored:     map[uint64]int{},
-		askedAt:    map[uint64]time.Time{},
+		stored:     map[fingerprinter.Content]int{},
+		askedAt:    map[fingerprinter.Content]time.Time{},
 		wake:       make(chan struct{}, 1),
 	}
 	for _, opt := range opts {
@@ -109,25 +110,25 @@
 	return is
 }
 
-// Admit returns how long a request with the parts is kept from servers, or zero if
+// Admit returns how long a request with the contents is kept from servers, or zero if
 // it may be sent. A request that is sent on trial must not be sent again.
-func (is *Isolator) Admit(ctx context.Context, parts []uint64) (wait time.Duration, trial bool) {
-	vd := is.quarantine.Check(time.Now(), parts)
-	if vd.Wait == 0 || !vd.Trial || !is.mayTry(ctx, vd.Part) {
+func (is *Isolator) Admit(ctx context.Context, contents []fingerprinter.Content) (wait time.Duration, trial bool) {
+	vd := is.quarantine.Check(time.Now(), contents)
+	if vd.Wait == 0 || !vd.Trial || !is.mayTry(ctx, vd.Content) {
 		return vd.Wait, false
 	}
-	log.WithField("part", hex(vd.Part)).Info("request with an excluded part is sent on trial")
+	log.WithField("content", vd.Content.String()).Info("request with an excluded content is sent on trial")
 	is.registry.Inc("quarantine", "trial")
 	return 0, true
 }
 
 // mayTry asks the leader for a trial, not too often.
-func (is *Isolator) mayTry(ctx context.Context, part uint64) bool {
+func (is *Isolator) mayTry(ctx context.Context, content fingerprinter.Content) bool {
 	now := time.Now()
 	is.mu.Lock()
-	due := now.Sub(is.askedAt[part]) >= askInterval
+	due := now.Sub(is.askedAt[content]) >= askInterval
 	if due {
-		is.askedAt[part] = now
+		is.askedAt[content] = now
 	}
 	is.mu.Unlock()
 	address, self, ok := is.leader()
@@ -135,32 +136,32 @@
 	case !due || !ok:
 		return false
 	case self:
-		return is.quarantine.Try(now, part)
+		return is.quarantine.Try(now, content)
 	}
 	ctx, cancel := context.WithTimeout(ctx, callTimeout)
 	defer cancel()
-	answer, err := is.caller.Call(ctx, address, &messenger.Trial{Part: part})
+	answer, err := is.caller.Call(ctx, address, &messenger.Trial{Content: uint64(content)})
 	ta, ok := answer.(*messenger.TrialAnswer)
 	return err == nil && ok && ta.Granted
 }
 
-// Watch has the function called, without blocking, when one of the parts is
+// Watch has the function called, without blocking, when one of the contents is
 // excluded. The returned function ends it.
-func (is *Isolator) Watch(parts []uint64, excluded func()) (stop func()) {
-	return is.quarantine.Watch(parts, excluded)
+func (is *Isolator) Watch(contents []fingerprinter.Content, excluded func()) (stop func()) {
+	return is.quarantine.Watch(contents, excluded)
 }
 
-// Succeeded records a completed answer to a request with the parts. If one of them
+// Succeeded records a completed answer to a request with the contents. If one of them
 // was excluded, it tells all nodes.
-func (is *Isolator) Succeeded(parts []uint64) {
-	lifted := is.quarantine.Succeeded(time.Now(), parts)
+func (is *Isolator) Succeeded(contents []fingerprinter.Content) {
+	lifted := is.quarantine.Succeeded(time.Now(), contents)
 	if len(lifted) == 0 {
 		return
 	}
 	vh := &messenger.Vouch{}
-	for _, part := range lifted {
-		is.logLifted(part, "an answer with it was completed")
-		vh.Vouchers = append(vh.Vouchers, messenger.Voucher{Part: part})
+	for _, content := range lifted {
+		is.logLifted(content, "an answer with it was completed")
+		vh.Vouchers = append(vh.Vouchers, messenger.Voucher{Content: uint64(content)})
 	}
 	go is.tellAll(vh)
 }
@@ -173,15 +174,15 @@
 		return
 	}
 	// Nodes that started since the first crashes do not have all of the evidence.
-	for _, part := range is.record(rp) {
-		go is.share(&messenger.Exclude{Part: part}, nil)
+	for _, content := range is.record(rp) {
+		go is.share(&messenger.Exclude{Content: uint64(content)}, nil)
 		if _, _, ok := is.leader(); !ok {
-			go is.write(context.Background(), []quarantiner.Exclusion{{Part: part}}, nil)
+			go is.write(context.Background(), []quarantiner.Exclusion{{Content: content}}, nil)
 		}
 	}
 	call := &messenger.CrashReport{Server: rp.Server, Age: rp.Age}
 	for _, mk := range rp.Marks {
-		call.Marks = append(call.Marks, messenger.CrashMark{Part: mk.Part, Answering: mk.Answering, InFlight: mk.InFlight})
+		call.Marks = append(call.Marks, messenger.CrashMark{Content: uint64(mk.Content), Answering: mk.Answering, InFlight: mk.InFlight})
 	}
 	is.share(call, is.quarantine.Vouchers(now, rp))
 }
@@ -189,36 +190,36 @@
 // share calls all nodes and tells them all what some of them, or this one,
 // completed.
 func (is *Isolator) share(call messenger.Message, own []quarantiner.Voucher) {
-	best := map[uint64]time.Duration{}
+	best := map[fingerprinter.Content]time.Duration{}
 	for _, vc := range append(is.tellAll(call), own...) {
-		if age, ok := best[vc.Part]; !ok || vc.Age < age {
-			best[vc.Part] = vc.Age
+		if age, ok := best[vc.Content]; !ok || vc.Age < age {
+			best[vc.Content] = vc.Age
 		}
 	}
 	if len(best) == 0 {
 		return
 	}
 	vh := &messenger.Vouch{}
-	for part, age := range best {
-		vh.Vouchers = append(vh.Vouchers, messenger.Voucher{Part: part, Age: age})
+	for content, age := range best {
+		vh.Vouchers = append(vh.Vouchers, messenger.Voucher{Content: uint64(content), Age: age})
 	}
 	is.accept(fromMessages(vh.Vouchers))
 	is.tellAll(vh)
 }
 
 func (is *Isolator) accept(vouchers []quarantiner.Voucher) {
-	for _, part := range is.quarantine.Accept(time.Now(), vouchers) {
-		is.logLifted(part, "another node completed an answer with it")
+	for _, content := range is.quarantine.Accept(time.Now(), vouchers) {
+		is.logLifted(content, "another node completed an answer with it")
 	}
 }
 
 // record takes up a report, and logs and returns what is excluded because of it.
-func (is *Isolator) record(rp quarantiner.Report) []uint64 {
+func (is *Isolator) record(rp quarantiner.Report) []fingerprinter.Content {
 	excluded := is.quarantine.Record(time.Now(), rp)
-	for _, part := range excluded {
+	for _, content := range excluded {
 		is.registry.Inc("quarantine", "excluded")
-		log.WithFields(log.Fields{"part": hex(part), "server": rp.Server}).
-			Warn("part of prompts crashes backend servers; requests with it are refused")
+		log.WithFields(log.Fields{"content": content.String(), "server": rp.Server}).
+			Warn("content crashes backend servers; requests with it are refused")
 	}
 	if len(excluded) > 0 {
 		is.syncSoon()
@@ -238,9 +239,9 @@
 	}
 }
 
-func (is *Isolator) logLifted(part uint64, why string) {
+func (is *Isolator) logLifted(content fingerprinter.Content, why string) {
 	is.registry.Inc("quarantine", "lifted")
-	log.WithFields(log.Fields{"part": hex(part), "reason": why}).Info("part of prompts is no longer excluded")
+	log.WithFields(log.Fields{"content": content.String(), "reason": why}).Info("content is no longer excluded")
 }
 
 // Handle answers a message of a peer. It returns nil if the message is of another
@@ -251,19 +252,19 @@
 	case *messenger.CrashReport:
 		rp := quarantiner.Report{Server: tc.Server, Age: tc.Age}
 		for _, cm := range tc.Marks {
-			rp.Marks = append(rp.Marks, quarantiner.Mark{Part: cm.Part, Answering: cm.Answering, InFlight: cm.InFlight})
+			rp.Marks = append(rp.Marks, quarantiner.Mark{Content: fingerprinter.Content(cm.Content), Answering: cm.Answering, InFlight: cm.InFlight})
 		}
 		is.record(rp)
 		return &messenger.Vouched{Vouchers: toMessages(is.quarantine.Vouchers(now, rp))}
 	case *messenger.Exclude:
-		is.exclude(quarantiner.Exclusion{Part: tc.Part, Failures: tc.Failures, Age: tc.Age})
-		vouchers := is.quarantine.Vouchers(now, quarantiner.Report{Marks: []quarantiner.Mark{{Part: tc.Part}}})
+		is.exclude(quarantiner.Exclusion{Content: fingerprinter.Content(tc.Content), Failures: tc.Failures, Age: tc.Age})
+		vouchers := is.quarantine.Vouchers(now, quarantiner.Report{Marks: []quarantiner.Mark{{Content: fingerprinter.Content(tc.Content)}}})
 		return &messenger.Vouched{Vouchers: toMessages(vouchers)}
 	case *messenger.Vouch:
 		is.accept(fromMessages(tc.Vouchers))
 		return &messenger.Vouched{}
 	case *messenger.Trial:
-		return &messenger.TrialAnswer{Granted: is.quarantine.Try(now, tc.Part)}
+		return &messenger.TrialAnswer{Granted: is.quarantine.Try(now, fingerprinter.Content(tc.Content))}
 	}
 	return nil
 }
@@ -272,8 +273,8 @@
 	if is.quarantine.Exclude(time.Now(), es) {
 		is.syncSoon()
 		is.registry.Inc("quarantine", "excluded")
-		log.WithFields(log.Fields{"part": hex(es.Part), "failures": es.Failures}).
-			Warn("another node excludes a part of prompts; requests with it are refused")
+		log.WithFields(log.Fields{"content": es.Content.String(), "failures": es.Failures}).
+			Warn("another node excludes a content; requests with it are refused")
 	}
 }
 
@@ -303,20 +304,18 @@
 
 func toMessages(vouchers []quarantiner.Voucher) (out []messenger.Voucher) {
 	for _, vc := range vouchers {
-		out = append(out, messenger.Voucher{Part: vc.Part, Age: vc.Age})
+		out = append(out, messenger.Voucher{Content: uint64(vc.Content), Age: vc.Age})
 	}
 	return out
 }
 
 func fromMessages(vouchers []messenger.Voucher) (out []quarantiner.Voucher) {
 	for _, vc := range vouchers {
-		out = append(out, quarantiner.Voucher{Part: vc.Part, Age: vc.Age})
+		out = append(out, quarantiner.Voucher{Content: fingerprinter.Content(vc.Content), Age: vc.Age})
 	}
 	return out
 }
 
-func hex(part uint64) string { return strconv.FormatUint(part, 16) }
-
 // Run keeps the exclusions in the store up to date until the context ends, and
 // returns nil.
 func (is *Isolator) Run(ctx context.Context) error {
@@ -357,7 +356,7 @@
 	}
 	for _, es := range missing {
 		callCtx, cancel := context.WithTimeout(ctx, callTimeout)
-		answer, err := is.caller.Call(callCtx, address, &messenger.Exclude{Part: es.Part, Failures: es.Failures, Age: es.Age})
+		answer, err := is.caller.Call(callCtx, address, &messenger.Exclude{Content: uint64(es.Content), Failures: es.Failures, Age: es.Age})
 		cancel()
 		if vd, ok := answer.(*messenger.Vouched); err == nil && ok {
 			is.accept(fromMessages(vd.Vouchers))
@@ -365,21 +364,21 @@
 	}
 }
 
-// difference returns the exclusions that are not in the store and the stored parts
+// difference returns the exclusions that are not in the store and the stored contents
 // that are no longer excluded.
-func (is *Isolator) difference() (missing []quarantiner.Exclusion, surplus []uint64) {
-	excluded := map[uint64]bool{}
+func (is *Isolator) difference() (missing []quarantiner.Exclusion, surplus []fingerprinter.Content) {
+	excluded := map[fingerprinter.Content]bool{}
 	is.mu.Lock()
 	defer is.mu.Unlock()
 	for _, es := range is.quarantine.Exclusions(time.Now()) {
-		excluded[es.Part] = true
-		if failures, ok := is.stored[es.Part]; !ok || failures < es.Failures {
+		excluded[es.Content] = true
+		if failures, ok := is.stored[es.Content]; !ok || failures < es.Failures {
 			missing = append(missing, es)
 		}
 	}
-	for part := range is.stored {
-		if !excluded[part] {
-			surplus = append(surplus, part)
+	for content := range is.stored {
+		if !excluded[content] {
+			surplus = append(surplus, content)
 		}
 	}
 	return missing, surplus
@@ -387,7 +386,7 @@
 
 // write tells all nodes of the exclusions that are not in the store and stores
 // them, and removes those that have ended.
-func (is *Isolator) write(ctx context.Context, missing []quarantiner.Exclusion, surplus []uint64) {
+func (is *Isolator) write(ctx context.Context, missing []quarantiner.Exclusion, surplus []fingerprinter.Content) {
 	if is.store == nil || len(missing)+len(surplus) == 0 {
 		return
 	}
@@ -395,11 +394,11 @@
 	surplus = surplus[:min(len(surplus), maxWrites-len(missing))]
 	tx := storer.Transaction{}
 	for _, es := range missing {
-		go is.share(&messenger.Exclude{Part: es.Part, Failures: es.Failures, Age: es.Age}, nil)
-		tx.Writes = append(tx.Writes, storer.Write{Key: is.prefix + hex(es.Part), Value: []byte(strconv.Itoa(es.Failures))})
+		go is.share(&messenger.Exclude{Content: uint64(es.Content), Failures: es.Failures, Age: es.Age}, nil)
+		tx.Writes = append(tx.Writes, storer.Write{Key: is.prefix + es.Content.String(), Value: []byte(strconv.Itoa(es.Failures))})
 	}
-	for _, part := range surplus {
-		tx.Deletes = append(tx.Deletes, is.prefix+hex(part))
+	for _, content := range surplus {
+		tx.Deletes = append(tx.Deletes, is.prefix+content.String())
 	}
 	ctx, cancel := context.WithTimeout(ctx, callTimeout)
 	defer cancel()
@@ -410,9 +409,9 @@
 	is.mu.Lock()
 	defer is.mu.Unlock()
 	for _, es := range missing {
-		is.stored[es.Part] = es.Failures
+		is.stored[es.Content] = es.Failures
 	}
-	for _, part := range surplus {
-		delete(is.stored, part)
+	for _, content := range surplus {
+		delete(is.stored, content)
 	}
 }
--- a/internal/coordination/isolator/isolator_test.go
+++ b/internal/coordination/isolator/isolator_test.go
@@ -12,6 +12,7 @@
 	"github.com/stretchr/testify/require"
 
 	"github.com/lagoonpass/lagoonpass/internal/coordination/crashdetector"
+	"github.com/lagoonpass/lagoonpass/internal/coordination/fingerprinter"
 	"github.com/lagoonpass/lagoonpass/internal/coordination/isolator"
 	"github.com/lagoonpass/lagoonpass/internal/protocol/messenger"
 	"github.com/lagoonpass/lagoonpass/internal/standin/platform"
@@ -88,15 +89,15 @@
 	return to.Handle(call), nil
 }
 
-// crash has a node see the crash of a server under a request with the parts.
-func (fl *fleet) crash(node, server string, parts ...uint64) {
+// crash has a node see the crash of a server under a request with the contents.
+func (fl *fleet) crash(node, server string, contents ...fingerprinter.Content) {
 	time.Sleep(time.Second)
-	losses := []crashdetector.Loss{{ID: "r", Parts: parts, Sent: time.Now().Add(-50 * time.Millisecond)}}
+	losses := []crashdetector.Loss{{ID: "r", Contents: contents, Sent: time.Now().Add(-50 * time.Millisecond)}}
 	fl.nodes[node].Crashed(crashdetector.Crash{Server: server, At: time.Now(), Losses: losses})
 }
 
-func (fl *fleet) wait(node string, parts ...uint64) time.Duration {
-	wait, _ := fl.nodes[node].Admit(context.Background(), parts)
+func (fl *fleet) wait(node string, contents ...fingerprinter.Content) time.Duration {
+	wait, _ := fl.nodes[node].Admit(context.Background(), contents)
 	return wait
 }
 
@@ -104,7 +105,7 @@
 func TestCrashesThatNodesSawOneByOneExcludePartOnAll(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		fl := newFleet(4)
-		fl.nodes["n3"].Succeeded([]uint64{1})
+		fl.nodes["n3"].Succeeded([]fingerprinter.Content{1})
 		for ix := range 3 {
 			fl.crash(fmt.Sprint("n", ix), fmt.Sprint("w", ix), 1, 9)
 		}
@@ -121,7 +122,7 @@
 		fl := newFleet(3)
 		for ix := range 8 {
 			fl.crash("n1", fmt.Sprint("w", ix), 1)
-			fl.nodes["n2"].Succeeded([]uint64{1})
+			fl.nodes["n2"].Succeeded([]fingerprinter.Content{1})
 		}
 		require.Zero(t, fl.wait("n1", 1))
 	})
@@ -169,7 +170,7 @@
 		granted := 0
 		for range 3 {
 			for ix := range 3 {
-				if wait, trial := fl.nodes[fmt.Sprint("n", ix)].Admit(ctx, []uint64{9}); wait == 0 {
+				if wait, trial := fl.nodes[fmt.Sprint("n", ix)].Admit(ctx, []fingerprinter.Content{9}); wait == 0 {
 					require.True(t, trial)
 					granted++
 				}
@@ -177,7 +178,7 @@
 			time.Sleep(2 * time.Second)
 		}
 		require.Equal(t, 1, granted)
-		fl.nodes["n2"].Succeeded([]uint64{9})
+		fl.nodes["n2"].Succeeded([]fingerprinter.Content{9})
 		time.Sleep(5 * time.Second)
 		for ix := range 3 {
 			require.Zero(t, fl.wait(fmt.Sprint("n", ix), 9))
--- a/internal/coordination/isolator/stored.go
+++ b/internal/coordination/isolator/stored.go
@@ -4,6 +4,7 @@
 	"strconv"
 	"strings"
 
+	"github.com/lagoonpass/lagoonpass/internal/coordination/fingerprinter"
 	"github.com/lagoonpass/lagoonpass/internal/coordination/quarantiner"
 	"github.com/lagoonpass/lagoonpass/internal/state/storer"
 )
@@ -12,17 +13,17 @@
 func (is *Isolator) Replace(entries []storer.Entry) {
 	is.mu.Lock()
 	former := is.stored
-	is.stored = map[uint64]int{}
+	is.stored = map[fingerprinter.Content]int{}
 	is.mu.Unlock()
 	for _, en := range entries {
 		is.put(en)
 	}
 	is.mu.Lock()
 	defer is.mu.Unlock()
-	for part := range former {
-		if _, ok := is.stored[part]; !ok {
-			is.quarantine.Lift(part)
-			is.logLifted(part, "its key is gone from the store")
+	for content := range former {
+		if _, ok := is.stored[content]; !ok {
+			is.quarantine.Lift(content)
+			is.logLifted(content, "its key is gone from the store")
 		}
 	}
 }
@@ -34,8 +35,8 @@
 			is.put(ch.Entry)
 			continue
 		}
-		if part, ok := is.partOf(ch.Key); ok {
-			is.remove(part)
+		if content, ok := is.contentOf(ch.Key); ok {
+			is.remove(content)
 		}
 	}
 }
@@ -45,34 +46,34 @@
 func (is *Isolator) StoreRestored() {
 	is.mu.Lock()
 	defer is.mu.Unlock()
-	is.stored = map[uint64]int{}
+	is.stored = map[fingerprinter.Content]int{}
 }
 
 func (is *Isolator) put(en storer.Entry) {
-	part, ok := is.partOf(en.Key)
+	content, ok := is.contentOf(en.Key)
 	failures, err := strconv.Atoi(string(en.Value))
 	if !ok || err != nil || failures < 0 {
 		return
 	}
 	is.mu.Lock()
-	is.stored[part] = failures
+	is.stored[content] = failures
 	is.mu.Unlock()
-	is.exclude(quarantiner.Exclusion{Part: part, Failures: failures})
+	is.exclude(quarantiner.Exclusion{Content: content, Failures: failures})
 }
 
-func (is *Isolator) remove(part uint64) {
+func (is *Isolator) remove(content fingerprinter.Content) {
 	is.mu.Lock()
-	_, known := is.stored[part]
-	delete(is.stored, part)
+	_, known := is.stored[content]
+	delete(is.stored, content)
 	is.mu.Unlock()
 	if known {
-		is.quarantine.Lift(part)
-		is.logLifted(part, "its key is gone from the store")
+		is.quarantine.Lift(content)
+		is.logLifted(content, "its key is gone from the store")
 	}
 }
 
-func (is *Isolator) partOf(key string) (uint64, bool) {
+func (is *Isolator) contentOf(key string) (fingerprinter.Content, bool) {
 	name, ok := strings.CutPrefix(key, is.prefix)
-	part, err := strconv.ParseUint(name, 16, 64)
-	return part, ok && err == nil && is.store != nil
+	content, err := strconv.ParseUint(name, 16, 64)
+	return fingerprinter.Content(content), ok && err == nil && is.store != nil
 }
--- a/internal/coordination/quarantiner/convict.go
+++ b/internal/coordination/quarantiner/convict.go
@@ -4,31 +4,33 @@
 	"cmp"
 	"slices"
 	"time"
+
+	"github.com/lagoonpass/lagoonpass/internal/coordination/fingerprinter"
 )
 
 // candidate is a suspect with enough crashes to be excluded.
 type candidate struct {
-	part uint64
+	content fingerprinter.Content
 	// unanswered are the crashes in which a request had no piece of its answer,
 	// and all has the others too.
 	unanswered, all []*event
-	// good says that answers with the part were completed not long before.
+	// good says that answers with the content were completed not long before.
 	good bool
 }
 
-// convict excludes the parts whose evidence suffices, the one with the most
-// crashes first, and returns them. What an excluded part explains does not count
+// convict excludes the contents whose evidence suffices, the one with the most
+// crashes first, and returns them. What an excluded content explains does not count
 // against the next.
-func (qt *Quarantine) convict(now time.Time) []uint64 {
-	var excluded []uint64
+func (qt *Quarantine) convict(now time.Time) []fingerprinter.Content {
+	var excluded []fingerprinter.Content
 	for {
 		guilty := qt.guilty(now)
 		if len(guilty) == 0 {
 			return excluded
 		}
 		for _, cd := range guilty {
-			excluded = append(excluded, cd.part)
-			qt.exclude(cd.part, now, 0)
+			excluded = append(excluded, cd.content)
+			qt.exclude(cd.content, now, 0)
 			for _, ev := range cd.all {
 				qt.explain(ev)
 			}
@@ -40,12 +42,12 @@
 // with as much evidence go with it.
 func (qt *Quarantine) guilty(now time.Time) []candidate {
 	var all []candidate
-	for part, sp := range qt.suspects {
+	for content, sp := range qt.suspects {
 		if len(sp.marks) < minCrashes {
 			continue
 		}
-		cd := candidate{part: part, unanswered: sp.crashes(now, true), all: sp.crashes(now, false)}
-		cd.good = len(cd.all) > 0 && cd.all[0].at.Sub(qt.lastGood(part)) < goodLifetime
+		cd := candidate{content: content, unanswered: sp.crashes(now, true), all: sp.crashes(now, false)}
+		cd.good = len(cd.all) > 0 && cd.all[0].at.Sub(qt.lastGood(content)) < goodLifetime
 		all = append(all, cd)
 	}
 	slices.SortFunc(all, compare)
@@ -72,11 +74,11 @@
 	return cmp.Or(cmp.Compare(len(two.unanswered), len(one.unanswered)), cmp.Compare(len(two.all), len(one.all)))
 }
 
-// hasRival reports whether another part explains all crashes of the candidate as
-// well. Parts with completed answers not long before are no rivals.
+// hasRival reports whether another content explains all crashes of the candidate as
+// well. Contents with completed answers not long before are no rivals.
 func (qt *Quarantine) hasRival(cd candidate) bool {
-	for part, sp := range qt.suspects {
-		if part == cd.part || cd.unanswered[0].at.Sub(qt.lastGood(part)) < goodLifetime {
+	for content, sp := range qt.suspects {
+		if content == cd.content || cd.unanswered[0].at.Sub(qt.lastGood(content)) < goodLifetime {
 			continue
 		}
 		if sp.explainsAll(cd.unanswered) {
--- a/internal/coordination/quarantiner/evidence.go
+++ b/internal/coordination/quarantiner/evidence.go
@@ -6,22 +6,23 @@
 	"time"
 
 	"github.com/lagoonpass/lagoonpass/internal/coordination/crashdetector"
+	"github.com/lagoonpass/lagoonpass/internal/coordination/fingerprinter"
 )
 
-// NewReport returns what a crash says about the parts in flight. If there are too
+// NewReport returns what a crash says about the contents in flight. If there are too
 // many, those of requests with a piece of their answer are left out first.
 func NewReport(now time.Time, cr crashdetector.Crash) Report {
-	marks := map[uint64]Mark{}
+	marks := map[fingerprinter.Content]Mark{}
 	for _, ls := range cr.Losses {
 		inFlight := max(cr.At.Sub(ls.Sent), 0)
-		for _, part := range ls.Parts {
-			mk, ok := marks[part]
+		for _, content := range ls.Contents {
+			mk, ok := marks[content]
 			if !ok {
-				mk = Mark{Part: part, Answering: true, InFlight: inFlight}
+				mk = Mark{Content: content, Answering: true, InFlight: inFlight}
 			}
 			mk.Answering = mk.Answering && ls.Answering
 			mk.InFlight = min(mk.InFlight, inFlight)
-			marks[part] = mk
+			marks[content] = mk
 		}
 	}
 	rp := Report{Server: cr.Server, Age: max(now.Sub(cr.At), 0)}
@@ -32,20 +33,20 @@
 		if one.Answering != two.Answering {
 			return map[bool]int{true: 1, false: -1}[one.Answering]
 		}
-		return cmp.Compare(one.Part, two.Part)
+		return cmp.Compare(one.Content, two.Content)
 	})
 	rp.Marks = rp.Marks[:min(len(rp.Marks), maxMarks)]
 	return rp
 }
 
-// Record takes up a report, of this node or another, and returns the parts that
+// Record takes up a report, of this node or another, and returns the contents that
 // are excluded because of it.
-func (qt *Quarantine) Record(now time.Time, rp Report) []uint64 {
+func (qt *Quarantine) Record(now time.Time, rp Report) []fingerprinter.Content {
 	qt.mu.Lock()
 	defer qt.mu.Unlock()
 	ev := qt.eventOf(rp.Server, now.Add(-rp.Age))
 	for _, mk := range rp.Marks {
-		if ex, ok := qt.exclusions[mk.Part]; ok && !mk.Answering {
+		if ex, ok := qt.exclusions[mk.Content]; ok && !mk.Answering {
 			ex.noteCrash(ev.at)
 			qt.explain(ev)
 		}
@@ -78,17 +79,17 @@
 	return ev
 }
 
-// add records a crash against a part, unless an answer with it has been completed
+// add records a crash against a content, unless an answer with it has been completed
 // since.
 func (qt *Quarantine) add(now time.Time, ev *event, mk Mark) {
-	if _, ok := qt.exclusions[mk.Part]; ok || qt.lastGood(mk.Part).After(ev.at) {
+	if _, ok := qt.exclusions[mk.Content]; ok || qt.lastGood(mk.Content).After(ev.at) {
 		return
 	}
-	sp, ok := qt.suspects[mk.Part]
+	sp, ok := qt.suspects[mk.Content]
 	if !ok {
 		qt.makeRoom(now)
 		sp = &suspect{}
-		qt.suspects[mk.Part] = sp
+		qt.suspects[mk.Content] = sp
 	}
 	sp.latest = later(sp.latest, ev.at)
 	sent := ev.at.Add(-mk.InFlight)
@@ -112,15 +113,15 @@
 	if len(qt.suspects) < maxSuspects {
 		return
 	}
-	var least uint64
+	var least fingerprinter.Content
 	var found *suspect
-	for part, sp := range qt.suspects {
+	for content, sp := range qt.suspects {
 		if now.Sub(sp.latest) >= evidenceLifetime {
-			delete(qt.suspects, part)
+			delete(qt.suspects, content)
 			continue
 		}
 		if found == nil || len(sp.marks) < len(found.marks) || len(sp.marks) == len(found.marks) && sp.latest.Before(found.latest) {
-			least, found = part, sp
+			least, found = content, sp
 		}
 	}
 	if len(qt.suspects) >= maxSuspects {
@@ -134,10 +135,10 @@
 		return
 	}
 	ev.explained = true
-	for part, sp := range qt.suspects {
+	for content, sp := range qt.suspects {
 		sp.marks = slices.DeleteFunc(sp.marks, func(mk mark) bool { return mk.event == ev })
 		if len(sp.marks) == 0 {
-			delete(qt.suspects, part)
+			delete(qt.suspects, content)
 		}
 	}
 }
--- a/internal/coordination/quarantiner/exclusion.go
+++ b/internal/coordination/quarantiner/exclusion.go
@@ -1,9 +1,13 @@
 package quarantiner
 
-import "time"
+import (
+	"time"
+
+	"github.com/lagoonpass/lagoonpass/internal/coordination/fingerprinter"
+)
 
 const (
-	// firstExclusion is how long a part is excluded first. Each failed trial makes
+	// firstExclusion is how long a content is excluded first. Each failed trial makes
 	// it exclusionFactor times as long, up to maxExclusion.
 	firstExclusion  = time.Minute
 	exclusionFactor = 5
@@ -12,11 +16,11 @@
 	trialTimeout = 15 * time.Second
 	// trialWait is what a request is told to wait while another one is on trial.
 	trialWait = time.Second
-	// maxExclusions bounds the excluded parts.
+	// maxExclusions bounds the excluded contents.
 	maxExclusions = 1024
 )
 
-// exclusion keeps a part from servers.
+// exclusion keeps a content from servers.
 type exclusion struct {
 	// since is when it began, or when the last trial failed.
 	since time.Time
@@ -26,7 +30,7 @@
 	triedAt time.Time
 }
 
-// length returns how long the part is excluded before the next trial.
+// length returns how long the content is excluded before the next trial.
 func (ex *exclusion) length() time.Duration {
 	dn := firstExclusion
 	for range ex.failures {
@@ -45,13 +49,13 @@
 	ex.since, ex.triedAt = at, time.Time{}
 }
 
-// watch is a request that is told when one of its parts is excluded.
+// watch is a request that is told when one of its contents is excluded.
 type watch struct{ excluded func() }
 
-// Exclusion is an excluded part as nodes tell each other of it.
+// Exclusion is an excluded content as nodes tell each other of it.
 type Exclusion struct {
-	// Part is the id of the part.
-	Part uint64
+	// Content is the id of the content.
+	Content fingerprinter.Content
 	// Failures is the number of failed trials.
 	Failures int
 	// Age is the time since it began, or since the last trial failed.
@@ -64,59 +68,59 @@
 	qt.mu.Lock()
 	defer qt.mu.Unlock()
 	since := now.Add(-es.Age)
-	if known, ok := qt.exclusions[es.Part]; ok {
+	if known, ok := qt.exclusions[es.Content]; ok {
 		if known.failures >= es.Failures {
 			return false
 		}
 		known.failures, known.since, known.triedAt = es.Failures, since, time.Time{}
 		return true
 	}
-	if qt.lastGood(es.Part).After(since) {
+	if qt.lastGood(es.Content).After(since) {
 		return false
 	}
-	qt.exclude(es.Part, since, es.Failures)
+	qt.exclude(es.Content, since, es.Failures)
 	return true
 }
 
-// exclude keeps a part from servers, and tells the requests that wait with it.
-func (qt *Quarantine) exclude(part uint64, since time.Time, failures int) {
+// exclude keeps a content from servers, and tells the requests that wait with it.
+func (qt *Quarantine) exclude(content fingerprinter.Content, since time.Time, failures int) {
 	if len(qt.exclusions) >= maxExclusions {
 		qt.dropOldest()
 	}
-	delete(qt.suspects, part)
-	qt.exclusions[part] = &exclusion{since: since, failures: failures}
-	for wc := range qt.watches[part] {
+	delete(qt.suspects, content)
+	qt.exclusions[content] = &exclusion{since: since, failures: failures}
+	for wc := range qt.watches[content] {
 		wc.excluded()
 	}
 }
 
 func (qt *Quarantine) dropOldest() {
-	var oldest uint64
+	var oldest fingerprinter.Content
 	var found *exclusion
-	for part, ex := range qt.exclusions {
+	for content, ex := range qt.exclusions {
 		if found == nil || ex.since.Before(found.since) {
-			oldest, found = part, ex
+			oldest, found = content, ex
 		}
 	}
 	delete(qt.exclusions, oldest)
 }
 
-func (qt *Quarantine) lift(part uint64) { delete(qt.exclusions, part) }
+func (qt *Quarantine) lift(content fingerprinter.Content) { delete(qt.exclusions, content) }
 
 // Lift ends an exclusion, because another node has ended it.
-func (qt *Quarantine) Lift(part uint64) {
+func (qt *Quarantine) Lift(content fingerprinter.Content) {
 	qt.mu.Lock()
 	defer qt.mu.Unlock()
-	qt.lift(part)
+	qt.lift(content)
 }
 
-// Exclusions returns the excluded parts.
+// Exclusions returns the excluded contents.
 func (qt *Quarantine) Exclusions(now time.Time) []Exclusion {
 	qt.mu.Lock()
 	defer qt.mu.Unlock()
 	var all []Exclusion
-	for part, ex := range qt.exclusions {
-		all = append(all, Exclusion{Part: part, Failures: ex.failures, Age: now.Sub(ex.since)})
+	for content, ex := range qt.exclusions {
+		all = append(all, Exclusion{Content: content, Failures: ex.failures, Age: now.Sub(ex.since)})
 	}
 	return all
 }
@@ -126,21 +130,21 @@
 	// Wait is how long the request is kept from servers; zero means not at all.
 	Wait time.Duration
 	// Trial says that the request may be sent nevertheless if Try grants it for
-	// Part, at the node that decides for all.
-	Trial bool
-	Part  uint64
+	// Content, at the node that decides for all.
+	Trial   bool
+	Content fingerprinter.Content
 }
 
-// Check returns whether a request with the parts may be sent to a server.
-func (qt *Quarantine) Check(now time.Time, parts []uint64) Verdict {
+// Check returns whether a request with the contents may be sent to a server.
+func (qt *Quarantine) Check(now time.Time, contents []fingerprinter.Content) Verdict {
 	qt.mu.Lock()
 	defer qt.mu.Unlock()
 	vd := Verdict{}
 	if len(qt.exclusions) == 0 {
 		return vd
 	}
-	for _, part := range parts {
-		ex, ok := qt.exclusions[part]
+	for _, content := range contents {
+		ex, ok := qt.exclusions[content]
 		if !ok {
 			continue
 		}
@@ -148,17 +152,17 @@
 		if left > 0 {
 			vd = Verdict{Wait: max(vd.Wait, left)}
 		} else if vd.Wait == 0 {
-			vd = Verdict{Wait: trialWait, Trial: true, Part: part}
+			vd = Verdict{Wait: trialWait, Trial: true, Content: content}
 		}
 	}
 	return vd
 }
 
-// Try grants a trial with the part to one request at a time.
-func (qt *Quarantine) Try(now time.Time, part uint64) bool {
+// Try grants a trial with the content to one request at a time.
+func (qt *Quarantine) Try(now time.Time, content fingerprinter.Content) bool {
 	qt.mu.Lock()
 	defer qt.mu.Unlock()
-	ex, ok := qt.exclusions[part]
+	ex, ok := qt.exclusions[content]
 	if !ok || now.Sub(ex.since) < ex.length() || !ex.triedAt.IsZero() && now.Sub(ex.triedAt) < trialTimeout {
 		return false
 	}
@@ -167,27 +171,27 @@
 }
 
 // Watch has the function called, at most once and with the record locked, when
-// one of the parts is excluded. The returned function ends it.
-func (qt *Quarantine) Watch(parts []uint64, excluded func()) (stop func()) {
-	if len(parts) == 0 {
+// one of the contents is excluded. The returned function ends it.
+func (qt *Quarantine) Watch(contents []fingerprinter.Content, excluded func()) (stop func()) {
+	if len(contents) == 0 {
 		return func() {}
 	}
 	wc := &watch{excluded: excluded}
 	qt.mu.Lock()
 	defer qt.mu.Unlock()
-	for _, part := range parts {
-		if qt.watches[part] == nil {
-			qt.watches[part] = map[*watch]bool{}
+	for _, content := range contents {
+		if qt.watches[content] == nil {
+			qt.watches[content] = map[*watch]bool{}
 		}
-		qt.watches[part][wc] = true
+		qt.watches[content][wc] = true
 	}
 	return func() {
 		qt.mu.Lock()
 		defer qt.mu.Unlock()
-		for _, part := range parts {
-			delete(qt.watches[part], wc)
-			if len(qt.watches[part]) == 0 {
-				delete(qt.watches, part)
+		for _, content := range contents {
+			delete(qt.watches[content], wc)
+			if len(qt.watches[content]) == 0 {
+				delete(qt.watches, content)
 			}
 		}
 	}
--- a/internal/coordination/quarantiner/plays_test.go
+++ b/internal/coordination/quarantiner/plays_test.go
@@ -13,6 +13,7 @@
 
 	"github.com/stretchr/testify/require"
 
+	"github.com/lagoonpass/lagoonpass/internal/coordination/fingerprinter"
 	"github.com/lagoonpass/lagoonpass/internal/coordination/quarantiner"
 )
 
@@ -21,12 +22,12 @@
 // TestPlaysEndAsRecorded plays what nodes see of crashes and completed answers.
 // A line of a play is a time in seconds and one of
 //
-//	crash SERVER PART...   parts in flight; ~ after a part whose requests had a
+//	crash SERVER CONTENT...   contents in flight; ~ after one whose requests had a
 //	                       piece of their answer, @S the seconds it was in flight
-//	good PART...           an answer was completed
-//	flood SERVER COUNT     a crash with that many new parts in flight
-//	check PART...          whether a request may be sent
-//	try PART               whether it may be sent on trial
+//	good CONTENT...           an answer was completed
+//	flood SERVER COUNT     a crash with that many new contents in flight
+//	check CONTENT...          whether a request may be sent
+//	try CONTENT               whether it may be sent on trial
 //
 // The golden file has the lines with their results.
 func TestPlaysEndAsRecorded(t *testing.T) {
@@ -37,7 +38,7 @@
 		t.Run(strings.TrimSuffix(filepath.Base(path), ".play"), func(t *testing.T) {
 			text, err := os.ReadFile(path)
 			require.NoError(t, err)
-			pl := &player{quarantine: quarantiner.New(), ids: map[string]uint64{}}
+			pl := &player{quarantine: quarantiner.New(), ids: map[string]fingerprinter.Content{}}
 			var out strings.Builder
 			for line := range strings.Lines(string(text)) {
 				line = strings.TrimSpace(line)
@@ -62,26 +63,26 @@
 type player struct {
 	quarantine *quarantiner.Quarantine
 	names      []string
-	ids        map[string]uint64
+	ids        map[string]fingerprinter.Content
 }
 
-// part returns the id of a part by its name.
-func (pl *player) part(name string) uint64 {
+// content returns the id of a content by its name.
+func (pl *player) content(name string) fingerprinter.Content {
 	if _, ok := pl.ids[name]; !ok {
 		pl.names = append(pl.names, name)
-		pl.ids[name] = uint64(len(pl.names))
+		pl.ids[name] = fingerprinter.Content(len(pl.names))
 	}
 	return pl.ids[name]
 }
 
-func (pl *player) parts(names []string) (ids []uint64) {
+func (pl *player) contents(names []string) (ids []fingerprinter.Content) {
 	for _, name := range names {
-		ids = append(ids, pl.part(name))
+		ids = append(ids, pl.content(name))
 	}
 	return ids
 }
 
-func (pl *player) namesOf(ids []uint64) string {
+func (pl *player) namesOf(ids []fingerprinter.Content) string {
 	var names []string
 	for _, id := range ids {
 		names = append(names, pl.names[id-1])
@@ -104,7 +105,7 @@
 				mk.InFlight, err = time.ParseDuration(flight + "s")
 				require.NoError(t, err)
 			}
-			mk.Part = pl.part(strings.TrimSuffix(name, "~"))
+			mk.Content = pl.content(strings.TrimSuffix(name, "~"))
 			rp.Marks = append(rp.Marks, mk)
 		}
 		return "excluded " + pl.namesOf(pl.quarantine.Record(now, rp))
@@ -113,14 +114,14 @@
 		require.NoError(t, err)
 		rp := quarantiner.Report{Server: words[2]}
 		for range count {
-			rp.Marks = append(rp.Marks, quarantiner.Mark{Part: pl.part(fmt.Sprint("new", len(pl.names)))})
+			rp.Marks = append(rp.Marks, quarantiner.Mark{Content: pl.content(fmt.Sprint("new", len(pl.names)))})
 		}
 		return "excluded " + pl.namesOf(pl.quarantine.Record(now, rp))
 	case "good":
-		return "lifted " + pl.namesOf(pl.quarantine.Succeeded(now, pl.parts(words[2:])))
+		return "lifted " + pl.namesOf(pl.quarantine.Succeeded(now, pl.contents(words[2:])))
 	case "try":
-		return fmt.Sprint(pl.quarantine.Try(now, pl.part(words[2])))
+		return fmt.Sprint(pl.quarantine.Try(now, pl.content(words[2])))
 	}
-	vd := pl.quarantine.Check(now, pl.parts(words[2:]))
+	vd := pl.quarantine.Check(now, pl.contents(words[2:]))
 	return fmt.Sprintf("wait %v trial %v", vd.Wait, vd.Trial)
 }
--- a/internal/coordination/quarantiner/quarantiner.go
+++ b/internal/coordination/quarantiner/quarantiner.go
@@ -1,36 +1,36 @@
-// Package quarantiner finds out which part of a prompt crashes backend servers,
-// and keeps requests with that part from them.
+// Package quarantiner finds out which content crashes backend servers, and keeps
+// requests with it from them. A content is a part of prompts.
 //
 // A server that crashes takes with it all that it runs, so that each crash is
-// evidence against every part in flight there. What tells the cause from the
+// evidence against every content in flight there. What tells the cause from the
 // bystanders is that it is there each time, that its request has no piece of an
 // answer yet, and that no answer with it is ever completed:
 //
-//   - A completed answer clears the parts of its prompt, on all nodes.
-//   - A part is excluded after minCrashes crashes of requests without a piece of
-//     their answer, if no other part explains all of these crashes as well.
+//   - A completed answer clears the contents of its request, on all nodes.
+//   - A content is excluded after minCrashes crashes of requests without a piece of
+//     their answer, if no other content explains all of these crashes as well.
 //     Otherwise, and if it had completed answers not long before, it takes
 //     maxCrashes.
-//   - Crashes that an excluded part explains count against nothing else.
+//   - Crashes that an excluded content explains count against nothing else.
 //   - Crashes at one moment are one: the loss of a rack is no evidence against
 //     what runs on several of its servers.
 //
-// Nodes send each other what they saw of a crash, and answer with which parts
+// Nodes send each other what they saw of a crash, and answer with which contents
 // they completed last and when. Each reaches its own conclusions from the same
 // evidence. An exclusion ends after a time, which grows with each failure, with a
 // trial: one request of all nodes is let through.
 //
-// The last part of a prompt belongs to one request or session. It is not among
-// the parts here.
+// The last part of a prompt belongs to one request or session. It is no content
+// here.
 //
 // # Usage
 //
 //	qt := quarantiner.New()
 //	excluded := qt.Record(now, quarantiner.NewReport(now, crash))
-//	if vd := qt.Check(now, parts); vd.Wait > 0 {
+//	if vd := qt.Check(now, contents); vd.Wait > 0 {
 //		return // refuse the request
 //	}
-//	qt.Succeeded(now, parts)
+//	qt.Succeeded(now, contents)
 //
 // A Quarantine reads no clock. It is safe for concurrent use.
 package quarantiner
@@ -38,11 +38,13 @@
 import (
 	"sync"
 	"time"
+
+	"github.com/lagoonpass/lagoonpass/internal/coordination/fingerprinter"
 )
 
 const (
-	// minCrashes is the number of crashes that exclude a part without rivals, and
-	// maxCrashes that which excludes any part.
+	// minCrashes is the number of crashes that exclude a content without rivals, and
+	// maxCrashes that which excludes any content.
 	minCrashes = 3
 	maxCrashes = 5
 	// sameCrashTime is how far reports of one crash may lie apart. A server takes
@@ -58,22 +60,22 @@
 	// evidenceLifetime is how long a crash is evidence.
 	evidenceLifetime = 10 * time.Minute
 	// goodLifetime is how long before a crash a completed answer makes it unlikely
-	// that a part is the cause.
+	// that a content is the cause.
 	goodLifetime = time.Minute
-	// maxSuspects, maxEvents and maxGood bound the parts with evidence against
-	// them, the crashes, and the parts with completed answers.
+	// maxSuspects, maxEvents and maxGood bound the contents with evidence against
+	// them, the crashes, and the contents with completed answers.
 	maxSuspects = 4096
 	maxEvents   = 256
 	maxGood     = 8192
-	// maxMarks bounds the parts of one report.
+	// maxMarks bounds the contents of one report.
 	maxMarks = 1024
 )
 
-// Mark is what one crash says about a part.
+// Mark is what one crash says about a content.
 type Mark struct {
-	// Part is the id of the part.
-	Part uint64
-	// Answering says that all requests with the part had a piece of their answer.
+	// Content is the id of the content.
+	Content fingerprinter.Content
+	// Answering says that all requests with the content had a piece of their answer.
 	Answering bool
 	// InFlight is how long before the crash the latest of them was sent.
 	InFlight time.Duration
@@ -85,14 +87,14 @@
 	Server string
 	// Age is the time since the crash.
 	Age time.Duration
-	// Marks are the parts in flight, each once.
+	// Marks are the contents in flight, each once.
 	Marks []Mark
 }
 
-// Voucher says that an answer to a request with a part was completed.
+// Voucher says that an answer to a request with a content was completed.
 type Voucher struct {
-	// Part is the id of the part.
-	Part uint64
+	// Content is the id of the content.
+	Content fingerprinter.Content
 	// Age is the time since the answer ended.
 	Age time.Duration
 }
@@ -102,27 +104,27 @@
 	mu sync.Mutex
 	// events are the crashes, the oldest first.
 	events []*event
-	// suspects are the parts with evidence against them.
-	suspects map[uint64]*suspect
-	// good has the time of the last completed answer by part, of the present and
+	// suspects are the contents with evidence against them.
+	suspects map[fingerprinter.Content]*suspect
+	// good has the time of the last completed answer by content, of the present and
 	// the former period.
-	good, formerGood map[uint64]time.Time
+	good, formerGood map[fingerprinter.Content]time.Time
 	goodSince        time.Time
-	// exclusions are the parts that are kept from servers.
-	exclusions map[uint64]*exclusion
-	// watches are the requests that are told of exclusions, by part.
-	watches map[uint64]map[*watch]bool
+	// exclusions are the contents that are kept from servers.
+	exclusions map[fingerprinter.Content]*exclusion
+	// watches are the requests that are told of exclusions, by content.
+	watches map[fingerprinter.Content]map[*watch]bool
 }
 
 // event is a crash of one server.
 type event struct {
 	server string
 	at     time.Time
-	// explained says that an excluded part was among its causes.
+	// explained says that an excluded content was among its causes.
 	explained bool
 }
 
-// suspect has the evidence against a part.
+// suspect has the evidence against a content.
 type suspect struct {
 	// marks are the crashes, in the order in which they were reported.
 	marks []mark
@@ -130,7 +132,7 @@
 	latest time.Time
 }
 
-// mark is one crash as evidence against a part.
+// mark is one crash as evidence against a content.
 type mark struct {
 	event     *event
 	answering bool
@@ -140,86 +142,86 @@
 // New returns an empty record.
 func New() *Quarantine {
 	return &Quarantine{
-		suspects:   map[uint64]*suspect{},
-		good:       map[uint64]time.Time{},
-		formerGood: map[uint64]time.Time{},
-		exclusions: map[uint64]*exclusion{},
-		watches:    map[uint64]map[*watch]bool{},
+		suspects:   map[fingerprinter.Content]*suspect{},
+		good:       map[fingerprinter.Content]time.Time{},
+		formerGood: map[fingerprinter.Content]time.Time{},
+		exclusions: map[fingerprinter.Content]*exclusion{},
+		watches:    map[fingerprinter.Content]map[*watch]bool{},
 	}
 }
 
-// Succeeded records a completed answer to a request with the parts. It returns
+// Succeeded records a completed answer to a request with the contents. It returns
 // those that were excluded until now; other nodes have to be told of them.
-func (qt *Quarantine) Succeeded(now time.Time, parts []uint64) []uint64 {
+func (qt *Quarantine) Succeeded(now time.Time, contents []fingerprinter.Content) []fingerprinter.Content {
 	qt.mu.Lock()
 	defer qt.mu.Unlock()
-	var lifted []uint64
-	for _, part := range parts {
-		if qt.vouch(now, part, now) {
-			lifted = append(lifted, part)
+	var lifted []fingerprinter.Content
+	for _, content := range contents {
+		if qt.vouch(now, content, now) {
+			lifted = append(lifted, content)
 		}
 	}
 	return lifted
 }
 
-// Accept records what other nodes completed, and returns the parts that were
+// Accept records what other nodes completed, and returns the contents that were
 // excluded until now.
-func (qt *Quarantine) Accept(now time.Time, vouchers []Voucher) []uint64 {
+func (qt *Quarantine) Accept(now time.Time, vouchers []Voucher) []fingerprinter.Content {
 	qt.mu.Lock()
 	defer qt.mu.Unlock()
-	var lifted []uint64
+	var lifted []fingerprinter.Content
 	for _, vc := range vouchers {
-		if qt.vouch(now, vc.Part, now.Add(-vc.Age)) {
-			lifted = append(lifted, vc.Part)
+		if qt.vouch(now, vc.Content, now.Add(-vc.Age)) {
+			lifted = append(lifted, vc.Content)
 		}
 	}
 	return lifted
 }
 
-// vouch records that an answer with the part was completed at the time, which
-// clears the part of all that happened before. It reports whether the part was
+// vouch records that an answer with the content was completed at the time, which
+// clears the content of all that happened before. It reports whether the content was
 // excluded.
-func (qt *Quarantine) vouch(now time.Time, part uint64, at time.Time) (lifted bool) {
-	if at.After(qt.lastGood(part)) {
+func (qt *Quarantine) vouch(now time.Time, content fingerprinter.Content, at time.Time) (lifted bool) {
+	if at.After(qt.lastGood(content)) {
 		qt.rotateGood(now)
-		qt.good[part] = at
+		qt.good[content] = at
 	}
-	if sp, ok := qt.suspects[part]; ok && sp.latest.Before(at) {
-		delete(qt.suspects, part)
+	if sp, ok := qt.suspects[content]; ok && sp.latest.Before(at) {
+		delete(qt.suspects, content)
 	}
-	if ex, ok := qt.exclusions[part]; ok && ex.since.Before(at) {
-		qt.lift(part)
+	if ex, ok := qt.exclusions[content]; ok && ex.since.Before(at) {
+		qt.lift(content)
 		return true
 	}
 	return false
 }
 
-// rotateGood starts a new period if the present one is over or full. A part that
+// rotateGood starts a new period if the present one is over or full. A content that
 // is in use is soon recorded again.
 func (qt *Quarantine) rotateGood(now time.Time) {
 	if len(qt.good) < maxGood && now.Sub(qt.goodSince) < goodLifetime {
 		return
 	}
-	qt.formerGood, qt.good, qt.goodSince = qt.good, make(map[uint64]time.Time, len(qt.good)), now
+	qt.formerGood, qt.good, qt.goodSince = qt.good, make(map[fingerprinter.Content]time.Time, len(qt.good)), now
 }
 
-// lastGood returns when an answer with the part was last completed.
-func (qt *Quarantine) lastGood(part uint64) time.Time {
-	if at, ok := qt.good[part]; ok {
+// lastGood returns when an answer with the content was last completed.
+func (qt *Quarantine) lastGood(content fingerprinter.Content) time.Time {
+	if at, ok := qt.good[content]; ok {
 		return at
 	}
-	return qt.formerGood[part]
+	return qt.formerGood[content]
 }
 
-// Vouchers returns which parts of a report this node completed answers with not
+// Vouchers returns which contents of a report this node completed answers with not
 // long before.
 func (qt *Quarantine) Vouchers(now time.Time, rp Report) []Voucher {
 	qt.mu.Lock()
 	defer qt.mu.Unlock()
 	var vouchers []Voucher
 	for _, mk := range rp.Marks {
-		if at := qt.lastGood(mk.Part); !at.IsZero() && now.Sub(at) < goodLifetime {
-			vouchers = append(vouchers, Voucher{Part: mk.Part, Age: max(now.Sub(at), 0)})
+		if at := qt.lastGood(mk.Content); !at.IsZero() && now.Sub(at) < goodLifetime {
+			vouchers = append(vouchers, Voucher{Content: mk.Content, Age: max(now.Sub(at), 0)})
 		}
 	}
 	return vouchers
--- a/internal/protocol/messenger/quarantine.go
+++ b/internal/protocol/messenger/quarantine.go
@@ -6,11 +6,11 @@
 	"github.com/vmihailenco/msgpack/v5"
 )
 
-// CrashMark is what a crash says about a part of a prompt.
+// CrashMark is what a crash says about a content of requests.
 type CrashMark struct {
-	// Part is the id of the part.
-	Part uint64
-	// Answering says that all requests with the part had a piece of their answer.
+	// Part is the id of the content.
+	Content uint64
+	// Answering says that all requests with the content had a piece of their answer.
 	Answering bool
 	// InFlight is how long before the crash the latest of them was sent.
 	InFlight time.Duration
@@ -23,7 +23,7 @@
 	Server string
 	// Age is the time since the crash.
 	Age time.Duration
-	// Marks are the parts in flight.
+	// Marks are the contents in flight.
 	Marks []CrashMark
 }
 
@@ -36,7 +36,7 @@
 		return err
 	}
 	return EncodeList(en, cr.Marks, func(en *msgpack.Encoder, cm CrashMark) error {
-		return EncodeAll(en, cm.Part, cm.Answering, cm.InFlight)
+		return EncodeAll(en, cm.Content, cm.Answering, cm.InFlight)
 	})
 }
 
@@ -47,17 +47,17 @@
 	}
 	cr.Marks, err = DecodeList(de, func(de *msgpack.Decoder) (CrashMark, error) {
 		var cm CrashMark
-		err := DecodeAll(de, &cm.Part, &cm.Answering, &cm.InFlight)
+		err := DecodeAll(de, &cm.Content, &cm.Answering, &cm.InFlight)
 		return cm, err
 	})
 	return err
 }
 
-// Exclude tells a node that a part of prompts is kept from backend servers. Its
+// Exclude tells a node that a content is kept from backend servers. Its
 // answer is a Vouched.
 type Exclude struct {
-	// Part is the id of the part.
-	Part uint64
+	// Part is the id of the content.
+	Content uint64
 	// Failures is the number of failed trials.
 	Failures int
 	// Age is the time since the exclusion began, or since the last trial failed.
@@ -69,35 +69,35 @@
 
 // Encode implements Message.
 func (ex *Exclude) Encode(en *msgpack.Encoder) error {
-	return EncodeAll(en, ex.Part, ex.Failures, ex.Age)
+	return EncodeAll(en, ex.Content, ex.Failures, ex.Age)
 }
 
 // Decode implements Message.
 func (ex *Exclude) Decode(de *msgpack.Decoder) error {
-	return DecodeAll(de, &ex.Part, &ex.Failures, &ex.Age)
+	return DecodeAll(de, &ex.Content, &ex.Failures, &ex.Age)
 }
 
-// Voucher says that an answer to a request with a part was completed.
+// Voucher says that an answer to a request with a content was completed.
 type Voucher struct {
-	// Part is the id of the part.
-	Part uint64
+	// Part is the id of the content.
+	Content uint64
 	// Age is the time since the answer ended.
 	Age time.Duration
 }
 
 func encodeVouchers(en *msgpack.Encoder, vouchers []Voucher) error {
-	return EncodeList(en, vouchers, func(en *msgpack.Encoder, vc Voucher) error { return EncodeAll(en, vc.Part, vc.Age) })
+	return EncodeList(en, vouchers, func(en *msgpack.Encoder, vc Voucher) error { return EncodeAll(en, vc.Content, vc.Age) })
 }
 
 func decodeVouchers(de *msgpack.Decoder) ([]Voucher, error) {
 	return DecodeList(de, func(de *msgpack.Decoder) (Voucher, error) {
 		var vc Voucher
-		err := DecodeAll(de, &vc.Part, &vc.Age)
+		err := DecodeAll(de, &vc.Content, &vc.Age)
 		return vc, err
 	})
 }
 
-// Vouch tells a node which parts of prompts did not crash a backend server. Its
+// Vouch tells a node which contents did not crash a backend server. Its
 // answer is a Vouched without vouchers.
 type Vouch struct{ Vouchers []Voucher }
 
@@ -114,7 +114,7 @@
 }
 
 // Vouched answers a CrashReport, an Exclude or a Vouch with what the node
-// completed of the parts in it.
+// completed of the contents in it.
 type Vouched struct{ Vouchers []Voucher }
 
 // Kind implements Message.
@@ -129,17 +129,17 @@
 	return err
 }
 
-// Trial asks the leader whether a request with an excluded part may be sent.
-type Trial struct{ Part uint64 }
+// Trial asks the leader whether a request with an excluded content may be sent.
+type Trial struct{ Content uint64 }
 
 // Kind implements Message.
 func (*Trial) Kind() Kind { return KindTrial }
 
 // Encode implements Message.
-func (tl *Trial) Encode(en *msgpack.Encoder) error { return EncodeAll(en, tl.Part) }
+func (tl *Trial) Encode(en *msgpack.Encoder) error { return EncodeAll(en, tl.Content) }
 
 // Decode implements Message.
-func (tl *Trial) Decode(de *msgpack.Decoder) error { return DecodeAll(de, &tl.Part) }
+func (tl *Trial) Decode(de *msgpack.Decoder) error { return DecodeAll(de, &tl.Content) }
 
 // TrialAnswer answers a Trial.
 type TrialAnswer struct{ Granted bool }
