Log which requests in a crash are alike

Change: the line of a crash names the content of each request: caller, method, host, path and body. No decision follows from it yet.

--- a/internal/coordination/crashdetector/crashdetector.go
+++ b/internal/coordination/crashdetector/crashdetector.go
@@ -42,6 +42,8 @@
 type Loss struct {
 	// ID is the id of the request.
 	ID string
+	// Request identifies the request by its content; a repeat has another ID.
+	Request fingerprinter.Content
 	// Contents are what other requests may have in common with it.
 	Contents []fingerprinter.Content
 	// Sent is when the request was sent to the server.
@@ -148,7 +150,7 @@
 		if ls.Answering || len(names) == maxLogged {
 			continue
 		}
-		name := ls.ID
+		name := ls.ID + "=" + ls.Request.String()
 		for _, content := range ls.Contents {
 			name += "/" + content.String()
 		}
--- a/internal/coordination/dispatcher/answer.go
+++ b/internal/coordination/dispatcher/answer.go
@@ -150,7 +150,7 @@
 
 // loss describes the request to the detector of crashes.
 func (pa *proxyAttempt) loss() crashdetector.Loss {
-	return crashdetector.Loss{ID: pa.ticket.ID, Contents: pa.contents, Sent: pa.sent, Answering: pa.result.Tokens > 0}
+	return crashdetector.Loss{ID: pa.ticket.ID, Request: pa.request, Contents: pa.contents, Sent: pa.sent, Answering: pa.result.Tokens > 0}
 }
 
 // connectionLost reports whether the error is the end of a connection, as opposed
--- a/internal/coordination/dispatcher/proxy.go
+++ b/internal/coordination/dispatcher/proxy.go
@@ -115,6 +115,8 @@
 	admitted bool
 	// queued is the time spent waiting for grants.
 	queued time.Duration
+	// request identifies the request by its content.
+	request fingerprinter.Content
 	// contents are what other requests may have in common with this one.
 	contents []fingerprinter.Content
 	// trial says that the request has an excluded content and is sent once.
@@ -137,6 +139,7 @@
 		callerCtx:    ctx,
 		writer:       newAnswerWriter(wr, rq.LastEvent),
 		ticket:       rq.Ticket,
+		request:      fingerprinter.Request(callerName(rq.Ticket.Caller), rq.Method, rq.Host, rq.Path, rq.Body),
 		contents:     fingerprinter.Parts(rq.Parts),
 		began:        time.Now(),
 	}
@@ -154,6 +157,14 @@
 	return rf, pe.writer.begun()
 }
 
+// callerName returns the name of a caller, or "" if it is not known.
+func callerName(ca *configurer.Caller) string {
+	if ca == nil {
+		return ""
+	}
+	return ca.Name()
+}
+
 // key returns the key of the shared retry budget: the model's pool.
 func (pe *proxyExecution) key() string { return pe.ticket.Model.Pool() }
 
--- a/internal/coordination/fingerprinter/fingerprinter.go
+++ b/internal/coordination/fingerprinter/fingerprinter.go
@@ -4,9 +4,14 @@
 // # Usage
 //
 //	contents := fingerprinter.Parts(partIDs)
+//	content := fingerprinter.Request(caller, method, host, path, body)
 package fingerprinter
 
-import "strconv"
+import (
+	"strconv"
+
+	"github.com/cespare/xxhash/v2"
+)
 
 // Content identifies something that requests have in common.
 type Content uint64
@@ -22,3 +27,14 @@
 	}
 	return contents
 }
+
+// Request returns the content of a request as a whole: who sent it, and all that
+// the server gets but its id and its deadline.
+func Request(caller, method, host, path string, body []byte) Content {
+	dg := xxhash.New()
+	for _, text := range []string{caller, method, host, path} {
+		_, _ = dg.WriteString(strconv.Itoa(len(text)) + ":" + text)
+	}
+	_, _ = dg.Write(body)
+	return Content(dg.Sum64())
+}
