--- a/internal/coordination/dispatcher/proxy_test.go
+++ b/internal/coordination/dispatcher/proxy_test.go
@@ -13,7 +13,6 @@
 	"testing"
 	"time"
 
-	"github.com/apex/log"
 	"github.com/go-faster/errors"
 	"github.com/stretchr/testify/require"
 
@@ -134,7 +133,6 @@
 // per second.
 func runProxy(t *testing.T, route string, budget *retrier.SharedBudget, handlers ...http.HandlerFunc) (*proxyResult, *backends) {
 	t.Helper()
-	log.SetLevel(log.FatalLevel)
 	st, faults := configurer.Parse([]configurer.File{{Name: "1.ini", Text: proxySettings}})
 	require.Empty(t, faults)
 	pr, bk := &proxyResult{ResponseRecorder: httptest.NewRecorder()}, &backends{t: t}
