Keep a repeated request that crashes servers from them, on all nodes

Change: the request as a whole is a content too, excluded after two crashes that nothing else explains, or three. Parts are excluded only on the evidence of several requests, so that one of the two is named, not both.

--- a/internal/coordination/dispatcher/proxy.go
+++ b/internal/coordination/dispatcher/proxy.go
@@ -140,9 +140,9 @@
 		writer:       newAnswerWriter(wr, rq.LastEvent),
 		ticket:       rq.Ticket,
 		request:      fingerprinter.Request(callerName(rq.Ticket.Caller), rq.Method, rq.Host, rq.Path, rq.Body),
-		contents:     fingerprinter.Parts(rq.Parts),
 		began:        time.Now(),
 	}
+	pe.contents = append(fingerprinter.Parts(rq.Parts), pe.request)
 	if ds.shared != nil {
 		ds.shared.Arrived(pe.key(), pe.began)
 	}
--- a/internal/coordination/fingerprinter/fingerprinter.go
+++ b/internal/coordination/fingerprinter/fingerprinter.go
@@ -13,9 +13,16 @@
 	"github.com/cespare/xxhash/v2"
 )
 
-// Content identifies something that requests have in common.
+// Content identifies something that requests have in common: a part of their
+// prompts, or all of the request.
 type Content uint64
 
+// requestBit is set in the contents of whole requests.
+const requestBit Content = 1 << 63
+
+// IsRequest reports whether the content is that of a whole request.
+func (ct Content) IsRequest() bool { return ct&requestBit != 0 }
+
 // String returns the id in hexadecimal.
 func (ct Content) String() string { return strconv.FormatUint(uint64(ct), 16) }
 
@@ -23,7 +30,7 @@
 func Parts(ids []uint64) []Content {
 	contents := make([]Content, 0, len(ids)+1)
 	for _, id := range ids {
-		contents = append(contents, Content(id))
+		contents = append(contents, Content(id)&^requestBit)
 	}
 	return contents
 }
@@ -36,5 +43,5 @@
 		_, _ = dg.WriteString(strconv.Itoa(len(text)) + ":" + text)
 	}
 	_, _ = dg.Write(body)
-	return Content(dg.Sum64())
+	return Content(dg.Sum64()) | requestBit
 }
--- a/internal/coordination/isolator/isolator.go
+++ b/internal/coordination/isolator/isolator.go
@@ -182,7 +182,7 @@
 	}
 	call := &messenger.CrashReport{Server: rp.Server, Age: rp.Age}
 	for _, mk := range rp.Marks {
-		call.Marks = append(call.Marks, messenger.CrashMark{Content: uint64(mk.Content), Answering: mk.Answering, InFlight: mk.InFlight})
+		call.Marks = append(call.Marks, messenger.CrashMark{Content: uint64(mk.Content), Answering: mk.Answering, InFlight: mk.InFlight, Request: uint64(mk.Request)})
 	}
 	is.share(call, is.quarantine.Vouchers(now, rp))
 }
@@ -252,7 +252,7 @@
 	case *messenger.CrashReport:
 		rp := quarantiner.Report{Server: tc.Server, Age: tc.Age}
 		for _, cm := range tc.Marks {
-			rp.Marks = append(rp.Marks, quarantiner.Mark{Content: fingerprinter.Content(cm.Content), Answering: cm.Answering, InFlight: cm.InFlight})
+			rp.Marks = append(rp.Marks, quarantiner.Mark{Content: fingerprinter.Content(cm.Content), Answering: cm.Answering, InFlight: cm.InFlight, Request: fingerprinter.Content(cm.Request)})
 		}
 		is.record(rp)
 		return &messenger.Vouched{Vouchers: toMessages(is.quarantine.Vouchers(now, rp))}
--- a/internal/coordination/quarantiner/convict.go
+++ b/internal/coordination/quarantiner/convict.go
@@ -32,7 +32,7 @@
 			excluded = append(excluded, cd.content)
 			qt.exclude(cd.content, now, 0)
 			for _, ev := range cd.all {
-				qt.explain(ev)
+				qt.explain(ev, cd.content)
 			}
 		}
 	}
@@ -43,7 +43,7 @@
 func (qt *Quarantine) guilty(now time.Time) []candidate {
 	var all []candidate
 	for content, sp := range qt.suspects {
-		if len(sp.marks) < minCrashes {
+		if len(sp.marks) < minRequestCrashes || !content.IsRequest() && qt.isOneRequest(sp) {
 			continue
 		}
 		cd := candidate{content: content, unanswered: sp.crashes(now, true), all: sp.crashes(now, false)}
@@ -52,10 +52,14 @@
 	}
 	slices.SortFunc(all, compare)
 	for ix, cd := range all {
+		least, most := minCrashes, maxCrashes
+		if cd.content.IsRequest() && !cd.good {
+			least, most = minRequestCrashes, maxRequestCrashes
+		}
 		switch {
-		case len(cd.unanswered) >= minCrashes && !cd.good && !qt.hasRival(cd):
+		case len(cd.unanswered) >= least && !cd.good && !qt.hasRival(cd):
 			return all[ix : ix+1]
-		case len(cd.all) >= maxCrashes:
+		case len(cd.all) >= most:
 			end := ix + 1
 			for end < len(all) && compare(cd, all[end]) == 0 {
 				end++
@@ -66,19 +70,46 @@
 	return nil
 }
 
-// compare orders candidates, the likeliest cause first.
+// isOneRequest reports whether all evidence against the suspect is from one request,
+// which explains it as long as that request is not known to be sound.
+func (qt *Quarantine) isOneRequest(sp *suspect) bool {
+	first := sp.marks[0]
+	if first.request == 0 || first.event.at.Sub(qt.lastGood(first.request)) < goodLifetime {
+		return false
+	}
+	return !slices.ContainsFunc(sp.marks, func(mk mark) bool { return mk.request != first.request })
+}
+
+// compare orders candidates, the likeliest cause first: among equal ones whole
+// requests, since their exclusion keeps out the least.
 func compare(one, two candidate) int {
 	if one.good != two.good {
-		return map[bool]int{true: 1, false: -1}[one.good]
+		return lastIf(one.good)
+	}
+	if order := cmp.Or(cmp.Compare(len(two.unanswered), len(one.unanswered)), cmp.Compare(len(two.all), len(one.all))); order != 0 {
+		return order
+	}
+	if one.content.IsRequest() != two.content.IsRequest() {
+		return lastIf(two.content.IsRequest())
+	}
+	return 0
+}
+
+// lastIf returns the order of an element that comes last if last is true, and first
+// otherwise.
+func lastIf(last bool) int {
+	if last {
+		return 1
 	}
-	return cmp.Or(cmp.Compare(len(two.unanswered), len(one.unanswered)), cmp.Compare(len(two.all), len(one.all)))
+	return -1
 }
 
 // hasRival reports whether another content explains all crashes of the candidate as
-// well. Contents with completed answers not long before are no rivals.
+// well. What completed answers not long before is no rival, nor are whole requests
+// to a part that several of them have.
 func (qt *Quarantine) hasRival(cd candidate) bool {
 	for content, sp := range qt.suspects {
-		if content == cd.content || cd.unanswered[0].at.Sub(qt.lastGood(content)) < goodLifetime {
+		if content == cd.content || content.IsRequest() && !cd.content.IsRequest() || cd.unanswered[0].at.Sub(qt.lastGood(content)) < goodLifetime {
 			continue
 		}
 		if sp.explainsAll(cd.unanswered) {
--- a/internal/coordination/quarantiner/evidence.go
+++ b/internal/coordination/quarantiner/evidence.go
@@ -18,10 +18,12 @@
 		for _, content := range ls.Contents {
 			mk, ok := marks[content]
 			if !ok {
-				mk = Mark{Content: content, Answering: true, InFlight: inFlight}
+				mk = Mark{Content: content, Answering: true, InFlight: inFlight, Request: ls.Request}
 			}
 			mk.Answering = mk.Answering && ls.Answering
-			mk.InFlight = min(mk.InFlight, inFlight)
+			if inFlight < mk.InFlight {
+				mk.InFlight, mk.Request = inFlight, ls.Request
+			}
 			marks[content] = mk
 		}
 	}
@@ -31,7 +33,7 @@
 	}
 	slices.SortFunc(rp.Marks, func(one, two Mark) int {
 		if one.Answering != two.Answering {
-			return map[bool]int{true: 1, false: -1}[one.Answering]
+			return lastIf(one.Answering)
 		}
 		return cmp.Compare(one.Content, two.Content)
 	})
@@ -48,7 +50,7 @@
 	for _, mk := range rp.Marks {
 		if ex, ok := qt.exclusions[mk.Content]; ok && !mk.Answering {
 			ex.noteCrash(ev.at)
-			qt.explain(ev)
+			qt.explain(ev, mk.Content)
 		}
 	}
 	if ev.explained {
@@ -96,11 +98,13 @@
 	for ix := range sp.marks {
 		if known := &sp.marks[ix]; known.event == ev {
 			known.answering = known.answering && mk.Answering
-			known.sent = later(known.sent, sent)
+			if sent.After(known.sent) {
+				known.sent, known.request = sent, mk.Request
+			}
 			return
 		}
 	}
-	sp.marks = append(sp.marks, mark{event: ev, answering: mk.Answering, sent: sent})
+	sp.marks = append(sp.marks, mark{event: ev, answering: mk.Answering, sent: sent, request: mk.Request})
 	if len(sp.marks) > 2*maxCrashes {
 		sp.marks = slices.Delete(sp.marks, 0, 1)
 	}
@@ -129,14 +133,18 @@
 	}
 }
 
-// explain takes a crash out of the evidence against all suspects.
-func (qt *Quarantine) explain(ev *event) {
+// explain takes a crash that an excluded content caused out of the evidence against
+// all others. A request does not clear the parts of its own prompt: one of them may
+// be what is wrong with it.
+func (qt *Quarantine) explain(ev *event, cause fingerprinter.Content) {
 	if ev.explained {
 		return
 	}
 	ev.explained = true
 	for content, sp := range qt.suspects {
-		sp.marks = slices.DeleteFunc(sp.marks, func(mk mark) bool { return mk.event == ev })
+		sp.marks = slices.DeleteFunc(sp.marks, func(mk mark) bool {
+			return mk.event == ev && (!cause.IsRequest() || mk.request != cause)
+		})
 		if len(sp.marks) == 0 {
 			delete(qt.suspects, content)
 		}
--- a/internal/coordination/quarantiner/plays_test.go
+++ b/internal/coordination/quarantiner/plays_test.go
@@ -23,7 +23,8 @@
 // A line of a play is a time in seconds and one of
 //
 //	crash SERVER CONTENT...   contents in flight; ~ after one whose requests had a
-//	                       piece of their answer, @S the seconds it was in flight
+//	                       piece of their answer, @S the seconds it was in flight,
+//	                       =REQUEST the request. Whole requests are in capitals.
 //	good CONTENT...           an answer was completed
 //	flood SERVER COUNT     a crash with that many new contents in flight
 //	check CONTENT...          whether a request may be sent
@@ -70,7 +71,10 @@
 func (pl *player) content(name string) fingerprinter.Content {
 	if _, ok := pl.ids[name]; !ok {
 		pl.names = append(pl.names, name)
-		pl.ids[name] = fingerprinter.Content(len(pl.names))
+		pl.ids[name] = fingerprinter.Parts([]uint64{uint64(len(pl.names))})[0]
+		if name == strings.ToUpper(name) {
+			pl.ids[name] = fingerprinter.Request(name, "", "", "", nil)
+		}
 	}
 	return pl.ids[name]
 }
@@ -85,7 +89,11 @@
 func (pl *player) namesOf(ids []fingerprinter.Content) string {
 	var names []string
 	for _, id := range ids {
-		names = append(names, pl.names[id-1])
+		for name, known := range pl.ids {
+			if known == id {
+				names = append(names, name)
+			}
+		}
 	}
 	slices.Sort(names)
 	return strings.Join(append([]string{fmt.Sprint(len(ids))}, names...), " ")
@@ -99,6 +107,7 @@
 	case "crash":
 		rp := quarantiner.Report{Server: words[2]}
 		for _, word := range words[3:] {
+			word, request, ofRequest := strings.Cut(word, "=")
 			name, flight, _ := strings.Cut(word, "@")
 			mk := quarantiner.Mark{InFlight: 50 * time.Millisecond, Answering: strings.HasSuffix(name, "~")}
 			if flight != "" {
@@ -106,6 +115,9 @@
 				require.NoError(t, err)
 			}
 			mk.Content = pl.content(strings.TrimSuffix(name, "~"))
+			if ofRequest {
+				mk.Request = pl.content(request)
+			}
 			rp.Marks = append(rp.Marks, mk)
 		}
 		return "excluded " + pl.namesOf(pl.quarantine.Record(now, rp))
--- a/internal/coordination/quarantiner/quarantiner.go
+++ b/internal/coordination/quarantiner/quarantiner.go
@@ -1,5 +1,5 @@
 // Package quarantiner finds out which content crashes backend servers, and keeps
-// requests with it from them. A content is a part of prompts.
+// requests with it from them. A content is a part of prompts or a whole request.
 //
 // A server that crashes takes with it all that it runs, so that each crash is
 // evidence against every content in flight there. What tells the cause from the
@@ -10,7 +10,9 @@
 //   - A content is excluded after minCrashes crashes of requests without a piece of
 //     their answer, if no other content explains all of these crashes as well.
 //     Otherwise, and if it had completed answers not long before, it takes
-//     maxCrashes.
+//     maxCrashes. Fewer exclude a whole request.
+//   - A part is excluded only if several requests with it crashed servers, or one
+//     that others complete.
 //   - Crashes that an excluded content explains count against nothing else.
 //   - Crashes at one moment are one: the loss of a rack is no evidence against
 //     what runs on several of its servers.
@@ -43,10 +45,14 @@
 )
 
 const (
-	// minCrashes is the number of crashes that exclude a content without rivals, and
-	// maxCrashes that which excludes any content.
+	// minCrashes is the number of crashes that exclude a part without rivals, and
+	// maxCrashes that which excludes any part.
 	minCrashes = 3
 	maxCrashes = 5
+	// minRequestCrashes and maxRequestCrashes are the same for whole requests,
+	// whose exclusion concerns no other request.
+	minRequestCrashes = 2
+	maxRequestCrashes = 3
 	// sameCrashTime is how far reports of one crash may lie apart. A server takes
 	// longer to be back and crash again.
 	sameCrashTime = 1500 * time.Millisecond
@@ -79,6 +85,8 @@
 	Answering bool
 	// InFlight is how long before the crash the latest of them was sent.
 	InFlight time.Duration
+	// Request is the content of that request as a whole, or 0.
+	Request fingerprinter.Content
 }
 
 // Report is what a node saw of a crash.
@@ -106,10 +114,8 @@
 	events []*event
 	// suspects are the contents with evidence against them.
 	suspects map[fingerprinter.Content]*suspect
-	// good has the time of the last completed answer by content, of the present and
-	// the former period.
-	good, formerGood map[fingerprinter.Content]time.Time
-	goodSince        time.Time
+	// goodParts and goodRequests have what answers were completed with.
+	goodParts, goodRequests goods
 	// exclusions are the contents that are kept from servers.
 	exclusions map[fingerprinter.Content]*exclusion
 	// watches are the requests that are told of exclusions, by content.
@@ -137,14 +143,13 @@
 	event     *event
 	answering bool
 	sent      time.Time
+	request   fingerprinter.Content
 }
 
 // New returns an empty record.
 func New() *Quarantine {
 	return &Quarantine{
 		suspects:   map[fingerprinter.Content]*suspect{},
-		good:       map[fingerprinter.Content]time.Time{},
-		formerGood: map[fingerprinter.Content]time.Time{},
 		exclusions: map[fingerprinter.Content]*exclusion{},
 		watches:    map[fingerprinter.Content]map[*watch]bool{},
 	}
@@ -182,10 +187,7 @@
 // clears the content of all that happened before. It reports whether the content was
 // excluded.
 func (qt *Quarantine) vouch(now time.Time, content fingerprinter.Content, at time.Time) (lifted bool) {
-	if at.After(qt.lastGood(content)) {
-		qt.rotateGood(now)
-		qt.good[content] = at
-	}
+	qt.goods(content).note(now, content, at)
 	if sp, ok := qt.suspects[content]; ok && sp.latest.Before(at) {
 		delete(qt.suspects, content)
 	}
@@ -196,21 +198,17 @@
 	return false
 }
 
-// rotateGood starts a new period if the present one is over or full. A content that
-// is in use is soon recorded again.
-func (qt *Quarantine) rotateGood(now time.Time) {
-	if len(qt.good) < maxGood && now.Sub(qt.goodSince) < goodLifetime {
-		return
+// goods returns the record that the content belongs to.
+func (qt *Quarantine) goods(content fingerprinter.Content) *goods {
+	if content.IsRequest() {
+		return &qt.goodRequests
 	}
-	qt.formerGood, qt.good, qt.goodSince = qt.good, make(map[fingerprinter.Content]time.Time, len(qt.good)), now
+	return &qt.goodParts
 }
 
 // lastGood returns when an answer with the content was last completed.
 func (qt *Quarantine) lastGood(content fingerprinter.Content) time.Time {
-	if at, ok := qt.good[content]; ok {
-		return at
-	}
-	return qt.formerGood[content]
+	return qt.goods(content).last(content)
 }
 
 // Vouchers returns which contents of a report this node completed answers with not
--- a/internal/protocol/messenger/messenger_test.go
+++ b/internal/protocol/messenger/messenger_test.go
@@ -44,7 +44,7 @@
 			{Whole: true, Changes: []FeedChange{{Key: "k", Value: []byte("v"), Revision: 4, Lease: 9}}, Era: 2, Revision: 7},
 			{Changes: []FeedChange{{Key: "k", Value: []byte{}, Revision: 6, Deleted: true}, {Key: "l", Value: []byte{}, Revision: 7, Omitted: true}}, Down: true, Back: time.Second},
 		}},
-		&CrashReport{Server: "w1", Age: 30 * time.Millisecond, Marks: []CrashMark{{Content: 1 << 63, Answering: true, InFlight: time.Second}}},
+		&CrashReport{Server: "w1", Age: 30 * time.Millisecond, Marks: []CrashMark{{Content: 1 << 63, Answering: true, InFlight: time.Second, Request: 9}}},
 		&Exclude{Content: 7, Failures: 2, Age: time.Minute},
 		&Vouch{Vouchers: []Voucher{{Content: 7, Age: time.Millisecond}}},
 		&Vouched{Vouchers: []Voucher{{Content: 7, Age: time.Millisecond}}},
--- a/internal/protocol/messenger/quarantine.go
+++ b/internal/protocol/messenger/quarantine.go
@@ -14,6 +14,8 @@
 	Answering bool
 	// InFlight is how long before the crash the latest of them was sent.
 	InFlight time.Duration
+	// Request is the content of that request as a whole.
+	Request uint64
 }
 
 // CrashReport tells a node what was in flight on a backend server that crashed.
@@ -36,7 +38,7 @@
 		return err
 	}
 	return EncodeList(en, cr.Marks, func(en *msgpack.Encoder, cm CrashMark) error {
-		return EncodeAll(en, cm.Content, cm.Answering, cm.InFlight)
+		return EncodeAll(en, cm.Content, cm.Answering, cm.InFlight, cm.Request)
 	})
 }
 
@@ -47,7 +49,7 @@
 	}
 	cr.Marks, err = DecodeList(de, func(de *msgpack.Decoder) (CrashMark, error) {
 		var cm CrashMark
-		err := DecodeAll(de, &cm.Content, &cm.Answering, &cm.InFlight)
+		err := DecodeAll(de, &cm.Content, &cm.Answering, &cm.InFlight, &cm.Request)
 		return cm, err
 	})
 	return err
