Bound heads, bodies and blank lines without end

Cause: a server in trouble may send bytes that are no answer without end, in a head or a body. A head was read without bound into the memory of the node, a body without a length was passed on until the deadline of its request, and so were blank lines in a stream, as events; a refusal's body was waited for. Change: a head and the interim answers before it have 64 KiB, a skipped late answer 1 MiB, an answer without a length 8 MiB, blank lines between two events 64 KiB, and a refusal's body 100 ms. The connection is closed in all these cases. Result: TestHeadWithoutEndFails (did not end before), TestAnswerWithoutEndIsBrokenOff and a case of TestProxiedRequestHandlesEachAttemptResult fail without the change.

--- a/internal/coordination/dispatcher/answer.go
+++ b/internal/coordination/dispatcher/answer.go
@@ -1,6 +1,7 @@
 package dispatcher
 
 import (
+	"bytes"
 	"context"
 	"io"
 	"net/http"
@@ -22,6 +23,9 @@
 // its first byte goes to the caller, so that a retry can replace a broken one.
 const maxBufferedBytes = 256 << 10
 
+// maxHeldBytes bounds the blank lines between two events.
+const maxHeldBytes = 64 << 10
+
 // refuseTimeout bounds the question whether a server whose answer ended with its
 // connection has crashed.
 const refuseTimeout = 250 * time.Millisecond
@@ -118,6 +122,8 @@
 	watchdog *time.Timer
 	cancel   context.CancelCauseFunc
 	result   admitter.Result
+	// held are blank lines since the last event.
+	held []byte
 }
 
 // classifyError turns a connection error into a failure. unsent says that no
@@ -167,7 +173,7 @@
 	}
 	if cl.NotRun {
 		detail := "server " + pa.server + " refused: status " + strconv.Itoa(rs.StatusCode)
-		_, _ = io.Copy(io.Discard, io.LimitReader(rs.Body, maxBufferedBytes))
+		pa.discard(rs.Body)
 		return &failure{reason: refuser.BackendRefused, detail: detail, refused: true}
 	}
 	success := rs.StatusCode >= 200 && rs.StatusCode < 300
@@ -212,16 +218,32 @@
 	return nil
 }
 
-// receiveLarge forwards an answer that is too large to buffer.
+// errDiscarded ends the reading of a body that nobody needs.
+var errDiscarded = errors.New("rest of the answer is not needed")
+
+// discard reads the rest of a body, so that its connection can be reused, unless it
+// takes long.
+func (pa *proxyAttempt) discard(body io.Reader) {
+	tm := time.AfterFunc(drainTimeout, func() { pa.cancel(errDiscarded) })
+	defer tm.Stop()
+	_, _ = io.Copy(io.Discard, io.LimitReader(body, maxBufferedBytes))
+}
+
+// receiveLarge forwards an answer that is too large to buffer. One without a length
+// may have no end and is broken off at maxAnswerBytes.
 func (pa *proxyAttempt) receiveLarge(ctx context.Context, rs *http.Response, start []byte) *failure {
 	pa.answering.Store(true)
 	pa.writer.open(pa.Wire, rs, int(rs.ContentLength))
 	if err := pa.writer.write(start); err != nil {
 		return callerFailure(err)
 	}
-	buf := make([]byte, maxBufferedBytes/8)
+	buf, received := make([]byte, maxBufferedBytes/8), len(start)
 	for {
 		count, err := rs.Body.Read(buf)
+		received += count
+		if rs.ContentLength < 0 && received > maxAnswerBytes {
+			return &failure{reason: refuser.StreamBroken, detail: "answer of server " + pa.server + " is too large", final: true}
+		}
 		if count > 0 {
 			if err := pa.writer.write(buf[:count]); err != nil {
 				return callerFailure(err)
@@ -276,6 +298,9 @@
 		return &failure{reason: refuser.BackendFailed, detail: "server " + pa.server + " closed a stream without events"}
 	}
 	pa.writer.open(pa.Wire, rs, -1)
+	if err := pa.writeHeld(); err != nil {
+		return callerFailure(err)
+	}
 	if err := pa.writer.flush(); err != nil {
 		return callerFailure(err)
 	}
@@ -288,6 +313,9 @@
 	if pa.watchdog != nil {
 		pa.watchdog.Stop()
 	}
+	if len(bytes.TrimSpace(ev.Bytes)) == 0 {
+		return pa.hold(ev.Bytes)
+	}
 	number, numbered := eventNumber(ev.ID)
 	if numbered && pa.writer.last != "" {
 		switch {
@@ -305,6 +333,9 @@
 	pa.result.Tokens++
 	pa.writer.recordEvent(time.Now())
 	pa.writer.open(pa.Wire, rs, -1)
+	if err := pa.writeHeld(); err != nil {
+		return callerFailure(err)
+	}
 	if err := pa.writer.write(ev.Bytes); err != nil {
 		return callerFailure(err)
 	}
@@ -332,6 +363,25 @@
 	return pa.classifyError(ctx, io.ErrUnexpectedEOF, false)
 }
 
+// hold keeps blank lines back until the next event. A server may send them without
+// end.
+func (pa *proxyAttempt) hold(blank []byte) *failure {
+	if pa.held = append(pa.held, blank...); len(pa.held) > maxHeldBytes {
+		return &failure{reason: refuser.BackendFailed, detail: "server " + pa.server + " sends no events"}
+	}
+	return nil
+}
+
+// writeHeld writes the blank lines that were kept back.
+func (pa *proxyAttempt) writeHeld() error {
+	if len(pa.held) == 0 {
+		return nil
+	}
+	held := pa.held
+	pa.held = nil
+	return pa.writer.write(held)
+}
+
 // eventNumber parses the id of an event as a number.
 func eventNumber(id string) (int64, bool) {
 	number, err := strconv.ParseInt(strings.TrimSpace(id), 10, 64)
--- a/internal/coordination/dispatcher/proxy_test.go
+++ b/internal/coordination/dispatcher/proxy_test.go
@@ -214,6 +214,35 @@
 	}
 }
 
+// endless writes the text until the connection is closed.
+func endless(text string) http.HandlerFunc {
+	return func(wr http.ResponseWriter, _ *http.Request) {
+		for {
+			if _, err := io.WriteString(wr, text); err != nil {
+				panic(http.ErrAbortHandler)
+			}
+		}
+	}
+}
+
+// asStream makes the answer of a handler a stream of events.
+func asStream(handler http.HandlerFunc) http.HandlerFunc {
+	return func(wr http.ResponseWriter, rq *http.Request) {
+		wr.Header().Set("Content-Type", "text/event-stream")
+		handler(wr, rq)
+	}
+}
+
+// refuseSlowly refuses with a body that takes long.
+func refuseSlowly(wr http.ResponseWriter, rq *http.Request) {
+	refuse(wr, rq)
+	for rq.Context().Err() == nil {
+		_, _ = wr.Write([]byte("x"))
+		_ = http.NewResponseController(wr).Flush()
+		time.Sleep(time.Millisecond)
+	}
+}
+
 func abortStream() { panic(http.ErrAbortHandler) }
 
 // TestProxiedRequestHandlesEachAttemptResult covers the ways in which attempts
@@ -248,6 +277,9 @@
 		{name: "stream without length", route: "stream", handlers: []http.HandlerFunc{withoutLength(events(2, func() {}))}, status: 200, body: "id: 1\ndata: x\n\nid: 2\ndata: x\n\n", sent: 1},
 		{name: "stream without length, cut by a crash", route: "stream", handlers: []http.HandlerFunc{thenCrash(withoutLength(events(1, func() {})))}, status: 200, body: "id: 1\ndata: x\n\n", reason: refuser.StreamBroken, outcome: refuser.Unknown, sent: 1},
 		{name: "stream without length, cut by a crash and resumed", route: "resumable", handlers: []http.HandlerFunc{thenCrash(withoutLength(events(1, func() {}))), events(2, func() {})}, status: 200, body: "id: 1\ndata: x\n\nid: 2\ndata: x\n\n", sent: 2},
+		{name: "stream of blank lines without end", route: "stream", handlers: []http.HandlerFunc{asStream(endless("\n"))}, reason: refuser.BackendFailed, outcome: refuser.Unknown, sent: 1},
+		{name: "event without end", route: "resumable", handlers: []http.HandlerFunc{asStream(endless("data")), events(1, func() {})}, status: 200, body: "id: 1\ndata: x\n\n", sent: 2},
+		{name: "refusal without end", route: "safe", handlers: []http.HandlerFunc{refuseSlowly, whole}, status: 200, body: "whole", sent: 2},
 		{name: "stream without length or events", route: "stream", handlers: []http.HandlerFunc{withoutLength(events(0, func() {}))}, reason: refuser.BackendFailed, outcome: refuser.Unknown, sent: 1},
 	} {
 		t.Run(ts.name, func(t *testing.T) {
@@ -268,6 +300,17 @@
 	}
 }
 
+// An answer without a length went on until the deadline of its request.
+func TestAnswerWithoutEndIsBrokenOff(t *testing.T) {
+	for _, handler := range []http.HandlerFunc{endless(strings.Repeat("x", 1000)), withoutLength(endless(strings.Repeat("x", 1000)))} {
+		pr, _ := runProxy(t, "safe", nil, handler)
+		require.NotNil(t, pr.refusal)
+		require.Equal(t, refuser.StreamBroken, pr.refusal.Reason(), pr.refusal.Error())
+		require.True(t, pr.begun)
+		require.LessOrEqual(t, pr.Body.Len(), 9<<20)
+	}
+}
+
 // TestResumedStreamContinuesAfterLastEvent resumes after the last complete
 // event and keeps the headers of the first server.
 func TestResumedStreamContinuesAfterLastEvent(t *testing.T) {
--- a/internal/transport/forwarder/connection.go
+++ b/internal/transport/forwarder/connection.go
@@ -22,6 +22,10 @@
 	// the answer is read. A longer body is written in the background, since a
 	// server may answer before it has read all of it.
 	maxSyncBodyBytes = 8 << 10
+	// maxHeadBytes bounds the head of an answer, with interim answers before it, and
+	// maxSkippedBytes a late answer to an earlier request.
+	maxHeadBytes    = 64 << 10
+	maxSkippedBytes = 1 << 20
 	// maxIdleLimit bounds the idle limit that a server can set.
 	maxIdleLimit = time.Minute
 	// idleMargin is how long before the server's idle timeout a connection is
@@ -32,6 +36,31 @@
 // pastDeadline is a deadline that ends a blocked read or write at once.
 var pastDeadline = time.Unix(1, 0)
 
+// errHeadTooLarge means that the head of an answer exceeds maxHeadBytes.
+var errHeadTooLarge = errors.New("head of the answer is too large")
+
+// headReader reads a connection and bounds what is read for a head. A server may
+// send bytes without end.
+type headReader struct {
+	io.Reader
+	// bounded says that at most left bytes may be read.
+	bounded bool
+	left    int
+}
+
+// Read implements io.Reader.
+func (hr *headReader) Read(buf []byte) (int, error) {
+	if !hr.bounded {
+		return hr.Reader.Read(buf)
+	}
+	if hr.left <= 0 {
+		return 0, errHeadTooLarge
+	}
+	count, err := hr.Reader.Read(buf[:min(len(buf), hr.left)])
+	hr.left -= count
+	return count, err
+}
+
 // errStillWriting means that the answer ended before the request was written.
 var errStillWriting = errors.New("request is not written yet")
 
@@ -40,6 +69,7 @@
 	owner   *Forwarder
 	address string
 	raw     net.Conn
+	head    *headReader // bounds what reader reads
 	reader  *bufio.Reader
 	// reused is set once the connection carries a second request.
 	reused bool
@@ -51,11 +81,13 @@
 }
 
 func newConnection(fw *Forwarder, address string, raw net.Conn) *connection {
+	hr := &headReader{Reader: raw}
 	return &connection{
 		owner:     fw,
 		address:   address,
 		raw:       raw,
-		reader:    bufio.NewReaderSize(raw, readBytes),
+		head:      hr,
+		reader:    bufio.NewReaderSize(hr, readBytes),
 		idleLimit: fw.idleTimeout,
 	}
 }
@@ -172,6 +204,8 @@
 // it skips late answers to earlier requests, at most maxSkipped of them.
 func (cn *connection) readHead(rq Request) (*http.Response, error) {
 	request := &http.Request{Method: rq.Method}
+	cn.head.bounded, cn.head.left = true, maxHeadBytes
+	defer func() { cn.head.bounded = false }()
 	for skipped := 0; ; {
 		rs, err := http.ReadResponse(cn.reader, request)
 		if err != nil {
@@ -187,9 +221,11 @@
 		if !cn.reused || skipped > maxSkipped || rs.Close || !hasLength(rs) {
 			return nil, errOtherRequest
 		}
+		cn.head.left = maxSkippedBytes
 		if _, err := io.Copy(io.Discard, rs.Body); err != nil {
 			return nil, errors.Wrap(err, "skip an answer to another request")
 		}
+		cn.head.left = maxHeadBytes
 	}
 }
 
--- a/internal/transport/forwarder/connection_test.go
+++ b/internal/transport/forwarder/connection_test.go
@@ -174,3 +174,46 @@
 	_, err := forwarder.New().Send(t.Context(), forwarder.Request{Address: "127.0.0.1:1", Method: http.MethodGet, Path: "/"})
 	require.True(t, forwarder.NotSent(err), "%v", err)
 }
+
+// A head without end filled the memory of the node.
+func TestHeadWithoutEndFails(t *testing.T) {
+	for _, start := range []string{"HTTP/1.1 200 OK\r\nId: 1\r\nLong: ", "HTTP/1.1 200 ", "HTTP/1.1 100 Continue\r\n\r\n"} {
+		ln, err := net.Listen("tcp", "127.0.0.1:0")
+		require.NoError(t, err)
+		sent, ended := 0, make(chan struct{})
+		go func() {
+			defer close(ended)
+			cn, err := ln.Accept()
+			if err != nil {
+				return
+			}
+			defer func() { _ = cn.Close() }()
+			for text := start; err == nil; {
+				var count int
+				count, err = io.WriteString(cn, text)
+				sent += count
+				if !strings.HasPrefix(start, "HTTP/1.1 100") {
+					text = strings.Repeat("a", 1000)
+				}
+			}
+		}()
+		fw := forwarder.New()
+		_, err = fw.Send(t.Context(), forwarder.Request{Address: ln.Addr().String(), Method: http.MethodGet, Path: "/"})
+		require.Error(t, err, start)
+		require.False(t, forwarder.NotSent(err))
+		<-ended
+		require.Less(t, sent, 32<<20, "the connection is closed")
+		fw.Close()
+		_ = ln.Close()
+	}
+}
+
+func TestOnlyAddressWithoutListenerRefuses(t *testing.T) {
+	ln, err := net.Listen("tcp", "127.0.0.1:0")
+	require.NoError(t, err)
+	fw := forwarder.New()
+	defer fw.Close()
+	require.False(t, fw.Refuses(t.Context(), ln.Addr().String()))
+	require.NoError(t, ln.Close())
+	require.True(t, fw.Refuses(t.Context(), ln.Addr().String()))
+}
