--- a/internal/coordination/crashdetector/crashdetector.go
+++ b/internal/coordination/crashdetector/crashdetector.go
@@ -63,6 +63,12 @@
 	Losses []Loss
 }
 
+// gathered is a possible crash.
+type gathered struct {
+	Crash
+	decided chan struct{}
+}
+
 // Detector gathers lost connections. It is safe for concurrent use.
 type Detector struct {
 	refuses  func(ctx context.Context, address string) bool
@@ -72,13 +78,13 @@
 
 	mu sync.Mutex
 	// gathering holds the losses of servers whose addresses are not asked yet.
-	gathering map[string]*Crash
+	gathering map[string]*gathered
 }
 
 // Option configures a Detector.
 type Option func(*Detector)
 
-// WithOnCrash sets the function that is called for each crash.
+// WithOnCrash sets the function that is called for each crash. It must not block.
 func WithOnCrash(fn func(Crash)) Option { return func(dt *Detector) { dt.onCrash = fn } }
 
 // WithLeaving sets the function that reports whether a server leaves or is no
@@ -95,7 +101,7 @@
 		refuses:   refuses,
 		leaving:   func(string) bool { return false },
 		onCrash:   func(Crash) {},
-		gathering: map[string]*Crash{},
+		gathering: map[string]*gathered{},
 	}
 	for _, opt := range opts {
 		opt(dt)
@@ -104,23 +110,26 @@
 }
 
 // Lost records that a request lost its connection to the server at the address.
-// It does not block.
-func (dt *Detector) Lost(server, address string, ls Loss) {
+// It does not block; the channel is closed when it is known whether the server
+// crashed, after the call of the function for crashes.
+func (dt *Detector) Lost(server, address string, ls Loss) (decided <-chan struct{}) {
 	dt.mu.Lock()
 	defer dt.mu.Unlock()
 	cr, ok := dt.gathering[server]
 	if !ok {
-		cr = &Crash{Server: server, At: time.Now()}
+		cr = &gathered{Crash: Crash{Server: server, At: time.Now()}, decided: make(chan struct{})}
 		dt.gathering[server] = cr
 		time.AfterFunc(gatherTime, func() { dt.decide(address, cr) })
 	}
 	if len(cr.Losses) < maxLosses {
 		cr.Losses = append(cr.Losses, ls)
 	}
+	return cr.decided
 }
 
 // decide asks the address whether the server has crashed.
-func (dt *Detector) decide(address string, cr *Crash) {
+func (dt *Detector) decide(address string, cr *gathered) {
+	defer close(cr.decided)
 	dt.mu.Lock()
 	delete(dt.gathering, cr.Server)
 	dt.mu.Unlock()
@@ -138,7 +147,7 @@
 	default:
 		dt.registry.Inc("connection-loss", "server-crashed")
 		line.Info("backend server crashed")
-		dt.onCrash(*cr)
+		dt.onCrash(cr.Crash)
 	}
 }
 
--- a/internal/coordination/dispatcher/answer.go
+++ b/internal/coordination/dispatcher/answer.go
@@ -149,7 +149,7 @@
 	}
 	pa.ds.forwarder.DropIdle(pa.address)
 	if !unsent && connectionLost(err) {
-		pa.ds.crashes.Lost(pa.server, pa.address, pa.loss())
+		fl.decided = pa.ds.crashes.Lost(pa.server, pa.address, pa.loss())
 	}
 	return fl
 }
@@ -200,6 +200,9 @@
 	if err != nil {
 		return pa.classifyError(ctx, err, false)
 	}
+	if len(body) == maxBufferedBytes && success && pa.Route.Streams() {
+		return &failure{reason: refuser.BackendFailed, detail: "answer of server " + pa.server + " is not a stream of events"}
+	}
 	if len(body) == maxBufferedBytes {
 		return pa.receiveLarge(ctx, rs, body)
 	}
--- a/internal/coordination/dispatcher/execution.go
+++ b/internal/coordination/dispatcher/execution.go
@@ -58,6 +58,9 @@
 	crashed bool
 	// retryAfter is the time after which another try makes sense; 0 if unknown.
 	retryAfter time.Duration
+	// decided is closed when it is known whether the loss of the connection was a
+	// crash; nil if the connection was not lost.
+	decided <-chan struct{}
 	// admissionRefusal is set if admission refused the request.
 	admissionRefusal *refuser.Refusal
 }
--- a/internal/coordination/dispatcher/proxy.go
+++ b/internal/coordination/dispatcher/proxy.go
@@ -183,6 +183,13 @@
 		if !fl.unsent && !fl.refused && fl.admissionRefusal == nil {
 			pe.mayHaveRun = true
 		}
+		if fl.decided != nil {
+			// A request that crashed the server may be excluded by now.
+			select {
+			case <-fl.decided:
+			case <-ctx.Done():
+			}
+		}
 		if again, rf := pe.retryOrRefuse(ctx, fl); !again {
 			return pe.setOutcome(rf)
 		}
--- a/internal/coordination/dispatcher/proxy_test.go
+++ b/internal/coordination/dispatcher/proxy_test.go
@@ -278,6 +278,7 @@
 		{name: "stream without length, cut by a crash", route: "stream", handlers: []http.HandlerFunc{thenCrash(withoutLength(events(1, func() {})))}, status: 200, body: "id: 1\ndata: x\n\n", reason: refuser.StreamBroken, outcome: refuser.Unknown, sent: 1},
 		{name: "stream without length, cut by a crash and resumed", route: "resumable", handlers: []http.HandlerFunc{thenCrash(withoutLength(events(1, func() {}))), events(2, func() {})}, status: 200, body: "id: 1\ndata: x\n\nid: 2\ndata: x\n\n", sent: 2},
 		{name: "stream of blank lines without end", route: "stream", handlers: []http.HandlerFunc{asStream(endless("\n"))}, reason: refuser.BackendFailed, outcome: refuser.Unknown, sent: 1},
+		{name: "no events without end", route: "stream", handlers: []http.HandlerFunc{endless("x")}, reason: refuser.BackendFailed, outcome: refuser.Unknown, sent: 1},
 		{name: "event without end", route: "resumable", handlers: []http.HandlerFunc{asStream(endless("data")), events(1, func() {})}, status: 200, body: "id: 1\ndata: x\n\n", sent: 2},
 		{name: "refusal without end", route: "safe", handlers: []http.HandlerFunc{refuseSlowly, whole}, status: 200, body: "whole", sent: 2},
 		{name: "stream without length or events", route: "stream", handlers: []http.HandlerFunc{withoutLength(events(0, func() {}))}, reason: refuser.BackendFailed, outcome: refuser.Unknown, sent: 1},
--- a/internal/coordination/isolator/isolator.go
+++ b/internal/coordination/isolator/isolator.go
@@ -166,7 +166,7 @@
 	go is.tellAll(vh)
 }
 
-// Crashed records a crash that this node has seen, and tells all nodes.
+// Crashed records a crash that this node has seen, and has all nodes told.
 func (is *Isolator) Crashed(cr crashdetector.Crash) {
 	now := time.Now()
 	rp := quarantiner.NewReport(now, cr)
@@ -184,7 +184,7 @@
 	for _, mk := range rp.Marks {
 		call.Marks = append(call.Marks, messenger.CrashMark{Content: uint64(mk.Content), Answering: mk.Answering, InFlight: mk.InFlight, Request: uint64(mk.Request)})
 	}
-	is.share(call, is.quarantine.Vouchers(now, rp))
+	go is.share(call, is.quarantine.Vouchers(now, rp))
 }
 
 // share calls all nodes and tells them all what some of them, or this one,
--- a/internal/coordination/isolator/isolator_test.go
+++ b/internal/coordination/isolator/isolator_test.go
@@ -94,6 +94,7 @@
 	time.Sleep(time.Second)
 	losses := []crashdetector.Loss{{ID: "r", Contents: contents, Sent: time.Now().Add(-50 * time.Millisecond)}}
 	fl.nodes[node].Crashed(crashdetector.Crash{Server: server, At: time.Now(), Losses: losses})
+	synctest.Wait()
 }
 
 func (fl *fleet) wait(node string, contents ...fingerprinter.Content) time.Duration {
--- a/internal/coordination/quarantiner/evidence.go
+++ b/internal/coordination/quarantiner/evidence.go
@@ -46,7 +46,8 @@
 func (qt *Quarantine) Record(now time.Time, rp Report) []fingerprinter.Content {
 	qt.mu.Lock()
 	defer qt.mu.Unlock()
-	ev := qt.eventOf(rp.Server, now.Add(-rp.Age))
+	at := now.Add(-rp.Age)
+	ev := qt.eventOf(rp.Server, at, at.Add(-leastInFlight(rp)))
 	for _, mk := range rp.Marks {
 		if ex, ok := qt.exclusions[mk.Content]; ok && !mk.Answering {
 			ex.noteCrash(ev.at)
@@ -62,11 +63,20 @@
 	return qt.convict(now)
 }
 
+// leastInFlight returns how long before the crash the latest request was sent.
+func leastInFlight(rp Report) time.Duration {
+	least := sameCrashTime
+	for _, mk := range rp.Marks {
+		least = min(least, mk.InFlight)
+	}
+	return least
+}
+
 // eventOf returns the crash of a server at about the time, a new one if it is not
-// known.
-func (qt *Quarantine) eventOf(server string, at time.Time) *event {
+// known. A server that took a request after a crash is back, and crashed again.
+func (qt *Quarantine) eventOf(server string, at, sent time.Time) *event {
 	for _, ev := range qt.events {
-		if ev.server == server && ev.at.Sub(at).Abs() < sameCrashTime {
+		if ev.server == server && ev.at.Sub(at).Abs() < sameCrashTime && sent.Sub(ev.at) < noticeTime {
 			if at.Before(ev.at) {
 				ev.at = at
 			}
--- a/internal/coordination/quarantiner/quarantiner.go
+++ b/internal/coordination/quarantiner/quarantiner.go
@@ -53,9 +53,10 @@
 	// whose exclusion concerns no other request.
 	minRequestCrashes = 2
 	maxRequestCrashes = 3
-	// sameCrashTime is how far reports of one crash may lie apart. A server takes
-	// longer to be back and crash again.
+	// sameCrashTime is how far reports of one crash may lie apart, and noticeTime how
+	// long after it a node that has not noticed may send requests.
 	sameCrashTime = 1500 * time.Millisecond
+	noticeTime    = 50 * time.Millisecond
 	// momentTime is how far crashes lie apart that may have one cause other than
 	// the requests that they ended, unless one request was sent after the other
 	// crash.
