Synchronise what the tests of the crash detector count

Cause: data races in the tests, seen with -race: the functions that a detector calls run in goroutines of its timers. Change: an atomic count, and synctest.Wait.

--- a/internal/coordination/crashdetector/crashdetector_test.go
+++ b/internal/coordination/crashdetector/crashdetector_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"sync/atomic"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -15,8 +16,8 @@
 // planned stop and a server that breaks off answers.
 func TestOnlyServersThatRefuseConnectionsCrashed(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
-		asked := 0
-		refuses := func(_ context.Context, address string) bool { asked++; return address != "up" }
+		var asked atomic.Int64
+		refuses := func(_ context.Context, address string) bool { asked.Add(1); return address != "up" }
 		var crashes []crashdetector.Crash
 		dt := crashdetector.New(refuses,
 			crashdetector.WithLeaving(func(server string) bool { return server == "leaving" }),
@@ -27,7 +28,8 @@
 		dt.Lost("leaving", "down", crashdetector.Loss{ID: "three"})
 		dt.Lost("w2", "up", crashdetector.Loss{ID: "four"})
 		time.Sleep(time.Second)
-		require.Equal(t, 3, asked, "one connection per server")
+		synctest.Wait()
+		require.EqualValues(t, 3, asked.Load(), "one connection per server")
 		require.Equal(t, []crashdetector.Crash{{Server: "w1", At: began, Losses: []crashdetector.Loss{{ID: "one"}, {ID: "two", Answering: true}}}}, crashes)
 	})
 }
@@ -41,6 +43,7 @@
 			dt.Lost("w1", "down", crashdetector.Loss{})
 		}
 		time.Sleep(time.Second)
+		synctest.Wait()
 		require.Equal(t, 1024, count)
 	})
 }
