Share what crashes engines on the product's own interface

Change: Dispatch tells the detector of lost connections and asks the quarantine; nodes share it as on the platform. Result: TestRequestThatCrashesEnginesIsRefusedByOtherNodes; without the shared quarantine the request crashes two engines at each node.

--- a/internal/coordination/dispatcher/attempt.go
+++ b/internal/coordination/dispatcher/attempt.go
@@ -11,6 +11,7 @@
 	"github.com/go-faster/errors"
 
 	"github.com/lagoonpass/lagoonpass/internal/coordination/admitter"
+	"github.com/lagoonpass/lagoonpass/internal/coordination/crashdetector"
 	"github.com/lagoonpass/lagoonpass/internal/transport/forwarder"
 	"github.com/lagoonpass/lagoonpass/pkg/refuser"
 )
@@ -163,6 +164,9 @@
 		fl.reason = refuser.BackendUnreachable
 	default:
 		fl.crashed = true
+		at.ds.crashes.Lost(at.server, at.address, crashdetector.Loss{
+			ID: at.request.ID, Request: at.contents[0], Contents: at.contents, Sent: at.began, Answering: at.result.Tokens > 0,
+		})
 	}
 	if !unsent && at.progress.begun() && fl.reason == refuser.BackendFailed {
 		fl.reason = refuser.StreamBroken
--- a/internal/coordination/dispatcher/dispatcher.go
+++ b/internal/coordination/dispatcher/dispatcher.go
@@ -104,9 +104,9 @@
 	onSignals SignalsFunc
 	// suspects are the requests that crashed engines.
 	suspects *retrier.Suspects
-	// crashes is told of lost connections of proxied requests.
+	// crashes is told of lost connections.
 	crashes *crashdetector.Detector
-	// quarantine keeps proxied requests from servers that they would crash.
+	// quarantine keeps requests from servers that they would crash.
 	quarantine Quarantine
 	// buffered is the number of answer bytes that callers have not read.
 	buffered atomic.Int64
@@ -136,8 +136,7 @@
 // proxied request.
 func WithSignals(fn SignalsFunc) Option { return func(ds *Dispatcher) { ds.onSignals = fn } }
 
-// WithCrashes makes the dispatcher tell dt of lost connections of proxied
-// requests.
+// WithCrashes makes the dispatcher tell dt of lost connections.
 func WithCrashes(dt *crashdetector.Detector) Option { return func(ds *Dispatcher) { ds.crashes = dt } }
 
 // Quarantine keeps requests from servers that they would crash.
@@ -162,8 +161,7 @@
 func (noQuarantine) Watch([]fingerprinter.Content, func()) func() { return func() {} }
 func (noQuarantine) Succeeded([]fingerprinter.Content)            {}
 
-// WithQuarantine sets what keeps proxied requests from servers that they would
-// crash.
+// WithQuarantine sets what keeps requests from servers that they would crash.
 func WithQuarantine(qt Quarantine) Option { return func(ds *Dispatcher) { ds.quarantine = qt } }
 
 // WithRandom sets the source of the backoff jitter.
@@ -205,6 +203,7 @@
 		relay:       rl,
 		progress:    newProgress(rq.ID, rq.ResumeFrom),
 		fingerprint: xxhash.Sum64(rq.Body),
+		contents:    []fingerprinter.Content{fingerprinter.Request(callerName(rq.Caller), http.MethodPost, "", rq.Path, rq.Body)},
 		callerCtx:   ctx,
 	}
 	go func() {
--- a/internal/coordination/dispatcher/dispatcher_test.go
+++ b/internal/coordination/dispatcher/dispatcher_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"encoding/json"
+	"fmt"
 	"io"
 	"net"
 	"net/http"
@@ -16,6 +17,10 @@
 	"github.com/stretchr/testify/require"
 
 	"github.com/lagoonpass/lagoonpass/internal/coordination/admitter"
+	"github.com/lagoonpass/lagoonpass/internal/coordination/crashdetector"
+	"github.com/lagoonpass/lagoonpass/internal/coordination/dispatcher"
+	"github.com/lagoonpass/lagoonpass/internal/coordination/isolator"
+	"github.com/lagoonpass/lagoonpass/internal/protocol/messenger"
 	"github.com/lagoonpass/lagoonpass/internal/standin/engine"
 	"github.com/lagoonpass/lagoonpass/pkg/refuser"
 )
@@ -181,6 +186,52 @@
 	})
 }
 
+// peerCaller delivers calls to the isolator of the only other node.
+type peerCaller struct{ peer **isolator.Isolator }
+
+func (pc peerCaller) Call(_ context.Context, _ string, call messenger.Message) (messenger.Message, error) {
+	return (*pc.peer).Handle(call), nil
+}
+
+// Each node counted crashes for itself, so that a request crashed engines anew at
+// every node it came to.
+func TestRequestThatCrashesEnginesIsRefusedByOtherNodes(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		rg := newRig(t, 5, "yes")
+		defer rg.stop()
+		for _, eg := range rg.engines {
+			eg.CrashOn("lethal")
+		}
+		var nodes [2]*isolator.Isolator
+		var dispatchers [2]*dispatcher.Dispatcher
+		for ix := range nodes {
+			leader := func() (string, bool, bool) { return "n0", ix == 0, true }
+			nodes[ix] = isolator.New(peerCaller{&nodes[1-ix]}, func() []string { return []string{"other"} }, leader)
+			dt := crashdetector.New(func(context.Context, string) bool { return true }, crashdetector.WithOnCrash(nodes[ix].Crashed))
+			dispatchers[ix] = dispatcher.New(rg, rg.forward, nil, dispatcher.WithCrashes(dt), dispatcher.WithQuarantine(nodes[ix]))
+		}
+		run := func(ix int, id, prompt string) *refuser.Refusal {
+			rq := rg.request("", 6, false, prompt)
+			rq.ID = id
+			rf := dispatchers[ix].Dispatch(t.Context(), rg.settings, rq, httptest.NewRecorder())
+			time.Sleep(time.Second)
+			return rf
+		}
+		for ix := range 4 {
+			run(ix%2, fmt.Sprint("A", ix), "lethal")
+		}
+		crashes := 0
+		for _, eg := range rg.engines {
+			crashes += eg.Crashes()
+		}
+		require.Equal(t, 2, crashes)
+		rf := run(1, "B", "lethal")
+		require.Equal(t, refuser.ContentExcluded, rf.Reason())
+		require.Equal(t, refuser.NotRun, rf.Outcome())
+		require.Positive(t, rf.RetryAfter())
+	})
+}
+
 func TestCallerLeavingCancelsRequestOnServer(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		rg := newRig(t, 1, "yes")
--- a/internal/coordination/dispatcher/execution.go
+++ b/internal/coordination/dispatcher/execution.go
@@ -8,6 +8,7 @@
 
 	"github.com/lagoonpass/lagoonpass/internal/checker"
 	"github.com/lagoonpass/lagoonpass/internal/coordination/admitter"
+	"github.com/lagoonpass/lagoonpass/internal/coordination/fingerprinter"
 	"github.com/lagoonpass/lagoonpass/internal/coordination/retrier"
 	"github.com/lagoonpass/lagoonpass/internal/state/configurer"
 	"github.com/lagoonpass/lagoonpass/pkg/refuser"
@@ -27,7 +28,9 @@
 	// fingerprint is the hash of the body. Requests that crashed engines are
 	// recognised by it.
 	fingerprint uint64
-	callerCtx   context.Context
+	// contents is what repeats of the request have in common with it.
+	contents  []fingerprinter.Content
+	callerCtx context.Context
 
 	// avoid are the servers on which the request failed or can't be resumed.
 	avoid []string
@@ -38,6 +41,8 @@
 	// crashes counts the servers whose connection was lost during the request
 	// or during earlier ones with the same fingerprint.
 	crashes int
+	// trial says that the request is excluded and is sent once.
+	trial bool
 	// mayHaveRun says that a server may have run the request.
 	mayHaveRun bool
 	// unreadBody is the body of a complete answer, whose end is not yet read.
@@ -73,11 +78,17 @@
 	if excludedFor > 0 {
 		return refuser.New(refuser.BackendFailed, "the same request lost %d servers", retrier.MaxCrashes).WithRetryAfter(excludedFor)
 	}
+	wait, trial := ex.ds.quarantine.Admit(ctx, ex.contents)
+	if wait > 0 {
+		return excludedRefusal().WithRetryAfter(wait)
+	}
+	ex.trial = trial
 	for retry := 1; ; retry++ {
 		fl := ex.runAttempt(ctx)
 		if fl == nil {
 			unlink()
 			ex.ds.suspects.Remove(ex.fingerprint)
+			ex.ds.quarantine.Succeeded(ex.contents)
 			ex.ds.budget.Succeeded(ex.settings.Retries().Budget())
 			return nil
 		}
@@ -116,7 +127,7 @@
 	if ex.progress.begun() && !ex.progress.resumable() {
 		return last
 	}
-	if ex.crashes >= retrier.MaxCrashes || max(ex.attempts, retry) >= rt.AttemptLimit() || ex.request.Once {
+	if ex.crashes >= retrier.MaxCrashes || max(ex.attempts, retry) >= rt.AttemptLimit() || ex.request.Once || ex.trial {
 		return last
 	}
 	delay := ex.ds.backoff(rt, retry)
--- a/internal/coordination/isolator/isolator.go
+++ b/internal/coordination/isolator/isolator.go
@@ -336,7 +336,7 @@
 // the difference; another node tells the leader.
 func (is *Isolator) sync(ctx context.Context) {
 	address, self, ok := is.leader()
-	if !ok {
+	if !ok || is.store == nil {
 		return
 	}
 	missing, surplus := is.difference()
--- a/internal/coordination/quarantiner/exclusion.go
+++ b/internal/coordination/quarantiner/exclusion.go
@@ -163,7 +163,12 @@
 	qt.mu.Lock()
 	defer qt.mu.Unlock()
 	ex, ok := qt.exclusions[content]
-	if !ok || now.Sub(ex.since) < ex.length() || !ex.triedAt.IsZero() && now.Sub(ex.triedAt) < trialTimeout {
+	if !ok {
+		// The node that asks knows of an exclusion that this one has forgotten.
+		ex = &exclusion{since: now.Add(-firstExclusion)}
+		qt.exclusions[content] = ex
+	}
+	if now.Sub(ex.since) < ex.length() || !ex.triedAt.IsZero() && now.Sub(ex.triedAt) < trialTimeout {
 		return false
 	}
 	ex.triedAt = now
--- a/internal/runner/runner.go
+++ b/internal/runner/runner.go
@@ -27,6 +27,7 @@
 	"github.com/lagoonpass/lagoonpass/internal/coordination/claimer"
 	"github.com/lagoonpass/lagoonpass/internal/coordination/dispatcher"
 	"github.com/lagoonpass/lagoonpass/internal/coordination/ejector"
+	"github.com/lagoonpass/lagoonpass/internal/coordination/isolator"
 	"github.com/lagoonpass/lagoonpass/internal/coordination/orderer"
 	"github.com/lagoonpass/lagoonpass/internal/coordination/placer"
 	"github.com/lagoonpass/lagoonpass/internal/coordination/prober"
@@ -76,6 +77,7 @@
 	placer   *placer.Placer
 	backends *backends
 	admitter *admitter.Admitter
+	isolator *isolator.Isolator
 	// peers serves peers on peerListener, and web serves callers on
 	// callerListener.
 	peers          *messenger.Server
@@ -173,7 +175,8 @@
 	fw := nd.newForwarder()
 	ej := ejector.New(ejector.WithReplicas(nd.replicas), ejector.WithRegistry(nd.registry))
 	nd.admitter = nd.newAdmitter(ej)
-	ds := dispatcher.New(quotaGate{&nd.limits, nd.admitter}, fw, nd.adapters, dispatcher.WithRegistry(nd.registry), dispatcher.WithEjector(ej))
+	opts := append(nd.quarantine(fw), dispatcher.WithRegistry(nd.registry), dispatcher.WithEjector(ej))
+	ds := dispatcher.New(quotaGate{&nd.limits, nd.admitter}, fw, nd.adapters, opts...)
 	iv := nd.buildInvoker(fw)
 	nd.server = server.New(server.Components{
 		Holder:     nd.holder,
@@ -236,6 +239,9 @@
 	case *messenger.DemandReport, *messenger.PlanFetch:
 		return nd.placer.Handle(call)
 	default:
+		if answer := nd.isolator.Handle(call); answer != nil {
+			return answer, nil
+		}
 		return nd.handleMembership(ctx, call)
 	}
 }
