Let a large answer take longer than its target

Callers saw: an answer of more than 256 KB to a request that may be repeated was broken off in the middle once twice its target had passed, though bytes came. Cause: the timer after which another server is asked was stopped at the first event of a stream only. Found by TestAnswerWithoutEndIsBrokenOff beside other runs, where 8 MiB took longer than the target. Change: the timer stops when the large answer begins. Result: TestLargeAnswerMayTakeLongerThanItsTarget fails without the change.

--- a/internal/coordination/dispatcher/answer.go
+++ b/internal/coordination/dispatcher/answer.go
@@ -236,6 +236,9 @@
 // may have no end and is broken off at maxAnswerBytes.
 func (pa *proxyAttempt) receiveLarge(ctx context.Context, rs *http.Response, start []byte) *failure {
 	pa.answering.Store(true)
+	if pa.watchdog != nil {
+		pa.watchdog.Stop()
+	}
 	pa.writer.open(pa.Wire, rs, int(rs.ContentLength))
 	if err := pa.writer.write(start); err != nil {
 		return callerFailure(err)
--- a/internal/coordination/dispatcher/proxy_test.go
+++ b/internal/coordination/dispatcher/proxy_test.go
@@ -301,6 +301,19 @@
 	}
 }
 
+// A large answer was broken off at the time after which another server is asked.
+func TestLargeAnswerMayTakeLongerThanItsTarget(t *testing.T) {
+	text := strings.Repeat("x", 300<<10)
+	pr, _ := runProxy(t, "safe", nil, func(wr http.ResponseWriter, _ *http.Request) {
+		_, _ = io.WriteString(wr, text)
+		_ = http.NewResponseController(wr).Flush()
+		time.Sleep(500 * time.Millisecond)
+		_, _ = io.WriteString(wr, text)
+	})
+	require.Nil(t, pr.refusal)
+	require.Equal(t, 2*len(text), pr.Body.Len())
+}
+
 // An answer without a length went on until the deadline of its request.
 func TestAnswerWithoutEndIsBrokenOff(t *testing.T) {
 	for _, handler := range []http.HandlerFunc{endless(strings.Repeat("x", 1000)), withoutLength(endless(strings.Repeat("x", 1000)))} {
