Crash engines on a request in the soak of the product's own interface

Change: one request that crashes engines, whose addresses then refuse connections for 3 s, is sent to one of eight nodes after the other beside restarts of engines and wrong answers; its repeats are counted. The check fails on purpose in TestEachViolationIsReported.

--- a/internal/soaker/backend.go
+++ b/internal/soaker/backend.go
@@ -17,6 +17,9 @@
 // leavingGrace is how long new requests may still arrive at a VM that is leaving.
 const leavingGrace = 5 * time.Second
 
+// endedTime is how long an engine is down after a request crashed it.
+const endedTime = 3 * time.Second
+
 // headerRequest is the header with a request's id as an engine receives it.
 const headerRequest = "X-Request-Id"
 
@@ -53,6 +56,10 @@
 		}
 		rq.Body = io.NopCloser(bytes.NewReader(body))
 		be.recordCompletion(rq.Header.Get(headerRequest), body)
+		if bytes.Contains(body, []byte(fatalUser)) {
+			be.end()
+			panic(http.ErrAbortHandler)
+		}
 	}
 	be.handler.ServeHTTP(wr, rq)
 }
@@ -94,6 +101,16 @@
 	be.engine.Restart()
 }
 
+// end ends the engine's process under the request that crashes engines. The next one
+// starts after endedTime.
+func (be *backend) end() {
+	be.cluster.recordFatal()
+	be.engine.DropHeldOrders()
+	be.engine.Restart()
+	be.cluster.network.Crash(be.host)
+	time.AfterFunc(endedTime, func() { be.cluster.network.Restart(be.host) })
+}
+
 func (be *backend) down() {
 	be.mu.Lock()
 	defer be.mu.Unlock()
--- a/internal/soaker/broken_test.go
+++ b/internal/soaker/broken_test.go
@@ -78,6 +78,11 @@
 			loseJobs(cl)
 			cl.nodes[0].seen = 1000
 		}, []checker.Invariant{checker.CompleteAnswer, checker.JobKept, checker.RevisionMonotonic}},
+		"a request that crashes engines reaches them again and again": {func(cl *cluster) {
+			for ix := range fatalCrashes + fatalAllowance + 1 {
+				cl.fatal = append(cl.fatal, time.Now().Add(time.Duration(ix)*2*fatalWindow))
+			}
+		}, []checker.Invariant{FatalContained}},
 		"engines run what they refuse": {failEveryEngine(engine.FaultRunAndRefuse), []checker.Invariant{checker.NotRunCorrect}},
 		"all engines are lost": {func(cl *cluster) {
 			cl.settleTimeout = shortSettleTimeout
--- a/internal/soaker/ledger.go
+++ b/internal/soaker/ledger.go
@@ -34,6 +34,8 @@
 	bookings       []booking
 	jobs           []string // ids of accepted jobs
 	seenByCallers  int64    // highest revision in an answer to a caller
+	// fatal has the times at which the request that crashes engines reached one.
+	fatal []time.Time
 }
 
 func newObservations() observations {
@@ -46,6 +48,12 @@
 	ob.arrivals[user] = append(ob.arrivals[user], av)
 }
 
+func (ob *observations) recordFatal() {
+	ob.observationsMu.Lock()
+	defer ob.observationsMu.Unlock()
+	ob.fatal = append(ob.fatal, time.Now())
+}
+
 func (ob *observations) recordNotRun(user string) {
 	ob.observationsMu.Lock()
 	defer ob.observationsMu.Unlock()
@@ -93,6 +101,7 @@
 // checkObservations compares the answers to callers with what the backend
 // servers ran.
 func (cl *cluster) checkObservations() {
+	cl.checkFatal()
 	rp := cl.report
 	cl.observationsMu.Lock()
 	defer cl.observationsMu.Unlock()
@@ -113,6 +122,29 @@
 	}
 }
 
+// The bounds on a request that crashes engines: later than fatalWindow after the
+// crash with the number fatalCrashes, at most fatalAllowance of its repeats reach
+// engines.
+const (
+	fatalUser      = "fatal-user"
+	fatalCrashes   = 3
+	fatalWindow    = 3 * time.Second
+	fatalAllowance = 3
+)
+
+// checkFatal reports too many repeats of the request that crashes engines.
+func (cl *cluster) checkFatal() {
+	cl.observationsMu.Lock()
+	defer cl.observationsMu.Unlock()
+	late := 0
+	for _, at := range cl.fatal {
+		if len(cl.fatal) >= fatalCrashes && at.Sub(cl.fatal[fatalCrashes-1]) > fatalWindow {
+			late++
+		}
+	}
+	cl.report.expect(FatalContained, late <= fatalAllowance, "%d repeats of a request that crashed %d engines reached them later", late, len(cl.fatal))
+}
+
 // operations records the revisions that operators were told and the faults of
 // the network.
 type operations struct {
--- a/internal/soaker/report.go
+++ b/internal/soaker/report.go
@@ -11,6 +11,8 @@
 const (
 	// NotStarted means that a node or the whole run could not start.
 	NotStarted checker.Invariant = "not-started"
+	// FatalContained says that a request which crashes engines is kept from them.
+	FatalContained checker.Invariant = "fatal-contained"
 	// Unreachable means that a model did not answer through a node.
 	Unreachable = checker.Reachable
 	// AnswerCut means that a caller lost its answer when a node stopped as planned.
--- a/internal/soaker/soaker.go
+++ b/internal/soaker/soaker.go
@@ -42,6 +42,7 @@
 	faultShare float64        // share of actions that are faults, from 0 to 1
 	linger     time.Duration  // wait at the end for goroutines of killed nodes
 	prepare    func(*cluster) // runs before the traffic begins; may be nil
+	fatal      time.Duration  // time between two requests that crash engines; 0 for none
 
 	random  *rand.Rand
 	cluster *cluster
@@ -68,6 +69,12 @@
 	return func(sk *Soaker) { sk.faultShare = faultShare }
 }
 
+// WithFatalRequest has one request that crashes engines sent at each interval, to
+// one node after the other.
+func WithFatalRequest(interval time.Duration) Option {
+	return func(sk *Soaker) { sk.fatal = interval }
+}
+
 // WithLinger sets how long the run waits at its end for the goroutines of
 // killed nodes, none by default. A bubble of testing/synctest must not end
 // before they do.
@@ -121,6 +128,9 @@
 // runActions sends traffic and injects faults for the length of the run.
 func (sk *Soaker) runActions(ctx context.Context) {
 	end := time.Now().Add(sk.length)
+	if sk.fatal > 0 {
+		sk.work.Go(func() { sk.sendFatal(ctx, end) })
+	}
 	for time.Now().Before(end) && ctx.Err() == nil {
 		time.Sleep(time.Duration(sk.random.Int64N(int64(maxActionGap))))
 		if len(sk.faults) > 0 && sk.random.Float64() < sk.faultShare {
@@ -131,6 +141,15 @@
 	}
 }
 
+// sendFatal sends the request that crashes engines until the end.
+func (sk *Soaker) sendFatal(ctx context.Context, end time.Time) {
+	for number := 0; time.Now().Before(end) && ctx.Err() == nil; number++ {
+		time.Sleep(sk.fatal)
+		sk.cluster.complete(ctx, sk.cluster.pickNode(number), fatalUser, models[0], maxTokens)
+	}
+	sk.report.count("fatal.sent")
+}
+
 // checkAfterFaults checks the invariants that hold once all faults have ended,
 // and stops the nodes.
 func (sk *Soaker) checkAfterFaults(ctx context.Context) {
--- a/internal/soaker/soaker_test.go
+++ b/internal/soaker/soaker_test.go
@@ -98,3 +98,20 @@
 	})
 	require.Empty(t, checker.Violations())
 }
+
+// TestRequestThatCrashesEnginesIsContained repeats one request that crashes engines
+// beside traffic, restarts of engines and wrong answers, at so many nodes that each
+// could count for itself only too late.
+func TestRequestThatCrashesEnginesIsContained(t *testing.T) {
+	silenceLogs(t)
+	for seed := range uint64(3) {
+		t.Run(fmt.Sprint(seed), func(t *testing.T) {
+			rp := runInBubble(t, New(seed, WithNodes(8), WithLength(20*time.Second), WithFaults(EngineCrash, BadAnswers), WithFaultShare(0.1),
+				WithFatalRequest(time.Second), WithLinger(linger)))
+			t.Log(rp.Counts())
+			require.Empty(t, rp.Findings())
+			require.NotZero(t, rp.Counts()["answer.whole"])
+		})
+	}
+	require.Empty(t, checker.Violations())
+}
--- a/internal/standin/connector/connector.go
+++ b/internal/standin/connector/connector.go
@@ -140,6 +140,18 @@
 	})
 }
 
+// Crash resets all open connections of the host, and refuses new ones until
+// Restart, as when the processes of the host end.
+func (nt *Network) Crash(host string) {
+	nt.update(func() {
+		nt.reset(host)
+		nt.gone[host] = false
+	})
+}
+
+// Restart has a host that crashed accept connections again.
+func (nt *Network) Restart(host string) { nt.update(func() { delete(nt.gone, host) }) }
+
 // Close resets all connections and refuses new ones.
 func (nt *Network) Close() {
 	nt.update(func() {
