--- a/internal/coordination/dispatcher/proxy_test.go
+++ b/internal/coordination/dispatcher/proxy_test.go
@@ -10,6 +10,7 @@
 	"strconv"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -18,6 +19,7 @@
 
 	"github.com/lagoonpass/lagoonpass/internal/coordination/admitter"
 	"github.com/lagoonpass/lagoonpass/internal/coordination/dispatcher"
+	"github.com/lagoonpass/lagoonpass/internal/coordination/fingerprinter"
 	"github.com/lagoonpass/lagoonpass/internal/coordination/retrier"
 	"github.com/lagoonpass/lagoonpass/internal/state/configurer"
 	"github.com/lagoonpass/lagoonpass/internal/transport/forwarder"
@@ -132,6 +134,12 @@
 // and checks that every grant is released. A nil budget allows 100 retries
 // per second.
 func runProxy(t *testing.T, route string, budget *retrier.SharedBudget, handlers ...http.HandlerFunc) (*proxyResult, *backends) {
+	t.Helper()
+	return runProxyWith(t, route, budget, nil, handlers...)
+}
+
+// runProxyWith is runProxy with options of the dispatcher.
+func runProxyWith(t *testing.T, route string, budget *retrier.SharedBudget, opts []dispatcher.Option, handlers ...http.HandlerFunc) (*proxyResult, *backends) {
 	t.Helper()
 	st, faults := configurer.Parse([]configurer.File{{Name: "1.ini", Text: proxySettings}})
 	require.Empty(t, faults)
@@ -154,7 +162,7 @@
 	}
 	fw := forwarder.New()
 	t.Cleanup(fw.Close)
-	ds := dispatcher.New(bk, fw, nil, dispatcher.WithSharedBudget(budget))
+	ds := dispatcher.New(bk, fw, nil, append(opts, dispatcher.WithSharedBudget(budget))...)
 	rt, ok := configurer.NewRouteTable(st.Routes()).Find("h", "/"+route+"/x")
 	require.True(t, ok)
 	ps := &dispatcher.ProxyRequest{Route: rt, Method: http.MethodPost, Host: "h", Path: "/" + route + "/x?q", Header: http.Header{}, Body: []byte("b"), Wire: testWire{}}
@@ -325,6 +333,48 @@
 	}
 }
 
+// lateQuarantine excludes all contents some time after a request has begun.
+type lateQuarantine struct{ excluded atomic.Bool }
+
+const exclusionDelay = 50 * time.Millisecond
+
+func (lq *lateQuarantine) Admit(context.Context, []fingerprinter.Content) (time.Duration, bool) {
+	if lq.excluded.Load() {
+		return time.Minute, false
+	}
+	return 0, false
+}
+
+func (lq *lateQuarantine) Watch(_ []fingerprinter.Content, excluded func()) func() {
+	tm := time.AfterFunc(exclusionDelay, func() {
+		lq.excluded.Store(true)
+		excluded()
+	})
+	return func() { tm.Stop() }
+}
+
+func (*lateQuarantine) Succeeded([]fingerprinter.Content) {}
+
+// A request that was at a server when its content was excluded was waited for.
+func TestRequestEndsWhenItsContentIsExcluded(t *testing.T) {
+	silent := func(_ http.ResponseWriter, rq *http.Request) {
+		_, _ = io.Copy(io.Discard, rq.Body)
+		<-rq.Context().Done()
+	}
+	pr, _ := runProxyWith(t, "stream", nil, []dispatcher.Option{dispatcher.WithQuarantine(&lateQuarantine{})}, silent)
+	require.Equal(t, refuser.ContentExcluded, pr.refusal.Reason(), pr.refusal.Error())
+	require.Equal(t, refuser.Unknown, pr.refusal.Outcome())
+	require.Equal(t, time.Minute, pr.refusal.RetryAfter())
+	slow := events(1, func() { time.Sleep(4 * exclusionDelay) })
+	pr, _ = runProxyWith(t, "stream", nil, []dispatcher.Option{dispatcher.WithQuarantine(&lateQuarantine{})}, slow)
+	require.Nil(t, pr.refusal, "an answer that has begun goes on")
+	excluded := &lateQuarantine{}
+	excluded.excluded.Store(true)
+	pr, _ = runProxyWith(t, "stream", nil, []dispatcher.Option{dispatcher.WithQuarantine(excluded)}, slow)
+	require.Equal(t, refuser.NotRun, pr.refusal.Outcome())
+	require.Empty(t, pr.received())
+}
+
 // TestResumedStreamContinuesAfterLastEvent resumes after the last complete
 // event and keeps the headers of the first server.
 func TestResumedStreamContinuesAfterLastEvent(t *testing.T) {
