Lead from a refused request to the content and its crashes

Cause: reading the diff: the line of a refused request did not say which of its contents is excluded, explain put it under other causes, and the line of a crash named the request twice. Change: a field contents, the cause content-excluded, one list.

--- a/internal/coordination/crashdetector/crashdetector.go
+++ b/internal/coordination/crashdetector/crashdetector.go
@@ -159,11 +159,7 @@
 		if ls.Answering || len(names) == maxLogged {
 			continue
 		}
-		name := ls.ID + "=" + ls.Request.String()
-		for _, content := range ls.Contents {
-			name += "/" + content.String()
-		}
-		names = append(names, name)
+		names = append(names, ls.ID+"="+fingerprinter.Join(ls.Contents))
 	}
 	return strings.Join(names, " ")
 }
--- a/internal/coordination/dispatcher/proxy.go
+++ b/internal/coordination/dispatcher/proxy.go
@@ -458,6 +458,9 @@
 	}
 	pe.ds.tally.Unanswered(pe.subject(), string(rf.Reason()))
 	pe.count("refusal", string(rf.Reason()))
+	if rf.Reason() == refuser.ContentExcluded {
+		line = line.WithField("contents", fingerprinter.Join(pe.contents))
+	}
 	line.WithFields(log.Fields{
 		"reason":  string(rf.Reason()),
 		"outcome": string(rf.Outcome()),
--- a/internal/coordination/fingerprinter/fingerprinter.go
+++ b/internal/coordination/fingerprinter/fingerprinter.go
@@ -9,6 +9,7 @@
 
 import (
 	"strconv"
+	"strings"
 
 	"github.com/cespare/xxhash/v2"
 )
@@ -26,6 +27,15 @@
 // String returns the id in hexadecimal.
 func (ct Content) String() string { return strconv.FormatUint(uint64(ct), 16) }
 
+// Join returns the ids of the contents, separated by slashes.
+func Join(contents []Content) string {
+	ids := make([]string, 0, len(contents))
+	for _, ct := range contents {
+		ids = append(ids, ct.String())
+	}
+	return strings.Join(ids, "/")
+}
+
 // Parts returns the contents of a prompt with the parts.
 func Parts(ids []uint64) []Content {
 	contents := make([]Content, 0, len(ids)+1)
--- a/internal/explainer/cause.go
+++ b/internal/explainer/cause.go
@@ -62,6 +62,9 @@
 	// RetryBudget means that the retry budget, which protects other requests,
 	// was used up.
 	RetryBudget Cause = "retry-budget"
+	// ContentExcluded means that the request, or a part of its prompt, crashed
+	// backend servers.
+	ContentExcluded Cause = "content-excluded"
 	// Other means none of the causes above.
 	Other Cause = "other"
 )
@@ -85,6 +88,7 @@
 	refuser.TooLarge:            NotAllowed,
 	refuser.Leaving:             NodeLeaving,
 	refuser.RetryBudget:         RetryBudget,
+	refuser.ContentExcluded:     ContentExcluded,
 }
 
 // adapterNotReady matches the detail of an adapter that was not ready on a
