--- a/internal/keyspacerunner/keyspacerunner.go
+++ b/internal/keyspacerunner/keyspacerunner.go
@@ -54,7 +54,7 @@
 const (
 	// ownPrefix is the prefix of the system's own keys.
 	ownPrefix = "lagoonpass/"
-	// excludedPrefix precedes the parts of prompts that are kept from servers,
+	// excludedPrefix precedes the contents that are kept from servers,
 	// under ownPrefix.
 	excludedPrefix = "excluded/"
 	// orderRecordKey is the key of the record of the servers to which orders were
--- a/internal/keyspacerunner/quarantine.go
+++ b/internal/keyspacerunner/quarantine.go
@@ -6,28 +6,28 @@
 )
 
 // ownSink receives the system's own keys: the registrations of nodes, and the
-// parts of prompts that are kept from servers.
+// contents that are kept from servers.
 type ownSink struct {
 	*registrar.Registrar
 	runner *Runner
 }
 
 // Replace implements replicator.Sink.
-func (os ownSink) Replace(entries []storer.Entry) {
-	os.Registrar.Replace(entries)
-	os.runner.isolator.Replace(entries)
+func (ow ownSink) Replace(entries []storer.Entry) {
+	ow.Registrar.Replace(entries)
+	ow.runner.isolator.Replace(entries)
 }
 
 // Apply implements replicator.Sink.
-func (os ownSink) Apply(changes []storer.Change) {
-	os.Registrar.Apply(changes)
-	os.runner.isolator.Apply(changes)
+func (ow ownSink) Apply(changes []storer.Change) {
+	ow.Registrar.Apply(changes)
+	ow.runner.isolator.Apply(changes)
 }
 
 // StoreRestored implements replicator.Sink.
-func (os ownSink) StoreRestored(era int64) {
-	os.Registrar.StoreRestored(era)
-	os.runner.isolator.StoreRestored()
+func (ow ownSink) StoreRestored(era int64) {
+	ow.Registrar.StoreRestored(era)
+	ow.runner.isolator.StoreRestored()
 }
 
 // peerAddresses returns the addresses of the other nodes.
