--- a/internal/coordination/dispatcher/dispatcher.go
+++ b/internal/coordination/dispatcher/dispatcher.go
@@ -102,6 +102,8 @@
 	tally *tallier.Tally
 	// onSignals is called with what servers say about themselves.
 	onSignals SignalsFunc
+	// software returns the version of a server's software, or "".
+	software func(server string) string
 	// suspects are the requests that crashed engines.
 	suspects *retrier.Suspects
 	// crashes is told of lost connections.
@@ -136,6 +138,12 @@
 // proxied request.
 func WithSignals(fn SignalsFunc) Option { return func(ds *Dispatcher) { ds.onSignals = fn } }
 
+// WithSoftware sets the function that returns the version of a server's software,
+// or "" if it is not known.
+func WithSoftware(fn func(server string) string) Option {
+	return func(ds *Dispatcher) { ds.software = fn }
+}
+
 // WithCrashes makes the dispatcher tell dt of lost connections.
 func WithCrashes(dt *crashdetector.Detector) Option { return func(ds *Dispatcher) { ds.crashes = dt } }
 
@@ -178,6 +186,7 @@
 		suspects:   retrier.NewSuspects(),
 		quarantine: noQuarantine{},
 		onSignals:  func(string, time.Time, throttler.Signals) {},
+		software:   func(string) string { return "" },
 		random:     rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64())),
 	}
 	for _, opt := range opts {
--- a/internal/coordination/dispatcher/proxy.go
+++ b/internal/coordination/dispatcher/proxy.go
@@ -44,6 +44,9 @@
 	Body []byte
 	// LastEvent is the id of the last event that the caller has, or empty.
 	LastEvent string
+	// Resumes is the id of the request that brought the first event of the stream
+	// that the caller takes up, or empty.
+	Resumes string
 	// Parts are the ids of the parts of the prompt that other requests may share.
 	Parts []uint64
 	// Wire encodes and decodes the headers of the protocol.
@@ -152,6 +155,10 @@
 			exclude(errExcluded)
 		}
 	})()
+	if rq.LastEvent != "" {
+		pe.count("stream", "taken-up")
+		log.WithFields(log.Fields{"request": rq.Ticket.ID, "resumes": rq.Resumes, "after": rq.LastEvent}).Info("caller takes up a stream")
+	}
 	rf = pe.run(up)
 	pe.logEnd(rf)
 	return rf, pe.writer.begun()
@@ -196,6 +203,7 @@
 		pe.count("retry", string(fl.reason))
 		log.WithFields(log.Fields{
 			"request": pe.ticket.ID, "reason": string(fl.reason), "detail": fl.detail, "servers": pe.servers,
+			"server": pe.server, "software": pe.ds.software(pe.server), "after": pe.writer.lastEvent(),
 		}).Info("request is sent again")
 	}
 }
--- a/internal/coordination/tracker/tracker.go
+++ b/internal/coordination/tracker/tracker.go
@@ -57,6 +57,8 @@
 	Address string
 	// Zone is the availability zone.
 	Zone string
+	// Software is the version of the server's software; empty if unknown.
+	Software string
 	// Slots is the number of requests that the server runs concurrently.
 	Slots int
 	// Leaving is set if the server accepts no new requests.
--- a/internal/keyspacerunner/keyspacerunner.go
+++ b/internal/keyspacerunner/keyspacerunner.go
@@ -218,7 +218,7 @@
 	rn.crashes = crashdetector.New(rn.forwarder.Refuses, crashdetector.WithLeaving(rn.hasLeft), crashdetector.WithRegistry(rn.registry),
 		crashdetector.WithOnCrash(rn.isolator.Crashed))
 	rn.dispatch = dispatcher.New(rn.admitter, rn.forwarder, rn.adapters,
-		dispatcher.WithRegistry(rn.registry), dispatcher.WithEjector(rn.ejector), dispatcher.WithSharedBudget(rn.budget), dispatcher.WithTally(rn.tally), dispatcher.WithSignals(rn.noteSignals),
+		dispatcher.WithRegistry(rn.registry), dispatcher.WithEjector(rn.ejector), dispatcher.WithSharedBudget(rn.budget), dispatcher.WithTally(rn.tally), dispatcher.WithSignals(rn.noteSignals), dispatcher.WithSoftware(rn.software),
 		dispatcher.WithCrashes(rn.crashes), dispatcher.WithQuarantine(rn.isolator))
 	return rn
 }
--- a/internal/keyspacerunner/snapshot.go
+++ b/internal/keyspacerunner/snapshot.go
@@ -52,6 +52,18 @@
 	return sn.settings, rt
 }
 
+// software returns the version of a server's software, or "" if it is not known.
+func (rn *Runner) software(server string) string {
+	if sn := rn.snapshot.Load(); sn != nil {
+		for _, sv := range sn.servers {
+			if sv.ID == server {
+				return sv.Software
+			}
+		}
+	}
+	return ""
+}
+
 // configSink receives the operator's configuration from the keyspace.
 type configSink struct{ *Runner }
 
@@ -256,7 +268,7 @@
 	for _, sv := range next.servers {
 		known, ok := previous[sv.ID]
 		delete(previous, sv.ID)
-		line := log.WithFields(log.Fields{"server": sv.ID, "pool": sv.Pool, "address": sv.Address, "incarnation": sv.Incarnation, "sequence": sv.Sequence})
+		line := log.WithFields(log.Fields{"server": sv.ID, "pool": sv.Pool, "address": sv.Address, "incarnation": sv.Incarnation, "sequence": sv.Sequence, "software": sv.Software})
 		switch {
 		case !ok || known.Incarnation != sv.Incarnation:
 			rn.forgetSignals(sv.ID)
