Resume a stream within its answer only at the software that began it

Callers saw events of two software versions in one answer. Cause: the registration's version was decoded by nobody, and a stream whose server failed was granted any server of its model. The version now goes from the registration through the routing table into admission; a stream that has begun is granted servers of its version alone, counted in all estimates, and is refused at once (version-gone, without Retry-After) when none is left. If health takes all of these servers out, they are used nevertheless. An answer whose server was started anew after the request was sent is dropped before its first event.

--- a/internal/coordination/admitter/prefill.go
+++ b/internal/coordination/admitter/prefill.go
@@ -41,7 +41,7 @@
 func (sc *Scheduler) estimatePrefillWait(now time.Time, en *Entry) time.Duration {
 	tk := en.ticket
 	count, leastBacklog := 0, maxRetryAfter
-	for _, tg := range sc.table.Candidates(tk.Model.Name()) {
+	for _, tg := range sc.candidates(tk) {
 		if tg.Leaving || sc.isExcluded(now, en, tg) {
 			continue
 		}
--- a/internal/coordination/admitter/scheduler.go
+++ b/internal/coordination/admitter/scheduler.go
@@ -118,7 +118,7 @@
 // Submit accepts or refuses a request. The entry that it returns is granted or
 // waits. A refusal has outcome not-run.
 func (sc *Scheduler) Submit(now time.Time, tk *Ticket) (*Entry, *refuser.Refusal) {
-	candidates := sc.table.Candidates(tk.Model.Name())
+	candidates := sc.candidates(tk)
 	if rf := sc.checkTicket(now, tk); rf != nil {
 		return nil, rf
 	}
@@ -128,6 +128,9 @@
 		// What a server takes again goes to those that wait, the most urgent first.
 		sc.grantWaitingAll(now)
 	}
+	if len(candidates) == 0 && tk.Software != "" {
+		return nil, softwareRefusal(tk)
+	}
 	if len(candidates) == 0 {
 		// Requests without a ready replica count as demand. Otherwise a model
 		// that lost all replicas would get fewer of them.
@@ -203,6 +206,10 @@
 	sc.choosing, sc.choosingAt = en, now
 	sc.fillRequest(en.ticket, candidates)
 	sc.request.Eligible = sc.eligible
+	if sc.ejectedAlike(en.ticket, candidates) {
+		sc.request.Weight = nil
+		defer func() { sc.request.Weight = sc.weight }()
+	}
 	tg := sc.policy.Choose(&sc.request, candidates, now)
 	sc.choosing = nil
 	return tg
@@ -404,6 +411,7 @@
 func (sc *Scheduler) Update(now time.Time, tb *router.Table) {
 	sc.table = tb
 	sc.updateSplitModels()
+	sc.refuseWithoutSoftware(now)
 	sc.grantWaitingAll(now)
 }
 
--- a/internal/coordination/admitter/throttle.go
+++ b/internal/coordination/admitter/throttle.go
@@ -46,7 +46,7 @@
 // request, and if all name limits, the time for the entries ahead of it. It
 // returns 0 if a server takes requests without a limit, or none is known.
 func (sc *Scheduler) throttledWait(now time.Time, en *Entry) time.Duration {
-	candidates := sc.table.Candidates(en.ticket.Model.Name())
+	candidates := sc.candidates(en.ticket)
 	least, rate, all, count := throttler.Never, 0.0, true, 0
 	for _, tg := range candidates {
 		if tg.Leaving {
--- a/internal/coordination/admitter/ticket.go
+++ b/internal/coordination/admitter/ticket.go
@@ -38,6 +38,9 @@
 	// against the quota again, and it may use slots on top of the window so that
 	// it rarely waits.
 	Resumed bool
+	// Software is the version of the server's software that the request needs, since
+	// its stream began there; empty for any.
+	Software string
 	// Repeated says that the same request was submitted before, so that it does
 	// not count as new demand.
 	Repeated bool
--- a/internal/coordination/dispatcher/answer.go
+++ b/internal/coordination/dispatcher/answer.go
@@ -118,6 +118,7 @@
 	grant    *admitter.Grant
 	server   string
 	address  string
+	software Software // of the server's process to which the request is sent
 	sent     time.Time
 	watchdog *time.Timer
 	cancel   context.CancelCauseFunc
@@ -332,6 +333,9 @@
 		}
 	}
 	if pa.result.Tokens == 0 {
+		if fl := pa.beginStream(); fl != nil {
+			return fl
+		}
 		pa.answering.Store(true)
 		pa.result.FirstToken = time.Since(pa.sent)
 		pa.grant.FirstTokenReceived()
--- a/internal/coordination/dispatcher/dispatcher.go
+++ b/internal/coordination/dispatcher/dispatcher.go
@@ -102,8 +102,8 @@
 	tally *tallier.Tally
 	// onSignals is called with what servers say about themselves.
 	onSignals SignalsFunc
-	// software returns the version of a server's software, or "".
-	software func(server string) string
+	// software returns what is known of the process of a server.
+	software func(server string) Software
 	// suspects are the requests that crashed engines.
 	suspects *retrier.Suspects
 	// crashes is told of lost connections.
@@ -138,9 +138,9 @@
 // proxied request.
 func WithSignals(fn SignalsFunc) Option { return func(ds *Dispatcher) { ds.onSignals = fn } }
 
-// WithSoftware sets the function that returns the version of a server's software,
-// or "" if it is not known.
-func WithSoftware(fn func(server string) string) Option {
+// WithSoftware sets the function that returns what is known of the present process
+// of a server.
+func WithSoftware(fn func(server string) Software) Option {
 	return func(ds *Dispatcher) { ds.software = fn }
 }
 
@@ -186,7 +186,7 @@
 		suspects:   retrier.NewSuspects(),
 		quarantine: noQuarantine{},
 		onSignals:  func(string, time.Time, throttler.Signals) {},
-		software:   func(string) string { return "" },
+		software:   func(string) Software { return Software{} },
 		random:     rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64())),
 	}
 	for _, opt := range opts {
--- a/internal/coordination/dispatcher/proxy.go
+++ b/internal/coordination/dispatcher/proxy.go
@@ -203,7 +203,7 @@
 		pe.count("retry", string(fl.reason))
 		log.WithFields(log.Fields{
 			"request": pe.ticket.ID, "reason": string(fl.reason), "detail": fl.detail, "servers": pe.servers,
-			"server": pe.server, "software": pe.ds.software(pe.server), "after": pe.writer.lastEvent(),
+			"server": pe.server, "software": pe.ticket.Software, "after": pe.writer.lastEvent(),
 		}).Info("request is sent again")
 	}
 }
@@ -247,6 +247,9 @@
 	ctx, cancel := context.WithCancelCause(ctx)
 	defer cancel(nil)
 	pa := &proxyAttempt{proxyExecution: pe, grant: gr, server: gr.Server(), address: gr.Address(), sent: time.Now(), cancel: cancel}
+	if fl := pa.checkSoftware(); fl != nil {
+		return admitter.Result{}, fl
+	}
 	if bound, ok := pe.failoverTimeout(); ok {
 		pa.watchdog = time.AfterFunc(bound, func() { cancel(errNoProgress) })
 		defer pa.watchdog.Stop()
--- a/internal/coordination/router/router.go
+++ b/internal/coordination/router/router.go
@@ -47,6 +47,8 @@
 	Region string
 	// Slots is the number of requests that the server runs at full speed.
 	Slots int
+	// Software is the version of the server's software; empty if unknown.
+	Software string
 	// Role is the phase that the server runs: prefill, decode or both.
 	Role configurer.Role
 	// Leaving says that the server accepts no new work.
--- a/internal/coordination/watcher/watcher.go
+++ b/internal/coordination/watcher/watcher.go
@@ -40,6 +40,8 @@
 	Address string
 	// BootID changes when the engine's process restarts.
 	BootID string
+	// Software is the version of the server's software; empty if unknown.
+	Software string
 	// Models maps the names of the ready models to their versions. Only the
 	// server's owner knows the versions; for other nodes they are empty.
 	Models map[string]string
--- a/internal/explainer/cause.go
+++ b/internal/explainer/cause.go
@@ -65,6 +65,9 @@
 	// ContentExcluded means that the request, or a part of its prompt, crashed
 	// backend servers.
 	ContentExcluded Cause = "content-excluded"
+	// OtherSoftware means that the stream could not go on at the version of the
+	// servers' software at which it began.
+	OtherSoftware Cause = "other-software"
 	// Other means none of the causes above.
 	Other Cause = "other"
 )
@@ -89,6 +92,8 @@
 	refuser.Leaving:             NodeLeaving,
 	refuser.RetryBudget:         RetryBudget,
 	refuser.ContentExcluded:     ContentExcluded,
+	refuser.VersionGone:         OtherSoftware,
+	refuser.VersionUnknown:      OtherSoftware,
 }
 
 // adapterNotReady matches the detail of an adapter that was not ready on a
--- a/internal/explainer/explainer_test.go
+++ b/internal/explainer/explainer_test.go
@@ -34,6 +34,7 @@
 		explainer.NodeLeaving:        line(1, "request refused", `"request":"r","reason":"leaving"`),
 		explainer.RetryBudget:        failed("retry-budget", ""),
 		explainer.ContentExcluded:    failed("content-excluded", "its content crashed backend servers"),
+		explainer.OtherSoftware:      failed("version-gone", ""),
 		explainer.Other:              failed("internal", ""),
 		explainer.Queued:             line(1, "request answered late", `"request":"r","result":"late-first","first-ms":1000,"queued-ms":900`),
 		explainer.ServerSlow:         line(1, "request answered late", `"request":"r","result":"late-pause","first-ms":10,"queued-ms":9`),
--- a/internal/keyspacerunner/snapshot.go
+++ b/internal/keyspacerunner/snapshot.go
@@ -6,6 +6,7 @@
 
 	"github.com/apex/log"
 
+	"github.com/lagoonpass/lagoonpass/internal/coordination/dispatcher"
 	"github.com/lagoonpass/lagoonpass/internal/coordination/publisher"
 	"github.com/lagoonpass/lagoonpass/internal/coordination/tracker"
 	"github.com/lagoonpass/lagoonpass/internal/coordination/watcher"
@@ -26,6 +27,8 @@
 	servers  []tracker.Server
 	// base are the operator's settings, without backend servers.
 	base *configurer.Settings
+	// software is that of the servers, by their ids.
+	software map[string]dispatcher.Software
 	// connections is how many connections each server accepts, by its address.
 	connections map[string]int
 	// since is when the node first used the configuration.
@@ -52,16 +55,21 @@
 	return sn.settings, rt
 }
 
-// software returns the version of a server's software, or "" if it is not known.
-func (rn *Runner) software(server string) string {
+// software returns what is known of the present process of a server.
+func (rn *Runner) software(server string) dispatcher.Software {
 	if sn := rn.snapshot.Load(); sn != nil {
-		for _, sv := range sn.servers {
-			if sv.ID == server {
-				return sv.Software
-			}
-		}
+		return sn.software[server]
 	}
-	return ""
+	return dispatcher.Software{}
+}
+
+// softwareOf returns the software of the servers by their ids.
+func softwareOf(servers []tracker.Server) map[string]dispatcher.Software {
+	all := make(map[string]dispatcher.Software, len(servers))
+	for _, sv := range servers {
+		all[sv.ID] = dispatcher.Software{Version: sv.Software, Incarnation: sv.Incarnation}
+	}
+	return all
 }
 
 // configSink receives the operator's configuration from the keyspace.
@@ -216,7 +224,7 @@
 	if old != nil && old.base == rv.Settings() && sameServers(old.servers, servers) {
 		return
 	}
-	next := &snapshot{base: rv.Settings(), servers: servers, since: now}
+	next := &snapshot{base: rv.Settings(), servers: servers, software: softwareOf(servers), since: now}
 	if old != nil && old.base == next.base {
 		next.since = old.since
 	}
@@ -325,6 +333,7 @@
 			Server:      sv.ID,
 			Address:     sv.Address,
 			BootID:      bootID(sv),
+			Software:    sv.Software,
 			Models:      map[string]string{},
 			Leaving:     sv.Leaving,
 			Sequence:    uint64(max(sv.Sequence, 0)),
--- a/pkg/refuser/refuser.go
+++ b/pkg/refuser/refuser.go
@@ -60,6 +60,8 @@
 	BackendFailed       Reason = "backend-failed"
 	BackendSilent       Reason = "backend-silent"
 	StreamBroken        Reason = "stream-broken"
+	VersionGone         Reason = "version-gone"
+	VersionUnknown      Reason = "version-unknown"
 	RetryBudget         Reason = "retry-budget"
 	ContentExcluded     Reason = "content-excluded"
 	KeyMissing          Reason = "key-missing"
@@ -105,6 +107,8 @@
 	BackendFailed:       http.StatusBadGateway,
 	BackendSilent:       http.StatusGatewayTimeout,
 	StreamBroken:        http.StatusBadGateway,
+	VersionGone:         http.StatusServiceUnavailable,
+	VersionUnknown:      http.StatusServiceUnavailable,
 	ContentExcluded:     http.StatusServiceUnavailable,
 	RetryBudget:         http.StatusServiceUnavailable,
 	KeyMissing:          http.StatusBadRequest,
