Go on with a taken-up stream only at the software that began it

Callers that took their stream up at any node got the events of any version. Cause: no node but the one that served a stream knew where it began, and that one did not keep it. versionkeeper records each stream's pool and software; while a pool has had several versions, or the copy of the servers is not current, three other nodes are told, and a node that does not know asks. Otherwise the pool's only version is certain. A stream that nobody knows, or whose version no server runs, is refused at once without a Retry-After (version-unknown, version-gone).

--- a/internal/coordination/admitter/software.go
+++ b/internal/coordination/admitter/software.go
@@ -1,6 +1,7 @@
 package admitter
 
 import (
+	"slices"
 	"time"
 
 	"github.com/lagoonpass/lagoonpass/internal/coordination/router"
@@ -8,24 +9,37 @@
 )
 
 // candidates returns the servers that hold the ticket's model and run the software
-// that it needs.
+// that it needs. A stream that callers may take up begins at a version of which other
+// nodes may not know only if there is no other server.
 func (sc *Scheduler) candidates(tk *Ticket) []*router.Target {
 	all := sc.table.Candidates(tk.Model.Name())
-	if tk.Software == "" {
-		return all
+	switch {
+	case tk.Software != "":
+		return filter(all, func(tg *router.Target) bool { return tg.Software == tk.Software && !tg.Leaving })
+	case tk.Resumable && slices.ContainsFunc(all, func(tg *router.Target) bool { return tg.Unsettled }):
+		if settled := filter(all, func(tg *router.Target) bool { return !tg.Unsettled && !tg.Leaving }); len(settled) > 0 {
+			return settled
+		}
 	}
-	var matching []*router.Target
+	return all
+}
+
+func filter(all []*router.Target, keep func(*router.Target) bool) []*router.Target {
+	var kept []*router.Target
 	for _, tg := range all {
-		if softwareFits(tk, tg) && !tg.Leaving {
-			matching = append(matching, tg)
+		if keep(tg) {
+			kept = append(kept, tg)
 		}
 	}
-	return matching
+	return kept
 }
 
-// softwareFits reports whether the server runs the software that the ticket needs.
-func softwareFits(tk *Ticket, tg *router.Target) bool {
-	return tk.Software == "" || tk.Software == tg.Software
+// softwareFits reports whether the ticket may go to the server's software.
+func (sc *Scheduler) softwareFits(tk *Ticket, tg *router.Target) bool {
+	if tk.Software != "" {
+		return tk.Software == tg.Software
+	}
+	return !tk.Resumable || !tg.Unsettled || slices.Contains(sc.candidates(tk), tg)
 }
 
 // softwareRefusal refuses a request for whose software there is no server with its
--- a/internal/coordination/admitter/tables.go
+++ b/internal/coordination/admitter/tables.go
@@ -45,17 +45,18 @@
 		ld.Report(rp.Running+rp.Waiting, reportedAt(rp, now))
 	}
 	tg := &router.Target{
-		Name:     bs.Name(),
-		Address:  rp.Address,
-		Zone:     bs.Zone(),
-		Slots:    bs.Slots(),
-		Role:     bs.Role(),
-		Software: rp.Software,
-		Leaving:  rp.Leaving,
-		Loading:  len(rp.Loading) > 0,
-		Adapters: map[string]bool{},
-		Load:     ld,
-		Prefixes: tb.prefixMemory(bs.Name(), rp),
+		Name:      bs.Name(),
+		Address:   rp.Address,
+		Zone:      bs.Zone(),
+		Slots:     bs.Slots(),
+		Role:      bs.Role(),
+		Software:  rp.Software,
+		Unsettled: rp.Unsettled,
+		Leaving:   rp.Leaving,
+		Loading:   len(rp.Loading) > 0,
+		Adapters:  map[string]bool{},
+		Load:      ld,
+		Prefixes:  tb.prefixMemory(bs.Name(), rp),
 	}
 	for model := range rp.Models {
 		tg.Models = append(tg.Models, model)
--- a/internal/coordination/admitter/ticket.go
+++ b/internal/coordination/admitter/ticket.go
@@ -41,6 +41,8 @@
 	// Software is the version of the server's software that the request needs, since
 	// its stream began there; empty for any.
 	Software string
+	// Resumable says that the caller may take up the request's stream at any node.
+	Resumable bool
 	// Repeated says that the same request was submitted before, so that it does
 	// not count as new demand.
 	Repeated bool
--- a/internal/coordination/dispatcher/answer.go
+++ b/internal/coordination/dispatcher/answer.go
@@ -14,6 +14,7 @@
 
 	"github.com/lagoonpass/lagoonpass/internal/coordination/admitter"
 	"github.com/lagoonpass/lagoonpass/internal/coordination/crashdetector"
+	"github.com/lagoonpass/lagoonpass/internal/coordination/versionkeeper"
 	"github.com/lagoonpass/lagoonpass/internal/protocol/eventreader"
 	"github.com/lagoonpass/lagoonpass/internal/transport/forwarder"
 	"github.com/lagoonpass/lagoonpass/pkg/refuser"
@@ -118,7 +119,7 @@
 	grant    *admitter.Grant
 	server   string
 	address  string
-	software Software // of the server's process to which the request is sent
+	process  versionkeeper.Process // of the server, when the request was sent
 	sent     time.Time
 	watchdog *time.Timer
 	cancel   context.CancelCauseFunc
--- a/internal/coordination/dispatcher/dispatcher.go
+++ b/internal/coordination/dispatcher/dispatcher.go
@@ -102,8 +102,8 @@
 	tally *tallier.Tally
 	// onSignals is called with what servers say about themselves.
 	onSignals SignalsFunc
-	// software returns what is known of the process of a server.
-	software func(server string) Software
+	// versions knows at which software streams began.
+	versions Versions
 	// suspects are the requests that crashed engines.
 	suspects *retrier.Suspects
 	// crashes is told of lost connections.
@@ -138,12 +138,6 @@
 // proxied request.
 func WithSignals(fn SignalsFunc) Option { return func(ds *Dispatcher) { ds.onSignals = fn } }
 
-// WithSoftware sets the function that returns what is known of the present process
-// of a server.
-func WithSoftware(fn func(server string) Software) Option {
-	return func(ds *Dispatcher) { ds.software = fn }
-}
-
 // WithCrashes makes the dispatcher tell dt of lost connections.
 func WithCrashes(dt *crashdetector.Detector) Option { return func(ds *Dispatcher) { ds.crashes = dt } }
 
@@ -186,7 +180,7 @@
 		suspects:   retrier.NewSuspects(),
 		quarantine: noQuarantine{},
 		onSignals:  func(string, time.Time, throttler.Signals) {},
-		software:   func(string) Software { return Software{} },
+		versions:   noVersions{},
 		random:     rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64())),
 	}
 	for _, opt := range opts {
--- a/internal/coordination/dispatcher/proxy.go
+++ b/internal/coordination/dispatcher/proxy.go
@@ -32,7 +32,7 @@
 // ProxyRequest is a request whose body and answer are forwarded unchanged.
 type ProxyRequest struct {
 	// Ticket describes the request to the admission. The dispatcher sets its
-	// Avoid, Resumed and Repeated.
+	// Avoid and Repeated, and Resumed and Software once a stream has begun.
 	Ticket admitter.Ticket
 	// Route sets the attempt limit and whether the answer is a stream.
 	Route *configurer.Route
@@ -44,9 +44,6 @@
 	Body []byte
 	// LastEvent is the id of the last event that the caller has, or empty.
 	LastEvent string
-	// Resumes is the id of the request that brought the first event of the stream
-	// that the caller takes up, or empty.
-	Resumes string
 	// Parts are the ids of the parts of the prompt that other requests may share.
 	Parts []uint64
 	// Wire encodes and decodes the headers of the protocol.
@@ -155,10 +152,6 @@
 			exclude(errExcluded)
 		}
 	})()
-	if rq.LastEvent != "" {
-		pe.count("stream", "taken-up")
-		log.WithFields(log.Fields{"request": rq.Ticket.ID, "resumes": rq.Resumes, "after": rq.LastEvent}).Info("caller takes up a stream")
-	}
 	rf = pe.run(up)
 	pe.logEnd(rf)
 	return rf, pe.writer.begun()
@@ -213,7 +206,7 @@
 func (pe *proxyExecution) runAttempt(ctx context.Context) *failure {
 	pe.bufferedFailure = nil
 	tk := pe.ticket
-	tk.Resumed = pe.resumes
+	tk.Resumed = tk.Resumed || pe.resumes
 	tk.Repeated = pe.admitted
 	pe.admitted = true
 	submitted := time.Now()
@@ -324,7 +317,12 @@
 	if !pe.ds.takeRetry(pe.key(), pe.settings.Retries()) {
 		return false, pe.deliverBufferedFailure(refuser.New(refuser.RetryBudget, "not sent again: %s", fl.detail).WithRetryAfter(pe.retryAfter()))
 	}
-	pe.resumes = pe.writer.begun()
+	if pe.resumes = pe.writer.begun(); !pe.resumes {
+		return true, nil
+	}
+	if _, certain := pe.ds.versions.Find(ctx, pe.ticket.ID, nil); !certain {
+		return false, refuser.New(refuser.VersionUnknown, "server %s was started again at another software", pe.server)
+	}
 	return true, nil
 }
 
@@ -387,7 +385,7 @@
 	if pe.mayHaveRun {
 		rf = rf.WithOutcome(refuser.Unknown)
 	}
-	if rf.Outcome() == refuser.NotRun && rf.RetryAfter() <= 0 {
+	if rf.Outcome() == refuser.NotRun && rf.RetryAfter() <= 0 && rf.Reason() != refuser.VersionGone {
 		rf = rf.WithRetryAfter(pe.retryAfter())
 	}
 	assertOutcome(pe.ticket.ID, rf, pe.mayHaveRun)
--- a/internal/coordination/dispatcher/software.go
+++ b/internal/coordination/dispatcher/software.go
@@ -1,37 +1,86 @@
 package dispatcher
 
 import (
+	"context"
+
+	"github.com/apex/log"
+
+	"github.com/lagoonpass/lagoonpass/internal/coordination/versionkeeper"
+	"github.com/lagoonpass/lagoonpass/internal/state/configurer"
 	"github.com/lagoonpass/lagoonpass/pkg/refuser"
 )
 
-// Software is the software of one process of a backend server.
-type Software struct {
-	// Version is the version of the software; empty if it is not known.
-	Version string
-	// Incarnation increases with each start of the server; zero if it is not
-	// known.
-	Incarnation int64
+// Versions knows at which version of their software servers began streams.
+type Versions interface {
+	// Process returns the last known process of a server.
+	Process(server string) versionkeeper.Process
+	// Began records that the process brought the first event of the request's stream.
+	Began(id string, pr versionkeeper.Process)
+	// Find returns where the stream of the request began, or false if that is not
+	// known. The pools are those that may have served it.
+	Find(ctx context.Context, id string, pools []string) (versionkeeper.Origin, bool)
+}
+
+// noVersions is the default Versions: all servers run the same software.
+type noVersions struct{}
+
+func (noVersions) Process(string) versionkeeper.Process { return versionkeeper.Process{} }
+
+func (noVersions) Began(string, versionkeeper.Process) {}
+
+func (noVersions) Find(_ context.Context, _ string, pools []string) (versionkeeper.Origin, bool) {
+	if len(pools) == 0 {
+		return versionkeeper.Origin{}, true
+	}
+	return versionkeeper.Origin{Pool: pools[0]}, true
+}
+
+// WithVersions sets what knows the versions of the servers' software.
+func WithVersions(vs Versions) Option { return func(ds *Dispatcher) { ds.versions = vs } }
+
+// FindOrigin returns where the stream began that a caller takes up on the route after
+// the event, or a refusal if it cannot go on. id is that of the request that brought
+// the stream's first event.
+func (ds *Dispatcher) FindOrigin(ctx context.Context, id, after string, rt *configurer.Route) (versionkeeper.Origin, *refuser.Refusal) {
+	var pools []string
+	served := map[string]bool{}
+	for _, wp := range rt.WeightedPools() {
+		pools = append(pools, wp.Pool())
+		served[wp.Pool()] = true
+	}
+	origin, ok := ds.versions.Find(ctx, id, pools)
+	ds.registry.Inc("stream", "taken-up")
+	log.WithFields(log.Fields{"resumes": id, "after": after, "route": rt.Name(), "pool": origin.Pool, "software": origin.Software, "known": ok}).
+		Info("caller takes up a stream")
+	switch {
+	case !ok:
+		return origin, refuser.New(refuser.VersionUnknown, "no node knows at which software the stream of %q began", id)
+	case !served[origin.Pool]:
+		return origin, refuser.New(refuser.VersionGone, "the route no longer leads to pool %q", origin.Pool)
+	}
+	return origin, nil
 }
 
 // checkSoftware returns a failure if the request must not be sent to the present
 // process of the server, since its stream began at another version.
 func (pa *proxyAttempt) checkSoftware() *failure {
-	pa.software = pa.ds.software(pa.server)
-	if pa.ticket.Software == "" || pa.software.Version == pa.ticket.Software {
+	pa.process = pa.ds.versions.Process(pa.server)
+	if pa.ticket.Software == "" || pa.process.Software == pa.ticket.Software {
 		return nil
 	}
-	return &failure{reason: refuser.VersionGone, detail: "server " + pa.server + " runs software " + pa.software.Version + " now", unsent: true}
+	return &failure{reason: refuser.VersionGone, detail: "server " + pa.server + " runs software " + pa.process.Software + " now", unsent: true}
 }
 
-// beginStream notes at which version the stream begins or goes on. It returns a
+// beginStream records at which version the stream begins or goes on. It returns a
 // failure if the server was started anew after the request was sent, since its
 // events may come from either process.
 func (pa *proxyAttempt) beginStream() *failure {
-	if now := pa.ds.software(pa.server); now.Incarnation != 0 && now.Incarnation != pa.software.Incarnation {
+	if pa.ds.versions.Process(pa.server).Incarnation != pa.process.Incarnation {
 		return &failure{reason: refuser.BackendFailed, detail: "server " + pa.server + " was started again"}
 	}
 	if pa.Route.Resumable() {
-		pa.ticket.Software = pa.software.Version
+		pa.ticket.Software = pa.process.Software
+		pa.ds.versions.Began(pa.ticket.ID, pa.process)
 	}
 	return nil
 }
--- a/internal/coordination/router/router.go
+++ b/internal/coordination/router/router.go
@@ -49,6 +49,8 @@
 	Slots int
 	// Software is the version of the server's software; empty if unknown.
 	Software string
+	// Unsettled says that other nodes may not know of this version yet.
+	Unsettled bool
 	// Role is the phase that the server runs: prefill, decode or both.
 	Role configurer.Role
 	// Leaving says that the server accepts no new work.
--- /dev/null
+++ b/internal/coordination/versionkeeper/versionkeeper.go
@@ -0,0 +1,422 @@
+// Package versionkeeper keeps at which version of their software backend servers began
+// streams. A stream may go on only at the version that began it, also when its caller
+// takes it up at another node.
+//
+// Each node remembers the streams that it served. While all servers of a pool have
+// had one version for as long as callers take up streams, nothing else is needed. As
+// soon as a node sees a second version, or its copy of the servers is not current, it
+// also tells a few other nodes, which a hash of the stream's request names; a node that
+// does not know a stream asks these. A stream of which no node knows the version goes on
+// only if its pool had a single one.
+//
+// A node that has not heard of a new version yet takes the former one for the only one.
+// A version that is new in its pool therefore begins no streams, unless there is no other,
+// until all nodes in touch have heard of it. A mark in the store says that a pool has
+// several versions, for nodes that start later.
+//
+// # Usage
+//
+//	kp := versionkeeper.New(pool, "n1", members, versionkeeper.WithAge(age))
+//	go kp.Run(ctx)
+//	kp.Update(time.Now(), processes)          // the servers that are registered
+//	kp.Began("attempt-7", process)            // at the first event
+//	origin, ok := kp.Find(ctx, "attempt-7", []string{"p"})
+package versionkeeper
+
+import (
+	"context"
+	"slices"
+	"sync"
+	"time"
+
+	"github.com/apex/log"
+	"github.com/cespare/xxhash/v2"
+
+	"github.com/lagoonpass/lagoonpass/internal/coordination/prober"
+	"github.com/lagoonpass/lagoonpass/internal/counter"
+	"github.com/lagoonpass/lagoonpass/internal/protocol/messenger"
+	"github.com/lagoonpass/lagoonpass/internal/state/storer"
+)
+
+const (
+	// maxAge is the age of the node's copy of the servers up to which it is current.
+	maxAge = 1200 * time.Millisecond
+	// restartLag is how long a node may take the events of a server that was started
+	// again for those of its former process.
+	restartLag = 3 * time.Second
+	// retellTime is how far back streams are told when a second version appears.
+	retellTime = 30 * time.Second
+	// tellInterval is the time in which streams are told together.
+	tellInterval = 25 * time.Millisecond
+	// reviewInterval is the time between two looks at whether pools have several
+	// versions.
+	reviewInterval = 250 * time.Millisecond
+	// callTimeout bounds the calls that tell other nodes, and of the store.
+	callTimeout = 300 * time.Millisecond
+	// askTimeout bounds the question where a stream began.
+	askTimeout = 250 * time.Millisecond
+	// toldNodes is the number of nodes that are told of a stream, and askedNodes of
+	// those that are asked. One may have joined between.
+	toldNodes  = 3
+	askedNodes = 4
+)
+
+// Caller calls peers.
+type Caller interface {
+	// Call sends a message to the peer at the address and returns its answer.
+	Call(ctx context.Context, address string, call messenger.Message) (messenger.Message, error)
+}
+
+// Keeper is the memory of one node. It is safe for concurrent use.
+type Keeper struct {
+	caller Caller
+	self   string
+	// members returns the nodes, including this one.
+	members func() []prober.Member
+	// age returns how old the node's copy of the servers may be.
+	age      func() time.Duration
+	leads    func() bool
+	store    storer.Keyspace // nil if pools are not marked
+	prefix   string          // of the marks in the store
+	registry *counter.Registry
+	wake     chan struct{} // has an element while pending is not empty
+
+	mu        sync.Mutex
+	history   *History
+	records   *records
+	processes map[string]Process // by server
+	// certain has the pools whose streams need not be told.
+	certain map[string]bool
+	pending map[uint64]record // streams to be told
+	// unmarkedSince is when the node first found that a pool lacks its mark.
+	unmarkedSince map[string]time.Time
+}
+
+// Option configures a Keeper.
+type Option func(*Keeper)
+
+// WithAge sets the function that returns how old the node's copy of the servers may
+// be; by default it is current.
+func WithAge(age func() time.Duration) Option { return func(kp *Keeper) { kp.age = age } }
+
+// WithStore makes the node mark pools with several versions in the store, under the
+// prefix, and remove marks while leads returns true. The Keeper has to be told of
+// changes there with Replace and Apply.
+func WithStore(st storer.Keyspace, prefix string, leads func() bool) Option {
+	return func(kp *Keeper) { kp.store, kp.prefix, kp.leads = st, prefix, leads }
+}
+
+// WithRegistry sets the registry that counts streams.
+func WithRegistry(rg *counter.Registry) Option { return func(kp *Keeper) { kp.registry = rg } }
+
+// New returns the keeper of the node with the id self.
+func New(ca Caller, self string, members func() []prober.Member, opts ...Option) *Keeper {
+	kp := &Keeper{
+		caller:    ca,
+		self:      self,
+		members:   members,
+		age:       func() time.Duration { return 0 },
+		leads:     func() bool { return false },
+		wake:      make(chan struct{}, 1),
+		history:   NewHistory(),
+		records:   newRecords(),
+		processes: map[string]Process{},
+		certain:   map[string]bool{},
+		pending:   map[uint64]record{},
+
+		unmarkedSince: map[string]time.Time{},
+	}
+	for _, opt := range opts {
+		opt(kp)
+	}
+	return kp
+}
+
+// Update records the registered servers.
+func (kp *Keeper) Update(now time.Time, processes []Process) {
+	kp.mu.Lock()
+	defer kp.mu.Unlock()
+	for _, pr := range processes {
+		known, ok := kp.processes[pr.Server]
+		if ok && known.Incarnation != pr.Incarnation && known.Software != pr.Software {
+			kp.doubtLocked(now, known)
+		}
+		kp.processes[pr.Server] = pr
+	}
+	kp.history.Update(now, processes)
+	kp.reviewLocked(now)
+	if len(kp.processes) > 2*len(processes) {
+		kp.processes = map[string]Process{}
+		for _, pr := range processes {
+			kp.processes[pr.Server] = pr
+		}
+	}
+}
+
+// doubtLocked makes the streams uncertain that may have begun at the next process of the
+// server before its registration arrived.
+func (kp *Keeper) doubtLocked(now time.Time, former Process) {
+	for id, rc := range kp.records.since(now.Add(-restartLag), func(rc record) bool { return rc.server == former.Server }) {
+		rc.software = ""
+		kp.records.put(id, rc)
+		kp.queueLocked(id, rc)
+	}
+}
+
+// Process returns the last known process of a server.
+func (kp *Keeper) Process(server string) Process {
+	kp.mu.Lock()
+	defer kp.mu.Unlock()
+	return kp.processes[server]
+}
+
+// Settled reports whether all nodes can be assumed to know of the process's version.
+func (kp *Keeper) Settled(now time.Time, pr Process) bool {
+	kp.mu.Lock()
+	defer kp.mu.Unlock()
+	return kp.history.Settled(now, pr.Pool, pr.Software)
+}
+
+// Began records that the process brought the first event of the request's stream.
+func (kp *Keeper) Began(id string, pr Process) {
+	now := time.Now()
+	kp.mu.Lock()
+	defer kp.mu.Unlock()
+	hash := xxhash.Sum64String(id)
+	kp.records.put(hash, record{pool: pr.Pool, software: pr.Software, server: pr.Server, at: now})
+	if _, ok := kp.soleLocked(now, pr.Pool); !ok {
+		rc, _ := kp.records.get(hash)
+		kp.queueLocked(hash, rc)
+	}
+}
+
+// queueLocked has other nodes told of a stream.
+func (kp *Keeper) queueLocked(id uint64, rc record) {
+	kp.pending[id] = rc
+	select {
+	case kp.wake <- struct{}{}:
+	default:
+	}
+}
+
+// soleLocked returns the only version that the pool has had lately, or false if there
+// were several or the node can't know.
+func (kp *Keeper) soleLocked(now time.Time, pool string) (string, bool) {
+	if kp.age() > maxAge {
+		return "", false
+	}
+	return kp.history.Sole(now, pool)
+}
+
+// reviewLocked has the latest streams told of pools that have ceased to have a single
+// version.
+func (kp *Keeper) reviewLocked(now time.Time) {
+	for name := range kp.history.pools {
+		_, certain := kp.soleLocked(now, name)
+		if kp.certain[name] && !certain {
+			log.WithFields(log.Fields{"pool": name, "versions": kp.history.Seen(now, name), "age-ms": kp.age().Milliseconds()}).
+				Info("streams of a pool may begin at several versions; other nodes are told where they begin")
+			for id, rc := range kp.records.since(now.Add(-retellTime), func(rc record) bool { return rc.pool == name }) {
+				kp.queueLocked(id, rc)
+			}
+		}
+		kp.certain[name] = certain
+	}
+}
+
+// Origin is where a stream began.
+type Origin struct {
+	// Pool is the pool, and Software the version of its software.
+	Pool, Software string
+}
+
+// Find returns where the stream of the request began, or false if that is not known.
+// The pools are those that may have served it, if no node knows the request.
+func (kp *Keeper) Find(ctx context.Context, id string, pools []string) (Origin, bool) {
+	hash := xxhash.Sum64String(id)
+	kp.mu.Lock()
+	rc, known := kp.records.get(hash)
+	sole := kp.soleOfLocked(time.Now(), pools)
+	kp.mu.Unlock()
+	if known {
+		return Origin{rc.pool, rc.software}, rc.software != ""
+	}
+	origin, known, contradicted := kp.ask(ctx, &messenger.StreamQuery{ID: hash, Sole: sole})
+	if known {
+		kp.registry.Inc("stream", "origin-told")
+		return origin, origin.Software != ""
+	}
+	if contradicted || len(sole) == 0 {
+		kp.registry.Inc("stream", "origin-unknown")
+		return Origin{}, false
+	}
+	return Origin{sole[0].Pool, sole[0].Software}, true
+}
+
+// soleOfLocked returns the only version of each of the pools, or nil if a pool had
+// several or the pools differ.
+func (kp *Keeper) soleOfLocked(now time.Time, pools []string) []messenger.PoolSoftware {
+	var all []messenger.PoolSoftware
+	for _, name := range pools {
+		software, ok := kp.soleLocked(now, name)
+		if !ok || len(all) > 0 && all[0].Software != software {
+			return nil
+		}
+		all = append(all, messenger.PoolSoftware{Pool: name, Software: software})
+	}
+	return all
+}
+
+// ask asks the nodes that were told of the stream. It returns what one of them knows,
+// or else whether one contradicts the question.
+func (kp *Keeper) ask(ctx context.Context, query *messenger.StreamQuery) (origin Origin, known, contradicted bool) {
+	ctx, cancel := context.WithTimeout(ctx, askTimeout)
+	defer cancel()
+	asked := kp.witnesses(query.ID, askedNodes)
+	answers := make(chan *messenger.StreamOrigin, len(asked))
+	for _, address := range asked {
+		go func() {
+			answer, _ := kp.caller.Call(ctx, address, query)
+			so, _ := answer.(*messenger.StreamOrigin)
+			answers <- so
+		}()
+	}
+	for range asked {
+		so := <-answers
+		switch {
+		case so == nil:
+		case so.Known:
+			return Origin{so.Pool, so.Software}, true, false
+		default:
+			contradicted = contradicted || so.Contradicts
+		}
+	}
+	return Origin{}, false, contradicted
+}
+
+// witnesses returns the addresses of the nodes that are told of a stream, without this
+// one. They are in different availability zones if there are as many.
+func (kp *Keeper) witnesses(id uint64, count int) []string {
+	type ranked struct {
+		member prober.Member
+		rank   uint64
+	}
+	var all []ranked
+	for _, mb := range kp.members() {
+		var dg xxhash.Digest
+		dg.ResetWithSeed(id)
+		_, _ = dg.WriteString(mb.ID)
+		all = append(all, ranked{mb, dg.Sum64()})
+	}
+	slices.SortFunc(all, func(one, two ranked) int {
+		if one.rank < two.rank {
+			return -1
+		}
+		return 1
+	})
+	zones := map[string]bool{}
+	var chosen, others []prober.Member
+	for _, rk := range all {
+		if zones[rk.member.Zone] {
+			others = append(others, rk.member)
+			continue
+		}
+		zones[rk.member.Zone] = true
+		chosen = append(chosen, rk.member)
+	}
+	chosen = append(chosen, others...)
+	var addresses []string
+	for _, mb := range chosen[:min(len(chosen), count)] {
+		if mb.ID != kp.self {
+			addresses = append(addresses, mb.PeerAddress)
+		}
+	}
+	return addresses
+}
+
+// Handle answers a message of a peer. It returns nil if the message is of another
+// kind.
+func (kp *Keeper) Handle(call messenger.Message) messenger.Message {
+	now := time.Now()
+	kp.mu.Lock()
+	defer kp.mu.Unlock()
+	switch tc := call.(type) {
+	case *messenger.StreamsBegun:
+		for _, bs := range tc.Groups {
+			for _, id := range bs.IDs {
+				kp.records.put(id, record{pool: bs.Pool, software: bs.Software, at: now})
+			}
+			if bs.Software != "" {
+				kp.history.Note(now, bs.Pool, bs.Software)
+			}
+		}
+		return &messenger.StreamsNoted{}
+	case *messenger.StreamQuery:
+		rc, ok := kp.records.get(tc.ID)
+		so := &messenger.StreamOrigin{Known: ok, Pool: rc.pool, Software: rc.software}
+		for _, ps := range tc.Sole {
+			for _, version := range kp.history.Seen(now, ps.Pool) {
+				so.Contradicts = so.Contradicts || version != ps.Software
+			}
+		}
+		return so
+	}
+	return nil
+}
+
+// Run tells other nodes of streams and keeps the marks in the store until the context
+// ends, and returns nil.
+func (kp *Keeper) Run(ctx context.Context) error {
+	tk := time.NewTicker(reviewInterval)
+	defer tk.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return nil
+		case <-tk.C:
+			kp.mu.Lock()
+			kp.reviewLocked(time.Now())
+			kp.mu.Unlock()
+			kp.mark(ctx)
+		case <-kp.wake:
+			kp.tell(ctx)
+		}
+	}
+}
+
+// tell tells other nodes of the streams that are pending, a little later, together.
+func (kp *Keeper) tell(ctx context.Context) {
+	tm := time.NewTimer(tellInterval)
+	defer tm.Stop()
+	select {
+	case <-ctx.Done():
+	case <-tm.C:
+	}
+	kp.mu.Lock()
+	pending := kp.pending
+	kp.pending = map[uint64]record{}
+	kp.mu.Unlock()
+	byNode := map[string]map[record][]uint64{}
+	for id, rc := range pending {
+		kind := record{pool: rc.pool, software: rc.software}
+		for _, address := range kp.witnesses(id, toldNodes) {
+			if byNode[address] == nil {
+				byNode[address] = map[record][]uint64{}
+			}
+			byNode[address][kind] = append(byNode[address][kind], id)
+		}
+	}
+	for address, groups := range byNode {
+		call := &messenger.StreamsBegun{}
+		for rc, ids := range groups {
+			call.Groups = append(call.Groups, messenger.BegunStreams{Pool: rc.pool, Software: rc.software, IDs: ids})
+		}
+		go func() {
+			ctx, cancel := context.WithTimeout(context.WithoutCancel(ctx), callTimeout)
+			defer cancel()
+			if _, err := kp.caller.Call(ctx, address, call); err != nil {
+				kp.registry.Inc("stream", "origin-untold")
+			}
+		}()
+	}
+}
--- a/internal/coordination/watcher/watcher.go
+++ b/internal/coordination/watcher/watcher.go
@@ -42,6 +42,8 @@
 	BootID string
 	// Software is the version of the server's software; empty if unknown.
 	Software string
+	// Unsettled says that other nodes may not know of this version yet.
+	Unsettled bool
 	// Models maps the names of the ready models to their versions. Only the
 	// server's owner knows the versions; for other nodes they are empty.
 	Models map[string]string
--- a/internal/keyspacerunner/keyspacerunner.go
+++ b/internal/keyspacerunner/keyspacerunner.go
@@ -42,6 +42,7 @@
 	"github.com/lagoonpass/lagoonpass/internal/coordination/tallier"
 	"github.com/lagoonpass/lagoonpass/internal/coordination/throttler"
 	"github.com/lagoonpass/lagoonpass/internal/coordination/tracker"
+	"github.com/lagoonpass/lagoonpass/internal/coordination/versionkeeper"
 	"github.com/lagoonpass/lagoonpass/internal/coordination/watcher"
 	"github.com/lagoonpass/lagoonpass/internal/counter"
 	"github.com/lagoonpass/lagoonpass/internal/protocol/messenger"
@@ -57,6 +58,9 @@
 	// excludedPrefix precedes the contents that are kept from servers,
 	// under ownPrefix.
 	excludedPrefix = "excluded/"
+	// mixedPrefix precedes the pools with several versions of their software, under
+	// ownPrefix.
+	mixedPrefix = "mixed/"
 	// orderRecordKey is the key of the record of the servers to which orders were
 	// sent. Nodes do not watch it.
 	orderRecordKey = "lagoonpass-holders"
@@ -146,6 +150,7 @@
 	dispatch       *dispatcher.Dispatcher
 	crashes        *crashdetector.Detector // tells crashes of backend servers from other losses
 	isolator       *isolator.Isolator      // keeps requests from servers that they would crash
+	versions       *versionkeeper.Keeper   // where streams began
 	tally          *tallier.Tally          // results of this node's requests by model and adapter
 	demands        *placer.Collector       // demand reports of all nodes, for the leader's plan
 	// snapshot is nil until both configuration and servers are known.
@@ -215,10 +220,13 @@
 		adapterkeeper.WithReportedAdapters(rn.reportsAdapter), adapterkeeper.WithRegistry(rn.registry))
 	rn.isolator = isolator.New(rn.pool, rn.peerAddresses, rn.leaderAddress,
 		isolator.WithStore(bd.Store, ownPrefix+excludedPrefix), isolator.WithRegistry(rn.registry))
+	rn.versions = versionkeeper.New(rn.pool, id.ID, func() []prober.Member { return rn.registrar.View().Members() },
+		versionkeeper.WithAge(rn.relayer.Age), versionkeeper.WithRegistry(rn.registry),
+		versionkeeper.WithStore(bd.Store, ownPrefix+mixedPrefix, rn.leads))
 	rn.crashes = crashdetector.New(rn.forwarder.Refuses, crashdetector.WithLeaving(rn.hasLeft), crashdetector.WithRegistry(rn.registry),
 		crashdetector.WithOnCrash(rn.isolator.Crashed))
 	rn.dispatch = dispatcher.New(rn.admitter, rn.forwarder, rn.adapters,
-		dispatcher.WithRegistry(rn.registry), dispatcher.WithEjector(rn.ejector), dispatcher.WithSharedBudget(rn.budget), dispatcher.WithTally(rn.tally), dispatcher.WithSignals(rn.noteSignals), dispatcher.WithSoftware(rn.software),
+		dispatcher.WithRegistry(rn.registry), dispatcher.WithEjector(rn.ejector), dispatcher.WithSharedBudget(rn.budget), dispatcher.WithTally(rn.tally), dispatcher.WithSignals(rn.noteSignals), dispatcher.WithVersions(rn.versions),
 		dispatcher.WithCrashes(rn.crashes), dispatcher.WithQuarantine(rn.isolator))
 	return rn
 }
@@ -255,7 +263,7 @@
 	})
 	for _, loop := range []func(context.Context) error{
 		rn.registrar.Run, rn.relayer.Run, rn.expireServers, rn.refreshAdmitter,
-		rn.exchangeLoads, rn.reportDemand, rn.reportUnserved, rn.runLeader, rn.adapters.Run, rn.isolator.Run,
+		rn.exchangeLoads, rn.reportDemand, rn.reportUnserved, rn.runLeader, rn.adapters.Run, rn.isolator.Run, rn.versions.Run,
 	} {
 		loopCtx, cancel := context.WithCancel(ctx)
 		gr.Add(func() error { return loop(loopCtx) }, func(error) { cancel() })
--- a/internal/keyspacerunner/peers.go
+++ b/internal/keyspacerunner/peers.go
@@ -67,6 +67,9 @@
 		if answer := rn.isolator.Handle(call); answer != nil {
 			return answer, nil
 		}
+		if answer := rn.versions.Handle(call); answer != nil {
+			return answer, nil
+		}
 		return nil, errors.Errorf("no answer to a message of kind %d", call.Kind())
 	}
 }
@@ -90,7 +93,7 @@
 	rn.mu.Lock()
 	defer rn.mu.Unlock()
 	now := time.Now()
-	rn.watcher.SetReports(now, reports(rn.snapshot.Load(), now))
+	rn.watcher.SetReports(now, rn.reports(rn.snapshot.Load(), now))
 }
 
 // reportDemand sends the leader the demand of this node's callers.
--- a/internal/keyspacerunner/quarantine.go
+++ b/internal/keyspacerunner/quarantine.go
@@ -5,8 +5,8 @@
 	"github.com/lagoonpass/lagoonpass/internal/state/storer"
 )
 
-// ownSink receives the system's own keys: the registrations of nodes, and the
-// contents that are kept from servers.
+// ownSink receives the system's own keys: the registrations of nodes, the contents
+// that are kept from servers, and the pools with several versions of their software.
 type ownSink struct {
 	*registrar.Registrar
 	runner *Runner
@@ -16,12 +16,14 @@
 func (ow ownSink) Replace(entries []storer.Entry) {
 	ow.Registrar.Replace(entries)
 	ow.runner.isolator.Replace(entries)
+	ow.runner.versions.Replace(entries)
 }
 
 // Apply implements replicator.Sink.
 func (ow ownSink) Apply(changes []storer.Change) {
 	ow.Registrar.Apply(changes)
 	ow.runner.isolator.Apply(changes)
+	ow.runner.versions.Apply(changes)
 }
 
 // StoreRestored implements replicator.Sink.
@@ -47,6 +49,12 @@
 	return leader.PeerAddress, leader.ID == rn.identity.ID, ok
 }
 
+// leads reports whether this node leads.
+func (rn *Runner) leads() bool {
+	_, self, ok := rn.leaderAddress()
+	return self && ok
+}
+
 // hasLeft reports whether a server leaves or is no longer registered.
 func (rn *Runner) hasLeft(server string) bool {
 	rp, ok := rn.watcher.Snapshot().Report(server)
--- a/internal/keyspacerunner/snapshot.go
+++ b/internal/keyspacerunner/snapshot.go
@@ -6,9 +6,9 @@
 
 	"github.com/apex/log"
 
-	"github.com/lagoonpass/lagoonpass/internal/coordination/dispatcher"
 	"github.com/lagoonpass/lagoonpass/internal/coordination/publisher"
 	"github.com/lagoonpass/lagoonpass/internal/coordination/tracker"
+	"github.com/lagoonpass/lagoonpass/internal/coordination/versionkeeper"
 	"github.com/lagoonpass/lagoonpass/internal/coordination/watcher"
 	"github.com/lagoonpass/lagoonpass/internal/state/configurer"
 	"github.com/lagoonpass/lagoonpass/internal/state/storer"
@@ -27,8 +27,6 @@
 	servers  []tracker.Server
 	// base are the operator's settings, without backend servers.
 	base *configurer.Settings
-	// software is that of the servers, by their ids.
-	software map[string]dispatcher.Software
 	// connections is how many connections each server accepts, by its address.
 	connections map[string]int
 	// since is when the node first used the configuration.
@@ -55,23 +53,6 @@
 	return sn.settings, rt
 }
 
-// software returns what is known of the present process of a server.
-func (rn *Runner) software(server string) dispatcher.Software {
-	if sn := rn.snapshot.Load(); sn != nil {
-		return sn.software[server]
-	}
-	return dispatcher.Software{}
-}
-
-// softwareOf returns the software of the servers by their ids.
-func softwareOf(servers []tracker.Server) map[string]dispatcher.Software {
-	all := make(map[string]dispatcher.Software, len(servers))
-	for _, sv := range servers {
-		all[sv.ID] = dispatcher.Software{Version: sv.Software, Incarnation: sv.Incarnation}
-	}
-	return all
-}
-
 // configSink receives the operator's configuration from the keyspace.
 type configSink struct{ *Runner }
 
@@ -220,11 +201,12 @@
 	}
 	now := time.Now()
 	servers := rn.configuredServers(rv.Settings(), now)
+	rn.versions.Update(now, processes(servers))
 	old := rn.snapshot.Load()
 	if old != nil && old.base == rv.Settings() && sameServers(old.servers, servers) {
 		return
 	}
-	next := &snapshot{base: rv.Settings(), servers: servers, software: softwareOf(servers), since: now}
+	next := &snapshot{base: rv.Settings(), servers: servers, since: now}
 	if old != nil && old.base == next.base {
 		next.since = old.since
 	}
@@ -237,7 +219,7 @@
 	}
 	rn.snapshot.Store(next)
 	rn.logServers(old, next)
-	rn.watcher.SetReports(now, reports(next, now))
+	rn.watcher.SetReports(now, rn.reports(next, now))
 	rn.admitter.Refresh(next.settings)
 	if old == nil {
 		rn.registrar.Notify()
@@ -302,6 +284,15 @@
 	return accepted
 }
 
+// processes returns the processes of the servers.
+func processes(servers []tracker.Server) []versionkeeper.Process {
+	all := make([]versionkeeper.Process, 0, len(servers))
+	for _, sv := range servers {
+		all = append(all, versionkeeper.Process{Server: sv.ID, Pool: sv.Pool, Software: sv.Software, Incarnation: sv.Incarnation})
+	}
+	return all
+}
+
 func backendServers(st *configurer.Settings, servers []tracker.Server) []*configurer.BackendServer {
 	adapterMemory := map[string]int64{}
 	for _, po := range st.Pools() {
@@ -320,7 +311,7 @@
 }
 
 // reports converts the servers' registrations to reports for the watcher.
-func reports(sn *snapshot, now time.Time) []watcher.Report {
+func (rn *Runner) reports(sn *snapshot, now time.Time) []watcher.Report {
 	resident := map[string][]string{}
 	for _, md := range sn.settings.Models() {
 		if !md.Placed() {
@@ -334,6 +325,7 @@
 			Address:     sv.Address,
 			BootID:      bootID(sv),
 			Software:    sv.Software,
+			Unsettled:   !rn.versions.Settled(now, versionkeeper.Process{Pool: sv.Pool, Software: sv.Software}),
 			Models:      map[string]string{},
 			Leaving:     sv.Leaving,
 			Sequence:    uint64(max(sv.Sequence, 0)),
--- a/internal/protocol/messenger/kinds.go
+++ b/internal/protocol/messenger/kinds.go
@@ -38,6 +38,10 @@
 	KindVouched         Kind = 73
 	KindTrial           Kind = 74
 	KindTrialAnswer     Kind = 75
+	KindStreamsBegun    Kind = 76
+	KindStreamsNoted    Kind = 77
+	KindStreamQuery     Kind = 78
+	KindStreamOrigin    Kind = 79
 	KindFeedPoll        Kind = 60
 	KindFeedPage        Kind = 61
 	KindCheck           Kind = 62
@@ -81,6 +85,11 @@
 	KindTrial:       func() Message { return &Trial{} },
 	KindTrialAnswer: func() Message { return &TrialAnswer{} },
 
+	KindStreamsBegun: func() Message { return &StreamsBegun{} },
+	KindStreamsNoted: func() Message { return &StreamsNoted{} },
+	KindStreamQuery:  func() Message { return &StreamQuery{} },
+	KindStreamOrigin: func() Message { return &StreamOrigin{} },
+
 	KindFeedPoll: func() Message { return &FeedPoll{} },
 	KindFeedPage: func() Message { return &FeedPage{} },
 	KindCheck:    func() Message { return &Check{} },
