Go on with a completion only at the version of the model that began it

The answers name their version (system_fingerprint); the first one binds the rest of the stream, an engine that answers with another is not asked again for it, and a caller that takes a stream up names it in Lagoonpass-Resume-Fingerprint, as pkg/caller does. TestStreamGoesOnOnlyAtItsModelVersion failed before.

--- a/internal/coordination/dispatcher/attempt.go
+++ b/internal/coordination/dispatcher/attempt.go
@@ -20,6 +20,10 @@
 // stream that the caller already has.
 const HeaderResumeFrom = "Lagoonpass-Resume-From"
 
+// HeaderResumeFingerprint is the request header with the system_fingerprint of
+// these tokens.
+const HeaderResumeFingerprint = "Lagoonpass-Resume-Fingerprint"
+
 const (
 	// detailBytes is the maximum length of the quoted error of a backend server.
 	detailBytes = 256
@@ -88,7 +92,7 @@
 // blamesServer reports whether the server itself failed. A refusal under load
 // does not count, since overload would otherwise eject healthy servers.
 func (fl *failure) blamesServer() bool {
-	return !fl.final && !fl.refused && fl.reason != refuser.NoWorker
+	return !fl.final && !fl.refused && fl.reason != refuser.NoWorker && fl.reason != refuser.VersionGone
 }
 
 func (at *attempt) send(ctx context.Context) *failure {
--- a/internal/coordination/dispatcher/dispatcher.go
+++ b/internal/coordination/dispatcher/dispatcher.go
@@ -70,6 +70,9 @@
 	// ResumeFrom is the number of tokens that the caller already has from a
 	// broken stream with the same ID.
 	ResumeFrom int
+	// ResumeFingerprint is the system_fingerprint of these tokens, or empty if the
+	// caller does not name it.
+	ResumeFingerprint string
 	// Once says that the caller forbids retries.
 	Once bool
 }
@@ -204,7 +207,7 @@
 		settings:    st,
 		request:     rq,
 		relay:       rl,
-		progress:    newProgress(rq.ID, rq.ResumeFrom),
+		progress:    newProgress(rq),
 		fingerprint: xxhash.Sum64(rq.Body),
 		contents:    []fingerprinter.Content{fingerprinter.Request(callerName(rq.Caller), http.MethodPost, "", rq.Path, rq.Body)},
 		callerCtx:   ctx,
--- a/internal/coordination/dispatcher/dispatcher_test.go
+++ b/internal/coordination/dispatcher/dispatcher_test.go
@@ -455,3 +455,28 @@
 		})
 	}
 }
+
+// A stream whose engine failed went on at an engine with other weights.
+func TestStreamGoesOnOnlyAtItsModelVersion(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		rg := newRig(t, 3, "yes")
+		defer rg.stop()
+		rg.fillRetryBudget(40)
+		newer := httptest.NewRequest(http.MethodPost, "/control/orders",
+			strings.NewReader(`{"id":"o2","fence":1,"action":"load-model","model":"m","version":"v2","memory":1}`))
+		rg.engines["w2"].Handler().ServeHTTP(httptest.NewRecorder(), newer)
+		rg.engines["w1"].InjectRequestFaults(engine.Fault{Kind: engine.FaultAbort, At: 3})
+		wr, rf := rg.run(rg.request("A", 6, true, ""))
+		require.Nil(t, rf)
+		require.NotContains(t, wr.Body.String(), `"system_fingerprint":"v2"`)
+		text, whole := streamText(t, wr)
+		require.True(t, whole)
+		require.Equal(t, wantText("A", 0, 6), text)
+
+		rq := rg.request("A", 6, true, "")
+		rq.ResumeFrom, rq.ResumeFingerprint = 3, "v0"
+		wr, rf = rg.run(rq)
+		require.NotNil(t, rf, "no engine has the weights that the caller's tokens come from")
+		require.Empty(t, wr.Body.String())
+	})
+}
--- a/internal/coordination/dispatcher/progress.go
+++ b/internal/coordination/dispatcher/progress.go
@@ -11,17 +11,20 @@
 	errOtherRequest = errors.New("answer belongs to another request")
 	errGap          = errors.New("tokens are missing or out of order")
 	errNoIndex      = errors.New("a resumed stream does not number its tokens")
+	errVersion      = errors.New("tokens come from another version than the stream began at")
 	errEngine       = errors.New("the engine reported an error")
 )
 
 // chunk holds the checked fields of a stream event or of an answer that is not
 // a stream.
 type chunk struct {
-	ID         string          `json:"id"`
-	TokenIndex *int            `json:"token_index"`
-	Error      json.RawMessage `json:"error"`
-	Choices    []choice        `json:"choices"`
-	Usage      usage           `json:"usage"`
+	ID         string `json:"id"`
+	TokenIndex *int   `json:"token_index"`
+	// Fingerprint names the version of the weights and of the engine.
+	Fingerprint string          `json:"system_fingerprint"`
+	Error       json.RawMessage `json:"error"`
+	Choices     []choice        `json:"choices"`
+	Usage       usage           `json:"usage"`
 }
 
 type usage struct {
@@ -66,12 +69,14 @@
 	chunks int
 	// unnumbered says that a token came without an index.
 	unnumbered bool
+	// fingerprint is that of the first chunk, or empty if it had none.
+	fingerprint string
 	// choices maps the index of each choice to whether it is finished.
 	choices map[int]bool
 }
 
-func newProgress(id string, from int) *progress {
-	return &progress{id: id, from: from, next: from, choices: map[int]bool{}}
+func newProgress(rq *Request) *progress {
+	return &progress{id: rq.ID, from: rq.ResumeFrom, next: rq.ResumeFrom, fingerprint: rq.ResumeFingerprint, choices: map[int]bool{}}
 }
 
 // begun reports whether the caller already has a part of the answer.
@@ -100,6 +105,9 @@
 	if ck.ID != pr.id {
 		return false, errOtherRequest
 	}
+	if pr.fingerprint != "" && ck.Fingerprint != "" && ck.Fingerprint != pr.fingerprint {
+		return false, errVersion
+	}
 	if ck.hasContent() {
 		keep, err := pr.acceptToken(ck, resumed)
 		if err != nil || !keep {
@@ -111,6 +119,9 @@
 	for _, ch := range ck.Choices {
 		pr.choices[ch.Index] = pr.choices[ch.Index] || ch.FinishReason != nil && *ch.FinishReason != ""
 	}
+	if pr.fingerprint == "" {
+		pr.fingerprint = ck.Fingerprint
+	}
 	pr.chunks++
 	return true, nil
 }
--- a/internal/coordination/dispatcher/receive.go
+++ b/internal/coordination/dispatcher/receive.go
@@ -87,6 +87,10 @@
 	if at.progress.begun() {
 		fl.reason = refuser.StreamBroken
 	}
+	if errors.Is(err, errVersion) {
+		fl.reason = refuser.VersionGone
+		at.nonResumable = append(at.nonResumable, at.server)
+	}
 	return fl
 }
 
--- a/internal/server/completions.go
+++ b/internal/server/completions.go
@@ -121,6 +121,7 @@
 		return refuser.New(refuser.Malformed, "%s: allowed only with \"stream\": true", dispatcher.HeaderResumeFrom)
 	}
 	rq.ID, rq.ResumeFrom = id, from
+	rq.ResumeFingerprint = hd.Get(dispatcher.HeaderResumeFingerprint)
 	return nil
 }
 
--- a/internal/soaker/call.go
+++ b/internal/soaker/call.go
@@ -7,6 +7,7 @@
 	"encoding/json"
 	"io"
 	"net/http"
+	"slices"
 	"strconv"
 	"strings"
 	"time"
@@ -144,9 +145,9 @@
 	cl.report.expect(checker.OwnAnswer, cl.recordOwner(id, user), "%s got an answer with the id of another request", user)
 }
 
-// readStream returns the text of a stream and whether the stream ended as
-// complete, with a finish reason and [DONE].
-func readStream(body []byte) (string, bool) {
+// readStream returns the text of a stream, the versions of the weights that made it,
+// and whether the stream ended as complete, with a finish reason and [DONE].
+func readStream(body []byte) (tokens string, versions []string, complete bool) {
 	var text strings.Builder
 	finished := false
 	lines := bufio.NewScanner(bytes.NewReader(body))
@@ -156,10 +157,11 @@
 			continue
 		}
 		if data == "[DONE]" {
-			return text.String(), finished
+			return text.String(), versions, finished
 		}
 		var wire struct {
-			Choices []struct {
+			Fingerprint string `json:"system_fingerprint"`
+			Choices     []struct {
 				Delta struct {
 					Content string `json:"content"`
 				} `json:"delta"`
@@ -170,7 +172,10 @@
 			continue
 		}
 		text.WriteString(wire.Choices[0].Delta.Content)
+		if wire.Fingerprint != "" && !slices.Contains(versions, wire.Fingerprint) {
+			versions = append(versions, wire.Fingerprint)
+		}
 		finished = finished || wire.Choices[0].FinishReason != ""
 	}
-	return text.String(), false
+	return text.String(), versions, false
 }
--- a/internal/soaker/report.go
+++ b/internal/soaker/report.go
@@ -11,6 +11,9 @@
 const (
 	// NotStarted means that a node or the whole run could not start.
 	NotStarted checker.Invariant = "not-started"
+	// OneVersion says that the tokens of a stream come from one version of the
+	// weights.
+	OneVersion checker.Invariant = "one-version"
 	// FatalContained says that a request which crashes engines is kept from them.
 	FatalContained checker.Invariant = "fatal-contained"
 	// Unreachable means that a model did not answer through a node.
--- a/internal/soaker/traffic.go
+++ b/internal/soaker/traffic.go
@@ -96,7 +96,8 @@
 	if !cl.isAnswer(an, user) {
 		return false, an.refusal != nil && an.refusal.Outcome() == refuser.NotRun
 	}
-	text, done := readStream(an.body)
+	text, versions, done := readStream(an.body)
+	cl.report.expect(OneVersion, len(versions) <= 1, "%s (%s) has tokens of versions %v", user, an.id(), versions)
 	if !done {
 		cl.report.count("stream.broken-off")
 		return false, false
--- a/internal/standin/engine/generate.go
+++ b/internal/standin/engine/generate.go
@@ -55,7 +55,7 @@
 		return
 	}
 	defer eg.queue.release()
-	gn := &generation{Engine: eg, call: call, id: rq.Header.Get("X-Request-Id"), fault: eg.nextFault()}
+	gn := &generation{Engine: eg, call: call, version: eg.servedVersion(call.Model), id: rq.Header.Get("X-Request-Id"), fault: eg.nextFault()}
 	gn.from, _ = strconv.Atoi(rq.Header.Get(headerResumeFrom))
 	if gn.fault.Kind == FaultRefuse {
 		refuse(wr, http.StatusServiceUnavailable, "overloaded")
@@ -87,10 +87,12 @@
 // generation is an answer in progress.
 type generation struct {
 	*Engine
-	call  completionCall
-	id    string // request id
-	from  int    // index of the first token to send
-	fault Fault
+	call completionCall
+	// version is that of the weights, or empty for an adapter.
+	version string
+	id      string // request id
+	from    int    // index of the first token to send
+	fault   Fault
 }
 
 func (gn *generation) stream(wr http.ResponseWriter, rq *http.Request) {
@@ -173,6 +175,8 @@
 		"object":      "chat.completion.chunk",
 		"model":       gn.call.Model,
 		"token_index": ix,
+
+		"system_fingerprint": gn.version,
 		"choices": []map[string]any{{
 			"index":         0,
 			"delta":         map[string]string{"content": text},
@@ -217,6 +221,13 @@
 	return isAdapter || eg.models[model].ready
 }
 
+// servedVersion returns the version of the model that answers requests, or "".
+func (eg *Engine) servedVersion(model string) string {
+	eg.mu.Lock()
+	defer eg.mu.Unlock()
+	return eg.models[model].version
+}
+
 func refuse(wr http.ResponseWriter, status int, code string) {
 	writeJSON(wr, status, map[string]any{"error": map[string]string{"code": code}})
 }
--- a/pkg/caller/complete.go
+++ b/pkg/caller/complete.go
@@ -165,10 +165,13 @@
 }
 
 // resumeHeader returns a copy of the headers that resumes the stream of the
-// request after the given number of tokens.
-func resumeHeader(hd http.Header, requestID string, tokens int) http.Header {
+// request after the given number of tokens, which have the fingerprint.
+func resumeHeader(hd http.Header, requestID string, tokens int, fingerprint string) http.Header {
 	next := hd.Clone()
 	next.Set(headerRequestID, requestID)
 	next.Set(headerResume, strconv.Itoa(tokens))
+	if fingerprint != "" {
+		next.Set(headerFingerprint, fingerprint)
+	}
 	return next
 }
--- a/pkg/caller/send.go
+++ b/pkg/caller/send.go
@@ -22,8 +22,10 @@
 	headerRevision  = "Lagoonpass-Revision"
 	headerRequestID = "Lagoonpass-Request-Id"
 	headerResume    = "Lagoonpass-Resume-From"
-	headerKey       = "Idempotency-Key"
-	headerAttempt   = "Lagoonpass-Attempt"
+	// headerFingerprint is the fingerprint of the tokens that the caller has.
+	headerFingerprint = "Lagoonpass-Resume-Fingerprint"
+	headerKey         = "Idempotency-Key"
+	headerAttempt     = "Lagoonpass-Attempt"
 )
 
 const (
--- a/pkg/caller/stream.go
+++ b/pkg/caller/stream.go
@@ -40,6 +40,8 @@
 	tokens   int // tokens read
 	resumes  int
 	finished bool // set once an event had a finish reason
+	// fingerprint is the system_fingerprint of the first event that had one.
+	fingerprint string
 }
 
 func newStream(ctx context.Context, cl *Client, ms message, rs *http.Response, base string) *Stream {
@@ -102,11 +104,15 @@
 			} `json:"delta"`
 			FinishReason string `json:"finish_reason"`
 		} `json:"choices"`
-		TokenIndex *int `json:"token_index"`
+		TokenIndex  *int   `json:"token_index"`
+		Fingerprint string `json:"system_fingerprint"`
 	}
 	if err := json.Unmarshal(data, &wire); err != nil {
 		return "", errors.Wrap(err, "decode event")
 	}
+	if sm.fingerprint == "" {
+		sm.fingerprint = wire.Fingerprint
+	}
 	if len(wire.Choices) == 0 {
 		return "", nil
 	}
@@ -134,7 +140,7 @@
 	sm.resumes++
 	_ = sm.body.Close()
 	next := sm.request
-	next.header = resumeHeader(next.header, sm.id, sm.tokens)
+	next.header = resumeHeader(next.header, sm.id, sm.tokens, sm.fingerprint)
 	next.avoid = sm.base
 	rs, base, err := sm.client.send(sm.ctx, next)
 	if err != nil {
