Have other nodes run the requests of a node that reaches no backend server

Callers of nodes that were cut off from all servers got refusals or waited out their deadlines. Cause: requests reached servers over the node's own connections alone, so that whatever a node learned about its path, it could only try the next server; servers were judged one by one, and the fault was seen by nothing. A node that pathwatcher finds detached asks its peers; if one of them reaches servers, peers run its requests whole (delegator): their admission, limits and retries count, and the deadline, the servers tried, the revision and the place in a stream go with the request. What was in progress goes on there if it was not sent or may be repeated. What follows from the same cause goes with it: a cut node does not lead, is named to no new callers, blames no server and takes no reset for a crash.

--- a/internal/coordination/crashdetector/crashdetector.go
+++ b/internal/coordination/crashdetector/crashdetector.go
@@ -73,6 +73,7 @@
 type Detector struct {
 	refuses  func(ctx context.Context, address string) bool
 	leaving  func(server string) bool
+	reaches  func(ctx context.Context) bool
 	onCrash  func(Crash)
 	registry *counter.Registry
 
@@ -91,6 +92,12 @@
 // longer registered. The end of its process is then no crash.
 func WithLeaving(fn func(server string) bool) Option { return func(dt *Detector) { dt.leaving = fn } }
 
+// WithPath sets the function that reports whether the node reaches any server. If it
+// does not, the loss is that of its path.
+func WithPath(reaches func(ctx context.Context) bool) Option {
+	return func(dt *Detector) { dt.reaches = reaches }
+}
+
 // WithRegistry sets the registry that counts crashes and other losses.
 func WithRegistry(rg *counter.Registry) Option { return func(dt *Detector) { dt.registry = rg } }
 
@@ -100,6 +107,7 @@
 	dt := &Detector{
 		refuses:   refuses,
 		leaving:   func(string) bool { return false },
+		reaches:   func(context.Context) bool { return true },
 		onCrash:   func(Crash) {},
 		gathering: map[string]*gathered{},
 	}
@@ -144,6 +152,9 @@
 	case dt.leaving(cr.Server):
 		dt.registry.Inc("connection-loss", "server-left")
 		line.Info("connections to backend server lost; it has left")
+	case !dt.reaches(ctx):
+		dt.registry.Inc("connection-loss", "path-lost")
+		line.Info("connections to backend server lost; this node reaches no other one either")
 	default:
 		dt.registry.Inc("connection-loss", "server-crashed")
 		line.Info("backend server crashed")
--- a/internal/coordination/crashdetector/crashdetector_test.go
+++ b/internal/coordination/crashdetector/crashdetector_test.go
@@ -47,3 +47,19 @@
 		require.Equal(t, 1024, count)
 	})
 }
+
+// A node that lost its path to all servers took the resets for crashes, and had the
+// contents of its requests excluded on all nodes.
+func TestLossOfPathIsNoCrash(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		crashes, reaches := 0, false
+		dt := crashdetector.New(func(context.Context, string) bool { return true },
+			crashdetector.WithPath(func(context.Context) bool { return reaches }),
+			crashdetector.WithOnCrash(func(crashdetector.Crash) { crashes++ }))
+		<-dt.Lost("w1", "down", crashdetector.Loss{})
+		require.Zero(t, crashes)
+		reaches = true
+		<-dt.Lost("w1", "down", crashdetector.Loss{})
+		require.Equal(t, 1, crashes)
+	})
+}
--- /dev/null
+++ b/internal/coordination/delegator/delegator.go
@@ -0,0 +1,277 @@
+// Package delegator has another node run a caller's request while this node does not
+// reach the backend servers. The other node treats the request as its own: its
+// admission, limits and retries count, and what servers say about themselves stays
+// there. Only the deadline and the number of servers that were tried go with it.
+//
+// The answer comes in pages, each asked for by a call, so that a node that does not read
+// holds up the server and not the other node's memory. A request that was delegated is
+// not delegated again.
+//
+// # Usage
+//
+//	dg := delegator.New(pool, "n1", "zone-a", members, serves)
+//	dg.Serve(handler)                              // the node's handler for callers
+//	rs, err := dg.Open(ctx, delegator.Request{...}) // at the node that lost its path
+//	answer := dg.Handle(ctx, call)                 // at the other node
+package delegator
+
+import (
+	"context"
+	"io"
+	"math/rand/v2"
+	"net/http"
+	"slices"
+	"sync"
+	"time"
+
+	"github.com/go-faster/errors"
+
+	"github.com/lagoonpass/lagoonpass/internal/coordination/prober"
+	"github.com/lagoonpass/lagoonpass/internal/counter"
+	"github.com/lagoonpass/lagoonpass/internal/protocol/messenger"
+)
+
+const (
+	// zoneCost is how many delegated requests more a node of the own availability zone
+	// may have than one of another.
+	zoneCost = 4
+	// maxAsked is the number of nodes that are asked for one request.
+	maxAsked = 4
+	// maxServed bounds the delegated requests that one node runs at once.
+	maxServed = 512
+)
+
+// ErrNoNode means that no node took the request, so that it was not run.
+var ErrNoNode = errors.New("delegator: no other node takes the request")
+
+// ErrBroken means that the connection to the other node broke off. The request may
+// have run.
+var ErrBroken = errors.New("delegator: the other node is lost")
+
+// Caller calls peers.
+type Caller interface {
+	// Call sends a message to the peer at the address and returns its answer.
+	Call(ctx context.Context, address string, call messenger.Message) (messenger.Message, error)
+}
+
+// Request is a caller's request to delegate.
+type Request struct {
+	// Method, Host and Target are those of the request.
+	Method, Host, Target string
+	// Header is the request's header, with the time that is left.
+	Header http.Header
+	// Body is the request's body.
+	Body []byte
+	// Servers is the number of servers to which the request was sent before.
+	Servers int
+	// Revision is that of the configuration under which this node took the request.
+	Revision int64
+}
+
+// Serves reports whether the node can run requests in place of others under a
+// configuration of at least the revision.
+type Serves func(revision int64) bool
+
+// Delegator delegates requests of one node, and runs those of others. It is safe for
+// concurrent use.
+type Delegator struct {
+	caller     Caller
+	self, zone string
+	members    func() []prober.Member
+	serves     Serves
+	registry   *counter.Registry
+	handler    http.Handler
+
+	mu sync.Mutex
+	// delegated counts the requests in progress by the address of the node that runs
+	// them.
+	delegated map[string]int
+	// served has the requests of other nodes that this one runs.
+	served map[uint64]*service
+	idle   chan struct{} // closed while served is empty
+}
+
+// Option configures a Delegator.
+type Option func(*Delegator)
+
+// WithRegistry sets the registry that counts delegated requests.
+func WithRegistry(rg *counter.Registry) Option { return func(dg *Delegator) { dg.registry = rg } }
+
+// New returns the delegator of the node with the id self in the availability zone.
+func New(ca Caller, self, zone string, members func() []prober.Member, serves Serves, opts ...Option) *Delegator {
+	dg := &Delegator{
+		caller:    ca,
+		self:      self,
+		zone:      zone,
+		members:   members,
+		serves:    serves,
+		delegated: map[string]int{},
+		served:    map[uint64]*service{},
+		idle:      make(chan struct{}),
+	}
+	close(dg.idle)
+	for _, opt := range opts {
+		opt(dg)
+	}
+	return dg
+}
+
+// Serve sets the handler that runs requests of other nodes. It must be called before
+// the node serves peers.
+func (dg *Delegator) Serve(hd http.Handler) { dg.handler = hd }
+
+// Open has another node run the request and returns its answer as soon as it begins. The
+// answer is that of a server or a refusal of the other node. Errors are ErrNoNode,
+// ErrBroken or that of ctx.
+func (dg *Delegator) Open(ctx context.Context, rq Request) (*http.Response, error) {
+	call := &messenger.Delegate{
+		ID: rand.Uint64(), Method: rq.Method, Host: rq.Host, Target: rq.Target, Header: toFields(rq.Header),
+		Body: rq.Body, Servers: rq.Servers, Revision: rq.Revision,
+	}
+	for _, address := range dg.nodes() {
+		dg.count(address, 1)
+		answer, err := dg.caller.Call(ctx, address, call)
+		page, ok := answer.(*messenger.DelegatePage)
+		switch {
+		case err == nil && ok && !page.Declined:
+			dg.registry.Inc("delegate", "taken")
+			return dg.response(ctx, address, call.ID, page), nil
+		case err == nil && ok, messenger.Is(err, messenger.Unreachable), messenger.Is(err, messenger.Rejected):
+			dg.registry.Inc("delegate", "declined")
+		default:
+			dg.registry.Inc("delegate", "lost")
+			dg.cancel(address, call.ID)
+			dg.count(address, -1)
+			if ctx.Err() != nil {
+				return nil, ctx.Err()
+			}
+			return nil, ErrBroken
+		}
+		dg.count(address, -1)
+		if ctx.Err() != nil {
+			return nil, ctx.Err()
+		}
+	}
+	return nil, ErrNoNode
+}
+
+// nodes returns the addresses of the nodes to ask, the one with the fewest requests of
+// this node first. Nodes of other availability zones come later.
+func (dg *Delegator) nodes() []string {
+	dg.mu.Lock()
+	defer dg.mu.Unlock()
+	type candidate struct {
+		address string
+		cost    int
+	}
+	var all []candidate
+	for _, mb := range dg.members() {
+		if mb.ID == dg.self || mb.State != prober.Alive {
+			continue
+		}
+		cost := dg.delegated[mb.PeerAddress]
+		if mb.Zone != dg.zone {
+			cost += zoneCost
+		}
+		all = append(all, candidate{mb.PeerAddress, cost})
+	}
+	rand.Shuffle(len(all), func(ix, jx int) { all[ix], all[jx] = all[jx], all[ix] })
+	slices.SortStableFunc(all, func(one, two candidate) int { return one.cost - two.cost })
+	var addresses []string
+	for _, cd := range all[:min(len(all), maxAsked)] {
+		addresses = append(addresses, cd.address)
+	}
+	return addresses
+}
+
+func (dg *Delegator) count(address string, delta int) {
+	dg.mu.Lock()
+	defer dg.mu.Unlock()
+	if dg.delegated[address] += delta; dg.delegated[address] <= 0 {
+		delete(dg.delegated, address)
+	}
+}
+
+// cancel tells the other node, without waiting, that nobody wants the answer.
+func (dg *Delegator) cancel(address string, id uint64) {
+	go func() {
+		ctx, cancel := context.WithTimeout(context.Background(), cancelTimeout)
+		defer cancel()
+		_, _ = dg.caller.Call(ctx, address, &messenger.DelegateCancel{ID: id})
+	}()
+}
+
+// cancelTimeout bounds the call that cancels a request.
+const cancelTimeout = time.Second
+
+// response returns the answer that begins with the page.
+func (dg *Delegator) response(ctx context.Context, address string, id uint64, page *messenger.DelegatePage) *http.Response {
+	rs := &http.Response{
+		StatusCode: page.Status, Proto: "HTTP/1.1", ProtoMajor: 1, ProtoMinor: 1,
+		Header: fromFields(page.Header), ContentLength: -1, TransferEncoding: []string{"chunked"},
+	}
+	rs.Body = &pages{dg: dg, ctx: ctx, address: address, id: id, page: page}
+	return rs
+}
+
+// pages is the body of an answer that another node sends in pages.
+type pages struct {
+	dg      *Delegator
+	ctx     context.Context
+	address string
+	id      uint64
+	page    *messenger.DelegatePage
+	closed  sync.Once
+}
+
+// Read implements io.Reader.
+func (pg *pages) Read(buf []byte) (int, error) {
+	for len(pg.page.Data) == 0 {
+		switch {
+		case pg.page.Broken:
+			return 0, io.ErrUnexpectedEOF
+		case pg.page.Ended:
+			return 0, io.EOF
+		}
+		answer, err := pg.dg.caller.Call(pg.ctx, pg.address, &messenger.DelegateNext{ID: pg.id})
+		page, ok := answer.(*messenger.DelegatePage)
+		if err != nil || !ok || page.Declined {
+			if pg.ctx.Err() != nil {
+				return 0, pg.ctx.Err()
+			}
+			return 0, ErrBroken
+		}
+		pg.page = page
+	}
+	count := copy(buf, pg.page.Data)
+	pg.page.Data = pg.page.Data[count:]
+	return count, nil
+}
+
+// Close implements io.Closer. It cancels a request whose answer was not read to its
+// end.
+func (pg *pages) Close() error {
+	pg.closed.Do(func() {
+		pg.dg.count(pg.address, -1)
+		if !pg.page.Ended {
+			pg.dg.cancel(pg.address, pg.id)
+		}
+	})
+	return nil
+}
+
+func toFields(hd http.Header) []messenger.HeaderField {
+	fields := make([]messenger.HeaderField, 0, len(hd))
+	for name, values := range hd {
+		fields = append(fields, messenger.HeaderField{Name: name, Values: values})
+	}
+	return fields
+}
+
+func fromFields(fields []messenger.HeaderField) http.Header {
+	hd := make(http.Header, len(fields))
+	for _, hf := range fields {
+		hd[hf.Name] = hf.Values
+	}
+	return hd
+}
--- a/internal/coordination/dispatcher/answer.go
+++ b/internal/coordination/dispatcher/answer.go
@@ -7,6 +7,7 @@
 	"net/http"
 	"strconv"
 	"strings"
+	"sync/atomic"
 	"syscall"
 	"time"
 
@@ -124,6 +125,10 @@
 	watchdog *time.Timer
 	cancel   context.CancelCauseFunc
 	result   admitter.Result
+	// stage is one of the stages of an attempt, and heardAt when the server last sent
+	// something, in nanoseconds since the request began.
+	stage   atomic.Int32
+	heardAt atomic.Int64
 	// held are blank lines since the last event.
 	held []byte
 }
@@ -138,6 +143,8 @@
 		return fl
 	}
 	switch {
+	case errors.Is(context.Cause(ctx), errDetached):
+		fl.reason, fl.detached = refuser.BackendUnreachable, true
 	case errors.Is(context.Cause(ctx), errNoProgress):
 		fl.reason = refuser.BackendSilent
 	case ctx.Err() != nil:
@@ -149,6 +156,9 @@
 	case pa.writer.begun():
 		fl.reason = refuser.StreamBroken
 	}
+	if pa.grant == nil {
+		return fl
+	}
 	pa.ds.forwarder.DropIdle(pa.address)
 	if !unsent && connectionLost(err) {
 		fl.decided = pa.ds.crashes.Lost(pa.server, pa.address, pa.loss())
@@ -318,6 +328,7 @@
 // forwardEvent writes an event to the caller. It skips an event that the caller
 // has, and fails if events are missing before it.
 func (pa *proxyAttempt) forwardEvent(rs *http.Response, ev eventreader.RawEvent) *failure {
+	pa.hear()
 	if pa.watchdog != nil {
 		pa.watchdog.Stop()
 	}
@@ -339,7 +350,9 @@
 		}
 		pa.answering.Store(true)
 		pa.result.FirstToken = time.Since(pa.sent)
-		pa.grant.FirstTokenReceived()
+		if pa.grant != nil {
+			pa.grant.FirstTokenReceived()
+		}
 	}
 	pa.result.Tokens++
 	pa.writer.recordEvent(time.Now())
--- a/internal/coordination/dispatcher/attempt.go
+++ b/internal/coordination/dispatcher/attempt.go
@@ -79,7 +79,7 @@
 // releaseGrant releases a grant with the result of its attempt and reports
 // success or failure of the server to the ejector.
 func (ds *Dispatcher) releaseGrant(gr *admitter.Grant, rs admitter.Result, fl *failure) {
-	rs.Failed = fl != nil && fl.blamesServer()
+	rs.Failed = fl != nil && fl.blamesServer() && !ds.delegate.Detached()
 	gr.Done(rs)
 	switch {
 	case fl == nil:
@@ -92,7 +92,7 @@
 // blamesServer reports whether the server itself failed. A refusal under load
 // does not count, since overload would otherwise eject healthy servers.
 func (fl *failure) blamesServer() bool {
-	return !fl.final && !fl.refused && fl.reason != refuser.NoWorker && fl.reason != refuser.VersionGone
+	return !fl.final && !fl.refused && !fl.detached && fl.reason != refuser.NoWorker && fl.reason != refuser.VersionGone
 }
 
 func (at *attempt) send(ctx context.Context) *failure {
--- a/internal/coordination/dispatcher/dispatcher.go
+++ b/internal/coordination/dispatcher/dispatcher.go
@@ -113,9 +113,14 @@
 	crashes *crashdetector.Detector
 	// quarantine keeps requests from servers that they would crash.
 	quarantine Quarantine
+	// delegate has other nodes run requests while this one does not reach the servers.
+	delegate Delegate
 	// buffered is the number of answer bytes that callers have not read.
 	buffered atomic.Int64
 
+	attemptsMu sync.Mutex
+	attempts   map[*proxyAttempt]bool // attempts in progress
+
 	randomMu sync.Mutex
 	random   *rand.Rand
 }
@@ -184,6 +189,8 @@
 		quarantine: noQuarantine{},
 		onSignals:  func(string, time.Time, throttler.Signals) {},
 		versions:   noVersions{},
+		delegate:   noDelegate{},
+		attempts:   map[*proxyAttempt]bool{},
 		random:     rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64())),
 	}
 	for _, opt := range opts {
--- a/internal/coordination/dispatcher/execution.go
+++ b/internal/coordination/dispatcher/execution.go
@@ -59,6 +59,8 @@
 	refused bool
 	// unsent says that no byte reached the server.
 	unsent bool
+	// detached says that the attempt ended since this node does not reach the server.
+	detached bool
 	// crashed says that the connection was lost, as in a crash of the engine.
 	crashed bool
 	// retryAfter is the time after which another try makes sense; 0 if unknown.
--- a/internal/coordination/dispatcher/proxy.go
+++ b/internal/coordination/dispatcher/proxy.go
@@ -46,6 +46,12 @@
 	LastEvent string
 	// Parts are the ids of the parts of the prompt that other requests may share.
 	Parts []uint64
+	// Delegated says that another node delegated the request to this one, and Servers
+	// is the number of servers to which it was sent before.
+	Delegated bool
+	Servers   int
+	// Revision is that of the configuration under which the request was taken.
+	Revision int64
 	// Wire encodes and decodes the headers of the protocol.
 	Wire Wire
 }
@@ -63,6 +69,17 @@
 	LastEvent string
 }
 
+// DelegateInfo is what a Wire needs to have another node run a request.
+type DelegateInfo struct {
+	// Remaining is the time until the deadline.
+	Remaining time.Duration
+	// LastEvent is the id of the last event that the caller has, or empty.
+	LastEvent string
+	// Resumes is the id of the request that brought the stream's first event, or empty
+	// if the caller named it.
+	Resumes string
+}
+
 // Classification is the meaning of the status and headers of an answer.
 type Classification struct {
 	// NotRun says that the server guarantees that it did not run the request.
@@ -79,6 +96,8 @@
 type Wire interface {
 	// Prepare adds the headers of one attempt.
 	Prepare(hd http.Header, ai AttemptInfo)
+	// PrepareDelegated makes the header that of a caller's request to another node.
+	PrepareDelegated(hd http.Header, di DelegateInfo)
 	// Owns reports whether the answer belongs to the request with this id.
 	Owns(id string, rs *http.Response) bool
 	// Classify evaluates the status and headers of an answer.
@@ -119,6 +138,8 @@
 	request fingerprinter.Content
 	// contents are what other requests may have in common with this one.
 	contents []fingerprinter.Content
+	// elsewhere says that another node ran the request.
+	elsewhere bool
 	// trial says that the request has an excluded content and is sent once.
 	trial bool
 }
@@ -141,9 +162,10 @@
 		ticket:       rq.Ticket,
 		request:      fingerprinter.Request(callerName(rq.Ticket.Caller), rq.Method, rq.Host, rq.Path, rq.Body),
 		began:        time.Now(),
+		servers:      rq.Servers,
 	}
 	pe.contents = append(fingerprinter.Parts(rq.Parts), pe.request)
-	if ds.shared != nil {
+	if ds.shared != nil && !rq.Delegated {
 		ds.shared.Arrived(pe.key(), pe.began)
 	}
 	// A content that is excluded later ends the request unless its answer has begun.
@@ -205,6 +227,11 @@
 // the answer is complete.
 func (pe *proxyExecution) runAttempt(ctx context.Context) *failure {
 	pe.bufferedFailure = nil
+	if pe.delegatable() {
+		if fl, taken := pe.runElsewhere(ctx); taken {
+			return fl
+		}
+	}
 	tk := pe.ticket
 	tk.Resumed = tk.Resumed || pe.resumes
 	tk.Repeated = pe.admitted
@@ -240,6 +267,7 @@
 	ctx, cancel := context.WithCancelCause(ctx)
 	defer cancel(nil)
 	pa := &proxyAttempt{proxyExecution: pe, grant: gr, server: gr.Server(), address: gr.Address(), sent: time.Now(), cancel: cancel}
+	defer pe.ds.track(pa)()
 	if fl := pa.checkSoftware(); fl != nil {
 		return admitter.Result{}, fl
 	}
@@ -261,6 +289,7 @@
 		Path:    pe.Path,
 		Header:  hd,
 		Body:    pe.Body,
+		Begin:   pa.begin,
 		Owns:    func(rs *http.Response) bool { return pe.Wire.Owns(pe.ticket.ID, rs) },
 	})
 	if err != nil && forwarder.NotSent(err) {
@@ -273,6 +302,7 @@
 		return admitter.Result{}, pa.classifyError(ctx, err, false)
 	}
 	defer func() { _ = rs.Body.Close() }()
+	pa.hear()
 	fl := pa.receive(ctx, rs)
 	return pa.result, fl
 }
@@ -320,9 +350,11 @@
 	if pe.resumes = pe.writer.begun(); !pe.resumes {
 		return true, nil
 	}
-	if _, certain := pe.ds.versions.Find(ctx, pe.ticket.ID, nil); !certain {
-		return false, refuser.New(refuser.VersionUnknown, "server %s was started again at another software", pe.server)
+	origin, certain := pe.ds.versions.Find(ctx, pe.ticket.ID, []string{pe.key()})
+	if !certain {
+		return false, refuser.New(refuser.VersionUnknown, "it is not certain at which software the stream began")
 	}
+	pe.ticket.Software = origin.Software
 	return true, nil
 }
 
@@ -460,7 +492,9 @@
 		line = line.WithField("adapter", ad.Name())
 	}
 	if rf == nil {
-		pe.ds.quarantine.Succeeded(pe.contents)
+		if !pe.elsewhere {
+			pe.ds.quarantine.Succeeded(pe.contents)
+		}
 		pe.ds.tally.Answered(pe.subject())
 		pe.logAnswer(line)
 		return
--- a/internal/coordination/dispatcher/proxy_test.go
+++ b/internal/coordination/dispatcher/proxy_test.go
@@ -103,6 +103,12 @@
 	hd.Set("After", ai.LastEvent)
 }
 
+func (testWire) PrepareDelegated(hd http.Header, di dispatcher.DelegateInfo) {
+	hd.Set("Left", strconv.FormatInt(di.Remaining.Milliseconds(), 10))
+	hd.Set("After", di.LastEvent)
+	hd.Set("Resumes", di.Resumes)
+}
+
 func (testWire) Owns(id string, rs *http.Response) bool { return rs.Header.Get("Id") == id }
 
 func (testWire) Classify(rs *http.Response) dispatcher.Classification {
--- a/internal/coordination/dispatcher/software.go
+++ b/internal/coordination/dispatcher/software.go
@@ -75,6 +75,9 @@
 // failure if the server was started anew after the request was sent, since its
 // events may come from either process.
 func (pa *proxyAttempt) beginStream() *failure {
+	if pa.grant == nil {
+		return nil // the node that runs the request records it
+	}
 	if pa.ds.versions.Process(pa.server).Incarnation != pa.process.Incarnation {
 		return &failure{reason: refuser.BackendFailed, detail: "server " + pa.server + " was started again"}
 	}
--- a/internal/coordination/ejector/ejector.go
+++ b/internal/coordination/ejector/ejector.go
@@ -193,6 +193,14 @@
 	ej.eject(server, hs, now)
 }
 
+// Reset readmits all servers and forgets their results, because the node was at fault.
+func (ej *Ejector) Reset() {
+	ej.mu.Lock()
+	defer ej.mu.Unlock()
+	ej.servers = map[string]*history{}
+	ej.ejected.Store(&map[string]ejection{})
+}
+
 func (hs *history) count(failure float64) {
 	hs.samples++
 	hs.rate += rateSmoothing * (failure - hs.rate)
--- a/internal/coordination/locator/locator.go
+++ b/internal/coordination/locator/locator.go
@@ -13,7 +13,8 @@
 	"github.com/lagoonpass/lagoonpass/internal/coordination/prober"
 )
 
-// Choose returns up to count caller addresses of live members, nearest first:
+// Choose returns up to count caller addresses of live members, or of leaving ones if
+// none is live, nearest first:
 // the caller's zone, then its region, then other regions. It orders members at
 // the same distance by rendezvous hashing with the seed. Different seeds, for
 // different callers or successive answers to one caller, balance the load over
@@ -38,13 +39,22 @@
 	return addresses
 }
 
-// rankMembers returns the live members in the order of Choose.
+// rankMembers returns the live members in the order of Choose, or the leaving ones if
+// none is live.
 func rankMembers(members []prober.Member, zone string, seed uint64) []prober.Member {
+	if ranked := rankState(members, prober.Alive, zone, seed); len(ranked) > 0 {
+		return ranked
+	}
+	return rankState(members, prober.Leaving, zone, seed)
+}
+
+// rankState returns the members in the state in the order of Choose.
+func rankState(members []prober.Member, state prober.State, zone string, seed uint64) []prober.Member {
 	region := regionOf(members, zone)
 	distances, weights := map[string]int{}, map[string]uint64{}
 	var ranked []prober.Member
 	for _, mb := range members {
-		if mb.State != prober.Alive {
+		if mb.State != state {
 			continue
 		}
 		ranked = append(ranked, mb)
--- a/internal/coordination/pathwatcher/pathwatcher.go
+++ b/internal/coordination/pathwatcher/pathwatcher.go
@@ -36,6 +36,8 @@
 	// that while a node misses servers and has to know whether others are reached.
 	pingCount      = 2
 	undecidedCount = 4
+	// confirmCount is the number of servers that are called to confirm the path.
+	confirmCount = 8
 	// tickInterval is the time between two looks at the evidence.
 	tickInterval = 100 * time.Millisecond
 	// silenceTime is how long no server sends anything, while requests wait, before
@@ -114,6 +116,31 @@
 // Detached reports whether the node has lost its path to the servers.
 func (wt *Watcher) Detached() bool { return wt.detached.Load() }
 
+// Misses reports whether the node lately failed to reach the server.
+func (wt *Watcher) Misses(server string) bool {
+	wt.mu.Lock()
+	defer wt.mu.Unlock()
+	ct, ok := wt.evidence.servers[server]
+	return ok && ct.isMissed(time.Now())
+}
+
+// Confirm calls a few servers and reports whether one answers.
+func (wt *Watcher) Confirm(ctx context.Context) bool {
+	servers := wt.servers()
+	rand.Shuffle(len(servers), func(ix, jx int) { servers[ix], servers[jx] = servers[jx], servers[ix] })
+	servers = servers[:min(confirmCount, len(servers))]
+	results := make(chan bool, len(servers))
+	for _, sv := range servers {
+		go func() { results <- wt.call(ctx, sv) }()
+	}
+	for range servers {
+		if <-results {
+			return true
+		}
+	}
+	return false
+}
+
 // Dialled records whether a connection to the server at the address could be opened. An
 // open connection proves nothing before its first answer.
 func (wt *Watcher) Dialled(address string, err error) {
@@ -199,16 +226,16 @@
 	return 0, false
 }
 
-// call calls a server and records the result. A call that took much longer than its
-// timeout says that this node stood still.
-func (wt *Watcher) call(ctx context.Context, sv Server) {
+// call calls a server, records the result and reports whether it answered. A call that
+// took much longer than its timeout says that this node stood still.
+func (wt *Watcher) call(ctx context.Context, sv Server) (reached bool) {
 	began := time.Now()
 	callCtx, cancel := context.WithTimeout(ctx, pingTimeout)
 	defer cancel()
 	err := wt.ping(callCtx, sv)
 	now := time.Now()
 	if ctx.Err() != nil || now.Sub(began) > 2*pingTimeout || errors.Is(err, ErrNotCalled) {
-		return
+		return false
 	}
 	wt.mu.Lock()
 	if err == nil {
@@ -220,6 +247,7 @@
 	}
 	wt.mu.Unlock()
 	wt.decide(now, len(wt.servers()))
+	return err == nil
 }
 
 // decide updates whether the node is detached.
--- a/internal/keyspacerunner/keyspacerunner.go
+++ b/internal/keyspacerunner/keyspacerunner.go
@@ -27,6 +27,7 @@
 	"github.com/lagoonpass/lagoonpass/internal/coordination/adapterkeeper"
 	"github.com/lagoonpass/lagoonpass/internal/coordination/admitter"
 	"github.com/lagoonpass/lagoonpass/internal/coordination/crashdetector"
+	"github.com/lagoonpass/lagoonpass/internal/coordination/delegator"
 	"github.com/lagoonpass/lagoonpass/internal/coordination/dispatcher"
 	"github.com/lagoonpass/lagoonpass/internal/coordination/ejector"
 	"github.com/lagoonpass/lagoonpass/internal/coordination/isolator"
@@ -150,6 +151,7 @@
 	admitter       *admitter.Admitter
 	adapters       *adapterkeeper.Keeper
 	forwarder      *forwarder.Forwarder
+	delegator      *delegator.Delegator  // has other nodes run requests
 	path           *pathwatcher.Watcher  // whether the node reaches the servers
 	budget         *retrier.SharedBudget // retries of all nodes together
 	dispatch       *dispatcher.Dispatcher
@@ -160,6 +162,8 @@
 	demands        *placer.Collector       // demand reports of all nodes, for the leader's plan
 	// snapshot is nil until both configuration and servers are known.
 	snapshot atomic.Pointer[snapshot]
+	// cutOff is set while the node reaches no server and other nodes do.
+	cutOff atomic.Bool
 	// leaving is set when a planned stop has begun.
 	leaving atomic.Bool
 	// termState is nil unless the node leads.
@@ -207,7 +211,7 @@
 		forwarder.WithOnDial(func(address string, err error) { rn.path.Dialled(address, err) }))
 	rn.path = pathwatcher.New(rn.pathServers, rn.pingServer, rn.forwarder, pathwatcher.WithRegistry(rn.registry))
 	rn.registrar = registrar.New(bd.Store, ownPrefix, rn.presence,
-		registrar.WithReady(rn.Ready), registrar.WithRegistry(rn.registry),
+		registrar.WithReady(func() bool { return rn.Ready() && !rn.cutOff.Load() }), registrar.WithRegistry(rn.registry),
 		registrar.WithoutReplication(), registrar.WithCheck(rn.checkPeer))
 	rn.leadership = rn.registrar
 	rn.relayer = relayer.New(bd.Store, rn.registrar.View, rn.registrar.LeaderID, rn.pool, []relayer.Prefix{
@@ -225,16 +229,18 @@
 	rn.adapters = adapterkeeper.New(rn, rn.Settings, rn.leaderView, rn.pool,
 		adapterkeeper.WithEngines(rn), adapterkeeper.WithTokens(rn), adapterkeeper.WithBatchedLeases(adapterLease), adapterkeeper.WithWaitTimeout(adapterWaitTimeout),
 		adapterkeeper.WithReportedAdapters(rn.reportsAdapter), adapterkeeper.WithRegistry(rn.registry))
+	rn.delegator = delegator.New(rn.pool, id.ID, id.Zone, func() []prober.Member { return rn.registrar.View().Members() },
+		rn.servesOthers, delegator.WithRegistry(rn.registry))
 	rn.isolator = isolator.New(rn.pool, rn.peerAddresses, rn.leaderAddress,
 		isolator.WithStore(bd.Store, ownPrefix+excludedPrefix), isolator.WithRegistry(rn.registry))
 	rn.versions = versionkeeper.New(rn.pool, id.ID, func() []prober.Member { return rn.registrar.View().Members() },
 		versionkeeper.WithAge(rn.relayer.Age), versionkeeper.WithRegistry(rn.registry),
 		versionkeeper.WithStore(bd.Store, ownPrefix+mixedPrefix, rn.leads))
-	rn.crashes = crashdetector.New(rn.forwarder.Refuses, crashdetector.WithLeaving(rn.hasLeft), crashdetector.WithRegistry(rn.registry),
+	rn.crashes = crashdetector.New(rn.forwarder.Refuses, crashdetector.WithLeaving(rn.hasLeft), crashdetector.WithPath(rn.reachesServers), crashdetector.WithRegistry(rn.registry),
 		crashdetector.WithOnCrash(rn.isolator.Crashed))
 	rn.dispatch = dispatcher.New(rn.admitter, rn.forwarder, rn.adapters,
 		dispatcher.WithRegistry(rn.registry), dispatcher.WithEjector(rn.ejector), dispatcher.WithSharedBudget(rn.budget), dispatcher.WithTally(rn.tally), dispatcher.WithSignals(rn.noteSignals), dispatcher.WithVersions(rn.versions),
-		dispatcher.WithCrashes(rn.crashes), dispatcher.WithQuarantine(rn.isolator))
+		dispatcher.WithCrashes(rn.crashes), dispatcher.WithQuarantine(rn.isolator), dispatcher.WithDelegate(pathDelegate{rn}))
 	return rn
 }
 
@@ -270,7 +276,7 @@
 	})
 	for _, loop := range []func(context.Context) error{
 		rn.registrar.Run, rn.relayer.Run, rn.expireServers, rn.refreshAdmitter,
-		rn.exchangeLoads, rn.reportDemand, rn.reportUnserved, rn.runLeader, rn.adapters.Run, rn.isolator.Run, rn.versions.Run, rn.path.Run,
+		rn.exchangeLoads, rn.reportDemand, rn.reportUnserved, rn.runLeader, rn.adapters.Run, rn.isolator.Run, rn.versions.Run, rn.path.Run, rn.watchPath,
 	} {
 		loopCtx, cancel := context.WithCancel(ctx)
 		gr.Add(func() error { return loop(loopCtx) }, func(error) { cancel() })
--- a/internal/keyspacerunner/path.go
+++ b/internal/keyspacerunner/path.go
@@ -2,11 +2,28 @@
 
 import (
 	"context"
+	"math/rand/v2"
+	"net/http"
+	"time"
 
+	"github.com/apex/log"
 	"github.com/go-faster/errors"
 
+	"github.com/lagoonpass/lagoonpass/internal/coordination/delegator"
 	"github.com/lagoonpass/lagoonpass/internal/coordination/pathwatcher"
+	"github.com/lagoonpass/lagoonpass/internal/coordination/prober"
+	"github.com/lagoonpass/lagoonpass/internal/protocol/messenger"
 	"github.com/lagoonpass/lagoonpass/internal/transport/forwarder"
+	"github.com/lagoonpass/lagoonpass/internal/waiter"
+)
+
+const (
+	// pathInterval is the time between two looks at a lost path.
+	pathInterval = 100 * time.Millisecond
+	// pathQueryTimeout bounds the question whether another node reaches servers.
+	pathQueryTimeout = 400 * time.Millisecond
+	// pathQueries is the number of nodes that are asked at once.
+	pathQueries = 3
 )
 
 // pathServers returns the servers by which the node's path is judged.
@@ -32,3 +49,103 @@
 	}
 	return err
 }
+
+// reachesServers reports whether the node reaches a server.
+func (rn *Runner) reachesServers(ctx context.Context) bool {
+	return rn.binding.Ping == nil || rn.path.Confirm(ctx)
+}
+
+// watchPath keeps requests from a lost path. A node that reaches no server is cut off if
+// another node reaches one; otherwise the servers are lost.
+func (rn *Runner) watchPath(ctx context.Context) error {
+	waiter.Every(ctx, pathInterval, func() {
+		detached := rn.path.Detached()
+		switch {
+		case detached && !rn.cutOff.Load() && rn.othersReachServers(ctx):
+			rn.setCutOff(ctx, true)
+		case !detached && rn.cutOff.Load():
+			rn.setCutOff(ctx, false)
+		}
+		if rn.cutOff.Load() {
+			rn.dispatch.GiveUpSilent()
+		}
+	})
+	return nil
+}
+
+// setCutOff records whether the node is cut off. While it is, it does not lead, and the
+// other nodes name it to no callers.
+func (rn *Runner) setCutOff(ctx context.Context, yes bool) {
+	rn.cutOff.Store(yes)
+	rn.ejector.Reset()
+	rn.registrar.Notify()
+	if !yes {
+		log.Info("node runs its requests itself again")
+		return
+	}
+	log.Warn("node is cut off from the backend servers; other nodes run its requests")
+	go func() {
+		resignCtx, cancel := context.WithTimeout(ctx, callTimeout)
+		defer cancel()
+		rn.registrar.Resign(resignCtx)
+	}()
+}
+
+// othersReachServers asks some other nodes whether they reach servers.
+func (rn *Runner) othersReachServers(ctx context.Context) bool {
+	var peers []prober.Member
+	for _, mb := range rn.registrar.View().Members() {
+		if mb.ID != rn.identity.ID && mb.State == prober.Alive {
+			peers = append(peers, mb)
+		}
+	}
+	rand.Shuffle(len(peers), func(ix, jx int) { peers[ix], peers[jx] = peers[jx], peers[ix] })
+	peers = peers[:min(pathQueries, len(peers))]
+	ctx, cancel := context.WithTimeout(ctx, pathQueryTimeout)
+	defer cancel()
+	answers := make(chan bool, len(peers))
+	for _, mb := range peers {
+		go func() {
+			answer, _ := rn.pool.Call(ctx, mb.PeerAddress, &messenger.PathQuery{})
+			pa, ok := answer.(*messenger.PathAnswer)
+			answers <- ok && pa.Reaches
+		}()
+	}
+	for range peers {
+		if <-answers {
+			return true
+		}
+	}
+	return false
+}
+
+// servesOthers implements delegator.Serves.
+func (rn *Runner) servesOthers(revision int64) bool {
+	return rn.Ready() && !rn.path.Detached() && rn.Revision() >= revision
+}
+
+// ServeDelegated sets the handler that runs the requests of nodes which are cut off from
+// the servers. It must be called before Run.
+func (rn *Runner) ServeDelegated(hd http.Handler) { rn.delegator.Serve(hd) }
+
+// AwaitDelegated waits until the node runs no request of another node.
+func (rn *Runner) AwaitDelegated(ctx context.Context) { rn.delegator.AwaitIdle(ctx) }
+
+// Revision returns the number of the configuration in force, or 0.
+func (rn *Runner) Revision() int64 {
+	if rv := rn.holder.Current(); rv != nil {
+		return rv.Number()
+	}
+	return 0
+}
+
+// pathDelegate implements dispatcher.Delegate.
+type pathDelegate struct{ rn *Runner }
+
+func (pd pathDelegate) Detached() bool { return pd.rn.cutOff.Load() }
+
+func (pd pathDelegate) Misses(server string) bool { return pd.rn.path.Misses(server) }
+
+func (pd pathDelegate) Open(ctx context.Context, rq delegator.Request) (*http.Response, error) {
+	return pd.rn.delegator.Open(ctx, rq)
+}
--- a/internal/keyspacerunner/peers.go
+++ b/internal/keyspacerunner/peers.go
@@ -57,6 +57,8 @@
 			return nil, err
 		}
 		return page, nil
+	case *messenger.PathQuery:
+		return &messenger.PathAnswer{Reaches: rn.Ready() && rn.reachesServers(ctx)}, nil
 	case *messenger.Check:
 		return &messenger.Checked{Node: rn.identity.ID}, nil
 	case *messenger.DemandReport:
@@ -70,6 +72,9 @@
 		if answer := rn.versions.Handle(call); answer != nil {
 			return answer, nil
 		}
+		if answer := rn.delegator.Handle(ctx, call); answer != nil {
+			return answer, nil
+		}
 		return nil, errors.Errorf("no answer to a message of kind %d", call.Kind())
 	}
 }
--- a/internal/protocol/messenger/kinds.go
+++ b/internal/protocol/messenger/kinds.go
@@ -42,6 +42,12 @@
 	KindStreamsNoted    Kind = 77
 	KindStreamQuery     Kind = 78
 	KindStreamOrigin    Kind = 79
+	KindDelegate        Kind = 80
+	KindDelegateNext    Kind = 81
+	KindDelegateCancel  Kind = 82
+	KindDelegatePage    Kind = 83
+	KindPathQuery       Kind = 84
+	KindPathAnswer      Kind = 85
 	KindFeedPoll        Kind = 60
 	KindFeedPage        Kind = 61
 	KindCheck           Kind = 62
@@ -90,6 +96,13 @@
 	KindStreamQuery:  func() Message { return &StreamQuery{} },
 	KindStreamOrigin: func() Message { return &StreamOrigin{} },
 
+	KindDelegate:       func() Message { return &Delegate{} },
+	KindDelegateNext:   func() Message { return &DelegateNext{} },
+	KindDelegateCancel: func() Message { return &DelegateCancel{} },
+	KindDelegatePage:   func() Message { return &DelegatePage{} },
+	KindPathQuery:      func() Message { return &PathQuery{} },
+	KindPathAnswer:     func() Message { return &PathAnswer{} },
+
 	KindFeedPoll: func() Message { return &FeedPoll{} },
 	KindFeedPage: func() Message { return &FeedPage{} },
 	KindCheck:    func() Message { return &Check{} },
--- a/internal/transport/forwarder/forwarder.go
+++ b/internal/transport/forwarder/forwarder.go
@@ -59,6 +59,9 @@
 	Header http.Header
 	// Body is sent unchanged.
 	Body []byte
+	// Begin is called before the first byte is sent; nil means no call. If it returns
+	// false, the request is not sent.
+	Begin func() bool
 	// Owns reports whether an answer belongs to this request; nil accepts the
 	// first answer. On a reused connection, Send skips late answers to earlier
 	// requests.
@@ -97,6 +100,9 @@
 // errOtherRequest means that a server sent an answer to another request.
 var errOtherRequest = errors.New("answer belongs to another request")
 
+// errGivenUp means that the request was given up before it was sent.
+var errGivenUp = errors.New("given up before it was sent")
+
 // ErrConnectionLimit means that the limit of open connections to the server is
 // reached and that all of them are in use.
 var ErrConnectionLimit = errors.New("no connection to the server is free")
@@ -220,6 +226,11 @@
 		fw.inUse.Add(-1)
 		return nil, &Error{Address: rq.Address, Cause: err}
 	}
+	if ctx.Err() != nil || rq.Begin != nil && !rq.Begin() {
+		fw.inUse.Add(-1)
+		cn.close()
+		return nil, &Error{Address: rq.Address, Cause: errGivenUp}
+	}
 	rs, err := cn.roundTrip(ctx, rq)
 	if err != nil {
 		fw.inUse.Add(-1)
