--- a/internal/coordination/admitter/options.go
+++ b/internal/coordination/admitter/options.go
@@ -32,6 +32,9 @@
 	return func(sc *Scheduler) { sc.nodeID, sc.zone, sc.region = id, zone, region }
 }
 
+// WithSignals says that the scheduler observes what servers say in their answers.
+func WithSignals() SchedulerOption { return func(sc *Scheduler) { sc.signals = true } }
+
 // WithMembers sets the function that returns the ids of the nodes that share the
 // limits of servers; by default the node has them for itself.
 func WithMembers(fn func() []string) SchedulerOption {
--- a/internal/coordination/admitter/scheduler.go
+++ b/internal/coordination/admitter/scheduler.go
@@ -73,6 +73,8 @@
 	// returns the ids of the nodes that share them.
 	throttle *throttler.Throttler
 	members  func() []string
+	// signals says that servers' answers are observed.
+	signals bool
 	// excluded holds the end of each exclusion.
 	excluded map[replica]time.Time
 	// commonPrefixes holds the prefixes that all replicas are assumed to cache.
--- a/internal/coordination/admitter/tables.go
+++ b/internal/coordination/admitter/tables.go
@@ -47,6 +47,7 @@
 	tg := &router.Target{
 		Name:      bs.Name(),
 		Address:   rp.Address,
+		Pool:      bs.Pool(),
 		Zone:      bs.Zone(),
 		Slots:     bs.Slots(),
 		Role:      bs.Role(),
--- a/internal/coordination/router/router.go
+++ b/internal/coordination/router/router.go
@@ -41,6 +41,8 @@
 	Name string
 	// Address is the host and port of the engine.
 	Address string
+	// Pool is the pool that the server belongs to.
+	Pool string
 	// Zone is the availability zone.
 	Zone string
 	// Region is the region, or empty if unknown.
--- a/internal/coordination/throttler/signals.go
+++ b/internal/coordination/throttler/signals.go
@@ -13,4 +13,7 @@
 	// Limit is the number of requests a second that the server takes from all
 	// nodes together; 0 if it names none.
 	Limit float64
+	// Brittle is the number of requests a second that the server can turn away for want
+	// of room without falling over; 0 if it names none.
+	Brittle float64
 }
--- a/internal/keyspacerunner/signals.go
+++ b/internal/keyspacerunner/signals.go
@@ -34,6 +34,9 @@
 	case sg.Limit > 0:
 		rn.registry.Inc("signal", "limit")
 		line.WithField("limit", sg.Limit).Info("backend server names a limit")
+	case sg.Brittle > 0:
+		rn.registry.Inc("signal", "brittle")
+		line.WithField("brittle", sg.Brittle).Info("backend server falls over if it has to turn many requests away")
 	default:
 		line.Info("backend server takes all requests again")
 	}
