Keep brittle servers from having to turn requests away

Three brittle servers fell over ten times in 28 s. Cause: each node uses the slots that the others left free some 100 ms ago, all of them the same ones, and sends a server that comes back whatever waits; a refusal kept only requests of the same model away, for 300 ms. While a server of a pool says that it is brittle, a node uses its equal share of four fifths of the slots, and a server that turned a request away gets none of this node for a second; the same until a pool has answered a node that starts.

--- a/internal/coordination/admitter/brittle_test.go
+++ b/internal/coordination/admitter/brittle_test.go
@@ -122,7 +122,7 @@
 	default:
 		bs.nodes[node].Observe(bs.now, name, bs.now, bs.signals())
 		bs.reject(name, sv)
-		bs.nodes[node].Finish(bs.now, en, Result{Refused: true})
+		bs.nodes[node].Finish(bs.now, en, Result{Refused: true, Full: true})
 	}
 }
 
--- a/internal/coordination/admitter/scheduler.go
+++ b/internal/coordination/admitter/scheduler.go
@@ -338,6 +338,9 @@
 	sc.removeBacklog(en)
 	sc.server(en.target.Name).add(now, en.class, -1)
 	sc.recordResult(en, rs)
+	if rs.Full && sc.brittle(now, en.target) {
+		sc.throttle.Rejected(now, en.target.Name)
+	}
 	if rs.Refused {
 		sc.Exclude(now, en.target.Name, en.ticket.Model.Name(), refusalExclusionTime)
 	}
--- a/internal/coordination/admitter/throttle.go
+++ b/internal/coordination/admitter/throttle.go
@@ -3,6 +3,7 @@
 import (
 	"time"
 
+	"github.com/lagoonpass/lagoonpass/internal/coordination/router"
 	"github.com/lagoonpass/lagoonpass/internal/coordination/throttler"
 )
 
@@ -12,6 +13,8 @@
 	returnSpreadDivisor = 5
 	// maxReturnSpread is the longest time over which they return.
 	maxReturnSpread = time.Second
+	// brittleShare is the percentage of the slots of a brittle server that are used.
+	brittleShare = 80
 )
 
 // Observe records what a server said in its answer to a request that was sent at
@@ -38,9 +41,24 @@
 
 // Observe implements Admitter.Observe.
 func (sc *Scheduler) Observe(now time.Time, server string, sent time.Time, sg throttler.Signals) (limitEnded bool) {
+	if tg, ok := sc.table.Target(server); ok {
+		sc.throttle.ObservePool(now, tg.Pool, sent, sg)
+	}
 	return sc.throttle.Observe(now, server, sent, sg)
 }
 
+// brittle reports whether the server may fall over if it has to turn requests away.
+func (sc *Scheduler) brittle(now time.Time, tg *router.Target) bool {
+	return sc.signals && sc.throttle.Brittle(now, tg.Pool)
+}
+
+// brittleWindow returns how many requests this node may have on a brittle server. The
+// windows of all nodes together leave some of its slots free, since each node counts by
+// its own clock.
+func (sc *Scheduler) brittleWindow(now time.Time, tg *router.Target) int {
+	return sc.nodeShare(now, tg, max(tg.Slots*brittleShare/100, 1))
+}
+
 // throttledWait returns how long a new entry would wait because of what the
 // servers of its model take: the time until the first of them takes another
 // request, and if all name limits, the time for the entries ahead of it. It
--- a/internal/coordination/admitter/ticket.go
+++ b/internal/coordination/admitter/ticket.go
@@ -55,6 +55,8 @@
 	// Refused says that the server refused the request because it had no room or
 	// lacked something that the request needs.
 	Refused bool
+	// Full says that the server refused the request because it had no room.
+	Full bool
 	// FirstToken is the time from sending to the first token; zero if there was
 	// none.
 	FirstToken time.Duration
--- a/internal/coordination/admitter/window.go
+++ b/internal/coordination/admitter/window.go
@@ -25,6 +25,9 @@
 // window returns how many requests this node may have on the target: the slots
 // that the other nodes leave free, and at least its own share of the slots.
 func (sc *Scheduler) window(now time.Time, tg *router.Target, resumed bool) int {
+	if sc.brittle(now, tg) {
+		return sc.brittleWindow(now, tg)
+	}
 	extra := 0
 	if resumed {
 		extra = max(1, tg.Slots/resumeDivisor)
--- a/internal/coordination/dispatcher/answer.go
+++ b/internal/coordination/dispatcher/answer.go
@@ -186,7 +186,7 @@
 	if cl.NotRun {
 		detail := "server " + pa.server + " refused: status " + strconv.Itoa(rs.StatusCode)
 		pa.discard(rs.Body)
-		return &failure{reason: refuser.BackendRefused, detail: detail, refused: true}
+		return &failure{reason: refuser.BackendRefused, detail: detail, refused: true, full: !cl.Misdirected && rs.StatusCode == http.StatusServiceUnavailable}
 	}
 	success := rs.StatusCode >= 200 && rs.StatusCode < 300
 	if success && !cl.Genuine {
--- a/internal/coordination/dispatcher/execution.go
+++ b/internal/coordination/dispatcher/execution.go
@@ -57,6 +57,8 @@
 	final bool
 	// refused says that the server guarantees that it did not run the request.
 	refused bool
+	// full says that the server refused the request for want of room.
+	full bool
 	// unsent says that no byte reached the server.
 	unsent bool
 	// detached says that the attempt ended since this node does not reach the server.
--- a/internal/coordination/dispatcher/proxy.go
+++ b/internal/coordination/dispatcher/proxy.go
@@ -243,7 +243,7 @@
 	}
 	pe.queued += time.Since(submitted)
 	rs, fl := pe.send(ctx, gr)
-	rs.Refused = fl != nil && fl.refused
+	rs.Refused, rs.Full = fl != nil && fl.refused, fl != nil && fl.full
 	pe.ds.releaseGrant(gr, rs, fl)
 	if fl != nil {
 		pe.ticket.Avoid = withServer(pe.ticket.Avoid, gr.Server())
--- a/internal/coordination/throttler/throttler.go
+++ b/internal/coordination/throttler/throttler.go
@@ -60,6 +60,8 @@
 	limits map[string]*limit
 	// pauses holds until when servers want no requests of this node.
 	pauses map[string]time.Time
+	// pools holds which pools are brittle.
+	pools map[string]brittleSign
 }
 
 // limit is the limit of one server and this node's share of it.
@@ -80,7 +82,7 @@
 // New returns a throttler of the node with this id. The function members returns
 // the ids of the nodes that share limits.
 func New(node string, members func() []string) *Throttler {
-	return &Throttler{node: node, members: members, limits: map[string]*limit{}, pauses: map[string]time.Time{}}
+	return &Throttler{node: node, members: members, limits: map[string]*limit{}, pauses: map[string]time.Time{}, pools: map[string]brittleSign{}}
 }
 
 // Observe records what a server said in its answer to a request that was sent at
