Ask a server that goes on with a stream which process it is

A report that comes after the answer tells which process gave it; it is compared before the first event passes.

--- a/internal/coordination/dispatcher/answer.go
+++ b/internal/coordination/dispatcher/answer.go
@@ -294,7 +294,7 @@
 		if err != nil {
 			return pa.classifyError(ctx, err, false)
 		}
-		if fl := pa.forwardEvent(rs, ev); fl != nil {
+		if fl := pa.forwardEvent(ctx, rs, ev); fl != nil {
 			return fl
 		}
 		if rd.Buffered() > 0 {
@@ -327,7 +327,7 @@
 
 // forwardEvent writes an event to the caller. It skips an event that the caller
 // has, and fails if events are missing before it.
-func (pa *proxyAttempt) forwardEvent(rs *http.Response, ev eventreader.RawEvent) *failure {
+func (pa *proxyAttempt) forwardEvent(ctx context.Context, rs *http.Response, ev eventreader.RawEvent) *failure {
 	pa.hear()
 	if pa.watchdog != nil {
 		pa.watchdog.Stop()
@@ -345,7 +345,7 @@
 		}
 	}
 	if pa.result.Tokens == 0 {
-		if fl := pa.beginStream(); fl != nil {
+		if fl := pa.beginStream(ctx); fl != nil {
 			return fl
 		}
 		pa.answering.Store(true)
--- a/internal/coordination/dispatcher/software.go
+++ b/internal/coordination/dispatcher/software.go
@@ -14,6 +14,8 @@
 type Versions interface {
 	// Process returns the last known process of a server.
 	Process(server string) versionkeeper.Process
+	// Confirm reports whether the process still answers as its server's.
+	Confirm(ctx context.Context, pr versionkeeper.Process, address string) bool
 	// Began records that the process brought the first event of the request's stream.
 	Began(id string, pr versionkeeper.Process)
 	// Find returns where the stream of the request began, or false if that is not
@@ -26,6 +28,8 @@
 
 func (noVersions) Process(string) versionkeeper.Process { return versionkeeper.Process{} }
 
+func (noVersions) Confirm(context.Context, versionkeeper.Process, string) bool { return true }
+
 func (noVersions) Began(string, versionkeeper.Process) {}
 
 func (noVersions) Find(_ context.Context, _ string, pools []string) (versionkeeper.Origin, bool) {
@@ -73,14 +77,18 @@
 
 // beginStream records at which version the stream begins or goes on. It returns a
 // failure if the server was started anew after the request was sent, since its
-// events may come from either process.
-func (pa *proxyAttempt) beginStream() *failure {
+// events may come from either process. A server that goes on with a stream is asked: a
+// process that has just started under the same id may not be known yet.
+func (pa *proxyAttempt) beginStream(ctx context.Context) *failure {
 	if pa.grant == nil {
 		return nil // the node that runs the request records it
 	}
 	if pa.ds.versions.Process(pa.server).Incarnation != pa.process.Incarnation {
 		return &failure{reason: refuser.BackendFailed, detail: "server " + pa.server + " was started again"}
 	}
+	if pa.ticket.Software != "" && !pa.ds.versions.Confirm(ctx, pa.process, pa.address) {
+		return &failure{reason: refuser.BackendFailed, detail: "server " + pa.server + " does not confirm its software"}
+	}
 	if pa.Route.Resumable() {
 		pa.ticket.Software = pa.process.Software
 		pa.ds.versions.Began(pa.ticket.ID, pa.process)
--- a/internal/keyspacerunner/keyspacerunner.go
+++ b/internal/keyspacerunner/keyspacerunner.go
@@ -239,7 +239,7 @@
 	rn.crashes = crashdetector.New(rn.forwarder.Refuses, crashdetector.WithLeaving(rn.hasLeft), crashdetector.WithPath(rn.reachesServers), crashdetector.WithRegistry(rn.registry),
 		crashdetector.WithOnCrash(rn.isolator.Crashed))
 	rn.dispatch = dispatcher.New(rn.admitter, rn.forwarder, rn.adapters,
-		dispatcher.WithRegistry(rn.registry), dispatcher.WithEjector(rn.ejector), dispatcher.WithSharedBudget(rn.budget), dispatcher.WithTally(rn.tally), dispatcher.WithSignals(rn.noteSignals), dispatcher.WithVersions(rn.versions),
+		dispatcher.WithRegistry(rn.registry), dispatcher.WithEjector(rn.ejector), dispatcher.WithSharedBudget(rn.budget), dispatcher.WithTally(rn.tally), dispatcher.WithSignals(rn.noteSignals), dispatcher.WithVersions(serverVersions{rn.versions, rn}),
 		dispatcher.WithCrashes(rn.crashes), dispatcher.WithQuarantine(rn.isolator), dispatcher.WithDelegate(pathDelegate{rn}))
 	return rn
 }
