Blame no path for slow answers, and confirm a cut by the servers that are missed

A call that takes too long now counts only if no server sent anything meanwhile; a node declines only once a peer has confirmed that it is cut off; and the peer is asked about the servers that are missed, since with most servers down for all nodes each reached one that answers.

--- a/internal/coordination/pathwatcher/pathwatcher.go
+++ b/internal/coordination/pathwatcher/pathwatcher.go
@@ -124,17 +124,49 @@
 	return ok && ct.isMissed(time.Now())
 }
 
+// Missed returns the names of a few servers that the node lately failed to reach.
+func (wt *Watcher) Missed() []string {
+	now := time.Now()
+	wt.mu.Lock()
+	defer wt.mu.Unlock()
+	var names []string
+	for name, ct := range wt.evidence.servers {
+		if ct.isMissed(now) && len(names) < confirmCount {
+			names = append(names, name)
+		}
+	}
+	return names
+}
+
 // Confirm calls a few servers and reports whether one answers.
 func (wt *Watcher) Confirm(ctx context.Context) bool {
-	servers := wt.servers()
+	servers := slices.Clone(wt.servers())
 	rand.Shuffle(len(servers), func(ix, jx int) { servers[ix], servers[jx] = servers[jx], servers[ix] })
-	servers = servers[:min(confirmCount, len(servers))]
+	return wt.reach(ctx, servers[:min(confirmCount, len(servers))], 1)
+}
+
+// Reaches calls the named servers and reports whether most of them answer.
+func (wt *Watcher) Reaches(ctx context.Context, names []string) bool {
+	var called []Server
+	for _, sv := range wt.servers() {
+		if slices.Contains(names, sv.Name) {
+			called = append(called, sv)
+		}
+	}
+	return len(called) > 0 && wt.reach(ctx, called, len(called)/2+1)
+}
+
+// reach calls the servers and reports whether as many answer as wanted.
+func (wt *Watcher) reach(ctx context.Context, servers []Server, wanted int) bool {
 	results := make(chan bool, len(servers))
 	for _, sv := range servers {
 		go func() { results <- wt.call(ctx, sv) }()
 	}
 	for range servers {
 		if <-results {
+			wanted--
+		}
+		if wanted == 0 {
 			return true
 		}
 	}
@@ -237,6 +269,10 @@
 	if ctx.Err() != nil || now.Sub(began) > 2*pingTimeout || errors.Is(err, ErrNotCalled) {
 		return false
 	}
+	if errors.Is(callCtx.Err(), context.DeadlineExceeded) && wt.activity.LastHeard().After(began) {
+		// Others answer meanwhile: this server, or this node, is slow.
+		return false
+	}
 	wt.mu.Lock()
 	if err == nil {
 		wt.registry.Inc("path", "reached")
--- a/internal/keyspacerunner/path.go
+++ b/internal/keyspacerunner/path.go
@@ -55,8 +55,8 @@
 	return rn.binding.Ping == nil || rn.path.Confirm(ctx)
 }
 
-// watchPath keeps requests from a lost path. A node that reaches no server is cut off if
-// another node reaches one; otherwise the servers are lost.
+// watchPath keeps requests from a lost path. A node that is detached is cut off if
+// another node reaches the servers that it misses; otherwise the servers are lost.
 func (rn *Runner) watchPath(ctx context.Context) error {
 	waiter.Every(ctx, pathInterval, func() {
 		detached := rn.path.Detached()
@@ -91,7 +91,8 @@
 	}()
 }
 
-// othersReachServers asks some other nodes whether they reach servers.
+// othersReachServers asks some other nodes whether they reach servers that this one
+// does not.
 func (rn *Runner) othersReachServers(ctx context.Context) bool {
 	var peers []prober.Member
 	for _, mb := range rn.registrar.View().Members() {
@@ -103,10 +104,11 @@
 	peers = peers[:min(pathQueries, len(peers))]
 	ctx, cancel := context.WithTimeout(ctx, pathQueryTimeout)
 	defer cancel()
+	query := &messenger.PathQuery{Servers: rn.path.Missed()}
 	answers := make(chan bool, len(peers))
 	for _, mb := range peers {
 		go func() {
-			answer, _ := rn.pool.Call(ctx, mb.PeerAddress, &messenger.PathQuery{})
+			answer, _ := rn.pool.Call(ctx, mb.PeerAddress, query)
 			pa, ok := answer.(*messenger.PathAnswer)
 			answers <- ok && pa.Reaches
 		}()
@@ -121,7 +123,7 @@
 
 // servesOthers implements delegator.Serves.
 func (rn *Runner) servesOthers(revision int64) bool {
-	return rn.Ready() && !rn.path.Detached() && rn.Revision() >= revision
+	return rn.Ready() && !rn.cutOff.Load() && rn.Revision() >= revision
 }
 
 // ServeDelegated sets the handler that runs the requests of nodes which are cut off from
--- a/internal/keyspacerunner/peers.go
+++ b/internal/keyspacerunner/peers.go
@@ -58,7 +58,7 @@
 		}
 		return page, nil
 	case *messenger.PathQuery:
-		return &messenger.PathAnswer{Reaches: rn.Ready() && rn.reachesServers(ctx)}, nil
+		return &messenger.PathAnswer{Reaches: rn.Ready() && rn.path.Reaches(ctx, tc.Servers)}, nil
 	case *messenger.Check:
 		return &messenger.Checked{Node: rn.identity.ID}, nil
 	case *messenger.DemandReport:
--- a/internal/protocol/messenger/delegate.go
+++ b/internal/protocol/messenger/delegate.go
@@ -126,22 +126,30 @@
 	return err
 }
 
-// PathQuery asks a node whether it reaches backend servers. Its answer is a
-// PathAnswer.
-type PathQuery struct{}
+// PathQuery asks a node whether it reaches most of some backend servers. Its answer is
+// a PathAnswer.
+type PathQuery struct {
+	// Servers are the names of servers that the sender does not reach.
+	Servers []string
+}
 
 // Kind implements Message.
 func (*PathQuery) Kind() Kind { return KindPathQuery }
 
 // Encode implements Message.
-func (*PathQuery) Encode(*msgpack.Encoder) error { return nil }
+func (pq *PathQuery) Encode(en *msgpack.Encoder) error {
+	return EncodeList(en, pq.Servers, func(en *msgpack.Encoder, name string) error { return EncodeAll(en, name) })
+}
 
 // Decode implements Message.
-func (*PathQuery) Decode(*msgpack.Decoder) error { return nil }
+func (pq *PathQuery) Decode(de *msgpack.Decoder) (err error) {
+	pq.Servers, err = DecodeList(de, func(de *msgpack.Decoder) (name string, err error) { return name, DecodeAll(de, &name) })
+	return err
+}
 
 // PathAnswer answers a PathQuery.
 type PathAnswer struct {
-	// Reaches says that a server answered the node.
+	// Reaches says that most of the servers answered the node.
 	Reaches bool
 }
 
--- a/internal/protocol/messenger/messenger_test.go
+++ b/internal/protocol/messenger/messenger_test.go
@@ -55,6 +55,7 @@
 		&DelegateNext{ID: 1 << 63},
 		&DelegateCancel{ID: 1 << 63},
 		&DelegatePage{Status: 200, Header: []HeaderField{{Name: "A", Values: []string{"1"}}}, Data: []byte("d"), Ended: true, Broken: true},
+		&PathQuery{Servers: []string{"w1"}},
 		&PathAnswer{Reaches: true},
 		&StreamOrigin{Known: true, Pool: "p", Software: "v1", Contradicts: true},
 		&TrialAnswer{Granted: true},
