Take a node for cut off only if it misses the servers while a peer reaches them

After the crash of all servers they come back one after the other. A node that missed some of them seconds ago asked its peers, which reached them by then, and would have given up its leadership and its requests although it reached them too.

--- a/internal/keyspacerunner/path.go
+++ b/internal/keyspacerunner/path.go
@@ -91,8 +91,9 @@
 	}()
 }
 
-// othersReachServers asks some other nodes whether they reach servers that this one
-// does not.
+// othersReachServers reports whether another node reaches servers that this one does
+// not. Both call the same ones at the same time, since servers that were lost for all
+// nodes come back one after the other.
 func (rn *Runner) othersReachServers(ctx context.Context) bool {
 	var peers []prober.Member
 	for _, mb := range rn.registrar.View().Members() {
@@ -105,6 +106,8 @@
 	ctx, cancel := context.WithTimeout(ctx, pathQueryTimeout)
 	defer cancel()
 	query := &messenger.PathQuery{Servers: rn.path.Missed()}
+	own := make(chan bool, 1)
+	go func() { own <- rn.path.Reaches(ctx, query.Servers) }()
 	answers := make(chan bool, len(peers))
 	for _, mb := range peers {
 		go func() {
@@ -113,12 +116,13 @@
 			answers <- ok && pa.Reaches
 		}()
 	}
+	others := false
 	for range peers {
-		if <-answers {
-			return true
+		if others = <-answers; others {
+			break
 		}
 	}
-	return false
+	return others && !<-own
 }
 
 // servesOthers implements delegator.Serves.
