--- a/internal/coordination/pathwatcher/pathwatcher.go
+++ b/internal/coordination/pathwatcher/pathwatcher.go
@@ -10,7 +10,7 @@
 //
 //	wt := pathwatcher.New(servers, ping, activity, pathwatcher.WithOnChange(fn))
 //	go wt.Run(ctx)
-//	fw := forwarder.New(forwarder.WithOnDial(wt.Dialled))
+//	fw := forwarder.New(forwarder.WithOnConnect(wt.Connected))
 //	if wt.Detached() { ... } // use another path
 package pathwatcher
 
@@ -173,18 +173,22 @@
 	return false
 }
 
-// Dialled records whether a connection to the server at the address could be opened. An
-// open connection proves nothing before its first answer.
-func (wt *Watcher) Dialled(address string, err error) {
-	if err == nil {
-		return
-	}
+// Connected records the result of the first exchange on a connection to the server at
+// the address. An open connection proves nothing before its first answer.
+func (wt *Watcher) Connected(address string, err error) {
 	wt.mu.Lock()
 	name, ok := wt.names[address]
-	if ok {
+	switch {
+	case !ok:
+	case err == nil:
+		wt.evidence.Reached(time.Now(), name)
+	default:
 		wt.evidence.Missed(time.Now(), name)
 	}
 	wt.mu.Unlock()
+	if err == nil {
+		return
+	}
 	select {
 	case wt.wake <- struct{}{}:
 	default:
--- a/internal/coordination/pathwatcher/pathwatcher_test.go
+++ b/internal/coordination/pathwatcher/pathwatcher_test.go
@@ -130,7 +130,7 @@
 				nw.mu.Lock()
 				nw.down[nw.servers[ix].Name] = true
 				nw.mu.Unlock()
-				nw.wt.Dialled(nw.servers[ix].Address, errCut)
+				nw.wt.Connected(nw.servers[ix].Address, errCut)
 				time.Sleep(time.Duration(random.IntN(30)) * time.Millisecond)
 			}
 			for range 60 {
--- a/internal/keyspacerunner/keyspacerunner.go
+++ b/internal/keyspacerunner/keyspacerunner.go
@@ -208,7 +208,7 @@
 	}
 	rn.registry.OnRead(rn.setGauges)
 	rn.forwarder = forwarder.New(forwarder.WithIdleTimeout(defaultIdleTimeout), forwarder.WithLimit(rn.connections),
-		forwarder.WithOnDial(func(address string, err error) { rn.path.Dialled(address, err) }))
+		forwarder.WithOnConnect(func(address string, err error) { rn.path.Connected(address, err) }))
 	rn.path = pathwatcher.New(rn.pathServers, rn.pingServer, rn.forwarder, pathwatcher.WithRegistry(rn.registry))
 	rn.registrar = registrar.New(bd.Store, ownPrefix, rn.presence,
 		registrar.WithReady(func() bool { return rn.Ready() && !rn.cutOff.Load() }), registrar.WithRegistry(rn.registry),
--- a/internal/transport/forwarder/forwarder.go
+++ b/internal/transport/forwarder/forwarder.go
@@ -115,8 +115,8 @@
 	idleTimeout time.Duration
 	// limit returns the most open connections to a server; zero means no limit.
 	limit func(address string) int
-	// onDial is called with the result of each attempt to open a connection.
-	onDial func(address string, err error)
+	// onConnect is called with the result of the first exchange on each connection.
+	onConnect func(address string, err error)
 	// inUse counts the requests in progress.
 	inUse atomic.Int64
 	// created is when the forwarder was created, and heardAfter the nanoseconds from
@@ -152,10 +152,11 @@
 	return func(fw *Forwarder) { fw.limit = limit }
 }
 
-// WithOnDial sets a function that is called with the result of each attempt to open
-// a connection, unless its context ended.
-func WithOnDial(fn func(address string, err error)) Option {
-	return func(fw *Forwarder) { fw.onDial = fn }
+// WithOnConnect sets a function that is called with the result of the first exchange
+// on each connection: nil when the head of an answer has come, or why the connection
+// could not be opened or broke off. It is not called if the context ended before.
+func WithOnConnect(fn func(address string, err error)) Option {
+	return func(fw *Forwarder) { fw.onConnect = fn }
 }
 
 // New returns a forwarder without connections.
@@ -164,7 +165,7 @@
 		dial:        (&net.Dialer{Timeout: dialTimeout}).DialContext,
 		idleTimeout: idleTimeout,
 		limit:       func(string) int { return 0 },
-		onDial:      func(string, error) {},
+		onConnect:   func(string, error) {},
 		created:     time.Now(),
 		idle:        map[string][]*connection{},
 		open:        map[string]int{},
@@ -232,6 +233,9 @@
 		return nil, &Error{Address: rq.Address, Cause: errGivenUp}
 	}
 	rs, err := cn.roundTrip(ctx, rq)
+	if !cn.reused && ctx.Err() == nil {
+		fw.onConnect(rq.Address, err)
+	}
 	if err != nil {
 		fw.inUse.Add(-1)
 		cn.close()
@@ -282,10 +286,10 @@
 	dialCtx, cancel := context.WithTimeout(ctx, dialTimeout)
 	defer cancel()
 	raw, err := fw.dial(dialCtx, "tcp", address)
-	if ctx.Err() == nil {
-		fw.onDial(address, err)
-	}
 	if err != nil {
+		if ctx.Err() == nil {
+			fw.onConnect(address, err)
+		}
 		fw.releaseSlot(address)
 		return nil, err
 	}
