Read servers for the path once a change, and name the delegate's question

Found by reading the diff: a node asked whether each server's version is settled ten times a second and listed all servers as often for its path, which at 1,300 servers is work for nothing; an answer of another node that is larger than what a node holds would have been cut without a sign; and the dispatcher's Detached meant cut off, which pathwatcher uses for another state. No decision changes but the answer beyond the bound, which is refused.

--- a/internal/coordination/dispatcher/attempt.go
+++ b/internal/coordination/dispatcher/attempt.go
@@ -79,7 +79,7 @@
 // releaseGrant releases a grant with the result of its attempt and reports
 // success or failure of the server to the ejector.
 func (ds *Dispatcher) releaseGrant(gr *admitter.Grant, rs admitter.Result, fl *failure) {
-	rs.Failed = fl != nil && fl.blamesServer() && !ds.delegate.Detached()
+	rs.Failed = fl != nil && fl.blamesServer() && !ds.delegate.CutOff()
 	gr.Done(rs)
 	switch {
 	case fl == nil:
--- a/internal/coordination/dispatcher/delegate.go
+++ b/internal/coordination/dispatcher/delegate.go
@@ -22,8 +22,8 @@
 
 // Delegate has other nodes run requests while this node does not reach the servers.
 type Delegate interface {
-	// Detached reports whether other nodes are to run this node's requests.
-	Detached() bool
+	// CutOff reports whether other nodes are to run this node's requests.
+	CutOff() bool
 	// Misses reports whether this node lately failed to reach the server.
 	Misses(server string) bool
 	// Open has another node run the request and returns its answer. The error is
@@ -34,7 +34,7 @@
 // noDelegate is the default Delegate: the node always reaches the servers.
 type noDelegate struct{}
 
-func (noDelegate) Detached() bool { return false }
+func (noDelegate) CutOff() bool { return false }
 
 func (noDelegate) Misses(string) bool { return false }
 
@@ -47,7 +47,7 @@
 
 // delegatable reports whether another node is to make the next attempt.
 func (pe *proxyExecution) delegatable() bool {
-	return !pe.Delegated && pe.ds.delegate.Detached()
+	return !pe.Delegated && pe.ds.delegate.CutOff()
 }
 
 // runElsewhere has another node run the request. It returns false if no other node takes
@@ -94,10 +94,13 @@
 	if success && pa.isStream(rs) {
 		return pa.receiveStream(ctx, rs)
 	}
-	body, err := io.ReadAll(io.LimitReader(rs.Body, maxAnswerBytes))
+	body, err := io.ReadAll(io.LimitReader(rs.Body, maxAnswerBytes+1))
 	if err != nil {
 		return pa.classifyError(ctx, err, false)
 	}
+	if len(body) > maxAnswerBytes {
+		return &failure{reason: refuser.BackendFailed, detail: "answer of another node is too large", final: true}
+	}
 	if pa.writer.begun() {
 		return &failure{reason: refuser.StreamBroken, detail: "another node did not continue the stream", final: true}
 	}
@@ -124,7 +127,7 @@
 // go on elsewhere: those that were not sent, and those that may be repeated and have got
 // nothing for a while.
 func (ds *Dispatcher) GiveUpSilent() {
-	if !ds.delegate.Detached() {
+	if !ds.delegate.CutOff() {
 		return
 	}
 	ds.attemptsMu.Lock()
--- a/internal/coordination/dispatcher/delegate_test.go
+++ b/internal/coordination/dispatcher/delegate_test.go
@@ -20,7 +20,7 @@
 	opened  []delegator.Request
 }
 
-func (*fakeDelegate) Detached() bool { return true }
+func (*fakeDelegate) CutOff() bool { return true }
 
 func (*fakeDelegate) Misses(string) bool { return true }
 
--- a/internal/coordination/pathwatcher/pathwatcher.go
+++ b/internal/coordination/pathwatcher/pathwatcher.go
@@ -82,6 +82,7 @@
 
 	mu       sync.Mutex
 	evidence *Evidence
+	listed   []Server          // the servers of the last step
 	names    map[string]string // server by address
 	pingedAt time.Time
 }
@@ -96,7 +97,8 @@
 // WithRegistry sets the registry that counts calls and changes.
 func WithRegistry(rg *counter.Registry) Option { return func(wt *Watcher) { wt.registry = rg } }
 
-// New returns the watcher of a node that has the path.
+// New returns the watcher of a node that has the path. The function servers returns a
+// slice that is never modified.
 func New(servers func() []Server, ping Ping, ac Activity, opts ...Option) *Watcher {
 	wt := &Watcher{
 		servers:  servers,
@@ -215,12 +217,7 @@
 	now := time.Now()
 	servers := wt.servers()
 	wt.mu.Lock()
-	listed := make(map[string]bool, len(servers))
-	wt.names = make(map[string]string, len(servers))
-	for _, sv := range servers {
-		listed[sv.Name], wt.names[sv.Address] = true, sv.Name
-	}
-	wt.evidence.Keep(listed)
+	wt.listLocked(servers)
 	var called []Server
 	if interval, ok := wt.intervalLocked(now, len(servers)); ok && now.Sub(wt.pingedAt) >= interval {
 		wt.pingedAt = now
@@ -233,6 +230,20 @@
 	}
 }
 
+// listLocked takes up a changed list of servers.
+func (wt *Watcher) listLocked(servers []Server) {
+	if len(servers) == len(wt.listed) && (len(servers) == 0 || &servers[0] == &wt.listed[0]) {
+		return
+	}
+	wt.listed = servers
+	names := make(map[string]bool, len(servers))
+	wt.names = make(map[string]string, len(servers))
+	for _, sv := range servers {
+		names[sv.Name], wt.names[sv.Address] = true, sv.Name
+	}
+	wt.evidence.Keep(names)
+}
+
 // chooseLocked returns the servers to call: those of which nothing is known first.
 func (wt *Watcher) chooseLocked(now time.Time, servers []Server) []Server {
 	rand.Shuffle(len(servers), func(ix, jx int) { servers[ix], servers[jx] = servers[jx], servers[ix] })
--- a/internal/keyspacerunner/path.go
+++ b/internal/keyspacerunner/path.go
@@ -12,6 +12,7 @@
 	"github.com/lagoonpass/lagoonpass/internal/coordination/delegator"
 	"github.com/lagoonpass/lagoonpass/internal/coordination/pathwatcher"
 	"github.com/lagoonpass/lagoonpass/internal/coordination/prober"
+	"github.com/lagoonpass/lagoonpass/internal/coordination/tracker"
 	"github.com/lagoonpass/lagoonpass/internal/protocol/messenger"
 	"github.com/lagoonpass/lagoonpass/internal/transport/forwarder"
 	"github.com/lagoonpass/lagoonpass/internal/waiter"
@@ -32,13 +33,18 @@
 	if sn == nil || rn.binding.Ping == nil {
 		return nil
 	}
-	servers := make([]pathwatcher.Server, 0, len(sn.servers))
-	for _, sv := range sn.servers {
+	return sn.reachable
+}
+
+// reachable returns the servers that a node with a path reaches.
+func reachable(servers []tracker.Server) []pathwatcher.Server {
+	all := make([]pathwatcher.Server, 0, len(servers))
+	for _, sv := range servers {
 		if !sv.Leaving {
-			servers = append(servers, pathwatcher.Server{Name: sv.ID, Address: sv.Address})
+			all = append(all, pathwatcher.Server{Name: sv.ID, Address: sv.Address})
 		}
 	}
-	return servers
+	return all
 }
 
 // pingServer implements pathwatcher.Ping.
@@ -148,7 +154,7 @@
 // pathDelegate implements dispatcher.Delegate.
 type pathDelegate struct{ rn *Runner }
 
-func (pd pathDelegate) Detached() bool { return pd.rn.cutOff.Load() }
+func (pd pathDelegate) CutOff() bool { return pd.rn.cutOff.Load() }
 
 func (pd pathDelegate) Misses(server string) bool { return pd.rn.path.Misses(server) }
 
--- a/internal/keyspacerunner/snapshot.go
+++ b/internal/keyspacerunner/snapshot.go
@@ -6,6 +6,7 @@
 
 	"github.com/apex/log"
 
+	"github.com/lagoonpass/lagoonpass/internal/coordination/pathwatcher"
 	"github.com/lagoonpass/lagoonpass/internal/coordination/publisher"
 	"github.com/lagoonpass/lagoonpass/internal/coordination/tracker"
 	"github.com/lagoonpass/lagoonpass/internal/coordination/versionkeeper"
@@ -27,6 +28,8 @@
 	servers  []tracker.Server
 	// base are the operator's settings, without backend servers.
 	base *configurer.Settings
+	// reachable are the servers that do not leave.
+	reachable []pathwatcher.Server
 	// connections is how many connections each server accepts, by its address.
 	connections map[string]int
 	// since is when the node first used the configuration.
@@ -206,7 +209,7 @@
 	if old != nil && old.base == rv.Settings() && sameServers(old.servers, servers) {
 		return
 	}
-	next := &snapshot{base: rv.Settings(), servers: servers, since: now}
+	next := &snapshot{base: rv.Settings(), servers: servers, reachable: reachable(servers), since: now}
 	if old != nil && old.base == next.base {
 		next.since = old.since
 	}
@@ -319,13 +322,18 @@
 		}
 	}
 	all := make([]watcher.Report, 0, len(sn.servers))
+	settled := map[versionkeeper.Process]bool{}
 	for _, sv := range sn.servers {
+		version := versionkeeper.Process{Pool: sv.Pool, Software: sv.Software}
+		if _, known := settled[version]; !known {
+			settled[version] = rn.versions.Settled(now, version)
+		}
 		rp := watcher.Report{
 			Server:      sv.ID,
 			Address:     sv.Address,
 			BootID:      bootID(sv),
 			Software:    sv.Software,
-			Unsettled:   !rn.versions.Settled(now, versionkeeper.Process{Pool: sv.Pool, Software: sv.Software}),
+			Unsettled:   !settled[version],
 			Models:      map[string]string{},
 			Leaving:     sv.Leaving,
 			Sequence:    uint64(max(sv.Sequence, 0)),
