--- a/internal/coordination/admitter/software_test.go
+++ b/internal/coordination/admitter/software_test.go
@@ -1,6 +1,8 @@
 package admitter
 
 import (
+	"maps"
+	"slices"
 	"testing"
 
 	"github.com/stretchr/testify/require"
@@ -60,3 +62,37 @@
 	update(map[string]string{"w0": "v1", "w1": "v1"})
 	require.Equal(t, refuser.VersionGone, waiting.Refusal().Reason(), "told at once when the last server is gone")
 }
+
+// A stream began at a version that other nodes had not heard of yet, although an older
+// one was there.
+func TestResumableStreamsBeginAtAVersionThatAllNodesKnow(t *testing.T) {
+	sc, st := newTestScheduler(t)
+	for name, tc := range map[string]struct {
+		unsettled []string
+		resumable bool
+		want      []string
+	}{
+		"a known version is there":   {[]string{"w0"}, true, []string{"w1"}},
+		"all versions are new":       {[]string{"w0", "w1"}, true, []string{"w0", "w1"}},
+		"the stream cannot go on":    {[]string{"w0"}, false, []string{"w0", "w1"}},
+		"no version of them is new ": {nil, true, []string{"w0", "w1"}},
+	} {
+		t.Run(name, func(t *testing.T) {
+			tb := testTable(st)
+			for _, tg := range tb.Targets() {
+				tg.Unsettled = slices.Contains(tc.unsettled, tg.Name)
+			}
+			sc.Update(testStart, router.NewTable(tb.Targets(), 1))
+			used := map[string]bool{}
+			for range 2 * len(tc.want) {
+				tk := testTicket(st, "desk", "urgent", "m", testStart)
+				tk.Resumable = tc.resumable
+				en, rf := sc.Submit(testStart, tk)
+				require.Nil(t, rf)
+				require.True(t, en.Granted())
+				used[en.Target().Name] = true
+			}
+			require.ElementsMatch(t, tc.want, slices.Collect(maps.Keys(used)))
+		})
+	}
+}
