--- a/internal/coordination/dispatcher/answer.go
+++ b/internal/coordination/dispatcher/answer.go
@@ -117,7 +117,7 @@
 // proxyAttempt is one attempt of a proxied request.
 type proxyAttempt struct {
 	*proxyExecution
-	grant    *admitter.Grant
+	grant    *admitter.Grant // nil if another node makes the attempt
 	server   string
 	address  string
 	process  versionkeeper.Process // of the server, when the request was sent
