Keep the marks of pools until the servers have been listed for a while

Cause: a leader that had not listed the servers yet took the time since then, which was zero, for longer than callers take up streams, and removed the marks that another node had left. Streams of a pool with two versions could then be taken for those of a single one.

Change: marks are removed only once the history covers the streams' lifetime.

Result: the new case of TestMarkOfPoolLastsAsLongAsStreams failed before and passes.

--- a/internal/coordination/versionkeeper/history.go
+++ b/internal/coordination/versionkeeper/history.go
@@ -144,6 +144,12 @@
 	return age >= maxSettleTime || age >= settleTime && hs.marked[name]
 }
 
+// covers reports whether the servers have been listed for streamMemory, so that the
+// history lacks no version that a stream may have begun at.
+func (hs *History) covers(now time.Time) bool {
+	return !hs.since.IsZero() && now.Sub(hs.since) >= streamMemory
+}
+
 // mixed returns the pools that have had several versions within streamMemory.
 func (hs *History) mixed(now time.Time) map[string]bool {
 	pools := map[string]bool{}
--- a/internal/coordination/versionkeeper/marks.go
+++ b/internal/coordination/versionkeeper/marks.go
@@ -69,7 +69,7 @@
 		}
 	}
 	for name := range kp.history.marked {
-		if leads && !mixed[name] && now.Sub(kp.history.since) >= streamMemory && len(tx.Writes)+len(tx.Deletes) < maxWrites {
+		if leads && !mixed[name] && kp.history.covers(now) && len(tx.Writes)+len(tx.Deletes) < maxWrites {
 			tx.Deletes = append(tx.Deletes, kp.prefix+name)
 		}
 	}
--- a/internal/coordination/versionkeeper/versionkeeper_test.go
+++ b/internal/coordination/versionkeeper/versionkeeper_test.go
@@ -251,6 +251,16 @@
 		fl.syncAll()
 		time.Sleep(30 * time.Second)
 		require.Equal(t, 1, marks())
+		// A leader that has started and has no copy of the servers yet knows of no pool.
+		starting := versionkeeper.New(link{fl, "n0", 1}, "n2", func() []prober.Member { return nil },
+			versionkeeper.WithStore(fl.store, prefix, func() bool { return true }))
+		entries, _, err := fl.store.Snapshot(t.Context(), prefix)
+		require.NoError(t, err)
+		starting.Replace(entries)
+		ctx, cancel := context.WithTimeout(t.Context(), time.Second)
+		defer cancel()
+		require.NoError(t, starting.Run(ctx))
+		require.Equal(t, 1, marks())
 		time.Sleep(2 * time.Minute)
 		require.Zero(t, marks())
 	})
