Handle SIGHUP from the first instruction of an entry node's process

Cause: the handler was set after all listeners were open, and a process without a handler ends at SIGHUP.

Change: the program ignores the signal until the launcher handles it, which it does before anything else; the settings are read after that.

--- a/cmd/lagoonpass-platform/main.go
+++ b/cmd/lagoonpass-platform/main.go
@@ -8,6 +8,8 @@
 
 import (
 	"os"
+	"os/signal"
+	"syscall"
 
 	"github.com/apex/log"
 	"github.com/apex/log/handlers/json"
@@ -24,6 +26,9 @@
 )
 
 func main() {
+	// The settings are read below, so that a signal to read them again may be lost
+	// until the launcher handles it.
+	signal.Ignore(syscall.SIGHUP)
 	lw := logwriter.New(os.Stdout)
 	log.SetHandler(json.New(lw))
 	code := run()
