Pass on changes that a list had already

Cause: the pages of a list are read one after the other, so that later ones may have changes after the revision of the list, or lack keys that were removed after it. The watch from that revision brings these changes again; the node that reads the store had them and left them out of its log. A follower whose copy was of the list's revision never got them, while its position went past them: a new server, or one that leaves, that this node never heard of.

Change: a change from the watch is logged whether or not the copy has it.

--- a/internal/coordination/relayer/feed.go
+++ b/internal/coordination/relayer/feed.go
@@ -117,15 +117,22 @@
 	fd.sink.Replace(entries)
 }
 
-// applyOrdered applies the changes that the copy does not have yet. Its caller
-// holds order.
+// applyOrdered applies the changes that the copy does not have yet. Those that a list
+// brought are logged all the same, since followers may have the list's revision without
+// them. Its caller holds order.
 func (fd *feed) applyOrdered(changes []storer.Change) {
 	fd.mu.Lock()
 	fresh := make([]storer.Change, 0, len(changes))
+	logged := fd.position
 	for _, ch := range changes {
 		fd.position, fd.seen = max(fd.position, ch.Revision), max(fd.seen, ch.Revision)
 		known, ok := fd.entries[ch.Key]
-		if ok && known.Revision >= ch.Revision || !ok && ch.Deleted {
+		has := ok && known.Revision >= ch.Revision || !ok && ch.Deleted
+		if !has || ch.Revision > logged {
+			fd.log = append(fd.log, ch)
+			fd.logBytes += len(ch.Key) + len(ch.Value)
+		}
+		if has {
 			continue
 		}
 		if ch.Deleted {
@@ -134,8 +141,6 @@
 			fd.entries[ch.Key] = ch.Entry
 		}
 		fresh = append(fresh, ch)
-		fd.log = append(fd.log, ch)
-		fd.logBytes += len(ch.Key) + len(ch.Value)
 	}
 	fd.trimLocked()
 	fd.mu.Unlock()
--- a/internal/coordination/relayer/feed_test.go
+++ b/internal/coordination/relayer/feed_test.go
@@ -22,6 +22,10 @@
 
 func (vs valueSink) Apply(changes []storer.Change) {
 	for _, ch := range changes {
+		if ch.Deleted {
+			delete(vs, ch.Key)
+			continue
+		}
 		vs[ch.Key] = string(ch.Value)
 	}
 }
@@ -55,3 +59,29 @@
 	rd.Apply([]storer.Change{{Entry: storer.Entry{Key: "k", Value: []byte("three"), Revision: 7}}})
 	require.Equal(t, valueSink{"k": "three"}, values)
 }
+
+// The pages of a list are read one after the other, so that later ones may have changes
+// after the list's revision. A follower whose copy is of that revision lacked these
+// changes for ever.
+func TestFollowerGetsChangesThatAListHadAlready(t *testing.T) {
+	source, copied := valueSink{}, valueSink{}
+	newFeed := func(sk valueSink) *feed {
+		return &feed{sink: sk, clock: func() time.Duration { return 0 }, entries: map[string]storer.Entry{}}
+	}
+	from, to := newFeed(source), newFeed(copied)
+	entry := func(key string, revision int64) storer.Entry { return storer.Entry{Key: key, Revision: revision} }
+	to.Replace([]storer.Entry{entry("changed", 3), entry("removed", 4)})
+	to.advance(0, 5)
+
+	from.Replace([]storer.Entry{entry("changed", 6), entry("added", 7)})
+	from.advance(0, 5)
+	rd := &reader{feed: from}
+	rd.Apply([]storer.Change{{Entry: entry("changed", 6)}, {Entry: entry("added", 7)}, {Entry: entry("removed", 8), Deleted: true}})
+	from.advance(0, 8)
+
+	pt, ok := from.part(to.messagePosition())
+	require.True(t, ok)
+	to.take(pt)
+	require.Equal(t, from.entries, to.entries)
+	require.Equal(t, source, copied)
+}
