Have a cut end the watches that wait, in the stand-in of the relayer's tests

Cause: the stand-in refused new calls while a node was cut off from the store, and let a watch that waited go on, against its comment. TestFollowersLearnOfShortOutage cuts the reader off for 300 ms; if its watch waited all that time, no call failed, so that no node could see an outage.

Change: a watch that waits ends with the cut.

--- a/internal/coordination/relayer/relayer_test.go
+++ b/internal/coordination/relayer/relayer_test.go
@@ -83,8 +83,8 @@
 	return entries, revision, gt.eras.Judge("list", prefix, storer.Lookup, begun, gt.Keyspace.Era(), err)
 }
 
-// Watch implements storer.Keyspace. It fails within the time of the real client
-// if the link is cut while it waits.
+// Watch implements storer.Keyspace. It fails at once if the link is cut while it waits,
+// and within the time of the real client if the link goes silent.
 func (gt *gate) Watch(ctx context.Context, prefix string, after int64, wait time.Duration) ([]storer.Change, int64, error) {
 	ctx, cancel := context.WithTimeout(ctx, wait+500*time.Millisecond)
 	defer cancel()
@@ -93,6 +93,9 @@
 	}
 	deadline, begun, silenced := time.Now().Add(wait), gt.Era(), gt.silenced.Load()
 	for {
+		if gt.cut.Load() {
+			return nil, 0, &storer.Error{Kind: storer.Unavailable}
+		}
 		changes, revision, err := gt.Keyspace.Watch(ctx, prefix, after, 0)
 		if gt.silent.Load() || gt.silenced.Load() != silenced {
 			<-ctx.Done()
