Use servers whose registrations are missing only where there are no others

Cause: after an outage of the store a registration that is missing is waited for, since all may have expired in it. Where the store turned only some nodes away, a server that left without saying so was used like any other in that time.

Change: such servers are candidates only if no other one holds the model. If at least half of a pool is missing, the outage was that of all and nothing changes.

Ruled out: the relay's change was not lost (the node that turned to the store had it at once); a node relieved by one that has its copy from it, seen in the same log, costs a second of age, and not this.

--- a/internal/coordination/admitter/software_test.go
+++ b/internal/coordination/admitter/software_test.go
@@ -64,23 +64,26 @@
 }
 
 // A stream began at a version that other nodes had not heard of yet, although an older
-// one was there.
-func TestResumableStreamsBeginAtAVersionThatAllNodesKnow(t *testing.T) {
+// one was there, and a server whose registration had ended was used like the others.
+func TestDoubtfulServersAreUsedOnlyWithoutOthers(t *testing.T) {
 	sc, st := newTestScheduler(t)
 	for name, tc := range map[string]struct {
-		unsettled []string
-		resumable bool
-		want      []string
+		unsettled, unlisted []string
+		resumable           bool
+		want                []string
 	}{
-		"a known version is there":   {[]string{"w0"}, true, []string{"w1"}},
-		"all versions are new":       {[]string{"w0", "w1"}, true, []string{"w0", "w1"}},
-		"the stream cannot go on":    {[]string{"w0"}, false, []string{"w0", "w1"}},
-		"no version of them is new ": {nil, true, []string{"w0", "w1"}},
+		"a known version is there":             {[]string{"w0"}, nil, true, []string{"w1"}},
+		"all versions are new":                 {[]string{"w0", "w1"}, nil, true, []string{"w0", "w1"}},
+		"the stream cannot go on":              {[]string{"w0"}, nil, false, []string{"w0", "w1"}},
+		"no version of them is new ":           {nil, nil, true, []string{"w0", "w1"}},
+		"a server may have left":               {nil, []string{"w0"}, false, []string{"w1"}},
+		"all servers may have left":            {nil, []string{"w0", "w1"}, true, []string{"w0", "w1"}},
+		"one may have left, the other is new ": {[]string{"w1"}, []string{"w0"}, true, []string{"w1"}},
 	} {
 		t.Run(name, func(t *testing.T) {
 			tb := testTable(st)
 			for _, tg := range tb.Targets() {
-				tg.Unsettled = slices.Contains(tc.unsettled, tg.Name)
+				tg.Unsettled, tg.Unlisted = slices.Contains(tc.unsettled, tg.Name), slices.Contains(tc.unlisted, tg.Name)
 			}
 			sc.Update(testStart, router.NewTable(tb.Targets(), 1))
 			used := map[string]bool{}
--- a/internal/coordination/router/router.go
+++ b/internal/coordination/router/router.go
@@ -53,6 +53,8 @@
 	Software string
 	// Unsettled says that other nodes may not know of this version yet.
 	Unsettled bool
+	// Unlisted says that the server's registration is missing, so that it may have left.
+	Unlisted bool
 	// Role is the phase that the server runs: prefill, decode or both.
 	Role configurer.Role
 	// Leaving says that the server accepts no new work.
--- a/internal/coordination/tracker/tracker.go
+++ b/internal/coordination/tracker/tracker.go
@@ -63,6 +63,9 @@
 	Slots int
 	// Leaving is set if the server accepts no new requests.
 	Leaving bool
+	// Unlisted says that the registration is missing, and those of most servers of the
+	// pool are not. The server may have left, or may register again.
+	Unlisted bool
 	// Remaining is the time until a leaving server stops, or 0 if unknown.
 	Remaining time.Duration
 	// Models are the models in the server's memory.
@@ -254,12 +257,21 @@
 func (tk *Tracker) Servers(now time.Time) []Server {
 	inGracePeriod := tk.inGracePeriod(now)
 	servers := make([]Server, 0, len(tk.entries))
+	present, missing := map[string]int{}, map[string]int{}
 	for id, en := range tk.entries {
-		if !en.missingSince.IsZero() && !inGracePeriod {
+		switch {
+		case en.missingSince.IsZero():
+			present[en.server.Pool]++
+		case !inGracePeriod:
 			tk.delete(now, id)
-			continue
+		default:
+			missing[en.server.Pool]++
 		}
-		servers = append(servers, en.server)
+	}
+	for _, en := range tk.entries {
+		sv := en.server
+		sv.Unlisted = !en.missingSince.IsZero() && present[sv.Pool] > missing[sv.Pool]
+		servers = append(servers, sv)
 	}
 	slices.SortFunc(servers, func(one, two Server) int { return strings.Compare(one.ID, two.ID) })
 	return servers
--- a/internal/coordination/tracker/tracker_test.go
+++ b/internal/coordination/tracker/tracker_test.go
@@ -1,6 +1,7 @@
 package tracker_test
 
 import (
+	"fmt"
 	"testing"
 	"time"
 
@@ -61,6 +62,29 @@
 	require.Equal(t, []string{"a"}, ids(tk, startPlus(time.Hour+tracker.ReregisterGracePeriod)))
 }
 
+// A server whose registration ended was used like all others after an outage that only
+// some nodes had, although it had left.
+func TestServersWhoseRegistrationsEndAloneAreUnlisted(t *testing.T) {
+	for missing, want := range []int{0, 1, 0, 0} {
+		tk := tracker.New()
+		all := []tracker.Server{server("a", 1, 1, false), server("b", 1, 1, false), server("c", 1, 1, false)}
+		tk.Replace(start, all)
+		tk.MarkStoreDown()
+		tk.MarkStoreUp(start)
+		tk.Replace(start, all[missing:])
+		unlisted := 0
+		for _, sv := range tk.Servers(start) {
+			if sv.Unlisted {
+				unlisted++
+				require.Equal(t, "a", sv.ID)
+			}
+		}
+		require.Equal(t, want, unlisted, "%d are missing", missing)
+		tk.Replace(start, all)
+		require.NotContains(t, fmt.Sprintf("%+v", tk.Servers(start)), "Unlisted:true")
+	}
+}
+
 func TestServerStaysWhenItReregistersAfterOutage(t *testing.T) {
 	tk := tracker.New()
 	tk.Update(start, server("a", 1, 1, false))
--- a/internal/coordination/watcher/watcher.go
+++ b/internal/coordination/watcher/watcher.go
@@ -44,6 +44,8 @@
 	Software string
 	// Unsettled says that other nodes may not know of this version yet.
 	Unsettled bool
+	// Unlisted says that the server's registration is missing.
+	Unlisted bool
 	// Models maps the names of the ready models to their versions. Only the
 	// server's owner knows the versions; for other nodes they are empty.
 	Models map[string]string
--- a/internal/keyspacerunner/snapshot.go
+++ b/internal/keyspacerunner/snapshot.go
@@ -334,6 +334,7 @@
 			BootID:      bootID(sv),
 			Software:    sv.Software,
 			Unsettled:   !settled[version],
+			Unlisted:    sv.Unlisted,
 			Models:      map[string]string{},
 			Leaving:     sv.Leaving,
 			Sequence:    uint64(max(sv.Sequence, 0)),
@@ -356,7 +357,7 @@
 
 func sameServers(one, two []tracker.Server) bool {
 	return equal(one, two, func(sv, other tracker.Server) bool {
-		return sv.ID == other.ID && sv.Incarnation == other.Incarnation && sv.Sequence == other.Sequence && sv.Leaving == other.Leaving
+		return sv.ID == other.ID && sv.Incarnation == other.Incarnation && sv.Sequence == other.Sequence && sv.Leaving == other.Leaving && sv.Unlisted == other.Unlisted
 	})
 }
 
