Let a node that has heard nothing of a pool send a request at once

Cause: until a server of a pool had answered a node, the node used its share of four fifths of the slots, as for brittle servers. With more nodes than slots that is none, but for its turn: requests to idle servers waited for up to 2 s after each start of a node.

Change: such a node has at least one request on each server; the first answer tells whether they are brittle.

Result: the new test failed before with 40 nodes (no request granted on an idle server).

--- a/internal/coordination/admitter/brittle_test.go
+++ b/internal/coordination/admitter/brittle_test.go
@@ -239,3 +239,41 @@
 		require.Greater(t, bs.served, 4000, "seed %d: served of about 5,000", seed)
 	}
 }
+
+// A node that had just started waited for its share of idle servers, which was less than
+// one request as soon as the nodes were more than the slots.
+func TestNodeThatHasHeardNothingSendsOneRequestAtOnce(t *testing.T) {
+	const nodes = 40
+	bs := newBrittleSim(t, 1)
+	for name, brittle := range map[string]bool{"sound": false, "brittle": true} {
+		t.Run(name, func(t *testing.T) {
+			for ix := range nodes {
+				random := rand.New(rand.NewPCG(uint64(ix), 61))
+				sc := NewScheduler(random, WithLocation(fmt.Sprint("n", ix), "z", ""), WithLiveNodes(func() int { return nodes }), WithSignals())
+				sc.ApplySettings(bs.now, bs.st)
+				sc.Update(bs.now, router.NewTable([]*router.Target{{Name: "w0", Pool: "p", Slots: brittleSlots, Models: []string{"m"}, Load: &router.Load{}}}, nodes))
+				granted := func() int {
+					count := 0
+					for range 2 {
+						tk := &Ticket{ID: "r", MaxTokens: 1, Deadline: bs.now.Add(1500 * time.Millisecond)}
+						tk.Caller, _ = bs.st.Caller("c")
+						tk.Class, _ = bs.st.Class("c")
+						tk.Model, _ = bs.st.Model("m")
+						en, rf := sc.Submit(bs.now, tk)
+						require.Nil(t, rf)
+						if en.Granted() {
+							count++
+						}
+					}
+					return count
+				}
+				require.Equal(t, 1, granted(), "node %d has heard nothing", ix)
+				bs.brittle = brittle
+				sc.Observe(bs.now, "w0", bs.now, bs.signals())
+				if !brittle {
+					require.Equal(t, 2, granted(), "node %d has heard that they are sound", ix)
+				}
+			}
+		})
+	}
+}
--- a/internal/coordination/admitter/throttle.go
+++ b/internal/coordination/admitter/throttle.go
@@ -47,11 +47,17 @@
 	return sc.throttle.Observe(now, server, sent, sg)
 }
 
-// brittle reports whether the server may fall over if it has to turn requests away.
+// brittle reports whether the server falls over if it has to turn requests away.
 func (sc *Scheduler) brittle(now time.Time, tg *router.Target) bool {
 	return sc.signals && sc.throttle.Brittle(now, tg.Pool)
 }
 
+// unheard reports whether the server may be brittle, since none of its pool has answered
+// this node yet.
+func (sc *Scheduler) unheard(tg *router.Target) bool {
+	return sc.signals && !sc.throttle.Heard(tg.Pool)
+}
+
 // brittleWindow returns how many requests this node may have on a brittle server. The
 // windows of all nodes together leave some of its slots free, since each node counts by
 // its own clock.
--- a/internal/coordination/admitter/window.go
+++ b/internal/coordination/admitter/window.go
@@ -25,8 +25,13 @@
 // window returns how many requests this node may have on the target: the slots
 // that the other nodes leave free, and at least its own share of the slots.
 func (sc *Scheduler) window(now time.Time, tg *router.Target, resumed bool) int {
-	if sc.brittle(now, tg) {
+	switch {
+	case sc.brittle(now, tg):
 		return sc.brittleWindow(now, tg)
+	case sc.unheard(tg):
+		// The first answer tells; to wait for a share until then could take long in a
+		// large fleet.
+		return max(sc.brittleWindow(now, tg), 1)
 	}
 	extra := 0
 	if resumed {
--- a/internal/coordination/throttler/brittle.go
+++ b/internal/coordination/throttler/brittle.go
@@ -34,13 +34,15 @@
 	th.pools[pool] = bs
 }
 
-// Brittle reports whether servers of the pool are brittle, or may be, because none has
-// answered this node yet.
+// Brittle reports whether servers of the pool are brittle.
 func (th *Throttler) Brittle(now time.Time, pool string) bool {
-	bs := th.pools[pool]
-	return !bs.heard || now.Sub(bs.namedAt) < brittleLifetime
+	return now.Sub(th.pools[pool].namedAt) < brittleLifetime
 }
 
+// Heard reports whether a server of the pool has answered this node. Otherwise they may
+// be brittle.
+func (th *Throttler) Heard(pool string) bool { return th.pools[pool].heard }
+
 // Rejected records that a server of a brittle pool turned a request away for want of
 // room.
 func (th *Throttler) Rejected(now time.Time, server string) { th.pause(now, server, rejectedPause) }
