Count servers as reached whose connections are in use while bytes come

Cause: a node that is asked whether it reaches servers opens connections to them. In a large fleet a node may have one connection to each server; while that is in use no other can be opened, and the node answered no.

Change: then the bytes that come over the open connections tell, unless the node is detached itself.

Result: the new test failed before.

--- a/internal/coordination/pathwatcher/pathwatcher.go
+++ b/internal/coordination/pathwatcher/pathwatcher.go
@@ -56,7 +56,8 @@
 	Name, Address string
 }
 
-// ErrNotCalled means that a server was not called, so that nothing is known of it.
+// ErrNotCalled means that a server was not called, since no further connection to it is
+// allowed. What is known of it does not change.
 var ErrNotCalled = errors.New("pathwatcher: server not called")
 
 // Ping calls a server over a new connection, and returns nil if it answers anything.
@@ -281,7 +282,11 @@
 	defer cancel()
 	err := wt.ping(callCtx, sv)
 	now := time.Now()
-	if ctx.Err() != nil || now.Sub(began) > 2*pingTimeout || errors.Is(err, ErrNotCalled) {
+	if errors.Is(err, ErrNotCalled) {
+		// The connections that are open tell instead.
+		return !wt.Detached() && now.Sub(wt.activity.LastHeard()) < silenceTime
+	}
+	if ctx.Err() != nil || now.Sub(began) > 2*pingTimeout {
 		return false
 	}
 	if errors.Is(callCtx.Err(), context.DeadlineExceeded) && wt.activity.LastHeard().After(began) {
--- a/internal/coordination/pathwatcher/pathwatcher_test.go
+++ b/internal/coordination/pathwatcher/pathwatcher_test.go
@@ -154,3 +154,26 @@
 		require.LessOrEqual(t, nw.pinged.Load(), int64(20))
 	})
 }
+
+// A sound node of a large fleet, which may have one connection to each server, denied that
+// it reached servers to which that connection was in use.
+func TestServersOutOfConnectionsAreReachedWhileBytesCome(t *testing.T) {
+	for name, tc := range map[string]struct {
+		heard time.Duration // before the question
+		want  bool
+	}{
+		"bytes come":       {50 * time.Millisecond, true},
+		"nothing has come": {time.Second, false},
+	} {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				nw := &network{heard: time.Now()}
+				servers := []pathwatcher.Server{{Name: "w0"}, {Name: "w1"}}
+				full := func(context.Context, pathwatcher.Server) error { return pathwatcher.ErrNotCalled }
+				wt := pathwatcher.New(func() []pathwatcher.Server { return servers }, full, nw)
+				time.Sleep(tc.heard)
+				require.Equal(t, tc.want, wt.Reaches(t.Context(), []string{"w0", "w1"}))
+			})
+		})
+	}
+}
