Let the second round of calls come before a node counts as detached

Cause: a node with too little evidence called four servers every 100 ms, checked by a ticker of 100 ms, so that the second round could come after 200 ms, and counted as detached after 150 ms. If the first round met servers that were down, it was detached for a moment; other nodes were asked and denied it, so that nothing followed.

Change: rounds may follow after 50 ms, which the ticker makes 150 ms at most, and a node is detached after 200 ms. A lost path is seen some 50 ms later.

--- a/internal/coordination/pathwatcher/evidence.go
+++ b/internal/coordination/pathwatcher/evidence.go
@@ -14,7 +14,7 @@
 	reachedWeight = 3
 	// confirmTime is how long after the first miss a node counts as detached at the
 	// earliest, so that the answers of other servers can arrive.
-	confirmTime = 150 * time.Millisecond
+	confirmTime = 200 * time.Millisecond
 	// missLifetime is how long a miss counts.
 	missLifetime = 5 * time.Second
 )
--- a/internal/coordination/pathwatcher/pathwatcher.go
+++ b/internal/coordination/pathwatcher/pathwatcher.go
@@ -47,7 +47,7 @@
 	// detachedInterval is the time between two calls of a detached node, and
 	// undecidedInterval that of a node that misses servers.
 	detachedInterval  = 250 * time.Millisecond
-	undecidedInterval = 100 * time.Millisecond
+	undecidedInterval = 50 * time.Millisecond
 )
 
 // Server is a backend server to call.
