--- a/internal/transport/connectiondrainer/connectiondrainer.go
+++ b/internal/transport/connectiondrainer/connectiondrainer.go
@@ -28,7 +28,7 @@
 )
 
 const (
-	// pollInterval is the time between two looks for idle connections.
+	// pollInterval is the time between two checks for idle connections.
 	pollInterval = 5 * time.Millisecond
 	// acceptTime is how long connections that wait to be accepted are accepted.
 	acceptTime = 20 * time.Millisecond
