Hold requests of a starting node until its configuration is there

Change: such requests wait, bounded in time and number; the rest is told to return after as long again as the node has been starting.

--- a/internal/keyspacerunner/keyspacerunner.go
+++ b/internal/keyspacerunner/keyspacerunner.go
@@ -36,6 +36,7 @@
 	"github.com/lagoonpass/lagoonpass/internal/coordination/orderregistrar"
 	"github.com/lagoonpass/lagoonpass/internal/coordination/pathwatcher"
 	"github.com/lagoonpass/lagoonpass/internal/coordination/placer"
+	"github.com/lagoonpass/lagoonpass/internal/coordination/postponer"
 	"github.com/lagoonpass/lagoonpass/internal/coordination/prober"
 	"github.com/lagoonpass/lagoonpass/internal/coordination/publisher"
 	"github.com/lagoonpass/lagoonpass/internal/coordination/quotakeeper"
@@ -193,6 +194,8 @@
 	started time.Duration
 	// capacity is how many requests a second the node bears; 0 means unknown.
 	capacity atomic.Int64
+	// postponer holds the requests that arrive before the first snapshot.
+	postponer *postponer.Postponer
 	// leaving is set when a planned stop has begun.
 	leaving atomic.Bool
 	// termState is nil unless the node leads.
@@ -238,6 +241,7 @@
 		faulty:     map[string]bool{},
 		started:    stopwatch.Now(),
 		serverLost: make(chan struct{}, 1),
+		postponer:  postponer.New(),
 	}
 	for _, opt := range opts {
 		opt(rn)
--- a/internal/keyspacerunner/snapshot.go
+++ b/internal/keyspacerunner/snapshot.go
@@ -67,6 +67,16 @@
 	return sn.settings, rt
 }
 
+// AwaitConfiguration waits until the node has its first configuration, and reports whether
+// it has one. If not, it returns the time after which the caller should return. A request
+// waits for a part of the time to its deadline.
+func (rn *Runner) AwaitConfiguration(ctx context.Context, deadline time.Time) (retryAfter time.Duration, ok bool) {
+	if rn.postponer.Await(ctx, deadline) {
+		return 0, true
+	}
+	return rn.postponer.RetryAfter(), false
+}
+
 // Revision returns the number of the configuration by which requests are served, or 0.
 func (rn *Runner) Revision() int64 {
 	if sn := rn.snapshot.Load(); sn != nil {
@@ -329,6 +339,7 @@
 		next.connections = connectionsOf(next.base, servers)
 	}
 	rn.snapshot.Store(next)
+	rn.postponer.Release()
 	rn.downs.Update(registrations(servers))
 	rn.logServers(old, next)
 	rn.watcher.SetReports(now, rn.reports(next, now))
