Let late requests wait while their callers do, behind those in time

Several nodes sent the prompts that they held to a new replica together. Change: as many late requests wait on as the servers finish meanwhile, only for servers that are not near their limit, and no longer than the caller stays (abandon-after of a route). A node's unread prompts on a server stay within its share of the backlog that streams there allow; a request's time to wait follows from that backlog.

--- a/internal/coordination/admitter/capacity.go
+++ b/internal/coordination/admitter/capacity.go
@@ -50,21 +50,18 @@
 	sc.meanMemory[tg.Pool] = mean + memoryWeight*(memory-mean)
 }
 
-// displaced reports whether the waiting entry should be refused since it is
-// late, its servers are pressed, and entries of its class and model wait that
-// can still be in time.
-func (sc *Scheduler) displaced(now time.Time, en *Entry) bool {
-	cq := en.flow.classQueue
-	return !now.Before(en.onTimeUntil) && cq.count > cq.late && sc.pressed(now, en)
-}
-
 // pressed reports whether all servers of the entry's model are close to their
 // batch limit.
 func (sc *Scheduler) pressed(now time.Time, en *Entry) bool {
 	for _, tg := range sc.candidates(en.ticket) {
-		if !tg.Leaving && float64(tg.Load.Total()) < pressedShare*float64(sc.batchLimit(now, tg)) {
+		if !tg.Leaving && !sc.nearLimit(now, tg) {
 			return false
 		}
 	}
 	return true
 }
+
+// nearLimit reports whether the target is close to its batch limit.
+func (sc *Scheduler) nearLimit(now time.Time, tg *router.Target) bool {
+	return float64(tg.Load.Total()) >= pressedShare*float64(sc.batchLimit(now, tg))
+}
--- a/internal/coordination/admitter/down.go
+++ b/internal/coordination/admitter/down.go
@@ -135,7 +135,7 @@
 
 // inTime reports whether a request can still be answered in time after the wait.
 func (sc *Scheduler) inTime(now time.Time, tk *Ticket, wait time.Duration) bool {
-	return now.Add(wait).Before(tk.Deadline.Add(-tk.Class.FirstToken()))
+	return now.Add(wait).Before(tk.LatestStart().Add(-tk.Class.FirstToken()))
 }
 
 // spread returns the wait with a random part added, so that callers do not return in the
--- a/internal/coordination/admitter/entry.go
+++ b/internal/coordination/admitter/entry.go
@@ -50,6 +50,8 @@
 	class int
 	// late says that the entry can't meet its first-token target any more.
 	late bool
+	// kept says that the entry waits on although it is displaced.
+	kept bool
 	// ahead is the number of entries of its model and class that were ahead when
 	// it began to wait.
 	ahead int
--- a/internal/coordination/admitter/load_estimate.go
+++ b/internal/coordination/admitter/load_estimate.go
@@ -84,7 +84,7 @@
 func (sc *Scheduler) gauges(now time.Time) map[string]int64 {
 	all := map[string]int64{"servers-near-limit": 0, "servers-slow": 0, "callers-over-share": 0}
 	for _, tg := range sc.table.Targets() {
-		if float64(tg.Load.Total()) >= pressedShare*float64(sc.batchLimit(now, tg)) {
+		if sc.nearLimit(now, tg) {
 			all["servers-near-limit"]++
 		}
 		if tg.Load.Slowdown() > 1 {
--- a/internal/coordination/admitter/load_sim_test.go
+++ b/internal/coordination/admitter/load_sim_test.go
@@ -51,9 +51,10 @@
 	nodes, servers, models     int
 	load                       float64
 	burstFrom, burstTo, length time.Duration
-	hotCaller                  float64 // factor of caller c0 during the burst
-	lost                       int     // servers that crash after 10 s
-	retryAtOnce                bool    // refused callers don't wait
+	hotCaller                  float64       // factor of caller c0 during the burst
+	lost                       int           // servers that crash after 10 s
+	retryAtOnce                bool          // refused callers don't wait
+	patience                   time.Duration // after which callers leave unless the answer has begun; 0 for never
 	slow                       map[int]float64
 	slots, cache               int
 	seed                       uint64
@@ -79,13 +80,13 @@
 	attempts, servers      int
 	avoid                  []string
 	first, gap             time.Duration
-	done, ran              bool
+	done, ran, left        bool
 }
 
 // loadTally sums up what callers got.
 type loadTally struct {
-	sent, onTime, lateFirst, lateGap, refused, cut int
-	value, full                                    float64
+	sent, onTime, lateFirst, lateGap, refused, cut, left int
+	value, full                                          float64
 }
 
 func (lt *loadTally) share() float64 { return lt.value / max(lt.full, 1e-9) }
@@ -97,13 +98,14 @@
 	lt.lateGap += other.lateGap
 	lt.refused += other.refused
 	lt.cut += other.cut
+	lt.left += other.left
 	lt.value += other.value
 	lt.full += other.full
 }
 
 func (lt *loadTally) String() string {
-	return fmt.Sprintf("value %.3f of %d: %d on time, %d late by first token, %d by a gap, %d refused, %d cut off",
-		lt.share(), lt.sent, lt.onTime, lt.lateFirst, lt.lateGap, lt.refused, lt.cut)
+	return fmt.Sprintf("value %.3f of %d: %d on time, %d late by first token, %d by a gap, %d refused, %d cut off, %d left",
+		lt.share(), lt.sent, lt.onTime, lt.lateFirst, lt.lateGap, lt.refused, lt.cut, lt.left)
 }
 
 type loadNode struct {
@@ -343,6 +345,9 @@
 		Prefixes: []uint64{rq.prefix, rq.own}, PrefixTokens: []int{rq.shared, rq.prompt},
 		Deadline: rq.arrived.Add(rq.deadline), Avoid: rq.avoid, Repeated: rq.servers > 0,
 	}
+	if sm.patience > 0 {
+		tk.StartBy = sm.now.Add(sm.patience)
+	}
 	en, rf := nd.sc.Submit(sm.now, tk)
 	switch {
 	case rf != nil:
@@ -359,10 +364,11 @@
 		}
 		sm.send(nd, rq, en)
 	}
-	sm.at(tk.Deadline, func() {
+	sm.at(tk.LatestStart(), func() {
 		if _, ok := nd.onSettled[en]; ok {
 			delete(nd.onSettled, en)
 			nd.sc.Withdraw(sm.now, en)
+			rq.left = true
 			sm.finish(rq)
 		}
 	})
@@ -424,6 +430,8 @@
 func (sm *loadSim) finish(rq *loadRequest) {
 	lt := &loadTally{sent: 1, full: rq.onTime}
 	switch {
+	case rq.left:
+		lt.left = 1
 	case !rq.done && rq.ran:
 		lt.cut = 1
 	case !rq.done:
--- a/internal/coordination/admitter/prefill.go
+++ b/internal/coordination/admitter/prefill.go
@@ -4,7 +4,7 @@
 	"time"
 
 	"github.com/lagoonpass/lagoonpass/internal/coordination/router"
-	"github.com/lagoonpass/lagoonpass/pkg/refuser"
+	"github.com/lagoonpass/lagoonpass/internal/state/configurer"
 )
 
 const (
@@ -18,9 +18,6 @@
 	// minBacklogLimit is a backlog that never keeps a request from a server: the
 	// prefill time of one long prompt.
 	minBacklogLimit = 100 * time.Millisecond
-	// maxWaitTargets is how many first-token targets a request waits in the node
-	// before it is refused.
-	maxWaitTargets = 2
 	// prefillShare is the fraction of its time that a server should spend on
 	// prefill; beyond it the running requests get their tokens too slowly.
 	prefillShare = 0.4
@@ -33,11 +30,36 @@
 	if en.ticket.PromptTokens == 0 {
 		return true
 	}
-	limit := en.ticket.Class.FirstToken() / backlogDivisor
-	if pause, ok := sc.pauses[tg.Pool]; ok {
-		limit = min(limit, time.Duration(float64(pause)*pauseShare))
+	if longest, ok := sc.longestBacklog(tg.Pool); ok && !sc.ownBacklogFits(en, tg, longest) {
+		return false
 	}
-	return tg.Load.Backlog() <= max(limit, minBacklogLimit) && !sc.yields(now, en, tg)
+	return tg.Load.Backlog() <= sc.backlogLimit(en.ticket.Class, tg.Pool) && !sc.yields(now, en, tg)
+}
+
+// backlogLimit returns the longest backlog of a server of the pool to which requests of the
+// class are sent.
+func (sc *Scheduler) backlogLimit(cl *configurer.Class, pool string) time.Duration {
+	limit := cl.FirstToken() / backlogDivisor
+	if longest, ok := sc.longestBacklog(pool); ok {
+		limit = min(limit, longest)
+	}
+	return max(limit, minBacklogLimit)
+}
+
+// longestBacklog returns the longest backlog that the streams of the pool allow, and false
+// if it has no streams.
+func (sc *Scheduler) longestBacklog(pool string) (time.Duration, bool) {
+	pause, ok := sc.pauses[pool]
+	return time.Duration(float64(pause) * pauseShare), ok
+}
+
+// ownBacklogFits reports whether this node's prompts on the target stay within the node's
+// share of the longest backlog that streams there allow. The backlog of other nodes is
+// known with a delay in which an engine reads several prompts, so that nodes which fill up
+// what they know to be free exceed it together. A node may always send one prompt.
+func (sc *Scheduler) ownBacklogFits(en *Entry, tg *router.Target, longest time.Duration) bool {
+	own := tg.Load.OwnBacklog()
+	return own == 0 || en.ticket.Resumed || own+en.ownPrefillTime <= longest/time.Duration(sc.users(tg))
 }
 
 // estimatePrefillWait returns how long a request with a prompt would wait until
@@ -72,33 +94,10 @@
 // request is sent as soon as a server's backlog falls below that limit.
 func (sc *Scheduler) prefillSlack(tk *Ticket) time.Duration {
 	target := tk.Class.FirstToken()
-	backlog := max(target/backlogDivisor, minBacklogLimit)
-	first := sc.engines.FirstToken(tk.Model.Name(), sc.ownTokens(tk), backlog)
+	first := sc.engines.FirstToken(tk.Model.Name(), sc.ownTokens(tk), sc.backlogLimit(tk.Class, tk.Model.Pool()))
 	return max(target-target/targetMarginDivisor-first, time.Millisecond)
 }
 
-// refuseLate returns a refusal if the request has waited so long for prefill
-// that new arrivals are served sooner, or nil. Under overload such requests
-// would otherwise wait until their callers cancel them.
-func (sc *Scheduler) refuseLate(now time.Time, en *Entry) *refuser.Refusal {
-	if en.ownPrefillTime == 0 || en.ticket.Resumed {
-		return nil
-	}
-	if rf := sc.refuseUnfinishable(now, en); rf != nil {
-		return rf
-	}
-	waited := now.Sub(en.arrivedAt)
-	if sc.displaced(now, en) {
-		return refuser.New(refuser.DeadlineUnreachable, "late after %v, and others can still be in time: %v", waited.Round(time.Millisecond), sc.estimateBest(now, en)).
-			WithRetryAfter(sc.returnAfter(now, en, en.flow.classQueue.since))
-	}
-	if waited < maxWaitTargets*en.ticket.Class.FirstToken() {
-		return nil
-	}
-	return refuser.New(refuser.DeadlineUnreachable, "waited for %v and is late: %v", waited.Round(time.Millisecond), sc.estimateBest(now, en)).
-		WithRetryAfter(sc.returnAfter(now, en, en.flow.classQueue.since))
-}
-
 // addBacklog adds the prompt of a granted request to the target's backlog, and
 // its prefixes to those that the target is assumed to cache.
 func (sc *Scheduler) addBacklog(now time.Time, en *Entry, tg *router.Target) {
--- a/internal/coordination/admitter/queue.go
+++ b/internal/coordination/admitter/queue.go
@@ -124,6 +124,8 @@
 	// count is the number of waiting entries, and late that of the late ones.
 	count int
 	late  int
+	// kept is the number of late entries that wait on although they are displaced.
+	kept int
 	// grants counts the grants to waiting entries.
 	grants int
 	// meter measures the rate of these grants while entries wait.
@@ -237,6 +239,9 @@
 	if en.late {
 		cq.late--
 	}
+	if en.kept {
+		cq.kept--
+	}
 	cq.count--
 	cq.ownPrefillTime -= en.ownPrefillTime
 	fl.account.queued--
--- a/internal/coordination/admitter/settings.go
+++ b/internal/coordination/admitter/settings.go
@@ -90,7 +90,7 @@
 
 func (sc *Scheduler) requeue(now time.Time, en *Entry) {
 	en.class = sc.classIndex(en.ticket.Class.Name())
-	en.late = false
+	en.late, en.kept = false, false
 	sc.queue(en.ticket.Model.Name()).add(en, sc.classes[en.class], now)
 	sc.waitingRequests++
 	sc.waitingBytes += int64(en.ticket.Bytes)
--- a/internal/coordination/admitter/ticket.go
+++ b/internal/coordination/admitter/ticket.go
@@ -37,6 +37,9 @@
 	PrefixTokens []int
 	// Deadline is the time from which the caller has no use for the answer.
 	Deadline time.Time
+	// StartBy is when the caller leaves unless its answer has begun; zero if it stays
+	// until the deadline.
+	StartBy time.Time
 	// Avoid names servers on which this request has already failed.
 	Avoid []string
 	// RefusedBy are the processes whose addresses refused a connection for this request.
@@ -63,6 +66,14 @@
 	Charged bool
 }
 
+// LatestStart returns the time by which an answer has to begin to be of use to the caller.
+func (tk *Ticket) LatestStart() time.Time {
+	if !tk.StartBy.IsZero() && tk.StartBy.Before(tk.Deadline) {
+		return tk.StartBy
+	}
+	return tk.Deadline
+}
+
 // Result describes how a granted request ended.
 type Result struct {
 	// Failed says that the server failed to give a complete answer.
--- a/internal/coordination/admitter/window.go
+++ b/internal/coordination/admitter/window.go
@@ -213,8 +213,9 @@
 		return nil
 	}
 	room := tg.Load.Own() < sc.window(now, tg, false)
+	lateRoom := room && !sc.nearLimit(now, tg)
 	fits := func(en *Entry) bool {
-		if !room && !en.ticket.Resumed || !sc.isCandidate(en.ticket, tg) || !sc.roleFits(en, tg) || !sc.backlogFits(now, en, tg) || sc.isExcluded(now, en, tg) || !en.ticket.Resumed && sc.yieldsToCallers(now, en, tg) {
+		if !room && !en.ticket.Resumed || sc.yieldsLate(en) && !lateRoom || !sc.isCandidate(en.ticket, tg) || !sc.roleFits(en, tg) || !sc.backlogFits(now, en, tg) || sc.isExcluded(now, en, tg) || !en.ticket.Resumed && sc.yieldsToCallers(now, en, tg) {
 			return false
 		}
 		avoidedServers := sc.avoidedServers(en.ticket, sc.candidates(en.ticket))
--- a/internal/coordination/dispatcher/hop.go
+++ b/internal/coordination/dispatcher/hop.go
@@ -33,7 +33,7 @@
 	pe.ds.registry.Inc("adapter", "hop")
 	waiting := pe.ds.hopping.Add(1)
 	defer pe.ds.hopping.Add(-1)
-	if waiting > maxHopping || time.Until(pe.ticket.Deadline)-pause < max(pe.ticket.Class.FirstToken(), minTimeToSend) {
+	if waiting > maxHopping || time.Until(pe.ticket.LatestStart())-pause < max(pe.ticket.Class.FirstToken(), minTimeToSend) {
 		pe.ds.registry.Inc("adapter", "hops-ended")
 		return false, pe.deliverBufferedFailure(refusal.WithRetryAfter(max(refusal.RetryAfter(), fl.retryAfter)))
 	}
--- a/internal/coordination/router/load.go
+++ b/internal/coordination/router/load.go
@@ -103,6 +103,10 @@
 // far.
 func (ld *Load) Backlog() time.Duration { return ld.backlog + ld.othersBacklog }
 
+// OwnBacklog returns the prefill time of the prompts that this node sent and that wait for
+// their first token.
+func (ld *Load) OwnBacklog() time.Duration { return ld.backlog }
+
 // Use returns this node's use of the server.
 func (ld *Load) Use(now time.Time) Use {
 	return Use{Requests: ld.own, Backlog: ld.backlog, Prefill: ld.OwnPrefill(now), Slowness: ld.slowness.recent(now)}
--- a/internal/state/configurer/pool.go
+++ b/internal/state/configurer/pool.go
@@ -64,6 +64,7 @@
 	resumable     bool
 	timeLimit     time.Duration
 	pauseTarget   time.Duration
+	abandonAfter  time.Duration
 	attemptLimit  int
 	authenticated bool
 }
@@ -92,6 +93,10 @@
 // PauseTarget returns the target for the longest pause between two events.
 func (rt *Route) PauseTarget() time.Duration { return rt.pauseTarget }
 
+// AbandonAfter returns the time without an event, also before the first one, after which
+// callers abandon a stream.
+func (rt *Route) AbandonAfter() time.Duration { return rt.abandonAfter }
+
 // AttemptLimit returns the maximum number of servers that one request may
 // reach.
 func (rt *Route) AttemptLimit() int { return rt.attemptLimit }
--- a/internal/state/configurer/schema.go
+++ b/internal/state/configurer/schema.go
@@ -148,6 +148,7 @@
 		boolKey("resumable", "no", "a broken stream may be continued elsewhere", func(rt *Route) *bool { return &rt.resumable }),
 		durationKey("time-limit", "10s", time.Millisecond, 24*time.Hour, "longest time that a request is kept waiting", func(rt *Route) *time.Duration { return &rt.timeLimit }),
 		durationKey("pause-target", "1s", time.Millisecond, time.Hour, "longest pause between two events", func(rt *Route) *time.Duration { return &rt.pauseTarget }),
+		durationKey("abandon-after", "24h", time.Millisecond, 24*time.Hour, "time without an event after which callers abandon a stream", func(rt *Route) *time.Duration { return &rt.abandonAfter }),
 		intKey("attempts", "1", 1, 100, "servers that one request may reach", func(rt *Route) *int { return &rt.attemptLimit }),
 		boolKey("authenticated", "no", "requests need the key of a caller", func(rt *Route) *bool { return &rt.authenticated }),
 	)
