--- a/internal/coordination/admitter/late.go
+++ b/internal/coordination/admitter/late.go
@@ -27,14 +27,14 @@
 		return rf
 	}
 	waited := now.Sub(en.arrivedAt)
-	reason := "waited for %v and is late: %v"
+	detail := "waited for %v and is late: %v"
 	switch {
 	case sc.displaced(now, en) && !sc.keepLate(en):
-		reason = "late after %v, and others can still be in time: %v"
+		detail = "late after %v, and others can still be in time: %v"
 	case waited < sc.longestWait(en) && sc.startsInTime(now, en):
 		return nil
 	}
-	return refuser.New(refuser.DeadlineUnreachable, reason, waited.Round(time.Millisecond), sc.estimateBest(now, en)).
+	return refuser.New(refuser.DeadlineUnreachable, detail, waited.Round(time.Millisecond), sc.estimateBest(now, en)).
 		WithRetryAfter(sc.returnAfter(now, en, en.flow.classQueue.since))
 }
 
