--- a/internal/coordination/admitter/overload_test.go
+++ b/internal/coordination/admitter/overload_test.go
@@ -51,17 +51,33 @@
 	require.Greater(t, most, 1900*time.Millisecond, "a long overload is expected to last")
 }
 
+// surgeSetup sets up one model on three servers whose callers leave after two seconds.
+// Without another burst, demand is 0.7 of what the servers finish.
+func surgeSetup(su *loadSetup) {
+	su.kinds = []loadKind{{"chat", 0, 300 * time.Millisecond, 12 * time.Second, 150 * time.Millisecond, 1, 0.5, 15, 715, 172, 282, 1}}
+	su.nodes, su.servers, su.models, su.slots, su.cache = 4, 3, 1, 24, 82_737
+	su.load, su.length, su.patience = 0.7, 24*time.Second, 2*time.Second
+	su.burstFrom, su.burstTo = 8*time.Second, 11*time.Second
+}
+
+// TestCallersOfASharpSurgeAreServed guards against callers that are refused for good although
+// the surge is over while they still wait: demand is 1.26 of what the servers finish, for
+// three seconds.
+func TestCallersOfASharpSurgeAreServed(t *testing.T) {
+	sm := newLoadSim(t, baseSetup(func(su *loadSetup) {
+		surgeSetup(su)
+		su.kinds[0].burst = 1.8
+	})).run()
+	all := sm.tallies["all"]
+	require.LessOrEqual(t, 100*all.refused, all.sent, "of all requests 1 in 100 may be refused for good")
+	require.Zero(t, all.left)
+}
+
 // TestOverloadedPoolServesCallers runs scenarios of overload and checks what
 // callers get. Each names the failure that it guards against.
 func TestOverloadedPoolServesCallers(t *testing.T) {
 	plain := loadKind{name: "call", target: 150 * time.Millisecond, deadline: time.Second, gap: time.Hour, onTime: 1, late: 0.1, perSecond: 40, answer: 20, burst: 1}
 	hot := func(su *loadSetup) { su.nodes, su.hotCaller, su.burstTo = 4, 8, su.length }
-	surge := func(su *loadSetup) {
-		su.kinds = []loadKind{{"chat", 0, 300 * time.Millisecond, 12 * time.Second, 150 * time.Millisecond, 1, 0.5, 15, 715, 172, 282, 1}}
-		su.nodes, su.servers, su.models, su.slots, su.cache = 4, 3, 1, 24, 82_737
-		su.load, su.length, su.patience = 0.7, 24*time.Second, 2*time.Second
-		su.burstFrom, su.burstTo = 8*time.Second, 11*time.Second
-	}
 	othersServed := func(t *testing.T, sm *loadSim) {
 		var others loadTally
 		for ix := 1; ix < simCallers; ix++ {
@@ -107,7 +123,7 @@
 			require.InDelta(t, 1, ld.Slowdown(), 0, "a new process inherits nothing")
 		}},
 		{"callers of a short surge beyond a model's servers are refused twice, or leave while they wait", func(su *loadSetup) {
-			surge(su)
+			surgeSetup(su)
 			su.kinds[0].burst = 1.6
 		}, map[string]float64{"chat": 0.85}, func(t *testing.T, sm *loadSim) {
 			all := sm.tallies["all"]
@@ -115,7 +131,7 @@
 			require.Zero(t, all.left)
 		}},
 		{"late requests take each slot that becomes free, so that new ones are late as well", func(su *loadSetup) {
-			surge(su)
+			surgeSetup(su)
 			su.load, su.kinds[0].burst, su.burstTo = 0.9, 1.2, 18*time.Second
 		}, map[string]float64{"chat": 0.75}, nil},
 		{"a hot caller crowds out others on model servers", func(su *loadSetup) { hot(su); su.load = 0.8 }, nil, othersServed},
