Log why a retry was allowed, and which nodes declined a request

Cause: the log lines could not tell a budget that a restart had filled again from one that was divided by too few nodes, nor a cut that nobody confirmed from requests that no node took. Change: lines on retries carry the use of the shared budget, the number of nodes and since when it counts; a refusal for want of budget has a line; a request that no node takes has one with the nodes that declined or were not reached by zone.

--- a/internal/coordination/delegator/delegator.go
+++ b/internal/coordination/delegator/delegator.go
@@ -18,6 +18,7 @@
 
 import (
 	"context"
+	"fmt"
 	"io"
 	"math/rand/v2"
 	"net/http"
@@ -45,6 +46,22 @@
 // ErrNoNode means that no node took the request, so that it was not run.
 var ErrNoNode = errors.New("delegator: no other node takes the request")
 
+// OfferError says to whom a request was offered that no node took. It matches ErrNoNode.
+type OfferError struct {
+	// Known is the number of nodes that may take requests by what this node knows.
+	Known int
+	// Declined and Unreachable are the numbers of nodes that were asked in vain, by zone.
+	Declined, Unreachable map[string]int
+}
+
+// Error implements error.
+func (oe *OfferError) Error() string {
+	return fmt.Sprintf("%v: of %d nodes %v declined and %v were not reached, by zone", ErrNoNode, oe.Known, oe.Declined, oe.Unreachable)
+}
+
+// Is reports whether the target is ErrNoNode.
+func (oe *OfferError) Is(target error) bool { return target == ErrNoNode }
+
 // ErrBroken means that the connection to the other node broke off. The request may
 // have run.
 var ErrBroken = errors.New("delegator: the other node is lost")
@@ -125,14 +142,17 @@
 func (dg *Delegator) Serve(hd http.Handler) { dg.handler = hd }
 
 // Open has another node run the request and returns its answer as soon as it begins. The
-// answer is that of a server or a refusal of the other node. Errors are ErrNoNode,
-// ErrBroken or that of ctx.
+// answer is that of a server or a refusal of the other node. Errors are an OfferError
+// if it was not run, ErrBroken or that of ctx.
 func (dg *Delegator) Open(ctx context.Context, rq Request) (*http.Response, error) {
 	call := &messenger.Delegate{
 		ID: rand.Uint64(), Method: rq.Method, Host: rq.Host, Target: rq.Target, Header: toFields(rq.Header),
 		Body: rq.Body, Servers: rq.Servers, Revision: rq.Revision, Caller: rq.Caller,
 	}
-	for _, address := range dg.nodes() {
+	nodes, known := dg.nodes()
+	failed := &OfferError{Known: known, Declined: map[string]int{}, Unreachable: map[string]int{}}
+	for _, mb := range nodes {
+		address := mb.PeerAddress
 		dg.count(address, 1)
 		answer, err := dg.caller.Call(ctx, address, call)
 		page, ok := answer.(*messenger.DelegatePage)
@@ -140,7 +160,11 @@
 		case err == nil && ok && !page.Declined:
 			dg.registry.Inc("delegate", "taken")
 			return dg.response(ctx, address, call.ID, page), nil
-		case err == nil && ok, messenger.Is(err, messenger.Unreachable), messenger.Is(err, messenger.Rejected):
+		case err == nil && ok:
+			failed.Declined[mb.Zone]++
+			dg.registry.Inc("delegate", "declined")
+		case messenger.Is(err, messenger.Unreachable), messenger.Is(err, messenger.Rejected):
+			failed.Unreachable[mb.Zone]++
 			dg.registry.Inc("delegate", "declined")
 		default:
 			dg.registry.Inc("delegate", "lost")
@@ -156,17 +180,17 @@
 			return nil, ctx.Err()
 		}
 	}
-	return nil, ErrNoNode
+	return nil, failed
 }
 
-// nodes returns the addresses of the nodes to ask, the one with the fewest requests of
-// this node first. Nodes of other availability zones come later.
-func (dg *Delegator) nodes() []string {
+// nodes returns the nodes to ask, the one with the fewest requests of this node first,
+// and how many there are. Nodes of other availability zones come later.
+func (dg *Delegator) nodes() (asked []prober.Member, known int) {
 	dg.mu.Lock()
 	defer dg.mu.Unlock()
 	type candidate struct {
-		address string
-		cost    int
+		member prober.Member
+		cost   int
 	}
 	var all []candidate
 	for _, mb := range dg.members() {
@@ -177,15 +201,14 @@
 		if mb.Zone != dg.zone {
 			cost += zoneCost
 		}
-		all = append(all, candidate{mb.PeerAddress, cost})
+		all = append(all, candidate{mb, cost})
 	}
 	rand.Shuffle(len(all), func(ix, jx int) { all[ix], all[jx] = all[jx], all[ix] })
 	slices.SortStableFunc(all, func(one, two candidate) int { return one.cost - two.cost })
-	var addresses []string
 	for _, cd := range all[:min(len(all), maxAsked)] {
-		addresses = append(addresses, cd.address)
+		asked = append(asked, cd.member)
 	}
-	return addresses
+	return asked, len(all)
 }
 
 func (dg *Delegator) count(address string, delta int) {
--- a/internal/coordination/dispatcher/delegate.go
+++ b/internal/coordination/dispatcher/delegate.go
@@ -66,6 +66,7 @@
 		Caller: callerName(pe.ticket.Caller),
 	})
 	if errors.Is(err, delegator.ErrNoNode) {
+		log.WithError(err).WithField("request", pe.ticket.ID).Warn("no other node takes the request; this node sends it itself")
 		return nil, false
 	}
 	pe.elsewhere = true
--- a/internal/coordination/dispatcher/proxy.go
+++ b/internal/coordination/dispatcher/proxy.go
@@ -241,11 +241,20 @@
 		}
 		log.WithFields(log.Fields{
 			"request": pe.ticket.ID, "reason": string(fl.reason), "detail": fl.detail, "servers": pe.servers,
-			"server": pe.server, "software": pe.ticket.Software, "after": pe.writer.lastEvent(),
+			"server": pe.server, "software": pe.ticket.Software, "after": pe.writer.lastEvent(), "budget": pe.usage(fl),
 		}).Info("request is sent again")
 	}
 }
 
+// usage returns what the retry budget allowed, for the log, or "" if the retry took
+// nothing from the shared budget.
+func (pe *proxyExecution) usage(fl *failure) string {
+	if fl.unsent || pe.ds.shared == nil {
+		return ""
+	}
+	return pe.ds.shared.Usage(pe.key(), time.Now()).String()
+}
+
 // runAttempt waits for a grant and sends the request once. It returns nil if
 // the answer is complete.
 func (pe *proxyExecution) runAttempt(ctx context.Context) *failure {
@@ -394,6 +403,7 @@
 		return false, pe.deliverBufferedFailure(refusal)
 	}
 	if !pe.ds.takeRetry(pe.key(), pe.settings.Retries()) {
+		log.WithFields(log.Fields{"request": pe.ticket.ID, "reason": string(fl.reason), "budget": pe.usage(fl)}).Info("request is not sent again: the retry budget is used up")
 		return false, pe.deliverBufferedFailure(refuser.New(refuser.RetryBudget, "not sent again: %s", fl.detail).WithRetryAfter(pe.retryAfter()))
 	}
 	if pe.resumes = pe.writer.begun(); !pe.resumes {
--- a/internal/coordination/retrier/shared.go
+++ b/internal/coordination/retrier/shared.go
@@ -1,6 +1,7 @@
 package retrier
 
 import (
+	"fmt"
 	"sync"
 	"time"
 )
@@ -89,6 +90,31 @@
 	return true
 }
 
+// Usage is what a key has used of its budget in the window.
+type Usage struct {
+	// Requests and Retries are the node's requests and retries.
+	Requests, Retries int
+	// Allowed is how many retries the node may send for that many requests.
+	Allowed float64
+	// Nodes is the number of nodes that share the budget.
+	Nodes int
+	// Age is how long the budget has been counting.
+	Age time.Duration
+}
+
+// String returns the usage for a log line.
+func (us Usage) String() string {
+	return fmt.Sprintf("%d of %.1f retries for %d requests, nodes %d, counting for %v", us.Retries, us.Allowed, us.Requests, us.Nodes, us.Age.Round(time.Millisecond))
+}
+
+// Usage returns what the key has used.
+func (sh *SharedBudget) Usage(key string, now time.Time) Usage {
+	sh.mu.Lock()
+	defer sh.mu.Unlock()
+	requests, retries := sh.series(key, now).sums()
+	return Usage{Requests: requests, Retries: retries, Allowed: sh.allowed(requests), Nodes: sh.nodes, Age: now.Sub(sh.started)}
+}
+
 // Remaining returns the number of retries that the key may have now.
 func (sh *SharedBudget) Remaining(key string, now time.Time) int {
 	sh.mu.Lock()
