Offer a request of a cut node to all nodes until one takes it

Callers of a whole zone that had lost its paths to the servers while the store was out of reach were served nothing. Cause: a request was offered to four nodes, those of the own zone first, and a decline was forgotten. A cut is known to others by the store alone: without it each request asked the same four cut nodes and then went over the lost path. Change: each node that has not declined within a second is asked once, the ones of a zone in which one declined later; nodes that are registered as not ready are asked after the others, since a registration may be old.

--- a/internal/coordination/delegator/delegator.go
+++ b/internal/coordination/delegator/delegator.go
@@ -22,7 +22,6 @@
 	"io"
 	"math/rand/v2"
 	"net/http"
-	"slices"
 	"sync"
 	"time"
 
@@ -33,15 +32,8 @@
 	"github.com/lagoonpass/lagoonpass/internal/protocol/messenger"
 )
 
-const (
-	// zoneCost is how many delegated requests more a node of the own availability zone
-	// may have than one of another.
-	zoneCost = 4
-	// maxAsked is the number of nodes that are asked for one request.
-	maxAsked = 4
-	// maxServed bounds the delegated requests that one node runs at once.
-	maxServed = 512
-)
+// maxServed bounds the delegated requests that one node runs at once.
+const maxServed = 512
 
 // ErrNoNode means that no node took the request, so that it was not run.
 var ErrNoNode = errors.New("delegator: no other node takes the request")
@@ -104,9 +96,8 @@
 	handler    http.Handler
 
 	mu sync.Mutex
-	// delegated counts the requests in progress by the address of the node that runs
-	// them.
-	delegated map[string]int
+	// helpers has what is known of other nodes by their addresses.
+	helpers map[string]*helper
 	// served has the requests of other nodes that this one runs.
 	served map[uint64]*service
 	idle   chan struct{} // closed while served is empty
@@ -121,14 +112,14 @@
 // New returns the delegator of the node with the id self in the availability zone.
 func New(ca Caller, self, zone string, members func() []prober.Member, serves Serves, opts ...Option) *Delegator {
 	dg := &Delegator{
-		caller:    ca,
-		self:      self,
-		zone:      zone,
-		members:   members,
-		serves:    serves,
-		delegated: map[string]int{},
-		served:    map[uint64]*service{},
-		idle:      make(chan struct{}),
+		caller:  ca,
+		self:    self,
+		zone:    zone,
+		members: members,
+		serves:  serves,
+		helpers: map[string]*helper{},
+		served:  map[uint64]*service{},
+		idle:    make(chan struct{}),
 	}
 	close(dg.idle)
 	for _, opt := range opts {
@@ -149,76 +140,37 @@
 		ID: rand.Uint64(), Method: rq.Method, Host: rq.Host, Target: rq.Target, Header: toFields(rq.Header),
 		Body: rq.Body, Servers: rq.Servers, Revision: rq.Revision, Caller: rq.Caller,
 	}
-	nodes, known := dg.nodes()
-	failed := &OfferError{Known: known, Declined: map[string]int{}, Unreachable: map[string]int{}}
-	for _, mb := range nodes {
+	of := dg.newOffer()
+	failed := &OfferError{Known: len(of.members), Declined: map[string]int{}, Unreachable: map[string]int{}}
+	for mb, ok := of.next(); ok; mb, ok = of.next() {
 		address := mb.PeerAddress
-		dg.count(address, 1)
 		answer, err := dg.caller.Call(ctx, address, call)
 		page, ok := answer.(*messenger.DelegatePage)
 		switch {
 		case err == nil && ok && !page.Declined:
 			dg.registry.Inc("delegate", "taken")
+			dg.accepted(address)
 			return dg.response(ctx, address, call.ID, page), nil
+		case ctx.Err() != nil:
+			dg.cancel(address, call.ID)
+			dg.release(address)
+			return nil, ctx.Err()
 		case err == nil && ok:
 			failed.Declined[mb.Zone]++
-			dg.registry.Inc("delegate", "declined")
 		case messenger.Is(err, messenger.Unreachable), messenger.Is(err, messenger.Rejected):
 			failed.Unreachable[mb.Zone]++
-			dg.registry.Inc("delegate", "declined")
 		default:
 			dg.registry.Inc("delegate", "lost")
 			dg.cancel(address, call.ID)
-			dg.count(address, -1)
-			if ctx.Err() != nil {
-				return nil, ctx.Err()
-			}
+			dg.declined(address)
 			return nil, ErrBroken
 		}
-		dg.count(address, -1)
-		if ctx.Err() != nil {
-			return nil, ctx.Err()
-		}
+		dg.registry.Inc("delegate", "declined")
+		dg.declined(address)
 	}
 	return nil, failed
 }
 
-// nodes returns the nodes to ask, the one with the fewest requests of this node first,
-// and how many there are. Nodes of other availability zones come later.
-func (dg *Delegator) nodes() (asked []prober.Member, known int) {
-	dg.mu.Lock()
-	defer dg.mu.Unlock()
-	type candidate struct {
-		member prober.Member
-		cost   int
-	}
-	var all []candidate
-	for _, mb := range dg.members() {
-		if mb.ID == dg.self || mb.State != prober.Alive {
-			continue
-		}
-		cost := dg.delegated[mb.PeerAddress]
-		if mb.Zone != dg.zone {
-			cost += zoneCost
-		}
-		all = append(all, candidate{mb, cost})
-	}
-	rand.Shuffle(len(all), func(ix, jx int) { all[ix], all[jx] = all[jx], all[ix] })
-	slices.SortStableFunc(all, func(one, two candidate) int { return one.cost - two.cost })
-	for _, cd := range all[:min(len(all), maxAsked)] {
-		asked = append(asked, cd.member)
-	}
-	return asked, len(all)
-}
-
-func (dg *Delegator) count(address string, delta int) {
-	dg.mu.Lock()
-	defer dg.mu.Unlock()
-	if dg.delegated[address] += delta; dg.delegated[address] <= 0 {
-		delete(dg.delegated, address)
-	}
-}
-
 // cancel tells the other node, without waiting, that nobody wants the answer.
 func (dg *Delegator) cancel(address string, id uint64) {
 	go func() {
@@ -279,7 +231,7 @@
 // end.
 func (pg *pages) Close() error {
 	pg.closed.Do(func() {
-		pg.dg.count(pg.address, -1)
+		pg.dg.release(pg.address)
 		if !pg.page.Ended {
 			pg.dg.cancel(pg.address, pg.id)
 		}
