Ask nodes of different zones, each once, whether they reach servers

Cause: a node that misses servers asks three others at random before its requests go elsewhere. While a whole zone is cut off the three may be cut off as well, and the next question may ask them again; nodes that an old registration calls not ready were never asked. Change: the three are of different zones, and no node is asked again before all others were.

--- a/internal/keyspacerunner/keyspacerunner.go
+++ b/internal/keyspacerunner/keyspacerunner.go
@@ -166,6 +166,7 @@
 	delegator      *delegator.Delegator  // has other nodes run requests
 	quotas         *quotakeeper.Keeper   // charges requests to the quotas of callers
 	path           *pathwatcher.Watcher  // whether the node reaches the servers
+	pathPeers      pathPeers             // whom watchPath asks
 	budget         *retrier.SharedBudget // retries of all nodes together
 	dispatch       *dispatcher.Dispatcher
 	crashes        *crashdetector.Detector // tells crashes of backend servers from other losses
--- a/internal/keyspacerunner/path.go
+++ b/internal/keyspacerunner/path.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"math/rand/v2"
 	"net/http"
 	"time"
 
@@ -11,7 +10,6 @@
 
 	"github.com/lagoonpass/lagoonpass/internal/coordination/delegator"
 	"github.com/lagoonpass/lagoonpass/internal/coordination/pathwatcher"
-	"github.com/lagoonpass/lagoonpass/internal/coordination/prober"
 	"github.com/lagoonpass/lagoonpass/internal/coordination/tracker"
 	"github.com/lagoonpass/lagoonpass/internal/protocol/messenger"
 	"github.com/lagoonpass/lagoonpass/internal/transport/forwarder"
@@ -23,8 +21,6 @@
 	pathInterval = 100 * time.Millisecond
 	// pathQueryTimeout bounds the question whether another node reaches servers.
 	pathQueryTimeout = 400 * time.Millisecond
-	// pathQueries is the number of nodes that are asked at once.
-	pathQueries = 3
 )
 
 // pathServers returns the servers by which the node's path is judged.
@@ -80,6 +76,9 @@
 		case !detached && rn.cutOff.Load():
 			rn.setCutOff(ctx, false)
 		}
+		if !detached {
+			rn.pathPeers = pathPeers{}
+		}
 		if rn.cutOff.Load() {
 			rn.dispatch.GiveUpSilent()
 		}
@@ -110,14 +109,7 @@
 // not. Both call the same ones at the same time, since servers that were lost for all
 // nodes come back one after the other.
 func (rn *Runner) othersReachServers(ctx context.Context) bool {
-	var peers []prober.Member
-	for _, mb := range rn.registrar.View().Members() {
-		if mb.ID != rn.identity.ID && mb.State == prober.Alive {
-			peers = append(peers, mb)
-		}
-	}
-	rand.Shuffle(len(peers), func(ix, jx int) { peers[ix], peers[jx] = peers[jx], peers[ix] })
-	peers = peers[:min(pathQueries, len(peers))]
+	peers := rn.pathPeers.choose(rn.registrar.View().Members(), rn.identity.ID)
 	ctx, cancel := context.WithTimeout(ctx, pathQueryTimeout)
 	defer cancel()
 	query := &messenger.PathQuery{Servers: rn.path.Missed()}
