Have delegated requests go on when the other node loses its path as well

Cause: when a zone is cut off its nodes notice at different times. A node that had not noticed took requests of those that had, sent them over the lost path, and its refusal went to the caller. Change: a node that misses servers takes no requests of others, even before another node confirmed the cut; one that is cut off ends those that it has with the reason path-lost, and the node that delegated them asks another one, as far as they were not run or may be repeated.

--- a/internal/coordination/dispatcher/delegate.go
+++ b/internal/coordination/dispatcher/delegate.go
@@ -90,7 +90,8 @@
 }
 
 // receiveElsewhere forwards the answer of another node. That node has made all attempts
-// that the route allows, so that only the loss of the node leads to another one.
+// that the route allows, so that only the loss of the node or of its path leads to another
+// one.
 func (pa *proxyAttempt) receiveElsewhere(ctx context.Context, rs *http.Response) *failure {
 	success := rs.StatusCode >= 200 && rs.StatusCode < 300
 	if success && pa.isStream(rs) {
@@ -108,7 +109,15 @@
 	if len(body) > maxAnswerBytes {
 		return &failure{reason: refuser.BackendFailed, detail: "answer of another node is too large", final: true}
 	}
-	pa.notRun = pa.Wire.Classify(rs).NotRun || refusedNotRun(rs.StatusCode, body)
+	rf := refusalIn(rs.StatusCode, body)
+	if rf != nil && rf.Reason() == refuser.PathLost {
+		notRun := rf.Outcome() == refuser.NotRun
+		if notRun {
+			pa.servers--
+		}
+		return &failure{reason: refuser.BackendUnreachable, detail: "another node lost its path as well", unsent: notRun, detached: true}
+	}
+	pa.notRun = pa.Wire.Classify(rs).NotRun || rf != nil && rf.Outcome() == refuser.NotRun
 	if pa.writer.begun() {
 		return &failure{reason: refuser.StreamBroken, detail: "another node did not continue the stream", final: true}
 	}
@@ -118,14 +127,16 @@
 	return nil
 }
 
-// refusedNotRun reports whether the answer of another node is a refusal of a request
-// that was not run.
-func refusedNotRun(status int, body []byte) bool {
+// refusalIn returns the refusal that the answer of another node is, or nil.
+func refusalIn(status int, body []byte) *refuser.Refusal {
 	if status < http.StatusBadRequest {
-		return false
+		return nil
 	}
 	rf, err := refuser.Decode(body)
-	return err == nil && rf.Outcome() == refuser.NotRun
+	if err != nil {
+		return nil
+	}
+	return rf
 }
 
 // track adds the attempt to those that end when the node does not reach their servers,
--- a/internal/coordination/dispatcher/delegate_test.go
+++ b/internal/coordination/dispatcher/delegate_test.go
@@ -6,6 +6,7 @@
 	"net/http"
 	"strings"
 	"testing"
+	"time"
 
 	"github.com/stretchr/testify/require"
 
@@ -57,6 +58,12 @@
 	return rs
 }
 
+// refusalOf returns the refusal of another node whose own path is lost.
+func refusalOf(outcome refuser.Outcome) *http.Response {
+	rf := refuser.New(refuser.PathLost, "the path to the servers is lost").WithOutcome(outcome).WithRetryAfter(time.Second)
+	return answerOf(http.StatusServiceUnavailable, "application/json", string(refuser.Encode(rf)), false)
+}
+
 // A request of a node that is cut off ran twice, was refused though another node took
 // it, or lost its place in a stream.
 func TestCutOffNodeHasItsRequestsRunElsewhere(t *testing.T) {
@@ -83,6 +90,10 @@
 		"a stream":                          {route: "stream", answers: []any{stream("id: 1\ndata: x\n\nid: 2\ndata: x\n\n", false)}, status: 200, body: "id: 1\ndata: x\n\nid: 2\ndata: x\n\n", opened: []string{""}},
 		"a stream that goes on elsewhere":   {route: "resumable", answers: []any{stream("id: 1\ndata: x\n\nid: 2\nda", true), stream("id: 2\ndata: y\n\n", false)}, status: 200, body: "id: 1\ndata: x\n\nid: 2\ndata: y\n\n", opened: []string{"", "1 id"}},
 		"a stream that cannot go on":        {route: "stream", answers: []any{stream("id: 1\ndata: x\n\n", true)}, status: 200, body: "id: 1\ndata: x\n\n", outcome: refuser.Unknown, opened: []string{""}},
+		"another node without a path":       {route: "once", answers: []any{refusalOf(refuser.NotRun), answerOf(200, "text/plain", "whole", false)}, status: 200, body: "whole", opened: []string{"", ""}},
+		"it loses its path, may be run":     {route: "safe", answers: []any{refusalOf(refuser.Unknown), answerOf(200, "text/plain", "whole", false)}, status: 200, body: "whole", opened: []string{"", ""}},
+		"it loses its path, may run once":   {route: "once", answers: []any{refusalOf(refuser.Unknown)}, outcome: refuser.Unknown, opened: []string{""}},
+		"a stream's other node does so":     {route: "resumable", answers: []any{stream("id: 1\ndata: x\n\nid: 2\nda", true), refusalOf(refuser.NotRun), stream("id: 2\ndata: y\n\n", false)}, status: 200, body: "id: 1\ndata: x\n\nid: 2\ndata: y\n\n", opened: []string{"", "1 id", "1 id"}},
 		"an answer that breaks off, may be": {route: "once", answers: []any{answerOf(200, "text/plain", "ha", true)}, outcome: refuser.Unknown, opened: []string{""}},
 	} {
 		t.Run(name, func(t *testing.T) {
--- a/internal/coordination/dispatcher/proxy.go
+++ b/internal/coordination/dispatcher/proxy.go
@@ -259,6 +259,9 @@
 // the answer is complete.
 func (pe *proxyExecution) runAttempt(ctx context.Context) *failure {
 	pe.bufferedFailure, pe.writer.blocked = nil, 0
+	if pe.Delegated && pe.ds.delegate.CutOff() {
+		return &failure{reason: refuser.PathLost, detail: "this node has lost its path to the servers as well", unsent: true, detached: true, final: true}
+	}
 	asked := pe.delegatable()
 	if asked {
 		if fl, taken := pe.runElsewhere(ctx); taken {
@@ -381,6 +384,9 @@
 		return false, pe.deliverBufferedFailure(fl.admissionRefusal)
 	}
 	refusal := refuser.New(fl.reason, "%s", fl.detail).WithRetryAfter(max(pe.retryAfter(), fl.retryAfter))
+	if fl.detached && pe.Delegated {
+		return false, refuser.New(refuser.PathLost, "%s", fl.detail).WithRetryAfter(pe.retryAfter())
+	}
 	if fl.final {
 		return false, refusal
 	}
--- a/internal/explainer/cause.go
+++ b/internal/explainer/cause.go
@@ -106,6 +106,7 @@
 	refuser.QueueFull:          Overload,
 	refuser.QueueBytes:         Overload,
 	refuser.BackendUnreachable: ServerLost,
+	refuser.PathLost:           ServerLost,
 	refuser.BackendSilent:      ServerLost,
 	refuser.StreamBroken:       ServerLost,
 	refuser.BackendFailed:      ServerFailed,
--- a/internal/keyspacerunner/path.go
+++ b/internal/keyspacerunner/path.go
@@ -134,7 +134,7 @@
 
 // servesOthers implements delegator.Serves.
 func (rn *Runner) servesOthers(revision int64) bool {
-	return rn.Ready() && !rn.cutOff.Load() && rn.Revision() >= revision
+	return rn.Ready() && !rn.cutOff.Load() && !rn.path.Detached() && rn.Revision() >= revision
 }
 
 // ServeDelegated sets the handler that runs the requests of nodes which are cut off from
--- a/pkg/refuser/refuser.go
+++ b/pkg/refuser/refuser.go
@@ -56,6 +56,7 @@
 	DeadlinePassed      Reason = "deadline-passed"
 	NoWorker            Reason = "no-worker"
 	BackendUnreachable  Reason = "backend-unreachable"
+	PathLost            Reason = "path-lost"
 	BackendRefused      Reason = "backend-refused"
 	BackendFailed       Reason = "backend-failed"
 	BackendSilent       Reason = "backend-silent"
@@ -103,6 +104,7 @@
 	DeadlinePassed:      http.StatusGatewayTimeout,
 	NoWorker:            http.StatusServiceUnavailable,
 	BackendUnreachable:  http.StatusBadGateway,
+	PathLost:            http.StatusBadGateway,
 	BackendRefused:      http.StatusBadGateway,
 	BackendFailed:       http.StatusBadGateway,
 	BackendSilent:       http.StatusGatewayTimeout,
