Give a process that starts no part of the retry budget that its predecessor had

More repeats reached a service than the bound allows while nodes restarted in series. Cause: a process began with an empty window, so that it had its node's part of the slack and of the ratio again, whatever the process before it had used; and it took itself for the only node until the first exchange of loads, with the whole slack. Change: for the length of one window a process uses only that part of the ratio that nodes never use otherwise, for its own requests, and no slack; it has no slack before it knows the number of nodes. What successive processes use adds up to no more than the bound, however many there are. Spans are shorter, since the window that is counted exceeded the window of the bound by 5 in 100.

--- a/internal/coordination/retrier/shared.go
+++ b/internal/coordination/retrier/shared.go
@@ -9,11 +9,14 @@
 const (
 	// spanCount is the number of spans that are counted. A span is the window
 	// divided by spanCount-1, so that the counts always cover a whole window.
-	spanCount = 20
+	spanCount = 50
 	// safetyFactor is the fraction of the bound that all nodes together use. A
 	// node that has not noticed that another one started or stopped allows a few
 	// retries too many.
 	safetyFactor = 0.8
+	// successorFactor is the fraction of the ratio for the requests of a process whose
+	// predecessor may have used the other part within the same window.
+	successorFactor = 1 - safetyFactor
 )
 
 // Bound is the limit on the retries of all nodes together.
@@ -33,9 +36,12 @@
 type SharedBudget struct {
 	mu    sync.Mutex
 	bound Bound
-	// nodes is the number of nodes that share the budget.
+	// nodes is the number of nodes that share the budget; 0 means unknown.
 	nodes int
-	byKey map[string]*series
+	// succeeds says that an earlier process of the node may have used the budget of the
+	// first window.
+	succeeds bool
+	byKey    map[string]*series
 	// started is the time at which span 0 begins.
 	started time.Time
 }
@@ -49,9 +55,24 @@
 	lastSpan int64
 }
 
+// BudgetOption configures a SharedBudget.
+type BudgetOption func(*SharedBudget)
+
+// WithPredecessor is for a process that may follow an earlier one of its node, of which
+// it knows nothing. It has no part of the slack for the length of the window, nor before
+// SetNodes was called, and a small part of the ratio for that long. However often a node
+// restarts, its processes together keep within its part of the bound.
+func WithPredecessor() BudgetOption {
+	return func(sh *SharedBudget) { sh.succeeds, sh.nodes = true, 0 }
+}
+
 // NewSharedBudget returns a budget without recorded requests.
-func NewSharedBudget(bound Bound, now time.Time) *SharedBudget {
-	return &SharedBudget{bound: bound, nodes: 1, byKey: map[string]*series{}, started: now}
+func NewSharedBudget(bound Bound, now time.Time, opts ...BudgetOption) *SharedBudget {
+	sh := &SharedBudget{bound: bound, nodes: 1, byKey: map[string]*series{}, started: now}
+	for _, opt := range opts {
+		opt(sh)
+	}
+	return sh
 }
 
 // SetNodes sets the number of nodes that share the budget.
@@ -83,7 +104,7 @@
 	sh.mu.Lock()
 	defer sh.mu.Unlock()
 	sr := sh.series(key, now)
-	if requests, retries := sr.sums(); float64(retries+1) > sh.allowed(requests) {
+	if requests, retries := sr.sums(); float64(retries+1) > sh.allowed(requests, now) {
 		return false
 	}
 	sr.retries[sr.lastSpan%spanCount]++
@@ -112,7 +133,7 @@
 	sh.mu.Lock()
 	defer sh.mu.Unlock()
 	requests, retries := sh.series(key, now).sums()
-	return Usage{Requests: requests, Retries: retries, Allowed: sh.allowed(requests), Nodes: sh.nodes, Age: now.Sub(sh.started)}
+	return Usage{Requests: requests, Retries: retries, Allowed: sh.allowed(requests, now), Nodes: sh.nodes, Age: now.Sub(sh.started)}
 }
 
 // Remaining returns the number of retries that the key may have now.
@@ -120,13 +141,20 @@
 	sh.mu.Lock()
 	defer sh.mu.Unlock()
 	requests, retries := sh.series(key, now).sums()
-	return max(int(sh.allowed(requests))-retries, 0)
+	return max(int(sh.allowed(requests, now))-retries, 0)
 }
 
-// allowed returns the number of retries in a window with the number of
-// requests.
-func (sh *SharedBudget) allowed(requests int) float64 {
-	return safetyFactor * (sh.bound.Ratio*float64(requests) + float64(sh.bound.Slack)/float64(sh.nodes))
+// allowed returns the number of retries in the window that ends now, with the number of
+// requests in it.
+func (sh *SharedBudget) allowed(requests int, now time.Time) float64 {
+	byRatio := sh.bound.Ratio * float64(requests)
+	switch {
+	case sh.succeeds && now.Sub(sh.started) < sh.bound.Window:
+		return successorFactor * byRatio
+	case sh.nodes == 0:
+		return safetyFactor * byRatio
+	}
+	return safetyFactor * (byRatio + float64(sh.bound.Slack)/float64(sh.nodes))
 }
 
 // series returns the key's counts, with the spans that have expired set to 0.
--- a/internal/keyspacerunner/keyspacerunner.go
+++ b/internal/keyspacerunner/keyspacerunner.go
@@ -234,7 +234,7 @@
 		// message that it does not know, with all other calls on it.
 		quotaPool:  messenger.NewPool(),
 		exchange:   watcher.NewExchange(id.ID, watcher.WithByteBudget(exchangeBytesPerSecond)),
-		budget:     retrier.NewSharedBudget(id.Retries, time.Now()),
+		budget:     retrier.NewSharedBudget(id.Retries, time.Now(), retrier.WithPredecessor()),
 		demands:    placer.NewCollector(),
 		tally:      tallier.New(),
 		signals:    map[string]throttler.Signals{},
