Count a retry when it is sent and not when it is decided

More repeats arrived at a service in a window than the bound allows. Cause: a retry took its part of the budget when it was decided. It may then wait in the queue for seconds, so that the retries of several windows arrived in one when places became free, or when a frozen process went on. Change: a retry that was decided holds a place in the budget until its first byte is sent, which counts for a window from then on, or until its request ends.

--- a/internal/coordination/dispatcher/delegate.go
+++ b/internal/coordination/dispatcher/delegate.go
@@ -69,6 +69,7 @@
 		log.WithError(err).WithField("request", pe.ticket.ID).Warn("no other node takes the request; this node sends it itself")
 		return nil, false
 	}
+	pe.retrySent()
 	pe.elsewhere = true
 	pe.servers++
 	pa := &proxyAttempt{proxyExecution: pe, server: "another node", sent: time.Now(), cancel: cancel}
@@ -182,7 +183,11 @@
 // begin marks the attempt as sent. It returns false if the attempt was given up.
 func (pa *proxyAttempt) begin() bool {
 	pa.heardAt.Store(int64(time.Since(pa.began)))
-	return pa.stage.CompareAndSwap(stageUnsent, stageSent)
+	if !pa.stage.CompareAndSwap(stageUnsent, stageSent) {
+		return false
+	}
+	pa.retrySent()
+	return true
 }
 
 // hear records that the server sent something.
--- a/internal/coordination/dispatcher/proxy.go
+++ b/internal/coordination/dispatcher/proxy.go
@@ -158,6 +158,9 @@
 	elsewhere, notRun bool
 	// trial says that the request has an excluded content and is sent once.
 	trial bool
+	// reserved says that the next sending is a retry for which the shared budget holds a
+	// place. It may wait for seconds before it is sent.
+	reserved bool
 }
 
 // Proxy runs the request and writes its answer to wr. It returns nil if the
@@ -190,6 +193,7 @@
 			exclude(errExcluded)
 		}
 	})()
+	defer pe.releaseRetry()
 	rf = pe.runCharged(up)
 	if rf != nil && pe.writer.begun() {
 		// What is not flushed is lost when the connection is aborted.
@@ -408,7 +412,7 @@
 	if unrepeatable || pe.servers >= pe.Route.AttemptLimit() {
 		return false, pe.deliverBufferedFailure(refusal)
 	}
-	if !pe.ds.takeRetry(pe.key(), pe.settings.Retries()) {
+	if !pe.reserveRetry() {
 		log.WithFields(log.Fields{"request": pe.ticket.ID, "reason": string(fl.reason), "budget": pe.usage(fl)}).Info("request is not sent again: the retry budget is used up")
 		return false, pe.deliverBufferedFailure(refuser.New(refuser.RetryBudget, "not sent again: %s", fl.detail).WithRetryAfter(pe.retryAfter()))
 	}
@@ -496,13 +500,30 @@
 	return rf
 }
 
-// takeRetry takes a retry from the shared budget, or from this node's budget if
-// there is no shared one. It reports whether the retry is allowed.
-func (ds *Dispatcher) takeRetry(key string, rt *configurer.Retries) bool {
-	if ds.shared != nil {
-		return ds.shared.Take(key, time.Now())
+// reserveRetry reserves a retry in the shared budget, or takes one from this node's
+// budget if there is no shared one. It reports whether the retry is allowed.
+func (pe *proxyExecution) reserveRetry() bool {
+	if pe.ds.shared == nil {
+		return pe.ds.budget.Take(pe.settings.Retries().Budget())
+	}
+	pe.reserved = pe.ds.shared.Reserve(pe.key(), time.Now())
+	return pe.reserved
+}
+
+// retrySent records that a reserved retry is on its way.
+func (pe *proxyExecution) retrySent() {
+	if pe.reserved {
+		pe.ds.shared.Sent(pe.key(), time.Now())
+		pe.reserved = false
+	}
+}
+
+// releaseRetry gives back a reserved retry that was not sent.
+func (pe *proxyExecution) releaseRetry() {
+	if pe.reserved {
+		pe.ds.shared.Release(pe.key(), time.Now())
+		pe.reserved = false
 	}
-	return ds.budget.Take(rt.Budget())
 }
 
 // WithSharedBudget makes proxied requests take retries from a budget that all
--- a/internal/coordination/retrier/shared.go
+++ b/internal/coordination/retrier/shared.go
@@ -51,6 +51,8 @@
 type series struct {
 	requests [spanCount]int
 	retries  [spanCount]int
+	// reserved counts the retries that are not sent yet.
+	reserved int
 	// lastSpan is the number of the newest span, counted from the start.
 	lastSpan int64
 }
@@ -101,16 +103,42 @@
 // Take reports whether a retry for the key may be sent now, and counts it if
 // so.
 func (sh *SharedBudget) Take(key string, now time.Time) bool {
+	if !sh.Reserve(key, now) {
+		return false
+	}
+	sh.Sent(key, now)
+	return true
+}
+
+// Reserve reports whether a retry for the key may be sent later. If so, it counts until
+// Release, or for a window from Sent.
+func (sh *SharedBudget) Reserve(key string, now time.Time) bool {
 	sh.mu.Lock()
 	defer sh.mu.Unlock()
 	sr := sh.series(key, now)
 	if requests, retries := sr.sums(); float64(retries+1) > sh.allowed(requests, now) {
 		return false
 	}
-	sr.retries[sr.lastSpan%spanCount]++
+	sr.reserved++
 	return true
 }
 
+// Sent records that a reserved retry is sent now.
+func (sh *SharedBudget) Sent(key string, now time.Time) {
+	sh.mu.Lock()
+	defer sh.mu.Unlock()
+	sr := sh.series(key, now)
+	sr.reserved--
+	sr.retries[sr.lastSpan%spanCount]++
+}
+
+// Release records that a reserved retry is not sent.
+func (sh *SharedBudget) Release(key string, now time.Time) {
+	sh.mu.Lock()
+	defer sh.mu.Unlock()
+	sh.series(key, now).reserved--
+}
+
 // Usage is what a key has used of its budget in the window.
 type Usage struct {
 	// Requests and Retries are the node's requests and retries.
@@ -173,7 +201,9 @@
 	return sr
 }
 
+// sums returns the requests and retries in the window, with the reserved retries.
 func (sr *series) sums() (requests, retries int) {
+	retries = sr.reserved
 	for ix := range spanCount {
 		requests += sr.requests[ix]
 		retries += sr.retries[ix]
