Discard what a given-up request has not delivered

Cause: closing a connection leaves the rest of a request to the kernel, which delivers it when a path that hung is back. Requests that were given up and sent again during a cut arrive together at its end, as repeats that no budget counts in that window, and run for nobody. Change: a connection that ends without an answer is reset if the server has not acknowledged all of the request. The stand-ins can't cut a path below TCP, so that the effect over a cut is not measured.

--- a/internal/transport/forwarder/connection.go
+++ b/internal/transport/forwarder/connection.go
@@ -13,6 +13,7 @@
 	"time"
 
 	"github.com/go-faster/errors"
+	"golang.org/x/sys/unix"
 )
 
 const (
@@ -105,6 +106,33 @@
 	})
 }
 
+// abort closes the connection after a request without an answer. If the server has not
+// acknowledged all of the request, the rest is discarded: the kernel would deliver it
+// when a path that hangs is back, long after the request was sent elsewhere.
+func (cn *connection) abort() {
+	if lg, ok := cn.raw.(interface{ SetLinger(sec int) error }); ok && unacknowledged(cn.raw) {
+		_ = lg.SetLinger(0)
+	}
+	cn.close()
+}
+
+// unacknowledged reports whether the other end has not acknowledged all bytes that were
+// written. It returns true if the kernel does not tell.
+func unacknowledged(raw net.Conn) bool {
+	sc, ok := raw.(syscall.Conn)
+	if !ok {
+		return true
+	}
+	rc, err := sc.SyscallConn()
+	if err != nil {
+		return true
+	}
+	left := 0
+	var askErr error
+	err = rc.Control(func(fd uintptr) { left, askErr = unix.IoctlGetInt(int(fd), unix.SIOCOUTQ) })
+	return err != nil || askErr != nil || left > 0
+}
+
 func (cn *connection) expired(now time.Time) bool { return now.Sub(cn.idleSince) >= cn.idleLimit }
 
 // usable reports whether the connection may carry another request. It may not
--- a/internal/transport/forwarder/forwarder.go
+++ b/internal/transport/forwarder/forwarder.go
@@ -262,7 +262,7 @@
 	}
 	if err != nil {
 		fw.inUse.Add(-1)
-		cn.close()
+		cn.abort()
 		if ctx.Err() != nil {
 			err = ctx.Err()
 		}
@@ -345,7 +345,7 @@
 	}
 	rs, err := cn.roundTrip(ctx, rq)
 	if err != nil {
-		cn.close()
+		cn.abort()
 		return err
 	}
 	fw.inUse.Add(1) // until the end of the body
