--- a/internal/keyspacerunner/snapshot.go
+++ b/internal/keyspacerunner/snapshot.go
@@ -345,6 +345,7 @@
 	rn.watcher.SetReports(now, rn.reports(next, now))
 	rn.admitter.Refresh(next.settings)
 	if old == nil {
+		log.WithFields(log.Fields{"nodes": rn.nodes(), "servers": len(servers)}).Info("node begins to serve callers")
 		rn.registrar.Notify()
 	}
 }
