Close a connection on which a call without an id was refused

Reported by other operators: a refusal that a worker wrote once more on a kept connection told clients that a request had not run which had. Cause: orders and questions for the state of a worker share connections with the requests of clients, and were kept after a refusal. Such a refusal names no request. A second copy of it, where the answer to a client's request is expected, was taken for the refusal of that request. Change: a connection is kept after an answer to a request without an id of its own only if that is a success; a success without an id is never taken for the answer to another request.

--- a/internal/transport/forwarder/connection.go
+++ b/internal/transport/forwarder/connection.go
@@ -178,7 +178,7 @@
 		return nil, err
 	}
 	cn.updateIdleLimit(rs.Header)
-	reusable := !rs.Close && hasLength(rs) && (rq.Reusable == nil || rq.Reusable(rs))
+	reusable := !rs.Close && hasLength(rs) && rq.mayReuse(rs)
 	rs.Body = &body{ReadCloser: rs.Body, cn: cn, written: written, stop: stop, reusable: reusable}
 	return rs, nil
 }
--- a/internal/transport/forwarder/forwarder.go
+++ b/internal/transport/forwarder/forwarder.go
@@ -69,11 +69,19 @@
 	// requests.
 	Owns func(*http.Response) bool
 	// Reusable reports whether the connection may carry another request after the
-	// answer; nil means that it may. A second copy of an answer that names no request
-	// could be taken for the answer to the next one.
+	// answer; nil means that it may after a success. A second copy of a refusal that
+	// names no request could be taken for the answer to the next one.
 	Reusable func(*http.Response) bool
 }
 
+// mayReuse reports whether the connection may carry another request after the answer.
+func (rq Request) mayReuse(rs *http.Response) bool {
+	if rq.Reusable == nil {
+		return rs.StatusCode < http.StatusMultipleChoices
+	}
+	return rq.Reusable(rs)
+}
+
 // Link is a connection as its users see it. All requests on it reach one process.
 type Link struct {
 	opened    time.Time
