Send a request again only over a connection on which it was not refused

Reported by other operators: requests that a worker ran were refused as not run, or ran at a second worker, after a faulty worker had written an earlier refusal once more on a kept connection. Cause: a refusal is attributed by the id of the request. A request that was refused and comes back to the same worker, as when it is the only one, may get the connection of its refusal; a second copy of that bears its id. Change: a connection remembers the ids of the last 16 requests that got no success on it and carries none of them again; at the limit of connections such a one is replaced.

--- a/internal/coordination/dispatcher/proxy.go
+++ b/internal/coordination/dispatcher/proxy.go
@@ -338,6 +338,7 @@
 		PrefixSource: gr.PrefixSource(),
 	})
 	rs, err := pe.ds.forwarder.Send(ctx, forwarder.Request{
+		ID:        pe.ticket.ID,
 		Address:   gr.Address(),
 		Host:      pe.Host,
 		Method:    pe.Method,
--- a/internal/transport/forwarder/abort_test.go
+++ b/internal/transport/forwarder/abort_test.go
@@ -5,6 +5,7 @@
 	"io"
 	"net"
 	"net/http"
+	"net/http/httptest"
 	"testing"
 	"time"
 
@@ -35,3 +36,24 @@
 	_, err = io.Copy(io.Discard, cn)
 	require.ErrorContains(t, err, "reset")
 }
+
+// With its only connection kept for others, a request that was refused there could not be
+// sent to the server again.
+func TestRefusedRequestReplacesTheOnlyConnection(t *testing.T) {
+	sv := httptest.NewServer(http.HandlerFunc(func(wr http.ResponseWriter, _ *http.Request) {
+		wr.WriteHeader(http.StatusServiceUnavailable)
+	}))
+	defer sv.Close()
+	fw := forwarder.New(forwarder.WithLimit(func(string) int { return 1 }))
+	defer fw.Close()
+	for ix, id := range []string{"1", "1", "2"} {
+		rs, err := fw.Send(t.Context(), forwarder.Request{
+			ID: id, Address: sv.Listener.Addr().String(), Method: http.MethodGet, Path: "/",
+			Reusable: func(*http.Response) bool { return true },
+		})
+		require.NoError(t, err)
+		_, err = io.Copy(io.Discard, rs.Body)
+		require.NoError(t, err)
+		require.EqualValues(t, []int{1, 2, 2}[ix], fw.Opened())
+	}
+}
--- a/internal/transport/forwarder/connection.go
+++ b/internal/transport/forwarder/connection.go
@@ -6,6 +6,7 @@
 	"io"
 	"net"
 	"net/http"
+	"slices"
 	"strconv"
 	"strings"
 	"sync"
@@ -27,6 +28,8 @@
 	// maxSkippedBytes a late answer to an earlier request.
 	maxHeadBytes    = 64 << 10
 	maxSkippedBytes = 1 << 20
+	// maxRefused bounds the ids of refused requests that a connection remembers.
+	maxRefused = 16
 	// maxIdleLimit bounds the idle limit that a server can set.
 	maxIdleLimit = time.Minute
 	// idleMargin is how long before the server's idle timeout a connection is
@@ -79,6 +82,8 @@
 	reader  *bufio.Reader
 	// reused is set once the connection carries a second request.
 	reused bool
+	// refused has the ids of the last requests that got an answer other than a success.
+	refused []string
 	// idleLimit is how long the connection may be idle.
 	idleLimit time.Duration
 	// idleSince is when the last answer ended.
@@ -179,10 +184,21 @@
 	}
 	cn.updateIdleLimit(rs.Header)
 	reusable := !rs.Close && hasLength(rs) && rq.mayReuse(rs)
+	if rq.ID != "" && rs.StatusCode >= http.StatusMultipleChoices {
+		cn.noteRefused(rq.ID)
+	}
 	rs.Body = &body{ReadCloser: rs.Body, cn: cn, written: written, stop: stop, reusable: reusable}
 	return rs, nil
 }
 
+// noteRefused records that the request with the id got an answer other than a success.
+func (cn *connection) noteRefused(id string) {
+	if len(cn.refused) >= maxRefused {
+		cn.refused = slices.Delete(cn.refused, 0, 1)
+	}
+	cn.refused = append(cn.refused, id)
+}
+
 // hasLength reports whether the answer has a length or is chunked, so that it
 // does not end only with the connection.
 func hasLength(rs *http.Response) bool {
--- a/internal/transport/forwarder/forwarder.go
+++ b/internal/transport/forwarder/forwarder.go
@@ -24,6 +24,7 @@
 	"io"
 	"net"
 	"net/http"
+	"slices"
 	"sync"
 	"sync/atomic"
 	"syscall"
@@ -47,6 +48,10 @@
 
 // Request is a request to a backend server.
 type Request struct {
+	// ID names the request in answers; empty if answers name none. A request is not sent
+	// over a connection on which one with its ID was refused: a second copy of that
+	// refusal could not be told from the answer.
+	ID string
 	// Address is the host and port of the server.
 	Address string
 	// Host is the Host header; empty means Address.
@@ -251,7 +256,7 @@
 // read. The caller must close the body. Errors have type *Error.
 func (fw *Forwarder) Send(ctx context.Context, rq Request) (*http.Response, error) {
 	fw.inUse.Add(1)
-	cn, err := fw.connect(ctx, rq.Address)
+	cn, err := fw.connect(ctx, rq.Address, rq.ID)
 	if err != nil {
 		fw.inUse.Add(-1)
 		return nil, &Error{Address: rq.Address, Cause: err}
@@ -306,22 +311,33 @@
 	return nil
 }
 
-// connect returns an idle connection or opens one. It returns
-// ErrConnectionLimit if the limit doesn't allow another connection.
-func (fw *Forwarder) connect(ctx context.Context, address string) (*connection, error) {
-	for cn := fw.popIdle(address); cn != nil; cn = fw.popIdle(address) {
+// connect returns an idle connection on which no request with the id was refused, or
+// opens one. It returns ErrConnectionLimit if the limit doesn't allow another connection.
+func (fw *Forwarder) connect(ctx context.Context, address, id string) (*connection, error) {
+	for cn := fw.popIdle(address, id); cn != nil; cn = fw.popIdle(address, id) {
 		if cn.usable(time.Now()) {
 			cn.reused = true
 			return cn, nil
 		}
 		cn.close()
 	}
-	if !fw.reserveSlot(address) {
+	if !fw.reserveSlot(address) && !fw.replaceIdle(address) {
 		return nil, ErrConnectionLimit
 	}
 	return fw.openReserved(ctx, address)
 }
 
+// replaceIdle closes an idle connection that can't be used and reserves its slot. It
+// returns false if there is none.
+func (fw *Forwarder) replaceIdle(address string) bool {
+	cn := fw.popIdle(address, "")
+	if cn == nil {
+		return false
+	}
+	cn.close()
+	return fw.reserveSlot(address)
+}
+
 // openReserved opens a connection for which a slot is reserved.
 func (fw *Forwarder) openReserved(ctx context.Context, address string) (*connection, error) {
 	dialCtx, cancel := context.WithTimeout(ctx, dialTimeout)
@@ -383,19 +399,19 @@
 	}
 }
 
-// popIdle removes and returns the most recently used idle connection, or nil.
-func (fw *Forwarder) popIdle(address string) *connection {
+// popIdle removes and returns the most recently used idle connection on which no request
+// with the id was refused, or nil.
+func (fw *Forwarder) popIdle(address, id string) *connection {
 	fw.mu.Lock()
 	defer fw.mu.Unlock()
 	conns := fw.idle[address]
-	if len(conns) == 0 {
-		return nil
+	for ix, cn := range slices.Backward(conns) {
+		if id == "" || !slices.Contains(cn.refused, id) {
+			fw.idle[address] = slices.Delete(conns, ix, ix+1)
+			return cn
+		}
 	}
-	last := len(conns) - 1
-	cn := conns[last]
-	conns[last] = nil
-	fw.idle[address] = conns[:last]
-	return cn
+	return nil
 }
 
 // putIdle makes a connection idle after a complete answer, or closes it if the
