Break a stream off where a server sends an event that is not its next one

Reported by other operators: the text of an error, at times with its head, stood in the middle of streams that another worker was to go on with, or they ended as if they were complete. Cause: events with ids were checked for gaps, but anything without an id was passed on, also after events with ids: a worker's error event, or the head of another answer in a body without length. A body without length and events ended a stream that had begun as complete. Change: after an event with an id one without breaks the attempt off, and so does an end without length before any event. Result: seven of seventeen cases of TestErrorOfTheNextServerIsNoPartOfAStream failed before; all pass.

--- a/internal/coordination/dispatcher/answer.go
+++ b/internal/coordination/dispatcher/answer.go
@@ -171,6 +171,8 @@
 	// something, in nanoseconds since the request began.
 	stage   atomic.Int32
 	heardAt atomic.Int64
+	// continued says that the server sent an event of the stream.
+	continued bool
 	// held are blank lines and comments since the last event.
 	held []byte
 }
@@ -410,8 +412,12 @@
 	if fl := pa.brokenOff(ctx, rs); fl != nil {
 		return fl
 	}
-	if unframed(rs) && !pa.writer.begun() {
-		return &failure{reason: refuser.BackendFailed, detail: "server " + pa.server + " closed a stream without events"}
+	if unframed(rs) && !pa.continued {
+		fl := &failure{reason: refuser.BackendFailed, detail: "server " + pa.server + " closed a stream without events"}
+		if pa.writer.begun() {
+			fl.reason = refuser.StreamBroken
+		}
+		return fl
 	}
 	pa.writer.open(pa.Wire, rs, -1)
 	if err := pa.writeHeld(); err != nil {
@@ -431,14 +437,19 @@
 		return pa.hold(ev.Bytes)
 	}
 	number, numbered := eventNumber(ev.ID)
-	if numbered && pa.writer.last != "" {
+	if pa.writer.last != "" {
 		switch {
+		case !numbered:
+			// It may be the text of an error, or the head of another answer.
+			return &failure{reason: refuser.StreamBroken, detail: "server " + pa.server + " sent an event without an id after " + pa.writer.last}
 		case number <= pa.writer.number:
+			pa.continued = true
 			return nil
 		case number > pa.writer.number+1:
 			return &failure{reason: refuser.StreamBroken, detail: "server " + pa.server + " left out events after " + pa.writer.last}
 		}
 	}
+	pa.continued = true
 	// The time in which the caller is slow to read is not the server's.
 	pa.stall.stop()
 	if pa.watchdog != nil {
