Run the plays of overload in parallel in the tests of the admitter

Change: the loads of TestGoodputDoesNotFallUnderOverload and the scenarios of TestOverloadedPoolServesCallers are subtests that run in parallel. Bounds, seeds and plays are as before.

--- a/internal/coordination/admitter/overload_test.go
+++ b/internal/coordination/admitter/overload_test.go
@@ -14,11 +14,23 @@
 // they finish, and against serving requests that are late already, by which the
 // answers in time become fewer the more are asked for.
 func TestGoodputDoesNotFallUnderOverload(t *testing.T) {
-	for _, nodes := range []int{8, 40} {
+	t.Parallel()
+	counts, loads := []int{8, 40}, []float64{0.5, 1, 2, 4}
+	tallies := make([]*loadTally, len(counts)*len(loads))
+	t.Run("play", func(t *testing.T) {
+		for ix := range tallies {
+			nodes, load := counts[ix/len(loads)], loads[ix%len(loads)]
+			t.Run(fmt.Sprintf("%d nodes, load %.1f", nodes, load), func(t *testing.T) {
+				t.Parallel()
+				sm := newLoadSim(t, baseSetup(func(su *loadSetup) { su.load, su.nodes = load, nodes })).run()
+				tallies[ix] = sm.tallies["all"]
+			})
+		}
+	})
+	for nodeIx, nodes := range counts {
 		best := 0.0
-		for _, load := range []float64{0.5, 1, 2, 4} {
-			sm := newLoadSim(t, baseSetup(func(su *loadSetup) { su.load, su.nodes = load, nodes })).run()
-			all := sm.tallies["all"]
+		for loadIx, load := range loads {
+			all := tallies[nodeIx*len(loads)+loadIx]
 			goodput := load * all.share()
 			t.Logf("%d nodes, load %.1f: goodput %.3f, %v", nodes, load, goodput, all)
 			if load == 0.5 {
@@ -76,6 +88,7 @@
 // TestOverloadedPoolServesCallers runs scenarios of overload and checks what
 // callers get. Each names the failure that it guards against.
 func TestOverloadedPoolServesCallers(t *testing.T) {
+	t.Parallel()
 	plain := loadKind{name: "call", target: 150 * time.Millisecond, deadline: time.Second, gap: time.Hour, onTime: 1, late: 0.1, perSecond: 40, answer: 20, burst: 1}
 	hot := func(su *loadSetup) { su.nodes, su.hotCaller, su.burstTo = 4, 8, su.length }
 	othersServed := func(t *testing.T, sm *loadSim) {
@@ -141,6 +154,7 @@
 		}, nil, othersServed},
 	} {
 		t.Run(tt.name, func(t *testing.T) {
+			t.Parallel()
 			sm := newLoadSim(t, baseSetup(tt.change)).run()
 			for name, least := range tt.least {
 				require.Greater(t, sm.tallies[name].share(), least, fmt.Sprint(name, ": ", sm.tallies[name]))
