Offer a node that declined one request at a time after growing pauses

Cause: a node without power that is still registered as ready had the fewest requests of all, so that those of each second went to it first and waited for a dial. Change: the pause doubles up to 8 s while a node goes on declining, and after it one request at a time is offered until one is taken.

--- a/internal/coordination/delegator/delegator_test.go
+++ b/internal/coordination/delegator/delegator_test.go
@@ -27,6 +27,8 @@
 	// serves says which nodes take requests.
 	serves map[string]bool
 	ended  map[string]chan struct{} // closed when the node is lost
+	// dial is how long it takes to find a lost node unreachable.
+	dial time.Duration
 }
 
 // Call implements delegator.Caller.
@@ -35,6 +37,7 @@
 	nd, lost, ended := fl.nodes[address], fl.lost[address], fl.ended[address]
 	fl.mu.Unlock()
 	if lost {
+		time.Sleep(fl.dial)
 		return nil, &messenger.Error{Failure: messenger.Unreachable, Address: address}
 	}
 	ctx, cancel := context.WithCancel(ctx)
--- a/internal/coordination/delegator/offer.go
+++ b/internal/coordination/delegator/offer.go
@@ -14,8 +14,10 @@
 	// declineCost is that number for a node of a zone in which no node declined lately.
 	// It exceeds zoneCost, since what cuts a node off often cuts off its zone.
 	declineCost = 2 * zoneCost
-	// declineMemory is how long a node that declined is asked after all others.
+	// declineMemory is how long a node that declined is asked after all others. It doubles
+	// with each further decline, maxDoublings times at most.
 	declineMemory = time.Second
+	maxDoublings  = 3
 	// maxReasked is the number of nodes that declined lately and are asked again for one
 	// request.
 	maxReasked = 4
@@ -27,13 +29,27 @@
 	// inProgress counts this node's requests that are offered to the other one or run
 	// there.
 	inProgress int
-	// declinedAt is when it last declined a request or was lost, or zero.
-	declinedAt time.Time
+	// declines counts the times in a row that it declined a request or was lost. Those of
+	// requests that were offered at once count as one.
+	declines int
+	// askLastUntil is until when it is asked after all others.
+	askLastUntil time.Time
 }
 
-// declinedLately reports whether the node is asked after all others.
+// declinedLately reports whether the node is asked after all others. Once that ends, one
+// request at a time is offered to it until it takes one.
 func (hp *helper) declinedLately(now time.Time) bool {
-	return !hp.declinedAt.IsZero() && now.Sub(hp.declinedAt) < declineMemory
+	return now.Before(hp.askLastUntil) || hp.declines > 0 && hp.inProgress > 0
+}
+
+// noteDecline records that the node declined a request or was lost.
+func (hp *helper) noteDecline(now time.Time) {
+	hp.inProgress--
+	if now.Before(hp.askLastUntil) {
+		return
+	}
+	hp.askLastUntil = now.Add(declineMemory << min(hp.declines, maxDoublings))
+	hp.declines++
 }
 
 // offer chooses the nodes to which one request is offered, one after the other. It
@@ -126,14 +142,14 @@
 }
 
 // declinedZonesLocked returns the zones in which a node declined lately. It forgets
-// nodes of which nothing is left to know.
+// nodes of which nothing is left to know, and declines that are long past.
 func (dg *Delegator) declinedZonesLocked(now time.Time) map[string]bool {
 	lately := map[string]bool{}
 	for address, hp := range dg.helpers {
 		switch {
 		case hp.declinedLately(now):
 			lately[hp.zone] = true
-		case hp.inProgress == 0:
+		case hp.inProgress == 0 && now.Sub(hp.askLastUntil) > declineMemory:
 			delete(dg.helpers, address)
 		}
 	}
@@ -153,16 +169,15 @@
 func (dg *Delegator) accepted(address string) {
 	dg.mu.Lock()
 	defer dg.mu.Unlock()
-	dg.helperLocked(address).declinedAt = time.Time{}
+	hp := dg.helperLocked(address)
+	hp.declines, hp.askLastUntil = 0, time.Time{}
 }
 
 // declined records that the node doesn't run a request that was offered to it.
 func (dg *Delegator) declined(address string) {
 	dg.mu.Lock()
 	defer dg.mu.Unlock()
-	hp := dg.helperLocked(address)
-	hp.declinedAt = time.Now()
-	hp.inProgress--
+	dg.helperLocked(address).noteDecline(time.Now())
 }
 
 // release records that a request of the node has ended.
--- a/internal/coordination/delegator/zone_test.go
+++ b/internal/coordination/delegator/zone_test.go
@@ -81,3 +81,39 @@
 		})
 	}
 }
+
+// A node without power, which is registered as ready while the store is out of reach, held
+// up requests for the time of a dial in every second.
+func TestLostNodeDelaysFewRequests(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		cut := func(zone, _ int) bool { return zone == 0 }
+		fl, own := newZonedFleet(cut, http.HandlerFunc(func(http.ResponseWriter, *http.Request) { time.Sleep(500 * time.Millisecond) }))
+		fl.dial = time.Second
+		for node := range 3 {
+			fl.lose(fmt.Sprintf("n1-%d", node))
+		}
+		var mu sync.Mutex
+		var open sync.WaitGroup
+		delayed := 0
+		for range 1000 {
+			time.Sleep(20 * time.Millisecond)
+			open.Go(func() {
+				began := time.Now()
+				rs, err := fl.nodes[own].Open(t.Context(), delegator.Request{Method: http.MethodGet, Host: "h", Target: "/"})
+				require.NoError(t, err)
+				_ = rs.Body.Close()
+				mu.Lock()
+				defer mu.Unlock()
+				if time.Since(began) >= fl.dial {
+					delayed++
+				}
+			})
+		}
+		open.Wait()
+		t.Logf("%d of 1,000 requests delayed", delayed)
+		require.LessOrEqual(t, delayed, 20, "1 in 50")
+		for _, dg := range fl.nodes {
+			dg.AwaitIdle(t.Context())
+		}
+	})
+}
