Hold a stream to ids only if its last event had a numeric one

Cause: a stream that its caller takes up after an event whose id is no number was broken off at its first event without a numeric id (read). Change: whether the last event had a numeric id is kept beside its value. Result: the tests of the dispatcher pass.

--- a/internal/coordination/dispatcher/answer.go
+++ b/internal/coordination/dispatcher/answer.go
@@ -65,9 +65,10 @@
 	to http.ResponseWriter
 	ct *http.ResponseController
 	// last is the id of the last event that the caller has, and number its
-	// numeric value.
-	last   string
-	number int64
+	// numeric value. numbered says that it has one.
+	last     string
+	number   int64
+	numbered bool
 	// headWritten says that the status and headers were written.
 	headWritten bool
 	// first and latest are when the first and the latest event were written. A
@@ -94,7 +95,7 @@
 
 func newAnswerWriter(to http.ResponseWriter, lastEvent string, deadline time.Time) *answerWriter {
 	aw := &answerWriter{to: to, ct: http.NewResponseController(to), last: lastEvent, end: deadline.Add(lateWriteTime)}
-	aw.number, _ = eventNumber(lastEvent)
+	aw.number, aw.numbered = eventNumber(lastEvent)
 	return aw
 }
 
@@ -437,19 +438,19 @@
 		return pa.hold(ev.Bytes)
 	}
 	number, numbered := eventNumber(ev.ID)
-	if pa.writer.last != "" {
+	if pa.writer.numbered && !numbered {
+		// It may be the text of an error, or the head of another answer.
+		return &failure{reason: refuser.StreamBroken, detail: "server " + pa.server + " sent an event without an id after " + pa.writer.last}
+	}
+	pa.continued = true
+	if pa.writer.numbered {
 		switch {
-		case !numbered:
-			// It may be the text of an error, or the head of another answer.
-			return &failure{reason: refuser.StreamBroken, detail: "server " + pa.server + " sent an event without an id after " + pa.writer.last}
 		case number <= pa.writer.number:
-			pa.continued = true
 			return nil
 		case number > pa.writer.number+1:
 			return &failure{reason: refuser.StreamBroken, detail: "server " + pa.server + " left out events after " + pa.writer.last}
 		}
 	}
-	pa.continued = true
 	// The time in which the caller is slow to read is not the server's.
 	pa.stall.stop()
 	if pa.watchdog != nil {
@@ -475,7 +476,7 @@
 		return callerFailure(err)
 	}
 	if numbered {
-		pa.writer.last, pa.writer.number = ev.ID, number
+		pa.writer.last, pa.writer.number, pa.writer.numbered = ev.ID, number, true
 	}
 	return nil
 }
