--- a/deploy/days.sh
+++ b/deploy/days.sh
@@ -144,6 +144,8 @@
 mix-lost-race|plan = [{ at = 6.0, kind = "config_storm", for_s = 6.0, gap_s = 0.5 }]|faults = [{ at = 5.0, kind = "platform_lost", x = 0.5, for_s = 8.0, how = "late" }, { at = 7.0, kind = "core_cut", count = 1, for_s = 4.0, how = "race" }]
 mix-silence-roll|plan = [{ at = 5.0, kind = "roll_term", share = 1.0, gap_s = 4.0, how = "busy" }]|faults = [{ at = 6.0, kind = "reset_conns", share = 0.6, x = 0.8 }, { at = 9.0, kind = "reset_conns", share = 0.6, x = 0.8 }]
 mix-reuse-release|plan = [{ at = 5.0, kind = "release", share = 0.6, gap_s = 1.0, service = "@s0" }]|faults = [{ at = 6.0, kind = "replace_with_reuse", share = 0.2 }]
+mix-paths-and-store-lost|plan = [{ at = 9.0, kind = "config_change", how = "weights" }]|faults = [{ at = 4.0, kind = "platform_down", share = 0.6, for_s = 14.0, how = "nodes silent" }, { at = 5.0, kind = "srv_cut", share = 1.0, x = 0.6, for_s = 12.0, how = "some" }]
+mix-resets-and-kills|plan = [{ at = 1.0, kind = "burst", x = 0.15, for_s = 25.0 }]|faults = [{ at = 2.0, kind = "srv_grey", share = 1.0, x = 0.6, for_s = 20.0, how = "reset", service = "@s0" }, { at = 6.0, kind = "herd_kill", share = 1.0 }, { at = 9.0, kind = "herd_kill", share = 1.0 }, { at = 12.0, kind = "herd_kill", share = 1.0 }, { at = 15.0, kind = "herd_kill", share = 1.0 }]
 TABLE
 }
 
