Let the first processes of a deployment use their part of the retry budget

Cause: the budget of a process that starts was held back also where no process can have run before it. Change: registrations say when the process started. A process has its part at once if its address was not registered when it first read the registrations and all other nodes started within the window. The number of nodes counts from that reading on, and not as one before it.

--- a/internal/coordination/registrar/members.go
+++ b/internal/coordination/registrar/members.go
@@ -36,6 +36,9 @@
 		}
 		rg.goneAt[mb.presence.ID] = rg.clock()
 	}
+	if rg.history == nil {
+		rg.history = rg.historyLocked()
+	}
 	if !rg.replicated {
 		rg.replicated = true
 		rg.Notify()
@@ -268,6 +271,8 @@
 	Ready         bool   `json:"ready"`
 	// Capacity is in requests a second; builds before it neither write nor read it.
 	Capacity int64 `json:"capacity,omitempty"`
+	// Started is in Unix milliseconds; earlier builds neither write nor read it.
+	Started int64 `json:"started,omitempty"`
 }
 
 func encodeRegistration(pr messenger.Presence, ready bool, capacity int64) []byte {
@@ -280,6 +285,7 @@
 		Leaving:       pr.Leaving,
 		Ready:         ready,
 		Capacity:      capacity,
+		Started:       pr.Started,
 	})
 	if err != nil {
 		log.WithError(err).Error("node registration was not encoded; peers do not see it")
@@ -299,5 +305,6 @@
 		PeerAddress:   wp.PeerAddress,
 		CallerAddress: wp.CallerAddress,
 		Leaving:       wp.Leaving,
+		Started:       wp.Started,
 	}, ready: wp.Ready, capacity: max(wp.Capacity, 0)}, nil
 }
--- a/internal/coordination/registrar/registrar.go
+++ b/internal/coordination/registrar/registrar.go
@@ -112,6 +112,8 @@
 	// replicated says that members and leaderEntry have been read from the
 	// store.
 	replicated bool
+	// history is nil until the registrations were read for the first time.
+	history *history
 	// members are the registrations by key.
 	members map[string]member
 	// goneAt holds when registrations ended, by node.
@@ -215,10 +217,13 @@
 func (rg *Registrar) View() *prober.View { return rg.view.Load() }
 
 // NodeCount returns the number of nodes, including this one and those whose
-// registration ended within the last 30 s.
+// registration ended within the last 30 s, or 0 until the registrations were read.
 func (rg *Registrar) NodeCount() int {
 	rg.mu.Lock()
 	defer rg.mu.Unlock()
+	if rg.history == nil {
+		return 0
+	}
 	count := 1
 	self := rg.presence().ID
 	for _, mb := range rg.members {
--- a/internal/coordination/retrier/shared.go
+++ b/internal/coordination/retrier/shared.go
@@ -77,6 +77,14 @@
 	return sh
 }
 
+// SetPredecessor sets whether an earlier process of the node may have used the budget of
+// the first window.
+func (sh *SharedBudget) SetPredecessor(possible bool) {
+	sh.mu.Lock()
+	defer sh.mu.Unlock()
+	sh.succeeds = possible
+}
+
 // SetNodes sets the number of nodes that share the budget.
 func (sh *SharedBudget) SetNodes(nodes int) {
 	sh.mu.Lock()
--- a/internal/keyspacerunner/keyspacerunner.go
+++ b/internal/keyspacerunner/keyspacerunner.go
@@ -193,6 +193,8 @@
 	takeMu            sync.Mutex // held while a configuration of another node is taken
 	// started is when the node was made, by a clock that runs while it is suspended.
 	started time.Duration
+	// startedAt is the same by the clock of the VM.
+	startedAt time.Time
 	// capacity is how many requests a second the node bears; 0 means unknown.
 	capacity atomic.Int64
 	// postponer holds the requests that arrive before the first snapshot.
@@ -241,6 +243,7 @@
 		tracker:    tracker.New(),
 		faulty:     map[string]bool{},
 		started:    stopwatch.Now(),
+		startedAt:  time.Now(),
 		serverLost: make(chan struct{}, 1),
 		postponer:  postponer.New(),
 	}
@@ -387,6 +390,7 @@
 		PeerAddress:   rn.identity.PeerAddress,
 		CallerAddress: rn.identity.CallerAddress,
 		Leaving:       rn.leaving.Load(),
+		Started:       rn.startedAt.UnixMilli(),
 	}
 }
 
--- a/internal/keyspacerunner/peers.go
+++ b/internal/keyspacerunner/peers.go
@@ -93,13 +93,21 @@
 		if rn.snapshot.Load() == nil {
 			return
 		}
-		rn.budget.SetNodes(rn.registrar.NodeCount())
+		rn.shareBudget()
 		rn.exchange.Round(ctx, time.Now, rn.admitter.Outstanding(), rn.registrar.View().ServerOwner, rn.pool)
 		rn.observe()
 	})
 	return nil
 }
 
+// shareBudget sets the node's part of the retry budget by the registrations of nodes.
+func (rn *Runner) shareBudget() {
+	if nodes := rn.registrar.NodeCount(); nodes > 0 {
+		rn.budget.SetNodes(nodes)
+	}
+	rn.budget.SetPredecessor(rn.registrar.MayHavePredecessor(rn.identity.Retries.Window))
+}
+
 // observe updates the watcher's snapshot with the exchanged loads.
 func (rn *Runner) observe() {
 	rn.mu.Lock()
--- a/internal/keyspacerunner/quarantine.go
+++ b/internal/keyspacerunner/quarantine.go
@@ -15,6 +15,7 @@
 // Replace implements replicator.Sink.
 func (ow ownSink) Replace(entries []storer.Entry) {
 	ow.Registrar.Replace(entries)
+	ow.runner.shareBudget()
 	ow.runner.isolator.Replace(entries)
 	ow.runner.versions.Replace(entries)
 }
--- a/internal/protocol/messenger/ping.go
+++ b/internal/protocol/messenger/ping.go
@@ -18,6 +18,9 @@
 	Leaving bool
 	// Revision is the configuration revision in force at the node.
 	Revision int64
+	// Started is when the process started, in Unix milliseconds; 0 if unknown. Messages do
+	// not carry it, registrations do.
+	Started int64
 }
 
 func (pr *Presence) encode(en *msgpack.Encoder) error {
