Describe the shared budget in the package comment, and name two fields plainly

Cause: reading the change as a newcomer: the package comment knew only the budget of one node, and two fields had no or an ambiguous name. Change: a usage section, comments and one rename.

--- a/internal/coordination/delegator/offer.go
+++ b/internal/coordination/delegator/offer.go
@@ -25,6 +25,7 @@
 
 // helper is what this node knows of another one that may run its requests.
 type helper struct {
+	// zone is the node's availability zone.
 	zone string
 	// inProgress counts this node's requests that are offered to the other one or run
 	// there.
--- a/internal/coordination/registrar/history.go
+++ b/internal/coordination/registrar/history.go
@@ -7,8 +7,8 @@
 type history struct {
 	// registered says that an earlier process had the node's address.
 	registered bool
-	// started has when the processes of the other nodes started, in Unix milliseconds; 0
-	// is unknown.
+	// started holds the start times of the processes of the other nodes, in Unix
+	// milliseconds; 0 means unknown.
 	started []int64
 }
 
--- a/internal/coordination/retrier/retrier.go
+++ b/internal/coordination/retrier/retrier.go
@@ -14,6 +14,14 @@
 //		wait(retrier.Backoff(settings.Retries(), retry, random))
 //	}
 //
+// A bound on the retries of all nodes together takes a SharedBudget instead:
+//
+//	sb := retrier.NewSharedBudget(bound, now, retrier.WithPredecessor())
+//	sb.Arrived("pool", now)          // a request
+//	if sb.Reserve("pool", now) {     // before a retry, which may wait
+//		sb.Sent("pool", now)     // or Release, if it is not sent
+//	}
+//
 // The package reads no clock: the current time is a parameter.
 package retrier
 
--- a/internal/coordination/retrier/shared.go
+++ b/internal/coordination/retrier/shared.go
@@ -31,17 +31,18 @@
 
 // SharedBudget is one node's part of a retry budget that all nodes share. Nodes
 // exchange no messages about its use: the ratio applies to the node's own
-// requests, and the slack is divided by the number of nodes. It is safe for
+// requests, and the slack is divided by the number of nodes. A retry counts from
+// its reservation until it is sent, and for a window after that. It is safe for
 // concurrent use.
 type SharedBudget struct {
 	mu    sync.Mutex
 	bound Bound
 	// nodes is the number of nodes that share the budget; 0 means unknown.
 	nodes int
-	// succeeds says that an earlier process of the node may have used the budget of the
+	// mayFollow says that an earlier process of the node may have used the budget of the
 	// first window.
-	succeeds bool
-	byKey    map[string]*series
+	mayFollow bool
+	byKey     map[string]*series
 	// started is the time at which span 0 begins.
 	started time.Time
 }
@@ -65,7 +66,7 @@
 // SetNodes was called, and a small part of the ratio for that long. However often a node
 // restarts, its processes together keep within its part of the bound.
 func WithPredecessor() BudgetOption {
-	return func(sh *SharedBudget) { sh.succeeds, sh.nodes = true, 0 }
+	return func(sh *SharedBudget) { sh.mayFollow, sh.nodes = true, 0 }
 }
 
 // NewSharedBudget returns a budget without recorded requests.
@@ -82,7 +83,7 @@
 func (sh *SharedBudget) SetPredecessor(possible bool) {
 	sh.mu.Lock()
 	defer sh.mu.Unlock()
-	sh.succeeds = possible
+	sh.mayFollow = possible
 }
 
 // SetNodes sets the number of nodes that share the budget.
@@ -185,7 +186,7 @@
 func (sh *SharedBudget) allowed(requests int, now time.Time) float64 {
 	byRatio := sh.bound.Ratio * float64(requests)
 	switch {
-	case sh.succeeds && now.Sub(sh.started) < sh.bound.Window:
+	case sh.mayFollow && now.Sub(sh.started) < sh.bound.Window:
 		return successorFactor * byRatio
 	case sh.nodes == 0:
 		return safetyFactor * byRatio
