--- a/review/lab/main.go
+++ b/review/lab/main.go
@@ -31,6 +31,7 @@
 	store   *store
 	nodes   []*node
 	workers []*worker
+	orders  orders
 	stop    chan struct{}
 
 	mu     sync.Mutex
@@ -64,6 +65,7 @@
 		"upgrade": playUpgrade,
 		"roll":    playRoll,
 		"plain":   playPlain,
+		"drill":   playDrill,
 		"bodies":  playBodies,
 		"storm":   playDescriptors,
 	}
--- a/review/lab/worker.go
+++ b/review/lab/worker.go
@@ -166,6 +166,7 @@
 		wr.WriteHeader(http.StatusBadRequest)
 		return
 	}
+	wk.lab.orders.note(wk.id, od.Holder, od.Fence)
 	wk.mu.Lock()
 	defer wk.mu.Unlock()
 	holds := slices.Contains(wk.models, od.Model)
