Let streams go on only at versions that somebody can vouch for

Cause: a stream without a record goes on at the single version of its pool. A node that has just started can't know whether there was another one, and took the answer of any other node for a confirmation, also that of one that had started at the same moment. The mark in the store says only that there are several versions, and is written only by a node that has seen them.

The store now has the version of each pool that has had a single one, written on the condition that there is none yet, and replaced by a leader that has followed the servers for two minutes. A node that starts counts that version among those of the pool. An answer says whether its node has followed the servers for long enough. A node that lost touch with the store counts anew. The line "no node has a record of a stream" shows what a decision rests on.

Two tests were changed. In "all nodes were lost with one version" no time passed between start and loss and no stream began: nobody can have known anything. It now has a second and a stream, and a second loss beside it. In TestMarkOfPoolLastsAsLongAsStreams the nodes removed the mark with a copy that was 150 s old; they now follow the store, and a leader that does not must leave the mark.

--- a/internal/coordination/versionkeeper/history.go
+++ b/internal/coordination/versionkeeper/history.go
@@ -34,10 +34,20 @@
 	// marked has the pools that may have had several versions lately, also before
 	// the node started.
 	marked map[string]bool
-	// since is when the servers were first listed; zero means never.
+	// recorded has the store's record of the version of each pool that has had a
+	// single one.
+	recorded map[string]versionRecord
+	// since is when the servers were first listed, or listed again after an
+	// interruption; zero means never.
 	since time.Time
 }
 
+// versionRecord is a pool's version in the store and the revision of its key.
+type versionRecord struct {
+	software string
+	revision int64
+}
+
 // pool is the versions of one pool.
 type pool struct{ seen map[string]*sighting }
 
@@ -51,7 +61,9 @@
 }
 
 // NewHistory returns a history without versions.
-func NewHistory() *History { return &History{pools: map[string]*pool{}, marked: map[string]bool{}} }
+func NewHistory() *History {
+	return &History{pools: map[string]*pool{}, marked: map[string]bool{}, recorded: map[string]versionRecord{}}
+}
 
 // Update records the servers that are listed at the time.
 func (hs *History) Update(now time.Time, processes []Process) {
@@ -73,6 +85,13 @@
 	hs.prune(now)
 }
 
+// Interrupt records that the node may have missed servers that came and went.
+func (hs *History) Interrupt(now time.Time) {
+	if !hs.since.IsZero() {
+		hs.since = now
+	}
+}
+
 // Note records that another node has seen the version.
 func (hs *History) Note(now time.Time, name, software string) { hs.note(now, name, software) }
 
@@ -105,8 +124,20 @@
 	}
 }
 
-// Seen returns the versions that the pool has had within streamMemory, sorted.
+// Seen returns the versions that streams of the pool may have begun at within
+// streamMemory, sorted: those that were in use, and the recorded one.
 func (hs *History) Seen(now time.Time, name string) []string {
+	versions := hs.witnessed(now, name)
+	if rc, ok := hs.recorded[name]; ok && !slices.Contains(versions, rc.software) {
+		versions = append(versions, rc.software)
+		slices.Sort(versions)
+	}
+	return versions
+}
+
+// witnessed returns the versions that the pool has had within streamMemory as far as
+// nodes have seen since this one started, sorted.
+func (hs *History) witnessed(now time.Time, name string) []string {
 	var versions []string
 	if po, ok := hs.pools[name]; ok {
 		for software, sg := range po.seen {
@@ -129,6 +160,13 @@
 	return versions[0], true
 }
 
+// Vouched reports whether the version that Sole returns is known to have been the only
+// one for streamMemory, also before the node started.
+func (hs *History) Vouched(now time.Time, name string) bool {
+	_, ok := hs.recorded[name]
+	return ok || hs.covers(now)
+}
+
 // Settled reports whether all nodes can be assumed to know of the version. A version
 // that is alone in its pool is always settled.
 func (hs *History) Settled(now time.Time, name, software string) bool {
--- a/internal/coordination/versionkeeper/versionkeeper.go
+++ b/internal/coordination/versionkeeper/versionkeeper.go
@@ -9,10 +9,14 @@
 // does not know a stream asks these. A stream of which no node knows the version goes on
 // only if its pool had a single one.
 //
+// A node knows by itself which versions a pool has had since the node started. For the
+// time before, the store has the version of each pool that has had a single one, and a
+// mark for each pool that has had several. Without such a record, a node that has started
+// lately believes only another one that has followed the servers for longer.
+//
 // A node that has not heard of a new version yet takes the former one for the only one.
 // A version that is new in its pool therefore begins no streams, unless there is no other,
-// until all nodes in touch have heard of it. A mark in the store says that a pool has
-// several versions, for nodes that start later.
+// until all nodes in touch have heard of it.
 //
 // # Usage
 //
@@ -78,8 +82,8 @@
 	// age returns how old the node's copy of the servers may be.
 	age      func() time.Duration
 	leads    func() bool
-	store    storer.Keyspace // nil if pools are not marked
-	prefix   string          // of the marks in the store
+	store    storer.Keyspace // nil if nothing is kept there
+	prefix   string          // of the keys in the store
 	registry *counter.Registry
 	wake     chan struct{} // has an element while pending is not empty
 
@@ -90,8 +94,9 @@
 	// certain has the pools whose streams need not be told.
 	certain map[string]bool
 	pending map[uint64]record // streams to be told
-	// unmarkedSince is when the node first found that a pool lacks its mark.
-	unmarkedSince map[string]time.Time
+	// lackingSince is when the node first found that the store lacks a key.
+	lackingSince map[string]time.Time
+	reviewedAt   time.Time // when reviewLocked last ran
 }
 
 // Option configures a Keeper.
@@ -101,8 +106,8 @@
 // be; by default it is current.
 func WithAge(age func() time.Duration) Option { return func(kp *Keeper) { kp.age = age } }
 
-// WithStore makes the node mark pools with several versions in the store, under the
-// prefix, and remove marks while leads returns true. The Keeper has to be told of
+// WithStore makes the node keep the versions of pools in the store, under the prefix, and
+// remove what no longer holds while leads returns true. The Keeper has to be told of
 // changes there with Replace and Apply.
 func WithStore(st storer.Keyspace, prefix string, leads func() bool) Option {
 	return func(kp *Keeper) { kp.store, kp.prefix, kp.leads = st, prefix, leads }
@@ -126,7 +131,7 @@
 		certain:   map[string]bool{},
 		pending:   map[uint64]record{},
 
-		unmarkedSince: map[string]time.Time{},
+		lackingSince: map[string]time.Time{},
 	}
 	for _, opt := range opts {
 		opt(kp)
@@ -197,7 +202,7 @@
 	defer kp.mu.Unlock()
 	hash := xxhash.Sum64String(id)
 	kp.records.put(hash, record{pool: pr.Pool, software: pr.Software, server: pr.Server, at: now})
-	if _, ok := kp.soleLocked(now, pr.Pool); !ok {
+	if !kp.certainLocked(now, pr.Pool) {
 		rc, _ := kp.records.get(hash)
 		kp.queueLocked(hash, rc)
 	}
@@ -221,11 +226,21 @@
 	return kp.history.Sole(now, pool)
 }
 
-// reviewLocked has the latest streams told of pools that have ceased to have a single
-// version.
+// certainLocked reports whether any node, also one that starts later, can tell where
+// streams of the pool begin without being told.
+func (kp *Keeper) certainLocked(now time.Time, pool string) bool {
+	_, sole := kp.soleLocked(now, pool)
+	return sole && kp.history.Vouched(now, pool)
+}
+
+// reviewLocked has the latest streams told of pools that have ceased to be certain.
 func (kp *Keeper) reviewLocked(now time.Time) {
+	if kp.age() > settleTime || !kp.reviewedAt.IsZero() && now.Sub(kp.reviewedAt) > settleTime {
+		kp.history.Interrupt(now)
+	}
+	kp.reviewedAt = now
 	for name := range kp.history.pools {
-		_, certain := kp.soleLocked(now, name)
+		certain := kp.certainLocked(now, name)
 		if kp.certain[name] && !certain {
 			log.WithFields(log.Fields{"pool": name, "versions": kp.history.Seen(now, name), "age-ms": kp.age().Milliseconds()}).
 				Info("streams of a pool may begin at several versions; other nodes are told where they begin")
@@ -251,21 +266,28 @@
 	rc, known := kp.records.get(hash)
 	now := time.Now()
 	sole, covers := kp.soleOfLocked(now, pools), kp.history.covers(now)
+	vouched := !slices.ContainsFunc(sole, func(ps messenger.PoolSoftware) bool { return !kp.history.Vouched(now, ps.Pool) })
 	kp.mu.Unlock()
 	if known {
 		return Origin{rc.pool, rc.software}, rc.software != ""
 	}
-	origin, known, contradicted, heard := kp.ask(ctx, &messenger.StreamQuery{ID: hash, Sole: sole})
-	if known {
+	rp := kp.ask(ctx, &messenger.StreamQuery{ID: hash, Sole: sole})
+	if rp.known {
 		kp.registry.Inc("stream", "origin-told")
-		return origin, origin.Software != ""
+		return rp.origin, rp.origin.Software != ""
 	}
-	// A node that has just started may have missed a version that has ended since, while
-	// the pool's mark is not written yet.
-	if contradicted || len(sole) == 0 || !heard && !covers {
+	// Without an answer, a node that has just started may miss a version that has ended
+	// since, while the pool's mark is not written yet.
+	certain := len(sole) > 0 && !rp.contradicted && (vouched || rp.covered) && (rp.heard || covers)
+	log.WithFields(log.Fields{
+		"resumes": id, "pools": pools, "single-version": len(sole) > 0, "recorded": vouched, "follows-long-enough": covers,
+		"answers": rp.answers, "contradicted": rp.contradicted, "covered": rp.covered, "certain": certain,
+	}).Info("no node has a record of a stream")
+	if !certain {
 		kp.registry.Inc("stream", "origin-unknown")
 		return Origin{}, false
 	}
+	kp.registry.Inc("stream", "origin-inferred")
 	return Origin{sole[0].Pool, sole[0].Software}, true
 }
 
@@ -283,10 +305,23 @@
 	return all
 }
 
-// ask asks the nodes that were told of the stream. It returns what one of them knows,
-// or else whether one contradicts the question, and whether one answered or there is no
-// other.
-func (kp *Keeper) ask(ctx context.Context, query *messenger.StreamQuery) (origin Origin, known, contradicted, heard bool) {
+// reply is what the nodes that were asked about a stream answer together.
+type reply struct {
+	// origin is where the stream began, if known.
+	origin Origin
+	known  bool
+	// contradicted says that a node has seen another version than the query names.
+	contradicted bool
+	// covered says that a node has followed the servers for streamMemory.
+	covered bool
+	// answers is the number of nodes that answered; heard is set if there are some, or
+	// no node to ask.
+	answers int
+	heard   bool
+}
+
+// ask asks the nodes that were told of the stream.
+func (kp *Keeper) ask(ctx context.Context, query *messenger.StreamQuery) reply {
 	ctx, cancel := context.WithTimeout(ctx, askTimeout)
 	defer cancel()
 	asked := kp.witnesses(query.ID, askedNodes)
@@ -298,18 +333,22 @@
 			answers <- so
 		}()
 	}
-	heard = len(asked) == 0
+	rp := reply{heard: len(asked) == 0}
 	for range asked {
 		so := <-answers
-		switch {
-		case so == nil:
-		case so.Known:
-			return Origin{so.Pool, so.Software}, true, false, true
-		default:
-			contradicted, heard = contradicted || so.Contradicts, true
+		if so == nil {
+			continue
+		}
+		rp.answers++
+		rp.heard = true
+		if so.Known {
+			rp.origin, rp.known = Origin{so.Pool, so.Software}, true
+			return rp
 		}
+		rp.contradicted = rp.contradicted || so.Contradicts
+		rp.covered = rp.covered || so.Covers
 	}
-	return Origin{}, false, contradicted, heard
+	return rp
 }
 
 // witnesses returns the addresses of the nodes that are told of a stream, without this
@@ -371,7 +410,7 @@
 		return &messenger.StreamsNoted{}
 	case *messenger.StreamQuery:
 		rc, ok := kp.records.get(tc.ID)
-		so := &messenger.StreamOrigin{Known: ok, Pool: rc.pool, Software: rc.software}
+		so := &messenger.StreamOrigin{Known: ok, Pool: rc.pool, Software: rc.software, Covers: kp.history.covers(now) && kp.age() <= maxAge}
 		for _, ps := range tc.Sole {
 			for _, version := range kp.history.Seen(now, ps.Pool) {
 				so.Contradicts = so.Contradicts || version != ps.Software
@@ -382,7 +421,7 @@
 	return nil
 }
 
-// Run tells other nodes of streams and keeps the marks in the store until the context
+// Run tells other nodes of streams and keeps the store up to date until the context
 // ends, and returns nil.
 func (kp *Keeper) Run(ctx context.Context) error {
 	tk := time.NewTicker(reviewInterval)
@@ -395,7 +434,7 @@
 			kp.mu.Lock()
 			kp.reviewLocked(time.Now())
 			kp.mu.Unlock()
-			kp.mark(ctx)
+			kp.updateStore(ctx)
 		case <-kp.wake:
 			kp.tell(ctx)
 		}
--- a/internal/coordination/versionkeeper/versionkeeper_test.go
+++ b/internal/coordination/versionkeeper/versionkeeper_test.go
@@ -18,10 +18,11 @@
 	"github.com/lagoonpass/lagoonpass/internal/coordination/versionkeeper"
 	"github.com/lagoonpass/lagoonpass/internal/protocol/messenger"
 	"github.com/lagoonpass/lagoonpass/internal/standin/platform"
+	"github.com/lagoonpass/lagoonpass/internal/state/storer"
 )
 
 const (
-	prefix = "own/mixed/"
+	prefix = "own/"
 	// viewLag is how far the nodes' copies of the servers are behind.
 	viewLag = 500 * time.Millisecond
 	// lifetime is the longest time from the first event of a stream to its taking up.
@@ -140,6 +141,34 @@
 	}
 }
 
+// startAll starts all nodes again without memory.
+func (fl *fleet) startAll() {
+	for name := range fl.nodes {
+		fl.start(name)
+	}
+}
+
+// follow has all nodes follow the store for a time.
+func (fl *fleet) follow(length time.Duration) {
+	for range length / time.Second {
+		time.Sleep(time.Second)
+		fl.syncAll()
+	}
+}
+
+// forgetRecords removes what the store knows of pools with one version.
+func (fl *fleet) forgetRecords() {
+	entries, _, err := fl.store.Snapshot(fl.t.Context(), prefix+"software/")
+	require.NoError(fl.t, err)
+	var keys []string
+	for _, en := range entries {
+		keys = append(keys, en.Key)
+	}
+	_, err = fl.store.Commit(fl.t.Context(), storer.Transaction{Deletes: keys})
+	require.NoError(fl.t, err)
+	fl.syncAll()
+}
+
 func (fl *fleet) setCut(name string, cut bool) {
 	fl.mu.Lock()
 	defer fl.mu.Unlock()
@@ -209,10 +238,41 @@
 			}
 		}, ""},
 		"all nodes were lost with one version": {func(fl *fleet) {
-			for ix := range fl.nodes {
-				fl.start(ix)
-			}
+			time.Sleep(time.Second)
+			fl.nodes["n0"].keeper.Began("s", process("w1", "v1", 1))
+			fl.startAll()
 		}, "v1"},
+		"all nodes were lost twice with one version": {func(fl *fleet) {
+			time.Sleep(time.Second)
+			fl.nodes["n0"].keeper.Began("s", process("w1", "v1", 1))
+			fl.startAll()
+			time.Sleep(2 * time.Second)
+			fl.startAll()
+		}, "v1"},
+		"all nodes were lost while all servers changed their version": {func(fl *fleet) {
+			time.Sleep(time.Second)
+			fl.nodes["n0"].keeper.Began("s", process("w1", "v1", 1))
+			fl.processes[0] = process("w1", "v2", 2)
+			fl.startAll()
+			time.Sleep(time.Second)
+		}, ""},
+		"all nodes were lost before the leader recorded the version": {func(fl *fleet) {
+			fl.nodes["n0"].keeper.Began("s", process("w1", "v1", 1))
+			fl.startAll()
+		}, ""},
+		"only the asking node has just started, and the version is not recorded": {func(fl *fleet) {
+			fl.follow(130 * time.Second)
+			fl.nodes["n0"].keeper.Began("s", process("w1", "v1", 1))
+			fl.start("n0")
+			fl.start("n1")
+			fl.forgetRecords()
+		}, "v1"},
+		"all others have just started as well, and the version is not recorded": {func(fl *fleet) {
+			fl.follow(130 * time.Second)
+			fl.nodes["n0"].keeper.Began("s", process("w1", "v1", 1))
+			fl.startAll()
+			fl.forgetRecords()
+		}, ""},
 		"the asking node has just started and reaches no other, the mark is not written": {func(fl *fleet) {
 			fl.processes = append(fl.processes, process("w2", "v2", 1))
 			fl.syncAll()
@@ -224,10 +284,7 @@
 			}
 		}, ""},
 		"the asking node has seen one version for long and reaches no other": {func(fl *fleet) {
-			for range 130 {
-				time.Sleep(time.Second)
-				fl.syncAll()
-			}
+			fl.follow(130 * time.Second)
 			fl.nodes["n0"].keeper.Began("s", process("w1", "v1", 1))
 			for _, other := range []string{"n0", "n2", "n3"} {
 				fl.setCut(other, true)
@@ -278,7 +335,7 @@
 	synctest.Test(t, func(t *testing.T) {
 		fl := newFleet(t, 2)
 		marks := func() int {
-			entries, _, err := fl.store.Snapshot(t.Context(), prefix)
+			entries, _, err := fl.store.Snapshot(t.Context(), prefix+"mixed/")
 			require.NoError(t, err)
 			return len(entries)
 		}
@@ -289,7 +346,7 @@
 		require.Equal(t, 1, marks())
 		fl.processes = fl.processes[1:]
 		fl.syncAll()
-		time.Sleep(30 * time.Second)
+		fl.follow(30 * time.Second)
 		require.Equal(t, 1, marks())
 		// A leader that has started and has no copy of the servers yet knows of no pool.
 		starting := versionkeeper.New(link{fl, "n0", 1}, "n2", func() []prober.Member { return nil },
@@ -302,10 +359,43 @@
 		require.NoError(t, starting.Run(ctx))
 		require.Equal(t, 1, marks())
 		time.Sleep(2 * time.Minute)
+		fl.follow(2 * time.Second)
+		require.Equal(t, 1, marks(), "the leader has not followed the servers meanwhile")
+		fl.follow(2 * time.Minute)
 		require.Zero(t, marks())
 	})
 }
 
+// The record of a pool stayed at a version that had gone, or followed the servers before
+// the streams of the former version had ended.
+func TestRecordFollowsThePoolOnceStreamsHaveEnded(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		fl := newFleet(t, 2)
+		record := func() string {
+			entries, _, err := fl.store.Snapshot(t.Context(), prefix+"software/")
+			require.NoError(t, err)
+			text := ""
+			for _, en := range entries {
+				text += en.Key + "=" + string(en.Value)
+			}
+			return text
+		}
+		fl.processes = []versionkeeper.Process{process("w1", "v1", 1)}
+		fl.startAll()
+		fl.follow(time.Second)
+		require.Equal(t, "own/software/p=v1", record())
+		fl.processes[0] = process("w1", "v2", 2)
+		fl.startAll()
+		fl.follow(100 * time.Second)
+		require.Equal(t, "own/software/p=v1", record(), "streams of v1 may still be taken up")
+		fl.follow(30 * time.Second)
+		require.Equal(t, "own/software/p=v2", record())
+		fl.processes = nil
+		fl.follow(150 * time.Second)
+		require.Empty(t, record(), "the pool has had no servers for long")
+	})
+}
+
 // stream is a stream that broke off.
 type stream struct {
 	id, software string
--- a/internal/keyspacerunner/keyspacerunner.go
+++ b/internal/keyspacerunner/keyspacerunner.go
@@ -64,9 +64,6 @@
 	// excludedPrefix precedes the contents that are kept from servers,
 	// under ownPrefix.
 	excludedPrefix = "excluded/"
-	// mixedPrefix precedes the pools with several versions of their software, under
-	// ownPrefix.
-	mixedPrefix = "mixed/"
 	// orderRecordKey is the key of the record of the servers to which orders were
 	// sent. Nodes do not watch it.
 	orderRecordKey = "lagoonpass-holders"
@@ -282,7 +279,7 @@
 		isolator.WithStore(bd.Store, ownPrefix+excludedPrefix), isolator.WithRegistry(rn.registry))
 	rn.versions = versionkeeper.New(rn.pool, id.ID, func() []prober.Member { return rn.registrar.View().Members() },
 		versionkeeper.WithAge(rn.relayer.Age), versionkeeper.WithRegistry(rn.registry),
-		versionkeeper.WithStore(bd.Store, ownPrefix+mixedPrefix, rn.leads))
+		versionkeeper.WithStore(bd.Store, ownPrefix, rn.leads))
 	rn.quotas = quotakeeper.New(id.ID, quotaLeadership{rn}, rn.quotaPool, quotakeeper.WithMachine(hostOf(id.PeerAddress)), quotakeeper.WithSlack(id.QuotaSlack), quotakeeper.WithRegistry(rn.registry))
 	rn.crashes = crashdetector.New(rn.forwarder.Refuses, crashdetector.WithLeaving(rn.hasLeft), crashdetector.WithPath(rn.reachesServers), crashdetector.WithRegistry(rn.registry),
 		crashdetector.WithOnCrash(rn.noteCrash))
--- a/internal/keyspacerunner/quarantine.go
+++ b/internal/keyspacerunner/quarantine.go
@@ -6,7 +6,7 @@
 )
 
 // ownSink receives the system's own keys: the registrations of nodes, the contents
-// that are kept from servers, and the pools with several versions of their software.
+// that are kept from servers, and the versions of the pools' software.
 type ownSink struct {
 	*registrar.Registrar
 	runner *Runner
--- a/internal/protocol/messenger/messenger_test.go
+++ b/internal/protocol/messenger/messenger_test.go
@@ -59,7 +59,7 @@
 		&DelegatePage{Status: 200, Header: []HeaderField{{Name: "A", Values: []string{"1"}}}, Data: []byte("d"), Ended: true, Broken: true},
 		&PathQuery{Servers: []string{"w1"}},
 		&PathAnswer{Reaches: true},
-		&StreamOrigin{Known: true, Pool: "p", Software: "v1", Contradicts: true},
+		&StreamOrigin{Known: true, Pool: "p", Software: "v1", Contradicts: true, Covers: true},
 		&TrialAnswer{Granted: true},
 		&QuotaReport{Regular: true, Leaving: true, Node: "n1", Incarnation: 1 << 31, Number: 300, Term: 1<<40 | 7, Seen: 299, Callers: 1 << 30, Uses: []QuotaUse{
 			{Caller: 3, Spent: 55_000, Refunded: 9_000, Demand: 120, Prefetch: true, Waiting: 64_000, Head: 55_000, Share: 17}, {Caller: 200, Spent: 5},
@@ -91,6 +91,10 @@
 		earlier := *tm
 		earlier.Configuration = nil
 		return &earlier, 2 + len(tm.Configuration)
+	case *StreamOrigin:
+		earlier := *tm
+		earlier.Covers = false
+		return &earlier, 1
 	case *Checked:
 		return &Checked{Node: tm.Node}, 1
 	case *AdapterLoad:
--- a/internal/protocol/messenger/stream.go
+++ b/internal/protocol/messenger/stream.go
@@ -101,6 +101,9 @@
 	// Contradicts says that the node has lately seen another version in one of the
 	// pools.
 	Contradicts bool
+	// Covers says that the node has followed the servers for as long as callers take
+	// up streams, so that it would have seen another version.
+	Covers bool
 }
 
 // Kind implements Message.
@@ -108,10 +111,13 @@
 
 // Encode implements Message.
 func (so *StreamOrigin) Encode(en *msgpack.Encoder) error {
-	return EncodeAll(en, so.Known, so.Pool, so.Software, so.Contradicts)
+	return EncodeAll(en, so.Known, so.Pool, so.Software, so.Contradicts, so.Covers)
 }
 
 // Decode implements Message.
 func (so *StreamOrigin) Decode(de *msgpack.Decoder) error {
-	return DecodeAll(de, &so.Known, &so.Pool, &so.Software, &so.Contradicts)
+	if err := DecodeAll(de, &so.Known, &so.Pool, &so.Software, &so.Contradicts); err != nil {
+		return err
+	}
+	return decodeTrailing(de, &so.Covers)
 }
