Find where a stream began among all pools of its route

Cause: nodes were told of streams only in pools with several versions, while a node that looks for the origin of a stream needs all pools of the route to have one and the same. Each pool had one, so nobody was told; they differed, so nothing could be concluded. The same cause on a related path: a route that moves to another pool let streams of the former pool go on at the other's version.

The keeper now follows the routes of the configurations: to which pools the requests of a host and prefix lead, and led within two minutes. Telling and finding use the same set of pools; a configuration that makes them differ has the latest streams told. A query names its route, and a node that knows of a further pool contradicts. Pools without servers don't count.

--- a/internal/coordination/dispatcher/proxy.go
+++ b/internal/coordination/dispatcher/proxy.go
@@ -14,6 +14,7 @@
 	"github.com/lagoonpass/lagoonpass/internal/coordination/fingerprinter"
 	"github.com/lagoonpass/lagoonpass/internal/coordination/retrier"
 	"github.com/lagoonpass/lagoonpass/internal/coordination/throttler"
+	"github.com/lagoonpass/lagoonpass/internal/coordination/versionkeeper"
 	"github.com/lagoonpass/lagoonpass/internal/state/configurer"
 	"github.com/lagoonpass/lagoonpass/internal/transport/forwarder"
 	"github.com/lagoonpass/lagoonpass/pkg/refuser"
@@ -420,7 +421,7 @@
 	if pe.resumes = pe.writer.begun(); !pe.resumes {
 		return true, nil
 	}
-	origin, certain := pe.ds.versions.Find(ctx, pe.ticket.ID, []string{pe.key()})
+	origin, certain := pe.ds.versions.Find(ctx, pe.ticket.ID, versionkeeper.Route{Pools: []string{pe.key()}})
 	if !certain {
 		return false, refuser.New(refuser.VersionUnknown, "it is not certain at which software the stream began")
 	}
--- a/internal/coordination/dispatcher/software.go
+++ b/internal/coordination/dispatcher/software.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"slices"
 	"time"
 
 	"github.com/apex/log"
@@ -24,8 +25,8 @@
 	// Began records that the process brought the first event of the request's stream.
 	Began(id string, pr versionkeeper.Process)
 	// Find returns where the stream of the request began, or false if that is not
-	// known. The pools are those that may have served it.
-	Find(ctx context.Context, id string, pools []string) (versionkeeper.Origin, bool)
+	// known. The route is the one on which it is taken up.
+	Find(ctx context.Context, id string, rt versionkeeper.Route) (versionkeeper.Origin, bool)
 }
 
 // noVersions is the default Versions: all servers run the same software.
@@ -39,11 +40,11 @@
 
 func (noVersions) Began(string, versionkeeper.Process) {}
 
-func (noVersions) Find(_ context.Context, _ string, pools []string) (versionkeeper.Origin, bool) {
-	if len(pools) == 0 {
+func (noVersions) Find(_ context.Context, _ string, rt versionkeeper.Route) (versionkeeper.Origin, bool) {
+	if len(rt.Pools) == 0 {
 		return versionkeeper.Origin{}, true
 	}
-	return versionkeeper.Origin{Pool: pools[0]}, true
+	return versionkeeper.Origin{Pool: rt.Pools[0]}, true
 }
 
 // WithVersions sets what knows the versions of the servers' software.
@@ -53,20 +54,15 @@
 // the event, or a refusal if it cannot go on. id is that of the request that brought
 // the stream's first event.
 func (ds *Dispatcher) FindOrigin(ctx context.Context, id, after string, rt *configurer.Route) (versionkeeper.Origin, *refuser.Refusal) {
-	var pools []string
-	served := map[string]bool{}
-	for _, wp := range rt.WeightedPools() {
-		pools = append(pools, wp.Pool())
-		served[wp.Pool()] = true
-	}
-	origin, ok := ds.versions.Find(ctx, id, pools)
+	route := versionkeeper.NewRoute(rt)
+	origin, ok := ds.versions.Find(ctx, id, route)
 	ds.registry.Inc("stream", "taken-up")
 	log.WithFields(log.Fields{"resumes": id, "after": after, "route": rt.Name(), "pool": origin.Pool, "software": origin.Software, "known": ok}).
 		Info("caller takes up a stream")
 	switch {
 	case !ok:
 		return origin, refuser.New(refuser.VersionUnknown, "no node knows at which software the stream of %q began", id)
-	case !served[origin.Pool]:
+	case !slices.Contains(route.Pools, origin.Pool):
 		return origin, refuser.New(refuser.VersionGone, "the route no longer leads to pool %q", origin.Pool)
 	}
 	return origin, nil
--- a/internal/coordination/dispatcher/software_test.go
+++ b/internal/coordination/dispatcher/software_test.go
@@ -37,7 +37,7 @@
 	fv.began = append(fv.began, pr.Server+" "+pr.Software)
 }
 
-func (fv *fakeVersions) Find(context.Context, string, []string) (versionkeeper.Origin, bool) {
+func (fv *fakeVersions) Find(context.Context, string, versionkeeper.Route) (versionkeeper.Origin, bool) {
 	return versionkeeper.Origin{Pool: "p", Software: "v1"}, !fv.uncertain
 }
 
--- a/internal/coordination/versionkeeper/versionkeeper.go
+++ b/internal/coordination/versionkeeper/versionkeeper.go
@@ -2,12 +2,12 @@
 // streams. A stream may go on only at the version that began it, also when its caller
 // takes it up at another node.
 //
-// Each node remembers the streams that it served. While all servers of a pool have
-// had one version for as long as callers take up streams, nothing else is needed. As
-// soon as a node sees a second version, or its copy of the servers is not current, it
-// also tells a few other nodes, which a hash of the stream's request names; a node that
-// does not know a stream asks these. A stream of which no node knows the version goes on
-// only if its pool had a single one.
+// Each node remembers the streams that it served. While all servers of a pool, and those
+// of the pools that share a route with it, have had one version for as long as callers
+// take up streams, nothing else is needed. Otherwise, and while its copy of the servers is
+// not current, a node also tells a few others, which a hash of the stream's request names;
+// a node that does not know a stream asks these. A stream of which no node knows the
+// version goes on only if the pools of its route had a single one.
 //
 // A node knows by itself which versions a pool has had since the node started. For the
 // time before, the store has the version of each pool that has had a single one, and a
@@ -22,9 +22,10 @@
 //
 //	kp := versionkeeper.New(pool, "n1", members, versionkeeper.WithAge(age))
 //	go kp.Run(ctx)
+//	kp.Configure(time.Now(), routes)          // of the configuration in force
 //	kp.Update(time.Now(), processes)          // the servers that are registered
 //	kp.Began("attempt-7", process)            // at the first event
-//	origin, ok := kp.Find(ctx, "attempt-7", []string{"p"})
+//	origin, ok := kp.Find(ctx, "attempt-7", routes[0])
 package versionkeeper
 
 import (
@@ -89,6 +90,7 @@
 
 	mu        sync.Mutex
 	history   *History
+	routes    routes
 	records   *records
 	processes map[string]Process // by server
 	// certain has the pools whose streams need not be told.
@@ -139,6 +141,15 @@
 	return kp
 }
 
+// Configure records the routes whose streams callers may take up. A route keeps the pools
+// that it had before as those of earlier streams.
+func (kp *Keeper) Configure(now time.Time, next []Route) {
+	kp.mu.Lock()
+	defer kp.mu.Unlock()
+	kp.routes.update(now, next)
+	kp.reviewLocked(now)
+}
+
 // Update records the registered servers.
 func (kp *Keeper) Update(now time.Time, processes []Process) {
 	kp.mu.Lock()
@@ -229,8 +240,15 @@
 // certainLocked reports whether any node, also one that starts later, can tell where
 // streams of the pool begin without being told.
 func (kp *Keeper) certainLocked(now time.Time, pool string) bool {
-	_, sole := kp.soleLocked(now, pool)
-	return sole && kp.history.Vouched(now, pool)
+	if _, sole := kp.soleLocked(now, pool); !sole || !kp.history.Vouched(now, pool) {
+		return false
+	}
+	for _, set := range kp.routes.sharedSets(now) {
+		if slices.Contains(set, pool) && kp.soleOfLocked(now, set) == nil {
+			return false
+		}
+	}
+	return true
 }
 
 // reviewLocked has the latest streams told of pools that have ceased to be certain.
@@ -259,19 +277,21 @@
 }
 
 // Find returns where the stream of the request began, or false if that is not known.
-// The pools are those that may have served it, if no node knows the request.
-func (kp *Keeper) Find(ctx context.Context, id string, pools []string) (Origin, bool) {
+// The route is the one that serves the caller who takes it up.
+func (kp *Keeper) Find(ctx context.Context, id string, rt Route) (Origin, bool) {
 	hash := xxhash.Sum64String(id)
 	kp.mu.Lock()
 	rc, known := kp.records.get(hash)
 	now := time.Now()
+	key := routeKey{rt.Host, rt.Prefix}
+	pools := kp.routes.poolsOf(now, key, rt.Pools)
 	sole, covers := kp.soleOfLocked(now, pools), kp.history.covers(now)
 	vouched := !slices.ContainsFunc(sole, func(ps messenger.PoolSoftware) bool { return !kp.history.Vouched(now, ps.Pool) })
 	kp.mu.Unlock()
 	if known {
 		return Origin{rc.pool, rc.software}, rc.software != ""
 	}
-	rp := kp.ask(ctx, &messenger.StreamQuery{ID: hash, Sole: sole})
+	rp := kp.ask(ctx, &messenger.StreamQuery{ID: hash, Sole: sole, Route: key.String()})
 	if rp.known {
 		kp.registry.Inc("stream", "origin-told")
 		return rp.origin, rp.origin.Software != ""
@@ -291,11 +311,14 @@
 	return Origin{sole[0].Pool, sole[0].Software}, true
 }
 
-// soleOfLocked returns the only version of each of the pools, or nil if a pool had
-// several or the pools differ.
+// soleOfLocked returns the only version of each of the pools that have had servers lately,
+// or nil if there is none, a pool had several, or the pools differ.
 func (kp *Keeper) soleOfLocked(now time.Time, pools []string) []messenger.PoolSoftware {
 	var all []messenger.PoolSoftware
 	for _, name := range pools {
+		if kp.unusedLocked(now, name) {
+			continue
+		}
 		software, ok := kp.soleLocked(now, name)
 		if !ok || len(all) > 0 && all[0].Software != software {
 			return nil
@@ -305,6 +328,11 @@
 	return all
 }
 
+// unusedLocked reports whether the pool has had no servers lately.
+func (kp *Keeper) unusedLocked(now time.Time, pool string) bool {
+	return kp.age() <= maxAge && !kp.history.since.IsZero() && !kp.history.marked[pool] && len(kp.history.Seen(now, pool)) == 0
+}
+
 // reply is what the nodes that were asked about a stream answer together.
 type reply struct {
 	// origin is where the stream began, if known.
@@ -416,11 +444,28 @@
 				so.Contradicts = so.Contradicts || version != ps.Software
 			}
 		}
+		so.Contradicts = so.Contradicts || kp.servedElsewhereLocked(now, tc)
 		return so
 	}
 	return nil
 }
 
+// servedElsewhereLocked reports whether the stream of the query may have begun in a pool
+// that the asking node does not know of, and at another version.
+func (kp *Keeper) servedElsewhereLocked(now time.Time, query *messenger.StreamQuery) bool {
+	if len(query.Sole) == 0 || query.Route == "" {
+		return false
+	}
+	for _, pool := range kp.routes.poolsOf(now, parseRouteKey(query.Route), nil) {
+		for _, version := range kp.history.Seen(now, pool) {
+			if version != query.Sole[0].Software {
+				return true
+			}
+		}
+	}
+	return false
+}
+
 // Run tells other nodes of streams and keeps the store up to date until the context
 // ends, and returns nil.
 func (kp *Keeper) Run(ctx context.Context) error {
--- a/internal/coordination/versionkeeper/versionkeeper_test.go
+++ b/internal/coordination/versionkeeper/versionkeeper_test.go
@@ -47,8 +47,10 @@
 	store *platform.Keyspace
 	mu    sync.Mutex
 	nodes map[string]*node
-	// processes are the servers that are registered.
+	// processes are the servers that are registered, and routes those of the
+	// configuration in force.
 	processes []versionkeeper.Process
+	routes    []versionkeeper.Route
 }
 
 // Call implements versionkeeper.Caller for the node that the link belongs to.
@@ -73,7 +75,7 @@
 
 func newFleet(t *testing.T, count int) *fleet {
 	log.SetLevel(log.FatalLevel)
-	fl := &fleet{t: t, store: platform.NewKeyspace(), nodes: map[string]*node{}}
+	fl := &fleet{t: t, store: platform.NewKeyspace(), nodes: map[string]*node{}, routes: []versionkeeper.Route{route("/s/", "p")}}
 	for ix := range count {
 		fl.nodes[fmt.Sprint("n", ix)] = &node{}
 	}
@@ -132,6 +134,7 @@
 	nd.keeper.Replace(entries)
 	now := time.Now()
 	nd.current.Store(now.UnixNano())
+	nd.keeper.Configure(now, fl.routes)
 	nd.keeper.Update(now, fl.processes)
 }
 
@@ -179,9 +182,13 @@
 	return versionkeeper.Process{Server: server, Pool: "p", Software: software, Incarnation: incarnation}
 }
 
+func route(prefix string, pools ...string) versionkeeper.Route {
+	return versionkeeper.Route{Host: "h", Prefix: prefix, Pools: pools}
+}
+
 // find asks the node where a stream began, and returns "" if it does not know.
 func (fl *fleet) find(name, id string) string {
-	origin, ok := fl.nodes[name].keeper.Find(fl.t.Context(), id, []string{"p"})
+	origin, ok := fl.nodes[name].keeper.Find(fl.t.Context(), id, fl.routes[0])
 	if !ok {
 		return ""
 	}
--- a/internal/keyspacerunner/snapshot.go
+++ b/internal/keyspacerunner/snapshot.go
@@ -317,6 +317,9 @@
 	servers := rn.configuredServers(rv.Settings(), now)
 	rn.versions.Update(now, processes(servers))
 	old := rn.snapshot.Load()
+	if old == nil || old.base != rv.Settings() {
+		rn.versions.Configure(now, resumableRoutes(rv.Settings()))
+	}
 	if old == nil && !rn.mayServe(rv.Settings()) {
 		return
 	}
@@ -418,6 +421,17 @@
 	return accepted
 }
 
+// resumableRoutes returns the routes whose streams callers may take up.
+func resumableRoutes(st *configurer.Settings) []versionkeeper.Route {
+	var all []versionkeeper.Route
+	for _, rt := range st.Routes() {
+		if rt.Resumable() {
+			all = append(all, versionkeeper.NewRoute(rt))
+		}
+	}
+	return all
+}
+
 // processes returns the processes of the servers.
 func processes(servers []tracker.Server) []versionkeeper.Process {
 	all := make([]versionkeeper.Process, 0, len(servers))
--- a/internal/protocol/messenger/messenger_test.go
+++ b/internal/protocol/messenger/messenger_test.go
@@ -52,7 +52,7 @@
 		&Vouched{Vouchers: []Voucher{{Content: 7, Age: time.Millisecond}}},
 		&Trial{Content: 7},
 		&StreamsBegun{Groups: []BegunStreams{{Pool: "p", Software: "v1", IDs: []uint64{1, 1 << 63}}}},
-		&StreamQuery{ID: 1 << 63, Sole: []PoolSoftware{{Pool: "p", Software: "v1"}}},
+		&StreamQuery{ID: 1 << 63, Sole: []PoolSoftware{{Pool: "p", Software: "v1"}}, Route: "h/s/"},
 		&Delegate{ID: 1 << 63, Method: "POST", Host: "h", Target: "/p", Header: []HeaderField{{Name: "A", Values: []string{"1", "2"}}}, Body: []byte("b"), Servers: 1, Revision: 7, Caller: "c"},
 		&DelegateNext{ID: 1 << 63},
 		&DelegateCancel{ID: 1 << 63},
@@ -91,6 +91,10 @@
 		earlier := *tm
 		earlier.Configuration = nil
 		return &earlier, 2 + len(tm.Configuration)
+	case *StreamQuery:
+		earlier := *tm
+		earlier.Route = ""
+		return &earlier, 1 + len(tm.Route)
 	case *StreamOrigin:
 		earlier := *tm
 		earlier.Covers = false
--- a/internal/protocol/messenger/stream.go
+++ b/internal/protocol/messenger/stream.go
@@ -66,6 +66,9 @@
 	// Sole are the versions that the asking node takes for the only ones of the pools
 	// that may have served the stream.
 	Sole []PoolSoftware
+	// Route is the host of the route on which the stream is taken up, followed by its
+	// prefix.
+	Route string
 }
 
 // Kind implements Message.
@@ -76,7 +79,10 @@
 	if err := EncodeAll(en, sq.ID); err != nil {
 		return err
 	}
-	return EncodeList(en, sq.Sole, func(en *msgpack.Encoder, ps PoolSoftware) error { return EncodeAll(en, ps.Pool, ps.Software) })
+	if err := EncodeList(en, sq.Sole, func(en *msgpack.Encoder, ps PoolSoftware) error { return EncodeAll(en, ps.Pool, ps.Software) }); err != nil {
+		return err
+	}
+	return EncodeAll(en, sq.Route)
 }
 
 // Decode implements Message.
@@ -89,7 +95,10 @@
 		err := DecodeAll(de, &ps.Pool, &ps.Software)
 		return ps, err
 	})
-	return err
+	if err != nil {
+		return err
+	}
+	return decodeTrailing(de, &sq.Route)
 }
 
 // StreamOrigin answers a StreamQuery.
