Blame servers for answers without end

Cause: "final" says that a request isn't sent again, and was also taken to say that the server isn't to blame, as for a caller who left. An answer that is cut at the maximum, or breaks off after the first 256 KiB, is final since the caller has a part of it, so that the ejector never heard of it. The same held for an answer on the product's own interface that is too large, and for refusals, whose body was cut off without a trace.

A failure now says by itself whether the server is at fault. A refusal whose body has more than 256 KiB counts as well; that it has not run stays believed.

Before the change: go test ./internal/coordination/dispatcher -run EjectedForAnswers chunks without end, neither a length nor an end, events on a route without streams, a large answer that is broken off, a refusal without end: weight 1, expected 0 after five such answers After: ok; a whole large answer, a refusal and one that takes long keep weight 1.

--- a/internal/coordination/dispatcher/answer.go
+++ b/internal/coordination/dispatcher/answer.go
@@ -277,8 +277,8 @@
 	}
 	if cl.NotRun {
 		detail := "server " + pa.server + " refused: status " + strconv.Itoa(rs.StatusCode)
-		pa.discard(rs.Body)
-		return &failure{reason: refuser.BackendRefused, detail: detail, refused: true, full: !cl.Misdirected && rs.StatusCode == http.StatusServiceUnavailable}
+		ended := pa.discard(rs.Body)
+		return &failure{reason: refuser.BackendRefused, detail: detail, refused: true, faulty: !ended, full: !cl.Misdirected && rs.StatusCode == http.StatusServiceUnavailable}
 	}
 	success := rs.StatusCode >= 200 && rs.StatusCode < 300
 	if success && !cl.Genuine {
@@ -334,11 +334,12 @@
 var errDiscarded = errors.New("rest of the answer is not needed")
 
 // discard reads the rest of a body, so that its connection can be reused, unless it
-// takes long.
-func (pa *proxyAttempt) discard(body io.Reader) {
+// takes long. It reports whether the body is one that may have an end.
+func (pa *proxyAttempt) discard(body io.Reader) bool {
 	tm := time.AfterFunc(drainTimeout, func() { pa.cancel(errDiscarded) })
 	defer tm.Stop()
-	_, _ = io.Copy(io.Discard, io.LimitReader(body, maxBufferedBytes))
+	count, _ := io.Copy(io.Discard, io.LimitReader(body, maxBufferedBytes))
+	return count < maxBufferedBytes
 }
 
 // receiveLarge forwards an answer that is too large to buffer. One without a length
@@ -357,7 +358,7 @@
 		count, err := rs.Body.Read(buf)
 		received += count
 		if rs.ContentLength < 0 && received > maxAnswerBytes {
-			return &failure{reason: refuser.StreamBroken, detail: "answer of server " + pa.server + " is too large", final: true}
+			return &failure{reason: refuser.StreamBroken, detail: "answer of server " + pa.server + " is too large", final: true, faulty: true}
 		}
 		if count > 0 {
 			if err := pa.writer.write(buf[:count]); err != nil {
@@ -365,16 +366,10 @@
 			}
 		}
 		if err == io.EOF {
-			fl := pa.brokenOff(ctx, rs)
-			if fl != nil {
-				fl.final = true
-			}
-			return fl
+			return pa.brokenOff(ctx, rs).end()
 		}
 		if err != nil {
-			fl := pa.classifyError(ctx, err, false)
-			fl.final = true
-			return fl
+			return pa.classifyError(ctx, err, false).end()
 		}
 	}
 }
--- a/internal/coordination/dispatcher/attempt.go
+++ b/internal/coordination/dispatcher/attempt.go
@@ -94,7 +94,7 @@
 // blamesServer reports whether the server itself failed. A refusal under load
 // does not count, since overload would otherwise eject healthy servers.
 func (fl *failure) blamesServer() bool {
-	return !fl.final && !fl.refused && !fl.detached && !fl.unread && fl.reason != refuser.NoWorker && fl.reason != refuser.VersionGone
+	return fl.faulty || !fl.final && !fl.refused && !fl.detached && !fl.unread && fl.reason != refuser.NoWorker && fl.reason != refuser.VersionGone
 }
 
 func (at *attempt) send(ctx context.Context) *failure {
--- a/internal/coordination/dispatcher/execution.go
+++ b/internal/coordination/dispatcher/execution.go
@@ -55,6 +55,8 @@
 	detail string
 	// final says that a retry would not help.
 	final bool
+	// faulty says that the server is at fault, also if the failure is final or a refusal.
+	faulty bool
 	// refused says that the server guarantees that it did not run the request.
 	refused bool
 	// full says that the server refused the request for want of room.
@@ -80,6 +82,15 @@
 	admissionRefusal *refuser.Refusal
 }
 
+// end makes a failure final: the caller has a part of the answer. A server that is to
+// blame stays so. It returns the failure, which may be nil.
+func (fl *failure) end() *failure {
+	if fl != nil {
+		fl.faulty, fl.final = fl.blamesServer(), true
+	}
+	return fl
+}
+
 // run makes attempts until the answer is complete or no retry is allowed. It
 // calls unlink when the answer is complete: after that, the end of the caller's
 // request no longer closes the connection to the server.
--- a/internal/coordination/dispatcher/proxy_test.go
+++ b/internal/coordination/dispatcher/proxy_test.go
@@ -20,6 +20,7 @@
 	"github.com/lagoonpass/lagoonpass/internal/coordination/admitter"
 	"github.com/lagoonpass/lagoonpass/internal/coordination/dispatcher"
 	"github.com/lagoonpass/lagoonpass/internal/coordination/downlister"
+	"github.com/lagoonpass/lagoonpass/internal/coordination/ejector"
 	"github.com/lagoonpass/lagoonpass/internal/coordination/fingerprinter"
 	"github.com/lagoonpass/lagoonpass/internal/coordination/retrier"
 	"github.com/lagoonpass/lagoonpass/internal/state/configurer"
@@ -364,6 +365,37 @@
 	}
 }
 
+// A server whose answers had no end, or broke off after a part that the caller has, kept
+// its full share of the requests.
+func TestServerIsEjectedForAnswersWithoutEnd(t *testing.T) {
+	const results = 5
+	text := strings.Repeat("x", 1000)
+	large := func(wr http.ResponseWriter, _ *http.Request) { _, _ = io.WriteString(wr, strings.Repeat("x", 300<<10)) }
+	for name, tc := range map[string]struct {
+		route   string
+		handler http.HandlerFunc
+		weight  float64
+	}{
+		"chunks without end":                  {"safe", endless(text), 0},
+		"neither a length nor an end":         {"safe", withoutLength(endless(text)), 0},
+		"events on a route without streams":   {"once", asStream(endless("data: x\n\n")), 0},
+		"no events without end":               {"stream", endless(text), 0},
+		"a large answer that is broken off":   {"safe", func(wr http.ResponseWriter, rq *http.Request) { large(wr, rq); abortStream() }, 0},
+		"a refusal without end":               {"once", func(wr http.ResponseWriter, rq *http.Request) { refuse(wr, rq); endless(text)(wr, rq) }, 0},
+		"a large answer":                      {"safe", large, 1},
+		"a refusal":                           {"once", refuse, 1},
+		"a refusal whose body takes too long": {"once", refuseSlowly, 1},
+	} {
+		t.Run(name, func(t *testing.T) {
+			ej := ejector.New(ejector.WithReplicas(func(string) map[string][]string { return map[string][]string{"m": {"s0", "s1", "s2"}} }))
+			for range results {
+				runProxyWith(t, tc.route, nil, []dispatcher.Option{dispatcher.WithEjector(ej)}, tc.handler)
+			}
+			require.InDelta(t, tc.weight, ej.Weight("s0"), 0)
+		})
+	}
+}
+
 // lateQuarantine excludes all contents some time after a request has begun.
 type lateQuarantine struct{ excluded atomic.Bool }
 
--- a/internal/coordination/dispatcher/receive.go
+++ b/internal/coordination/dispatcher/receive.go
@@ -116,7 +116,7 @@
 		return at.classifyError(ctx, err, false)
 	}
 	if len(body) > maxAnswerBytes {
-		return &failure{reason: refuser.BackendFailed, detail: "answer is too large", final: true}
+		return &failure{reason: refuser.BackendFailed, detail: "answer is too large", final: true, faulty: true}
 	}
 	var ck chunk
 	if err := json.Unmarshal(body, &ck); err != nil {
