--- a/internal/transport/forwarder/connection_test.go
+++ b/internal/transport/forwarder/connection_test.go
@@ -263,3 +263,17 @@
 		require.EqualValues(t, []int{1, 2, 2}[ix], fw.Opened())
 	}
 }
+
+// A server that closed in the middle of its answer's head passed for one that had
+// answered with an empty or short body.
+func TestAnswerWhoseHeadIsCutOffFails(t *testing.T) {
+	head := "HTTP/1.1 200 OK\r\nId: 1\r\nContent-Type: text/plain\r\nContent-Length: 12\r\n\r\n"
+	for cut := range len(head) {
+		sc := newScriptedServer(t, head[:cut]+"|end")
+		fw := forwarder.New()
+		_, err := sc.send(t, fw, "1")
+		require.Error(t, err, "%q", head[:cut])
+		require.False(t, forwarder.NotSent(err), "the request may have run")
+		fw.Close()
+	}
+}
