--- a/internal/coordination/versionkeeper/history.go
+++ b/internal/coordination/versionkeeper/history.go
@@ -161,7 +161,8 @@
 }
 
 // Vouched reports whether the version that Sole returns is known to have been the only
-// one for streamMemory, also before the node started.
+// one for streamMemory, also before the node started: by the store's record, or since the
+// node has followed the servers for that long.
 func (hs *History) Vouched(now time.Time, name string) bool {
 	_, ok := hs.recorded[name]
 	return ok || hs.covers(now)
--- a/internal/coordination/versionkeeper/versionkeeper.go
+++ b/internal/coordination/versionkeeper/versionkeeper.go
@@ -96,7 +96,8 @@
 	// certain has the pools whose streams need not be told.
 	certain map[string]bool
 	pending map[uint64]record // streams to be told
-	// lackingSince is when the node first found that the store lacks a key.
+	// lackingSince is when the node first found that the store lacks a mark or a record,
+	// by key.
 	lackingSince map[string]time.Time
 	reviewedAt   time.Time // when reviewLocked last ran
 }
@@ -251,7 +252,8 @@
 	return true
 }
 
-// reviewLocked has the latest streams told of pools that have ceased to be certain.
+// reviewLocked has the latest streams told of pools that have ceased to be certain. After
+// a gap, in which a version may have come and gone unseen, the history begins anew.
 func (kp *Keeper) reviewLocked(now time.Time) {
 	if kp.age() > settleTime || !kp.reviewedAt.IsZero() && now.Sub(kp.reviewedAt) > settleTime {
 		kp.history.Interrupt(now)
@@ -277,7 +279,7 @@
 }
 
 // Find returns where the stream of the request began, or false if that is not known.
-// The route is the one that serves the caller who takes it up.
+// The route is the one on which its caller takes it up.
 func (kp *Keeper) Find(ctx context.Context, id string, rt Route) (Origin, bool) {
 	hash := xxhash.Sum64String(id)
 	kp.mu.Lock()
@@ -300,7 +302,7 @@
 	// since, while the pool's mark is not written yet.
 	certain := len(sole) > 0 && !rp.contradicted && (vouched || rp.covered) && (rp.heard || covers)
 	log.WithFields(log.Fields{
-		"resumes": id, "pools": pools, "single-version": len(sole) > 0, "recorded": vouched, "follows-long-enough": covers,
+		"resumes": id, "pools": pools, "single-version": len(sole) > 0, "vouched": vouched, "follows-long-enough": covers,
 		"answers": rp.answers, "contradicted": rp.contradicted, "covered": rp.covered, "certain": certain,
 	}).Info("no node has a record of a stream")
 	if !certain {
@@ -328,7 +330,8 @@
 	return all
 }
 
-// unusedLocked reports whether the pool has had no servers lately.
+// unusedLocked reports whether the pool has had no servers lately, so that no stream can
+// have begun there.
 func (kp *Keeper) unusedLocked(now time.Time, pool string) bool {
 	return kp.age() <= maxAge && !kp.history.since.IsZero() && !kp.history.marked[pool] && len(kp.history.Seen(now, pool)) == 0
 }
