--- a/internal/coordination/dispatcher/proxy_test.go
+++ b/internal/coordination/dispatcher/proxy_test.go
@@ -378,7 +378,7 @@
 	}{
 		"chunks without end":                  {"safe", endless(text), 0},
 		"neither a length nor an end":         {"safe", withoutLength(endless(text)), 0},
-		"events on a route without streams":   {"once", asStream(endless("data: x\n\n")), 0},
+		"events on a route without streams":   {"once", asStream(endless(strings.Repeat("data: x\n\n", 100))), 0},
 		"no events without end":               {"stream", endless(text), 0},
 		"a large answer that is broken off":   {"safe", func(wr http.ResponseWriter, rq *http.Request) { large(wr, rq); abortStream() }, 0},
 		"a refusal without end":               {"once", func(wr http.ResponseWriter, rq *http.Request) { refuse(wr, rq); endless(text)(wr, rq) }, 0},
