Name what the store and a failure hold after their use

marks.go also had the records of versions, and History.witnessed stood beside Keeper.witnesses, which are nodes: store.go and observed. failure.end is asFinal. No change of behaviour; tests of versionkeeper and dispatcher passed.

--- a/internal/coordination/dispatcher/answer.go
+++ b/internal/coordination/dispatcher/answer.go
@@ -334,7 +334,8 @@
 var errDiscarded = errors.New("rest of the answer is not needed")
 
 // discard reads the rest of a body, so that its connection can be reused, unless it
-// takes long. It reports whether the body is one that may have an end.
+// takes long. It returns false if the body has maxBufferedBytes or more, as one without
+// end.
 func (pa *proxyAttempt) discard(body io.Reader) bool {
 	tm := time.AfterFunc(drainTimeout, func() { pa.cancel(errDiscarded) })
 	defer tm.Stop()
@@ -366,10 +367,10 @@
 			}
 		}
 		if err == io.EOF {
-			return pa.brokenOff(ctx, rs).end()
+			return pa.brokenOff(ctx, rs).asFinal()
 		}
 		if err != nil {
-			return pa.classifyError(ctx, err, false).end()
+			return pa.classifyError(ctx, err, false).asFinal()
 		}
 	}
 }
--- a/internal/coordination/dispatcher/execution.go
+++ b/internal/coordination/dispatcher/execution.go
@@ -82,9 +82,9 @@
 	admissionRefusal *refuser.Refusal
 }
 
-// end makes a failure final: the caller has a part of the answer. A server that is to
+// asFinal makes a failure final: the caller has a part of the answer. A server that is to
 // blame stays so. It returns the failure, which may be nil.
-func (fl *failure) end() *failure {
+func (fl *failure) asFinal() *failure {
 	if fl != nil {
 		fl.faulty, fl.final = fl.blamesServer(), true
 	}
--- a/internal/coordination/versionkeeper/history.go
+++ b/internal/coordination/versionkeeper/history.go
@@ -127,7 +127,7 @@
 // Seen returns the versions that streams of the pool may have begun at within
 // streamMemory, sorted: those that were in use, and the recorded one.
 func (hs *History) Seen(now time.Time, name string) []string {
-	versions := hs.witnessed(now, name)
+	versions := hs.observed(now, name)
 	if rc, ok := hs.recorded[name]; ok && !slices.Contains(versions, rc.software) {
 		versions = append(versions, rc.software)
 		slices.Sort(versions)
@@ -135,9 +135,9 @@
 	return versions
 }
 
-// witnessed returns the versions that the pool has had within streamMemory as far as
+// observed returns the versions that the pool has had within streamMemory as far as
 // nodes have seen since this one started, sorted.
-func (hs *History) witnessed(now time.Time, name string) []string {
+func (hs *History) observed(now time.Time, name string) []string {
 	var versions []string
 	if po, ok := hs.pools[name]; ok {
 		for software, sg := range po.seen {
--- a/internal/coordination/versionkeeper/marks.go
+++ b/internal/coordination/versionkeeper/store.go
@@ -31,7 +31,7 @@
 	kp.history.marked = map[string]bool{}
 	kp.history.recorded = map[string]versionRecord{}
 	for _, en := range entries {
-		kp.takeLocked(storer.Change{Entry: en})
+		kp.applyLocked(storer.Change{Entry: en})
 	}
 }
 
@@ -40,12 +40,12 @@
 	kp.mu.Lock()
 	defer kp.mu.Unlock()
 	for _, ch := range changes {
-		kp.takeLocked(ch)
+		kp.applyLocked(ch)
 	}
 }
 
-// takeLocked takes up a change of a mark or a record.
-func (kp *Keeper) takeLocked(ch storer.Change) {
+// applyLocked takes up a change of a mark or a record.
+func (kp *Keeper) applyLocked(ch storer.Change) {
 	if kp.store == nil {
 		return
 	}
@@ -108,14 +108,15 @@
 }
 
 // recordChangesLocked returns the records to write of pools that have none. For the
-// leader it adds the marks and records that no longer hold. The writes are conditional,
-// since another node may know of a version that this one has not seen.
+// leader it adds the marks to remove and the records to remove or replace, since they no
+// longer hold. Records are written on condition that they are as this node knows them:
+// another node may have seen a version that this one has not.
 func (kp *Keeper) recordChangesLocked(now time.Time, leads bool) storer.Transaction {
 	tx := storer.Transaction{Expected: map[string]int64{}}
 	full := func() bool { return len(tx.Writes)+len(tx.Deletes) >= maxWrites }
 	for name := range kp.history.pools {
 		key := kp.prefix + recordPrefix + name
-		versions, single := kp.history.witnessed(now, name), leads && kp.singleLocked(now, name)
+		versions, single := kp.history.observed(now, name), leads && kp.singleLocked(now, name)
 		rc, recorded := kp.history.recorded[name]
 		if full() || len(versions) != 1 || recorded && rc.software == versions[0] {
 			continue
@@ -143,7 +144,7 @@
 // singleLocked reports whether the node has followed the pool for streamMemory and has
 // seen at most one version.
 func (kp *Keeper) singleLocked(now time.Time, name string) bool {
-	return kp.history.covers(now) && len(kp.history.witnessed(now, name)) <= 1
+	return kp.history.covers(now) && len(kp.history.observed(now, name)) <= 1
 }
 
 // mayWriteLocked reports whether the node is to write a key that the store lacks. A
@@ -175,10 +176,10 @@
 	for _, wr := range tx.Writes {
 		log.WithFields(log.Fields{"key": wr.Key, "versions": string(wr.Value), "expected": tx.Expected[wr.Key], "revision": revision}).
 			Info("versions of a pool's software are written to the store")
-		kp.takeLocked(storer.Change{Entry: storer.Entry{Key: wr.Key, Value: wr.Value, Revision: revision}})
+		kp.applyLocked(storer.Change{Entry: storer.Entry{Key: wr.Key, Value: wr.Value, Revision: revision}})
 	}
 	for _, key := range tx.Deletes {
 		log.WithFields(log.Fields{"key": key, "revision": revision}).Info("versions of a pool's software are removed from the store")
-		kp.takeLocked(storer.Change{Entry: storer.Entry{Key: key}, Deleted: true})
+		kp.applyLocked(storer.Change{Entry: storer.Entry{Key: key}, Deleted: true})
 	}
 }
