--- a/internal/coordination/pathwatcher/pathwatcher.go
+++ b/internal/coordination/pathwatcher/pathwatcher.go
@@ -52,8 +52,8 @@
 
 // Server is a backend server to call.
 type Server struct {
-	// Name is the server's name, Address its host and port.
-	Name, Address string
+	// Name is the server's name, Address its host and port, and Pool the name of its pool.
+	Name, Address, Pool string
 }
 
 // ErrNotCalled means that a server was not called, since no further connection to it is
@@ -80,10 +80,13 @@
 	registry *counter.Registry
 	wake     chan struct{}
 	detached atomic.Bool
+	// notCalled counts the calls that were not made for want of a connection.
+	notCalled atomic.Int64
 
 	mu       sync.Mutex
 	evidence *Evidence
 	listed   []Server          // the servers of the last step
+	pools    map[string]bool   // by name, whether all of its servers that are known are missed
 	names    map[string]string // server by address
 	pingedAt time.Time
 }
@@ -109,6 +112,7 @@
 		wake:     make(chan struct{}, 1),
 		evidence: NewEvidence(),
 		names:    map[string]string{},
+		pools:    map[string]bool{},
 	}
 	for _, opt := range opts {
 		opt(wt)
@@ -237,6 +241,7 @@
 	}
 	wt.mu.Unlock()
 	wt.decide(now, len(servers))
+	wt.logPools(now)
 	for _, sv := range called {
 		go wt.call(ctx, sv)
 	}
@@ -294,6 +299,8 @@
 	err := wt.ping(callCtx, sv)
 	now := time.Now()
 	if errors.Is(err, ErrNotCalled) {
+		wt.registry.Inc("path", "not-called")
+		wt.notCalled.Add(1)
 		// The connections that are open tell instead.
 		return !wt.Detached() && now.Sub(wt.activity.LastHeard()) < silenceTime
 	}
@@ -336,3 +343,32 @@
 	}
 	wt.onChange(detached)
 }
+
+// logPools logs each pool that begins or ceases to have servers that are missed and none
+// that is reached meanwhile.
+func (wt *Watcher) logPools(now time.Time) {
+	wt.mu.Lock()
+	defer wt.mu.Unlock()
+	missed, reached := map[string]int{}, map[string]int{}
+	for _, sv := range wt.listed {
+		ct, ok := wt.evidence.servers[sv.Name]
+		switch {
+		case !ok:
+		case ct.isMissed(now):
+			missed[sv.Pool]++
+		case now.Sub(ct.reached) < missLifetime:
+			reached[sv.Pool]++
+		}
+	}
+	for _, sv := range wt.listed {
+		lost := missed[sv.Pool] > 0 && reached[sv.Pool] == 0
+		if lost == wt.pools[sv.Pool] {
+			continue
+		}
+		wt.pools[sv.Pool] = lost
+		log.WithFields(log.Fields{
+			"pool": sv.Pool, "lost": lost, "missed": missed[sv.Pool], "reached": reached[sv.Pool],
+			"not-called": wt.notCalled.Load(),
+		}).Info("servers of a pool that this node misses")
+	}
+}
--- a/internal/keyspacerunner/path.go
+++ b/internal/keyspacerunner/path.go
@@ -37,7 +37,7 @@
 	all := make([]pathwatcher.Server, 0, len(servers))
 	for _, sv := range servers {
 		if !sv.Leaving {
-			all = append(all, pathwatcher.Server{Name: sv.ID, Address: sv.Address})
+			all = append(all, pathwatcher.Server{Name: sv.ID, Address: sv.Address, Pool: sv.Pool})
 		}
 	}
 	return all
