--- a/internal/coordination/crashdetector/crashdetector.go
+++ b/internal/coordination/crashdetector/crashdetector.go
@@ -73,7 +73,7 @@
 type Detector struct {
 	refuses  func(ctx context.Context, address string) bool
 	leaving  func(server string) bool
-	reaches  func(ctx context.Context) bool
+	lostPath func(ctx context.Context, server string) bool
 	onCrash  func(Crash)
 	registry *counter.Registry
 
@@ -92,10 +92,10 @@
 // longer registered. The end of its process is then no crash.
 func WithLeaving(fn func(server string) bool) Option { return func(dt *Detector) { dt.leaving = fn } }
 
-// WithPath sets the function that reports whether the node reaches any server. If it
-// does not, the loss is that of its path.
-func WithPath(reaches func(ctx context.Context) bool) Option {
-	return func(dt *Detector) { dt.reaches = reaches }
+// WithPath sets the function that reports whether the node, and not the server, is at
+// fault, since it has lost its path to the servers like it.
+func WithPath(lost func(ctx context.Context, server string) bool) Option {
+	return func(dt *Detector) { dt.lostPath = lost }
 }
 
 // WithRegistry sets the registry that counts crashes and other losses.
@@ -107,7 +107,7 @@
 	dt := &Detector{
 		refuses:   refuses,
 		leaving:   func(string) bool { return false },
-		reaches:   func(context.Context) bool { return true },
+		lostPath:  func(context.Context, string) bool { return false },
 		onCrash:   func(Crash) {},
 		gathering: map[string]*gathered{},
 	}
@@ -152,7 +152,7 @@
 	case dt.leaving(cr.Server):
 		dt.registry.Inc("connection-loss", "server-left")
 		line.Info("connections to backend server lost; it has left")
-	case !dt.reaches(ctx):
+	case dt.lostPath(ctx, cr.Server):
 		dt.registry.Inc("connection-loss", "path-lost")
 		line.Info("connections to backend server lost; this node reaches no other one either")
 	default:
--- a/internal/coordination/crashdetector/crashdetector_test.go
+++ b/internal/coordination/crashdetector/crashdetector_test.go
@@ -52,13 +52,13 @@
 // contents of its requests excluded on all nodes.
 func TestLossOfPathIsNoCrash(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
-		crashes, reaches := 0, false
+		crashes, lost := 0, true
 		dt := crashdetector.New(func(context.Context, string) bool { return true },
-			crashdetector.WithPath(func(context.Context) bool { return reaches }),
+			crashdetector.WithPath(func(_ context.Context, server string) bool { return lost && server == "w1" }),
 			crashdetector.WithOnCrash(func(crashdetector.Crash) { crashes++ }))
 		<-dt.Lost("w1", "down", crashdetector.Loss{})
 		require.Zero(t, crashes)
-		reaches = true
+		lost = false
 		<-dt.Lost("w1", "down", crashdetector.Loss{})
 		require.Equal(t, 1, crashes)
 	})
--- a/internal/coordination/delegator/delegator.go
+++ b/internal/coordination/delegator/delegator.go
@@ -79,11 +79,14 @@
 	// Caller is the name of the caller that this node found by the request's key. The
 	// key itself is not in Header.
 	Caller string
+	// Pool is the pool whose servers this node does not reach.
+	Pool string
 }
 
 // Serves reports whether the node can run requests in place of others under a
-// configuration of at least the revision.
-type Serves func(revision int64) bool
+// configuration of at least the revision, and reaches the servers of the pool. The pool is
+// empty if the other node did not name it.
+type Serves func(revision int64, pool string) bool
 
 // Delegator delegates requests of one node, and runs those of others. It is safe for
 // concurrent use.
@@ -96,8 +99,8 @@
 	handler    http.Handler
 
 	mu sync.Mutex
-	// helpers has what is known of other nodes by their addresses.
-	helpers map[string]*helper
+	// helpers has what is known of other nodes.
+	helpers map[helperKey]*helper
 	// served has the requests of other nodes that this one runs.
 	served map[uint64]*service
 	idle   chan struct{} // closed while served is empty
@@ -117,7 +120,7 @@
 		zone:    zone,
 		members: members,
 		serves:  serves,
-		helpers: map[string]*helper{},
+		helpers: map[helperKey]*helper{},
 		served:  map[uint64]*service{},
 		idle:    make(chan struct{}),
 	}
@@ -138,22 +141,22 @@
 func (dg *Delegator) Open(ctx context.Context, rq Request) (*http.Response, error) {
 	call := &messenger.Delegate{
 		ID: rand.Uint64(), Method: rq.Method, Host: rq.Host, Target: rq.Target, Header: toFields(rq.Header),
-		Body: rq.Body, Servers: rq.Servers, Revision: rq.Revision, Caller: rq.Caller,
+		Body: rq.Body, Servers: rq.Servers, Revision: rq.Revision, Caller: rq.Caller, Pool: rq.Pool,
 	}
-	of := dg.newOffer()
+	of := dg.newOffer(rq.Pool)
 	failed := &OfferError{Known: len(of.members), Declined: map[string]int{}, Unreachable: map[string]int{}}
 	for mb, ok := of.next(); ok; mb, ok = of.next() {
-		address := mb.PeerAddress
-		answer, err := dg.caller.Call(ctx, address, call)
+		key := helperKey{mb.PeerAddress, rq.Pool}
+		answer, err := dg.caller.Call(ctx, key.address, call)
 		page, ok := answer.(*messenger.DelegatePage)
 		switch {
 		case err == nil && ok && !page.Declined:
 			dg.registry.Inc("delegate", "taken")
-			dg.accepted(address)
-			return dg.response(ctx, address, call.ID, page), nil
+			dg.accepted(key)
+			return dg.response(ctx, key, call.ID, page), nil
 		case ctx.Err() != nil:
-			dg.cancel(address, call.ID)
-			dg.release(address)
+			dg.cancel(key.address, call.ID)
+			dg.release(key)
 			return nil, ctx.Err()
 		case err == nil && ok:
 			failed.Declined[mb.Zone]++
@@ -161,12 +164,12 @@
 			failed.Unreachable[mb.Zone]++
 		default:
 			dg.registry.Inc("delegate", "lost")
-			dg.cancel(address, call.ID)
-			dg.declined(address)
+			dg.cancel(key.address, call.ID)
+			dg.declined(key)
 			return nil, ErrBroken
 		}
 		dg.registry.Inc("delegate", "declined")
-		dg.declined(address)
+		dg.declined(key)
 	}
 	return nil, failed
 }
@@ -184,23 +187,23 @@
 const cancelTimeout = time.Second
 
 // response returns the answer that begins with the page.
-func (dg *Delegator) response(ctx context.Context, address string, id uint64, page *messenger.DelegatePage) *http.Response {
+func (dg *Delegator) response(ctx context.Context, key helperKey, id uint64, page *messenger.DelegatePage) *http.Response {
 	rs := &http.Response{
 		StatusCode: page.Status, Proto: "HTTP/1.1", ProtoMajor: 1, ProtoMinor: 1,
 		Header: fromFields(page.Header), ContentLength: -1, TransferEncoding: []string{"chunked"},
 	}
-	rs.Body = &pages{dg: dg, ctx: ctx, address: address, id: id, page: page}
+	rs.Body = &pages{dg: dg, ctx: ctx, key: key, id: id, page: page}
 	return rs
 }
 
 // pages is the body of an answer that another node sends in pages.
 type pages struct {
-	dg      *Delegator
-	ctx     context.Context
-	address string
-	id      uint64
-	page    *messenger.DelegatePage
-	closed  sync.Once
+	dg     *Delegator
+	ctx    context.Context
+	key    helperKey
+	id     uint64
+	page   *messenger.DelegatePage
+	closed sync.Once
 }
 
 // Read implements io.Reader.
@@ -212,7 +215,7 @@
 		case pg.page.Ended:
 			return 0, io.EOF
 		}
-		answer, err := pg.dg.caller.Call(pg.ctx, pg.address, &messenger.DelegateNext{ID: pg.id})
+		answer, err := pg.dg.caller.Call(pg.ctx, pg.key.address, &messenger.DelegateNext{ID: pg.id})
 		page, ok := answer.(*messenger.DelegatePage)
 		if err != nil || !ok || page.Declined {
 			if pg.ctx.Err() != nil {
@@ -231,9 +234,9 @@
 // end.
 func (pg *pages) Close() error {
 	pg.closed.Do(func() {
-		pg.dg.release(pg.address)
+		pg.dg.release(pg.key)
 		if !pg.page.Ended {
-			pg.dg.cancel(pg.address, pg.id)
+			pg.dg.cancel(pg.key.address, pg.id)
 		}
 	})
 	return nil
--- a/internal/coordination/delegator/delegator_test.go
+++ b/internal/coordination/delegator/delegator_test.go
@@ -26,7 +26,11 @@
 	lost map[string]bool
 	// serves says which nodes take requests.
 	serves map[string]bool
-	ended  map[string]chan struct{} // closed when the node is lost
+	// lacks has the pools that nodes don't reach, and asked is called with each node that
+	// is asked to run a request.
+	lacks map[string]string
+	asked func(address string)
+	ended map[string]chan struct{} // closed when the node is lost
 	// dial is how long it takes to find a lost node unreachable.
 	dial time.Duration
 }
@@ -66,7 +70,7 @@
 
 // newFleet starts nodes a (the one that delegates), b and c.
 func newFleet(hd http.Handler) *fleet {
-	fl := &fleet{nodes: map[string]*delegator.Delegator{}, lost: map[string]bool{}, serves: map[string]bool{"b": true, "c": true}, ended: map[string]chan struct{}{}}
+	fl := &fleet{nodes: map[string]*delegator.Delegator{}, lost: map[string]bool{}, serves: map[string]bool{"b": true, "c": true}, ended: map[string]chan struct{}{}, asked: func(string) {}}
 	members := func() []prober.Member {
 		var all []prober.Member
 		for _, id := range []string{"a", "b", "c"} {
@@ -76,7 +80,10 @@
 	}
 	for _, id := range []string{"a", "b", "c"} {
 		fl.ended[id] = make(chan struct{})
-		serves := func(revision int64) bool { return fl.serves[id] && revision <= 3 }
+		serves := func(revision int64, pool string) bool {
+			fl.asked(id)
+			return fl.serves[id] && revision <= 3 && (pool == "" || fl.lacks[id] != pool)
+		}
 		dg := delegator.New(fl, id, "z"+id, members, serves)
 		dg.Serve(hd)
 		fl.nodes[id] = dg
@@ -177,6 +184,28 @@
 	})
 }
 
+// A node that declined requests for the pool that it had lost as well was asked last for
+// those of other pools.
+func TestDeclineForOnePoolIsNoneForAnother(t *testing.T) {
+	asked := 0
+	synctest.Test(t, func(t *testing.T) {
+		fl := newFleet(http.HandlerFunc(func(http.ResponseWriter, *http.Request) {}))
+		fl.lost["c"] = true
+		fl.lacks = map[string]string{"b": "app"}
+		fl.asked = func(string) { asked++ }
+		for range 5 {
+			_, _, err := fl.open(t.Context(), delegator.Request{Pool: "app"})
+			require.ErrorIs(t, err, delegator.ErrNoNode)
+		}
+		fl.lost["c"], asked = false, 0
+		for range 10 {
+			_, _, err := fl.open(t.Context(), delegator.Request{Pool: "llm"})
+			require.NoError(t, err)
+		}
+		require.Equal(t, 10, asked, "the first node that is asked takes each request")
+	})
+}
+
 // A request went on after its caller had left, or after the node that asked for it was
 // lost.
 func TestDelegatedRequestEndsWithItsCaller(t *testing.T) {
--- a/internal/coordination/delegator/offer.go
+++ b/internal/coordination/delegator/offer.go
@@ -23,7 +23,11 @@
 	maxReasked = 4
 )
 
-// helper is what this node knows of another one that may run its requests.
+// helperKey names the requests for one pool at one node. A node that declines them may take
+// those for another pool.
+type helperKey struct{ address, pool string }
+
+// helper is what this node knows of another one that may run its requests for a pool.
 type helper struct {
 	// zone is the node's availability zone.
 	zone string
@@ -58,17 +62,18 @@
 // each node is asked once, so that a node with a path is found however many have none,
 // and later requests begin with it.
 type offer struct {
-	dg *Delegator
+	dg   *Delegator
+	pool string
 	// members are the nodes that were not asked yet.
 	members []prober.Member
 	// reasked counts the nodes that were asked although they declined lately.
 	reasked int
 }
 
-// newOffer returns an offer to all other nodes. Those that are registered as not ready
+// newOffer returns an offer of a request for the pool to all other nodes. Those that are registered as not ready
 // are among them, since a registration can't change while the store is out of reach.
-func (dg *Delegator) newOffer() *offer {
-	of := &offer{dg: dg}
+func (dg *Delegator) newOffer(pool string) *offer {
+	of := &offer{dg: dg, pool: pool}
 	for _, mb := range dg.members() {
 		if mb.ID != dg.self && (mb.State == prober.Alive || mb.State == prober.Leaving) {
 			of.members = append(of.members, mb)
@@ -86,10 +91,10 @@
 	of.dg.mu.Lock()
 	defer of.dg.mu.Unlock()
 	now := time.Now()
-	declined := of.dg.declinedZonesLocked(now)
+	declined := of.dg.declinedZonesLocked(of.pool, now)
 	best, bestRank := -1, offerRank{}
 	for ix, mb := range of.members {
-		if rk := of.dg.rankLocked(mb, declined, now); best < 0 || rk.before(bestRank) {
+		if rk := of.dg.rankLocked(mb, of.pool, declined, now); best < 0 || rk.before(bestRank) {
 			best, bestRank = ix, rk
 		}
 	}
@@ -103,7 +108,7 @@
 	last := len(of.members) - 1
 	of.members[best] = of.members[last]
 	of.members = of.members[:last]
-	hp := of.dg.helperLocked(chosen.PeerAddress)
+	hp := of.dg.helperLocked(helperKey{chosen.PeerAddress, of.pool})
 	hp.zone = chosen.Zone
 	hp.inProgress++
 	return chosen, true
@@ -126,11 +131,11 @@
 	return rk.cost < other.cost
 }
 
-// rankLocked returns the rank of a node. declined has the zones in which a node declined
-// lately.
-func (dg *Delegator) rankLocked(mb prober.Member, declined map[string]bool, now time.Time) offerRank {
+// rankLocked returns the rank of a node for the pool. declined has the zones in which a
+// node declined lately.
+func (dg *Delegator) rankLocked(mb prober.Member, pool string, declined map[string]bool, now time.Time) offerRank {
 	rk := offerRank{unready: mb.State != prober.Alive}
-	if hp, ok := dg.helpers[mb.PeerAddress]; ok {
+	if hp, ok := dg.helpers[helperKey{mb.PeerAddress, pool}]; ok {
 		rk.declined, rk.cost = hp.declinedLately(now), hp.inProgress
 	}
 	if mb.Zone != dg.zone {
@@ -142,48 +147,48 @@
 	return rk
 }
 
-// declinedZonesLocked returns the zones in which a node declined lately. It forgets
-// nodes of which nothing is left to know, and declines that are long past.
-func (dg *Delegator) declinedZonesLocked(now time.Time) map[string]bool {
+// declinedZonesLocked returns the zones in which a node declined requests for the pool
+// lately. It forgets nodes of which nothing is left to know, and declines that are long past.
+func (dg *Delegator) declinedZonesLocked(pool string, now time.Time) map[string]bool {
 	lately := map[string]bool{}
-	for address, hp := range dg.helpers {
+	for key, hp := range dg.helpers {
 		switch {
 		case hp.declinedLately(now):
-			lately[hp.zone] = true
+			lately[hp.zone] = lately[hp.zone] || key.pool == pool
 		case hp.inProgress == 0 && now.Sub(hp.askLastUntil) > declineMemory:
-			delete(dg.helpers, address)
+			delete(dg.helpers, key)
 		}
 	}
 	return lately
 }
 
-func (dg *Delegator) helperLocked(address string) *helper {
-	hp, ok := dg.helpers[address]
+func (dg *Delegator) helperLocked(key helperKey) *helper {
+	hp, ok := dg.helpers[key]
 	if !ok {
 		hp = &helper{}
-		dg.helpers[address] = hp
+		dg.helpers[key] = hp
 	}
 	return hp
 }
 
 // accepted records that the node runs a request.
-func (dg *Delegator) accepted(address string) {
+func (dg *Delegator) accepted(key helperKey) {
 	dg.mu.Lock()
 	defer dg.mu.Unlock()
-	hp := dg.helperLocked(address)
+	hp := dg.helperLocked(key)
 	hp.declines, hp.askLastUntil = 0, time.Time{}
 }
 
 // declined records that the node doesn't run a request that was offered to it.
-func (dg *Delegator) declined(address string) {
+func (dg *Delegator) declined(key helperKey) {
 	dg.mu.Lock()
 	defer dg.mu.Unlock()
-	dg.helperLocked(address).noteDecline(time.Now())
+	dg.helperLocked(key).noteDecline(time.Now())
 }
 
 // release records that a request of the node has ended.
-func (dg *Delegator) release(address string) {
+func (dg *Delegator) release(key helperKey) {
 	dg.mu.Lock()
 	defer dg.mu.Unlock()
-	dg.helperLocked(address).inProgress--
+	dg.helperLocked(key).inProgress--
 }
--- a/internal/coordination/delegator/service.go
+++ b/internal/coordination/delegator/service.go
@@ -104,7 +104,7 @@
 
 // begin starts the request, or returns nil if the node does not take it.
 func (dg *Delegator) begin(call *messenger.Delegate) *service {
-	if dg.handler == nil || !dg.serves(call.Revision) {
+	if dg.handler == nil || !dg.serves(call.Revision, call.Pool) {
 		return nil
 	}
 	dg.mu.Lock()
--- a/internal/coordination/delegator/zone_test.go
+++ b/internal/coordination/delegator/zone_test.go
@@ -36,7 +36,7 @@
 		}
 	}
 	for _, mb := range all {
-		dg := delegator.New(fl, mb.ID, mb.Zone, func() []prober.Member { return all }, func(int64) bool { return fl.serves[mb.ID] })
+		dg := delegator.New(fl, mb.ID, mb.Zone, func() []prober.Member { return all }, func(int64, string) bool { return fl.serves[mb.ID] })
 		dg.Serve(hd)
 		fl.nodes[mb.ID] = dg
 	}
--- a/internal/coordination/dispatcher/attempt.go
+++ b/internal/coordination/dispatcher/attempt.go
@@ -71,7 +71,7 @@
 		// the rest of a broken stream end much sooner.
 		at.result.Duration = time.Since(at.began)
 	}
-	ex.ds.releaseGrant(gr, at.result, fl)
+	ex.ds.releaseGrant(gr, ex.request.Model.Pool(), at.result, fl)
 	if fl != nil {
 		ex.avoidServer(at.server)
 	}
@@ -79,9 +79,9 @@
 }
 
 // releaseGrant releases a grant with the result of its attempt and reports
-// success or failure of the server to the ejector.
-func (ds *Dispatcher) releaseGrant(gr *admitter.Grant, rs admitter.Result, fl *failure) {
-	rs.Failed = fl != nil && fl.blamesServer() && !ds.delegate.CutOff()
+// success or failure of the server, which is one of the pool, to the ejector.
+func (ds *Dispatcher) releaseGrant(gr *admitter.Grant, pool string, rs admitter.Result, fl *failure) {
+	rs.Failed = fl != nil && fl.blamesServer() && !ds.delegate.CutOff(pool)
 	gr.Done(rs)
 	switch {
 	case fl == nil:
--- a/internal/coordination/dispatcher/delegate.go
+++ b/internal/coordination/dispatcher/delegate.go
@@ -22,9 +22,10 @@
 
 // Delegate has other nodes run requests while this node does not reach the servers.
 type Delegate interface {
-	// CutOff reports whether other nodes are to run this node's requests.
-	CutOff() bool
-	// Misses reports whether this node lately failed to reach the server.
+	// CutOff reports whether other nodes are to run this node's requests for the pool.
+	CutOff(pool string) bool
+	// Misses reports whether this node lately failed to reach the server, or hears
+	// nothing of any server like it.
 	Misses(server string) bool
 	// Open has another node run the request and returns its answer. The error is
 	// delegator.ErrNoNode if the request was not run.
@@ -34,7 +35,7 @@
 // noDelegate is the default Delegate: the node always reaches the servers.
 type noDelegate struct{}
 
-func (noDelegate) CutOff() bool { return false }
+func (noDelegate) CutOff(string) bool { return false }
 
 func (noDelegate) Misses(string) bool { return false }
 
@@ -47,7 +48,7 @@
 
 // delegatable reports whether another node is to make the next attempt.
 func (pe *proxyExecution) delegatable() bool {
-	return !pe.Delegated && pe.ds.delegate.CutOff()
+	return !pe.Delegated && pe.ds.delegate.CutOff(pe.key())
 }
 
 // runElsewhere has another node run the request. It returns false if no other node takes
@@ -63,7 +64,7 @@
 	pe.Wire.PrepareDelegated(hd, DelegateInfo{Remaining: remaining, LastEvent: pe.writer.lastEvent(), Resumes: pe.resumedID()})
 	rs, err := pe.ds.delegate.Open(ctx, delegator.Request{
 		Method: pe.Method, Host: pe.Host, Target: pe.Path, Header: hd, Body: pe.Body, Servers: pe.servers, Revision: pe.Revision,
-		Caller: callerName(pe.ticket.Caller),
+		Caller: callerName(pe.ticket.Caller), Pool: pe.key(),
 	})
 	if errors.Is(err, delegator.ErrNoNode) {
 		log.WithError(err).WithField("request", pe.ticket.ID).Warn("no other node takes the request; this node sends it itself")
@@ -157,17 +158,14 @@
 // go on elsewhere: those that were not sent, and those that may be repeated and have got
 // nothing for a while.
 func (ds *Dispatcher) GiveUpSilent() {
-	if !ds.delegate.CutOff() {
-		return
-	}
 	ds.attemptsMu.Lock()
 	defer ds.attemptsMu.Unlock()
-	quiet := time.Since(ds.forwarder.LastHeard()) >= quietTime
 	for pa := range ds.attempts {
 		switch {
+		case !ds.delegate.CutOff(pa.key()):
 		case pa.stage.CompareAndSwap(stageUnsent, stageGivenUp):
 			pa.cancel(errDetached)
-		case pa.repeatable() && pa.silentFor() >= quietTime && (quiet || ds.delegate.Misses(pa.server)):
+		case pa.repeatable() && pa.silentFor() >= quietTime && ds.delegate.Misses(pa.server):
 			pa.cancel(errDetached)
 		}
 	}
--- a/internal/coordination/dispatcher/delegate_test.go
+++ b/internal/coordination/dispatcher/delegate_test.go
@@ -21,7 +21,7 @@
 	opened  []delegator.Request
 }
 
-func (*fakeDelegate) CutOff() bool { return true }
+func (*fakeDelegate) CutOff(string) bool { return true }
 
 func (*fakeDelegate) Misses(string) bool { return true }
 
--- a/internal/coordination/dispatcher/proxy.go
+++ b/internal/coordination/dispatcher/proxy.go
@@ -264,7 +264,7 @@
 // the answer is complete.
 func (pe *proxyExecution) runAttempt(ctx context.Context) *failure {
 	pe.bufferedFailure, pe.writer.blocked = nil, 0
-	if pe.Delegated && pe.ds.delegate.CutOff() {
+	if pe.Delegated && pe.ds.delegate.CutOff(pe.key()) {
 		return &failure{reason: refuser.PathLost, detail: "this node has lost its path to the servers as well", unsent: true, detached: true, final: true}
 	}
 	asked := pe.delegatable()
@@ -296,7 +296,7 @@
 	pe.estimate = gr.LoadEstimate()
 	rs, fl := pe.send(ctx, gr)
 	rs.Refused, rs.Full = fl != nil && fl.refused, fl != nil && fl.full
-	pe.ds.releaseGrant(gr, rs, fl)
+	pe.ds.releaseGrant(gr, pe.key(), rs, fl)
 	if fl != nil && !fl.notReady {
 		pe.ticket.Avoid = withServer(pe.ticket.Avoid, gr.Server())
 		if fl.refusedConnection {
--- a/internal/coordination/downlister/downlister.go
+++ b/internal/coordination/downlister/downlister.go
@@ -212,11 +212,11 @@
 	return lr.list.Return(time.Now(), server)
 }
 
-// Reset forgets all outages, because the node was at fault.
-func (lr *Lister) Reset() {
+// Forget forgets the outages of the servers, because the node was at fault.
+func (lr *Lister) Forget(servers []string) {
 	lr.mu.Lock()
 	defer lr.mu.Unlock()
-	lr.list.Reset()
+	lr.list.Forget(servers)
 	lr.publishLocked()
 }
 
--- a/internal/coordination/downlister/fleet_test.go
+++ b/internal/coordination/downlister/fleet_test.go
@@ -5,7 +5,9 @@
 	"errors"
 	"fmt"
 	"io"
+	"maps"
 	"math/rand/v2"
+	"slices"
 	"strconv"
 	"sync"
 	"syscall"
@@ -275,7 +277,7 @@
 		t.Logf("sound servers are out for %.4f of the time", share)
 		require.Less(t, share, 0.02)
 		fl.setCut(false)
-		fl.nodes[0].Reset()
+		fl.nodes[0].Forget(slices.Collect(maps.Keys(fl.boot)))
 		require.False(t, fl.nodes[0].Down("w0"))
 		time.Sleep(8 * time.Second) // longer than the longest time between two probes
 		for _, nd := range fl.nodes {
--- a/internal/coordination/downlister/list.go
+++ b/internal/coordination/downlister/list.go
@@ -354,10 +354,13 @@
 	return took, false
 }
 
-// Reset forgets what this node found out or learnt from others, because the node was at fault.
-func (ls *List) Reset() {
-	clear(ls.outages)
-	clear(ls.pending)
+// Forget forgets what this node found out of the servers, or learnt from others, because
+// the node was at fault.
+func (ls *List) Forget(servers []string) {
+	for _, server := range servers {
+		delete(ls.outages, server)
+		delete(ls.pending, server)
+	}
 }
 
 // PendingNotices removes and returns at most count marks for other nodes.
--- a/internal/coordination/ejector/ejector.go
+++ b/internal/coordination/ejector/ejector.go
@@ -193,12 +193,18 @@
 	ej.eject(server, hs, now)
 }
 
-// Reset readmits all servers and forgets their results, because the node was at fault.
-func (ej *Ejector) Reset() {
+// Forget readmits the servers and forgets their results, because the node was at fault.
+func (ej *Ejector) Forget(servers []string) {
 	ej.mu.Lock()
 	defer ej.mu.Unlock()
-	ej.servers = map[string]*history{}
-	ej.ejected.Store(&map[string]ejection{})
+	for _, server := range servers {
+		delete(ej.servers, server)
+	}
+	ej.replaceEjected(func(all map[string]ejection) {
+		for _, server := range servers {
+			delete(all, server)
+		}
+	})
 }
 
 func (hs *history) count(failure float64) {
--- /dev/null
+++ b/internal/coordination/pathwatcher/path.go
@@ -0,0 +1,128 @@
+package pathwatcher
+
+import (
+	"slices"
+	"time"
+)
+
+const (
+	// pingCount is the number of servers of a pool that are called at once, and
+	// undecidedCount that while a node misses servers and has to know whether others are
+	// reached.
+	pingCount      = 2
+	undecidedCount = 4
+	// silenceTime is how long no server of a pool sends anything, while requests wait,
+	// before servers are called. idleTime is that time without requests, for each pool
+	// that is idle.
+	silenceTime = 300 * time.Millisecond
+	idleTime    = time.Second
+	// detachedInterval is the time between two calls of a detached node, and
+	// undecidedInterval that of a node that misses servers.
+	detachedInterval  = 250 * time.Millisecond
+	undecidedInterval = 50 * time.Millisecond
+)
+
+// path is what a node knows of its path to the servers of one pool. It must be used by one
+// goroutine at a time.
+type path struct {
+	pool     string
+	servers  []Server
+	evidence *Evidence
+	detached bool
+	// since is when the pool was first listed.
+	since time.Time
+	// calledAt is when servers were last called.
+	calledAt time.Time
+	// heardAt is when a server last sent something, at the last observation, and
+	// waitingSince since when requests have been in progress; zero if none are.
+	heardAt, waitingSince time.Time
+}
+
+func newPath(pool string, now time.Time) *path {
+	return &path{pool: pool, evidence: NewEvidence(), since: now, heardAt: now}
+}
+
+// list takes up the servers of the pool.
+func (pt *path) list(servers []Server) {
+	pt.servers = servers
+	names := make(map[string]bool, len(servers))
+	for _, sv := range servers {
+		names[sv.Name] = true
+	}
+	pt.evidence.Keep(names)
+}
+
+// lastHeard returns when a server of the pool last sent something, or when the pool was
+// first listed.
+func (pt *path) lastHeard(ac Activity) time.Time {
+	last := pt.since
+	for _, sv := range pt.servers {
+		if heard := ac.LastHeard(sv.Address); heard.After(last) {
+			last = heard
+		}
+	}
+	return last
+}
+
+// observe takes up what the node's requests do at the servers.
+func (pt *path) observe(now time.Time, ac Activity) {
+	pt.heardAt = pt.lastHeard(ac)
+	waiting := slices.ContainsFunc(pt.servers, func(sv Server) bool { return ac.InUse(sv.Address) > 0 })
+	switch {
+	case !waiting:
+		pt.waitingSince = time.Time{}
+	case pt.waitingSince.IsZero():
+		pt.waitingSince = now
+	}
+}
+
+// silent reports whether requests have been in progress for a while without a byte of any
+// server.
+func (pt *path) silent(now time.Time) bool {
+	return !pt.waitingSince.IsZero() && now.Sub(pt.waitingSince) >= silenceTime && now.Sub(pt.heardAt) >= silenceTime
+}
+
+// idle reports whether no request is in progress and none was lately.
+func (pt *path) idle(now time.Time) bool {
+	return pt.waitingSince.IsZero() && now.Sub(pt.heardAt) >= idleTime
+}
+
+func (pt *path) undecided(now time.Time) bool { return pt.evidence.Undecided(now, len(pt.servers)) }
+
+// interval returns the time between two calls now, or false if none are needed. doubtful
+// says that the node may have lost its path to some pool, and idle is the number of pools
+// without requests, which share the calls of an idle node.
+func (pt *path) interval(now time.Time, doubtful bool, idle int) (time.Duration, bool) {
+	switch {
+	case pt.detached:
+		return detachedInterval, true
+	case pt.undecided(now):
+		return undecidedInterval, true
+	case pt.silent(now), pt.idle(now) && doubtful:
+		return silenceTime, true
+	case pt.idle(now):
+		return time.Duration(idle) * idleTime, true
+	}
+	return 0, false
+}
+
+// choose returns the servers to call: those of which nothing is known first.
+func (pt *path) choose(now time.Time) []Server {
+	servers := slices.Clone(pt.servers)
+	shuffle(servers)
+	slices.SortStableFunc(servers, func(one, two Server) int {
+		return pt.evidence.latest(one.Name).Compare(pt.evidence.latest(two.Name))
+	})
+	count := pingCount
+	if !pt.detached && pt.undecided(now) {
+		count = undecidedCount
+	}
+	return servers[:min(count, len(servers))]
+}
+
+// decide updates whether the node is detached and reports whether that changed.
+func (pt *path) decide(now time.Time) (changed bool) {
+	was := pt.detached
+	pt.detached = pt.evidence.Detached(now, len(pt.servers))
+	return was != pt.detached
+}
--- a/internal/coordination/pathwatcher/pathwatcher.go
+++ b/internal/coordination/pathwatcher/pathwatcher.go
@@ -1,21 +1,24 @@
-// Package pathwatcher tells whether a node has lost its path to the backend servers,
-// while it still reaches its peers and the store. Each server then looks bad from this
-// node and good from all others, so that servers must not be blamed for it.
+// Package pathwatcher tells whether a node has lost its path to the backend servers of a
+// pool, while it still reaches its peers and the store. Each of the servers then looks bad
+// from this node and good from all others, so that servers must not be blamed for it.
 //
-// The evidence is what happens to new connections: existing ones may live on while new
-// ones are refused. Requests give some of it; while they give none, or too little, the
-// Watcher calls a few servers itself. A node without traffic calls one a second.
+// Each pool has a path of its own, since a node may lose the servers of one and reach
+// those of another. The evidence is what happens to new connections: existing ones may
+// live on while new ones are refused. Requests give some of it; while they give none, or
+// too little, the Watcher calls a few servers itself. A node without traffic calls some a
+// second.
 //
 // # Usage
 //
 //	wt := pathwatcher.New(servers, ping, activity, pathwatcher.WithOnChange(fn))
 //	go wt.Run(ctx)
 //	fw := forwarder.New(forwarder.WithOnConnect(wt.Connected))
-//	if wt.Detached() { ... } // use another path
+//	if wt.Detached("pool-a") { ... } // use another path
 package pathwatcher
 
 import (
 	"context"
+	"maps"
 	"math/rand/v2"
 	"slices"
 	"sync"
@@ -32,22 +35,10 @@
 	// pingTimeout bounds one call. It is shorter than any deadline, and longer than
 	// an answer that needs no slot takes on a busy server.
 	pingTimeout = 250 * time.Millisecond
-	// pingCount is the number of servers that are called at once, and undecidedCount
-	// that while a node misses servers and has to know whether others are reached.
-	pingCount      = 2
-	undecidedCount = 4
 	// confirmCount is the number of servers that are called to confirm the path.
 	confirmCount = 8
 	// tickInterval is the time between two looks at the evidence.
 	tickInterval = 100 * time.Millisecond
-	// silenceTime is how long no server sends anything, while requests wait, before
-	// servers are called. idleTime is that time without requests.
-	silenceTime = 300 * time.Millisecond
-	idleTime    = time.Second
-	// detachedInterval is the time between two calls of a detached node, and
-	// undecidedInterval that of a node that misses servers.
-	detachedInterval  = 250 * time.Millisecond
-	undecidedInterval = 50 * time.Millisecond
 )
 
 // Server is a backend server to call.
@@ -63,56 +54,56 @@
 // Ping calls a server over a new connection, and returns nil if it answers anything.
 type Ping func(ctx context.Context, sv Server) error
 
-// Activity is what the node's requests do. forwarder.Forwarder implements it.
+// Activity is what the node's requests do at a server. forwarder.Forwarder implements it.
 type Activity interface {
 	// InUse returns the number of connections on which a request is in progress.
-	InUse() int64
-	// LastHeard returns when a server last sent something.
-	LastHeard() time.Time
+	InUse(address string) int64
+	// LastHeard returns when the server last sent something, or the zero time.
+	LastHeard(address string) time.Time
 }
 
-// Watcher watches the path of one node. It is safe for concurrent use.
+// Watcher watches the paths of one node. It is safe for concurrent use.
 type Watcher struct {
 	servers  func() []Server
 	ping     Ping
 	activity Activity
-	onChange func(detached bool)
+	onChange func(pool string, detached bool)
 	registry *counter.Registry
 	wake     chan struct{}
-	detached atomic.Bool
 	// notCalled counts the calls that were not made for want of a connection.
 	notCalled atomic.Int64
 
-	mu       sync.Mutex
-	evidence *Evidence
-	listed   []Server          // the servers of the last step
-	pools    map[string]bool   // by name, whether all of its servers that are known are missed
-	names    map[string]string // server by address
-	pingedAt time.Time
+	mu     sync.Mutex
+	listed []Server // the servers of the last step
+	// byName and byAddress have the listed servers, and paths those to the pools by name.
+	byName, byAddress map[string]Server
+	paths             map[string]*path
 }
 
 // Option configures a Watcher.
 type Option func(*Watcher)
 
-// WithOnChange sets a function that is called when the node becomes detached or ceases
-// to be. It must not block.
-func WithOnChange(fn func(detached bool)) Option { return func(wt *Watcher) { wt.onChange = fn } }
+// WithOnChange sets a function that is called when the node becomes detached from a pool
+// or ceases to be. It must not block.
+func WithOnChange(fn func(pool string, detached bool)) Option {
+	return func(wt *Watcher) { wt.onChange = fn }
+}
 
 // WithRegistry sets the registry that counts calls and changes.
 func WithRegistry(rg *counter.Registry) Option { return func(wt *Watcher) { wt.registry = rg } }
 
-// New returns the watcher of a node that has the path. The function servers returns a
+// New returns the watcher of a node that has all paths. The function servers returns a
 // slice that is never modified.
 func New(servers func() []Server, ping Ping, ac Activity, opts ...Option) *Watcher {
 	wt := &Watcher{
-		servers:  servers,
-		ping:     ping,
-		activity: ac,
-		onChange: func(bool) {},
-		wake:     make(chan struct{}, 1),
-		evidence: NewEvidence(),
-		names:    map[string]string{},
-		pools:    map[string]bool{},
+		servers:   servers,
+		ping:      ping,
+		activity:  ac,
+		onChange:  func(string, bool) {},
+		wake:      make(chan struct{}, 1),
+		byName:    map[string]Server{},
+		byAddress: map[string]Server{},
+		paths:     map[string]*path{},
 	}
 	for _, opt := range opts {
 		opt(wt)
@@ -120,35 +111,86 @@
 	return wt
 }
 
-// Detached reports whether the node has lost its path to the servers.
-func (wt *Watcher) Detached() bool { return wt.detached.Load() }
+// Detached reports whether the node has lost its path to the servers of the pool.
+func (wt *Watcher) Detached(pool string) bool {
+	wt.mu.Lock()
+	defer wt.mu.Unlock()
+	pt, ok := wt.paths[pool]
+	return ok && pt.detached
+}
 
-// Doubtful reports whether the node may have lost its path to the servers: it misses some
-// and does not know enough of the others, or it is detached.
-func (wt *Watcher) Doubtful() bool {
-	if wt.Detached() {
-		return true
+// DetachedFrom reports whether the node has lost its path to the server's pool.
+func (wt *Watcher) DetachedFrom(server string) bool {
+	wt.mu.Lock()
+	pool := wt.byName[server].Pool
+	wt.mu.Unlock()
+	return wt.Detached(pool)
+}
+
+// Lost returns the pools to which the node has lost its path, in order of their names.
+func (wt *Watcher) Lost() []string {
+	wt.mu.Lock()
+	defer wt.mu.Unlock()
+	var pools []string
+	for pool, pt := range wt.paths {
+		if pt.detached {
+			pools = append(pools, pool)
+		}
 	}
+	slices.Sort(pools)
+	return pools
+}
+
+// Pools returns the pools that have servers, in order of their names.
+func (wt *Watcher) Pools() []string {
 	wt.mu.Lock()
 	defer wt.mu.Unlock()
-	return wt.evidence.Undecided(time.Now(), len(wt.listed))
+	return slices.Sorted(maps.Keys(wt.paths))
 }
 
-// Misses reports whether the node lately failed to reach the server.
+// Doubtful reports whether the node may have lost its path to a pool: it misses some of
+// the servers and does not know enough of the others, or it is detached.
+func (wt *Watcher) Doubtful() bool {
+	wt.mu.Lock()
+	defer wt.mu.Unlock()
+	return wt.doubtfulLocked(time.Now())
+}
+
+func (wt *Watcher) doubtfulLocked(now time.Time) bool {
+	for _, pt := range wt.paths {
+		if pt.detached || pt.undecided(now) {
+			return true
+		}
+	}
+	return false
+}
+
+// Misses reports whether the node lately failed to reach the server, or has lost its path
+// to the server's pool and hears nothing of it.
 func (wt *Watcher) Misses(server string) bool {
+	now := time.Now()
 	wt.mu.Lock()
 	defer wt.mu.Unlock()
-	ct, ok := wt.evidence.servers[server]
-	return ok && ct.isMissed(time.Now())
+	pt, ok := wt.paths[wt.byName[server].Pool]
+	if !ok {
+		return false
+	}
+	ct, known := pt.evidence.servers[server]
+	return known && ct.isMissed(now) || pt.detached && now.Sub(pt.lastHeard(wt.activity)) >= silenceTime
 }
 
-// Missed returns the names of a few servers that the node lately failed to reach.
-func (wt *Watcher) Missed() []string {
+// Missed returns the names of a few servers of the pool that the node lately failed to
+// reach.
+func (wt *Watcher) Missed(pool string) []string {
 	now := time.Now()
 	wt.mu.Lock()
 	defer wt.mu.Unlock()
+	pt, ok := wt.paths[pool]
+	if !ok {
+		return nil
+	}
 	var names []string
-	for name, ct := range wt.evidence.servers {
+	for name, ct := range pt.evidence.servers {
 		if ct.isMissed(now) && len(names) < confirmCount {
 			names = append(names, name)
 		}
@@ -156,10 +198,25 @@
 	return names
 }
 
-// Confirm calls a few servers and reports whether one answers.
-func (wt *Watcher) Confirm(ctx context.Context) bool {
-	servers := slices.Clone(wt.servers())
-	rand.Shuffle(len(servers), func(ix, jx int) { servers[ix], servers[jx] = servers[jx], servers[ix] })
+// Confirm calls a few servers of the pool other than the named one and reports whether
+// one answers.
+func (wt *Watcher) Confirm(ctx context.Context, pool, except string) bool {
+	return wt.confirm(ctx, func(sv Server) bool { return sv.Pool == pool && sv.Name != except })
+}
+
+// ConfirmOthers calls a few servers outside the pool and reports whether one answers.
+func (wt *Watcher) ConfirmOthers(ctx context.Context, pool string) bool {
+	return wt.confirm(ctx, func(sv Server) bool { return sv.Pool != pool })
+}
+
+func (wt *Watcher) confirm(ctx context.Context, eligible func(Server) bool) bool {
+	var servers []Server
+	for _, sv := range wt.servers() {
+		if eligible(sv) {
+			servers = append(servers, sv)
+		}
+	}
+	shuffle(servers)
 	return wt.reach(ctx, servers[:min(confirmCount, len(servers))], 1)
 }
 
@@ -194,19 +251,24 @@
 // Connected records the result of the first exchange on a connection to the server at
 // the address. An open connection proves nothing before its first answer.
 func (wt *Watcher) Connected(address string, err error) {
+	now := time.Now()
 	wt.mu.Lock()
-	name, ok := wt.names[address]
+	sv, listed := wt.byAddress[address]
 	switch {
-	case !ok:
+	case !listed:
 	case err == nil:
-		wt.evidence.Reached(time.Now(), name)
+		wt.paths[sv.Pool].evidence.Reached(now, sv.Name)
 	default:
-		wt.evidence.Missed(time.Now(), name)
+		wt.paths[sv.Pool].evidence.Missed(now, sv.Name)
 	}
 	wt.mu.Unlock()
-	if err == nil {
-		return
+	if err != nil {
+		wt.notify()
 	}
+}
+
+// notify has the next step follow at once.
+func (wt *Watcher) notify() {
 	select {
 	case wt.wake <- struct{}{}:
 	default:
@@ -233,61 +295,73 @@
 	now := time.Now()
 	servers := wt.servers()
 	wt.mu.Lock()
-	wt.listLocked(servers)
+	gone := wt.listLocked(now, servers)
 	var called []Server
-	if interval, ok := wt.intervalLocked(now, len(servers)); ok && now.Sub(wt.pingedAt) >= interval {
-		wt.pingedAt = now
-		called = wt.chooseLocked(now, slices.Clone(servers))
+	doubtful, idle := wt.doubtfulLocked(now), 0
+	for _, pt := range wt.paths {
+		pt.observe(now, wt.activity)
+		idle += count(pt.idle(now))
+	}
+	for _, pt := range wt.paths {
+		if interval, ok := pt.interval(now, doubtful, idle); ok && now.Sub(pt.calledAt) >= interval {
+			pt.calledAt = now
+			called = append(called, pt.choose(now)...)
+		}
 	}
 	wt.mu.Unlock()
-	wt.decide(now, len(servers))
-	wt.logPools(now)
+	for _, pool := range gone {
+		wt.onChange(pool, false)
+	}
+	for _, pool := range wt.Pools() {
+		wt.decide(now, pool)
+	}
 	for _, sv := range called {
 		go wt.call(ctx, sv)
 	}
 }
 
-// listLocked takes up a changed list of servers.
-func (wt *Watcher) listLocked(servers []Server) {
-	if len(servers) == len(wt.listed) && (len(servers) == 0 || &servers[0] == &wt.listed[0]) {
-		return
+func count(yes bool) int {
+	if yes {
+		return 1
 	}
-	wt.listed = servers
-	names := make(map[string]bool, len(servers))
-	wt.names = make(map[string]string, len(servers))
-	for _, sv := range servers {
-		names[sv.Name], wt.names[sv.Address] = true, sv.Name
-	}
-	wt.evidence.Keep(names)
+	return 0
 }
 
-// chooseLocked returns the servers to call: those of which nothing is known first.
-func (wt *Watcher) chooseLocked(now time.Time, servers []Server) []Server {
+func shuffle(servers []Server) {
 	rand.Shuffle(len(servers), func(ix, jx int) { servers[ix], servers[jx] = servers[jx], servers[ix] })
-	slices.SortStableFunc(servers, func(one, two Server) int {
-		return wt.evidence.latest(one.Name).Compare(wt.evidence.latest(two.Name))
-	})
-	count := pingCount
-	if !wt.detached.Load() && wt.evidence.Undecided(now, len(servers)) {
-		count = undecidedCount
-	}
-	return servers[:min(count, len(servers))]
 }
 
-// intervalLocked returns the time between two calls now, or false if none are needed.
-func (wt *Watcher) intervalLocked(now time.Time, servers int) (time.Duration, bool) {
-	quiet := now.Sub(wt.activity.LastHeard())
-	switch {
-	case wt.detached.Load():
-		return detachedInterval, true
-	case wt.evidence.Undecided(now, servers):
-		return undecidedInterval, true
-	case wt.activity.InUse() > 0 && quiet >= silenceTime:
-		return silenceTime, true
-	case quiet >= idleTime:
-		return idleTime, true
+// listLocked takes up a changed list of servers. It returns the pools that have no more
+// servers and from which the node was detached.
+func (wt *Watcher) listLocked(now time.Time, servers []Server) (gone []string) {
+	if len(servers) == len(wt.listed) && (len(servers) == 0 || &servers[0] == &wt.listed[0]) {
+		return nil
 	}
-	return 0, false
+	wt.listed = servers
+	wt.byName, wt.byAddress = make(map[string]Server, len(servers)), make(map[string]Server, len(servers))
+	pools := map[string][]Server{}
+	for _, sv := range servers {
+		wt.byName[sv.Name], wt.byAddress[sv.Address] = sv, sv
+		pools[sv.Pool] = append(pools[sv.Pool], sv)
+	}
+	for pool, pt := range wt.paths {
+		if len(pools[pool]) > 0 {
+			continue
+		}
+		if pt.detached {
+			gone = append(gone, pool)
+		}
+		delete(wt.paths, pool)
+	}
+	for pool, listed := range pools {
+		pt, ok := wt.paths[pool]
+		if !ok {
+			pt = newPath(pool, now)
+			wt.paths[pool] = pt
+		}
+		pt.list(listed)
+	}
+	return gone
 }
 
 // call calls a server, records the result and reports whether it answered. A call that
@@ -298,77 +372,62 @@
 	defer cancel()
 	err := wt.ping(callCtx, sv)
 	now := time.Now()
-	if errors.Is(err, ErrNotCalled) {
+	silent := errors.Is(callCtx.Err(), context.DeadlineExceeded)
+	wt.mu.Lock()
+	pt, ok := wt.paths[sv.Pool]
+	if !ok {
+		// A node that answers another one's question may have taken no step yet.
+		pt = newPath(sv.Pool, time.Time{})
+		pt.list([]Server{sv})
+	}
+	heard := pt.lastHeard(wt.activity)
+	switch {
+	case errors.Is(err, ErrNotCalled):
 		wt.registry.Inc("path", "not-called")
 		wt.notCalled.Add(1)
 		// The connections that are open tell instead.
-		return !wt.Detached() && now.Sub(wt.activity.LastHeard()) < silenceTime
-	}
-	if ctx.Err() != nil || now.Sub(began) > 2*pingTimeout {
+		reached = !pt.detached && now.Sub(heard) < silenceTime
+		wt.mu.Unlock()
+		return reached
+	case ctx.Err() != nil, now.Sub(began) > 2*pingTimeout:
+		wt.mu.Unlock()
 		return false
-	}
-	if errors.Is(callCtx.Err(), context.DeadlineExceeded) && wt.activity.LastHeard().After(began) {
+	case silent && heard.After(began):
 		// Others answer meanwhile: this server, or this node, is slow.
+		wt.mu.Unlock()
 		return false
-	}
-	wt.mu.Lock()
-	if err == nil {
+	case err == nil:
 		wt.registry.Inc("path", "reached")
-		wt.evidence.Reached(now, sv.Name)
-	} else {
+		pt.evidence.Reached(now, sv.Name)
+	default:
 		wt.registry.Inc("path", "missed")
-		wt.evidence.Missed(now, sv.Name)
+		pt.evidence.Missed(now, sv.Name)
 	}
 	wt.mu.Unlock()
-	wt.decide(now, len(wt.servers()))
+	wt.decide(now, sv.Pool)
 	return err == nil
 }
 
-// decide updates whether the node is detached.
-func (wt *Watcher) decide(now time.Time, servers int) {
+// decide updates whether the node is detached from the pool.
+func (wt *Watcher) decide(now time.Time, pool string) {
 	wt.mu.Lock()
-	detached := wt.evidence.Detached(now, servers)
-	missed, reached, _ := wt.evidence.count(now)
-	changed := wt.detached.Swap(detached) != detached
-	wt.mu.Unlock()
-	if !changed {
+	pt, ok := wt.paths[pool]
+	if !ok || !pt.decide(now) {
+		wt.mu.Unlock()
 		return
 	}
-	line := log.WithFields(log.Fields{"missed": missed, "reached": reached, "servers": servers, "quiet-ms": now.Sub(wt.activity.LastHeard()).Milliseconds()})
+	detached := pt.detached
+	missed, reached, _ := pt.evidence.count(now)
+	line := log.WithFields(log.Fields{
+		"pool": pool, "missed": missed, "reached": reached, "servers": len(pt.servers),
+		"quiet-ms": now.Sub(pt.lastHeard(wt.activity)).Milliseconds(), "not-called": wt.notCalled.Load(),
+	})
+	wt.mu.Unlock()
 	if detached {
 		wt.registry.Inc("path", "lost")
 		line.Warn("node has lost its path to the backend servers")
 	} else {
 		line.Info("node has its path to the backend servers again")
 	}
-	wt.onChange(detached)
-}
-
-// logPools logs each pool that begins or ceases to have servers that are missed and none
-// that is reached meanwhile.
-func (wt *Watcher) logPools(now time.Time) {
-	wt.mu.Lock()
-	defer wt.mu.Unlock()
-	missed, reached := map[string]int{}, map[string]int{}
-	for _, sv := range wt.listed {
-		ct, ok := wt.evidence.servers[sv.Name]
-		switch {
-		case !ok:
-		case ct.isMissed(now):
-			missed[sv.Pool]++
-		case now.Sub(ct.reached) < missLifetime:
-			reached[sv.Pool]++
-		}
-	}
-	for _, sv := range wt.listed {
-		lost := missed[sv.Pool] > 0 && reached[sv.Pool] == 0
-		if lost == wt.pools[sv.Pool] {
-			continue
-		}
-		wt.pools[sv.Pool] = lost
-		log.WithFields(log.Fields{
-			"pool": sv.Pool, "lost": lost, "missed": missed[sv.Pool], "reached": reached[sv.Pool],
-			"not-called": wt.notCalled.Load(),
-		}).Info("servers of a pool that this node misses")
-	}
+	wt.onChange(pool, detached)
 }
--- a/internal/coordination/pathwatcher/pathwatcher_test.go
+++ b/internal/coordination/pathwatcher/pathwatcher_test.go
@@ -19,7 +19,7 @@
 
 var errCut = errors.New("cut off")
 
-// network is the path of a node to some servers.
+// network is the paths of a node to some servers.
 type network struct {
 	mu      sync.Mutex
 	servers []pathwatcher.Server
@@ -28,25 +28,40 @@
 	down, unreachable map[string]bool
 	// hangs says that calls of unreachable servers hang; otherwise they are refused.
 	hangs bool
-	// inUse is the number of requests in progress, and heard when bytes last came.
+	// inUse is the number of requests in progress at each server, and heard when bytes
+	// last came, by address.
 	inUse  atomic.Int64
-	heard  time.Time
+	heard  map[string]time.Time
 	pinged atomic.Int64
 	wt     *pathwatcher.Watcher
 }
 
-func (nw *network) InUse() int64 { return nw.inUse.Load() }
-func (nw *network) LastHeard() time.Time {
+func (nw *network) InUse(string) int64 { return nw.inUse.Load() }
+
+func (nw *network) LastHeard(address string) time.Time {
 	nw.mu.Lock()
 	defer nw.mu.Unlock()
-	return nw.heard
+	return nw.heard[address]
 }
 
-// hear notes that a server sent something.
+// hear notes that all servers sent something.
 func (nw *network) hear() {
 	nw.mu.Lock()
 	defer nw.mu.Unlock()
-	nw.heard = time.Now()
+	for _, sv := range nw.servers {
+		nw.heard[sv.Address] = time.Now()
+	}
+}
+
+// hearFrom notes that the servers of the pool sent something.
+func (nw *network) hearFrom(pool string) {
+	nw.mu.Lock()
+	defer nw.mu.Unlock()
+	for _, sv := range nw.servers {
+		if sv.Pool == pool {
+			nw.heard[sv.Address] = time.Now()
+		}
+	}
 }
 
 // state returns whether the server is gone and whether this node misses it.
@@ -74,12 +89,17 @@
 	return errCut
 }
 
-func newNetwork(t *testing.T, count int) *network {
+// newNetwork returns a network with the numbers of servers in the pools a, b and so on.
+func newNetwork(t *testing.T, counts ...int) *network {
 	log.SetLevel(log.FatalLevel)
-	nw := &network{down: map[string]bool{}, unreachable: map[string]bool{}, heard: time.Now()}
-	for ix := range count {
-		nw.servers = append(nw.servers, pathwatcher.Server{Name: fmt.Sprint("s", ix), Address: fmt.Sprint("a", ix)})
+	nw := &network{down: map[string]bool{}, unreachable: map[string]bool{}, heard: map[string]time.Time{}}
+	for pool, count := range counts {
+		for range count {
+			ix := len(nw.servers)
+			nw.servers = append(nw.servers, pathwatcher.Server{Name: fmt.Sprint("s", ix), Address: fmt.Sprint("a", ix), Pool: string(rune('a' + pool))})
+		}
 	}
+	nw.hear()
 	nw.wt = pathwatcher.New(func() []pathwatcher.Server { return nw.servers }, nw.ping, nw)
 	go func() { _ = nw.wt.Run(t.Context()) }()
 	return nw
@@ -105,13 +125,13 @@
 						nw.inUse.Store(inUse)
 						time.Sleep(900 * time.Millisecond)
 						nw.hear()
-						require.False(t, nw.wt.Detached())
+						require.False(t, nw.wt.Detached("a"))
 						nw.cut(12-reachable, true)
 						time.Sleep(2500 * time.Millisecond)
-						require.True(t, nw.wt.Detached())
+						require.True(t, nw.wt.Detached("a"))
 						nw.cut(12, false)
 						time.Sleep(2 * time.Second)
-						require.False(t, nw.wt.Detached(), "found out without requests")
+						require.False(t, nw.wt.Detached("a"), "found out without requests")
 					})
 				})
 			}
@@ -135,12 +155,38 @@
 			}
 			for range 60 {
 				time.Sleep(50 * time.Millisecond)
-				require.False(t, nw.wt.Detached(), "seed %d", seed)
+				require.False(t, nw.wt.Detached("a"), "seed %d", seed)
 			}
 		})
 	}
 }
 
+// A node that had lost all servers of one pool counted those of another one as evidence of
+// its path, also while bytes of the other one came all the time.
+func TestNodeIsDetachedFromThePoolThatItLost(t *testing.T) {
+	for _, hangs := range []bool{true, false} {
+		for _, lost := range []int{1, 2, 3, 12} {
+			t.Run(fmt.Sprint("hangs ", hangs, ", servers ", lost), func(t *testing.T) {
+				synctest.Test(t, func(t *testing.T) {
+					nw := newNetwork(t, lost, 90)
+					nw.hangs = hangs
+					nw.inUse.Store(3)
+					time.Sleep(900 * time.Millisecond)
+					nw.cut(lost, true)
+					for range 100 {
+						nw.hearFrom("b")
+						time.Sleep(10 * time.Millisecond)
+					}
+					require.Equal(t, []string{"a"}, nw.wt.Lost())
+					nw.cut(lost, false)
+					time.Sleep(time.Second)
+					require.Empty(t, nw.wt.Lost())
+				})
+			})
+		}
+	}
+}
+
 // A node that is busy must not call servers, and an idle one seldom.
 func TestFewServersAreCalledWhileAllIsWell(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
@@ -167,8 +213,9 @@
 	} {
 		t.Run(name, func(t *testing.T) {
 			synctest.Test(t, func(t *testing.T) {
-				nw := &network{heard: time.Now()}
-				servers := []pathwatcher.Server{{Name: "w0"}, {Name: "w1"}}
+				servers := []pathwatcher.Server{{Name: "w0", Address: "a0", Pool: "a"}, {Name: "w1", Address: "a1", Pool: "a"}}
+				nw := &network{servers: servers, heard: map[string]time.Time{}}
+				nw.hear()
 				full := func(context.Context, pathwatcher.Server) error { return pathwatcher.ErrNotCalled }
 				wt := pathwatcher.New(func() []pathwatcher.Server { return servers }, full, nw)
 				time.Sleep(tc.heard)
--- a/internal/coordination/registrar/leader.go
+++ b/internal/coordination/registrar/leader.go
@@ -34,6 +34,8 @@
 	// of a leader, and maxCandidateDelay the longest delay.
 	candidateDelay    = 250 * time.Millisecond
 	maxCandidateDelay = 4 * time.Second
+	// unfitDelay is by how much later a node campaigns that is not fit to lead.
+	unfitDelay = 2 * maxCandidateDelay
 	// campaignRetry is the time until a node campaigns again that lost against
 	// another.
 	campaignRetry = time.Second
@@ -138,13 +140,18 @@
 	if rg.presence().Leaving || !rg.ready() {
 		return false
 	}
+	delay := time.Duration(0)
+	if !rg.fit() {
+		delay = unfitDelay
+	}
 	rg.mu.Lock()
 	defer rg.mu.Unlock()
 	now := rg.clock()
 	if !rg.replicated || rg.leaderEntry.Revision != 0 || rg.term != 0 || now < rg.nextCampaign {
 		return false
 	}
-	return now >= rg.leaderless+min(time.Duration(rg.candidateRankLocked())*candidateDelay, maxCandidateDelay)
+	delay += min(time.Duration(rg.candidateRankLocked())*candidateDelay, maxCandidateDelay)
+	return now >= rg.leaderless+delay
 }
 
 // candidateRankLocked returns how many nodes campaign before this one, so that
--- a/internal/coordination/registrar/registrar.go
+++ b/internal/coordination/registrar/registrar.go
@@ -69,6 +69,8 @@
 	presence func() messenger.Presence
 	// ready reports whether the node serves callers.
 	ready func() bool
+	// fit reports whether the node can do all that a leader does.
+	fit func() bool
 	// capacity returns how many requests a second the node bears; 0 means unknown.
 	capacity func() int64
 	// lifetime is the requested lifetime of the lease.
@@ -173,6 +175,10 @@
 // WithReady sets the function that reports whether the node serves callers.
 func WithReady(ready func() bool) Option { return func(rg *Registrar) { rg.ready = ready } }
 
+// WithFitness sets the function that reports whether the node can do all that a leader
+// does. A node that can't campaigns after all others.
+func WithFitness(fit func() bool) Option { return func(rg *Registrar) { rg.fit = fit } }
+
 // WithCapacity sets the function that returns how many requests a second the node
 // bears, or 0 if that is not known. It is part of the registration.
 func WithCapacity(capacity func() int64) Option {
@@ -198,6 +204,7 @@
 		prefix:   prefix,
 		presence: presence,
 		ready:    func() bool { return true },
+		fit:      func() bool { return true },
 		capacity: func() int64 { return 0 },
 		lifetime: defaultLifetime,
 		clock:    stopwatch.Now,
--- a/internal/coordination/registrar/registrar_test.go
+++ b/internal/coordination/registrar/registrar_test.go
@@ -32,6 +32,8 @@
 	paused  atomic.Int64
 	// unreachable makes checks of the node fail.
 	unreachable atomic.Bool
+	// unfit says that the node is not fit to lead.
+	unfit atomic.Bool
 }
 
 type fleet struct {
@@ -53,7 +55,8 @@
 		}
 		clock := func() time.Duration { return time.Since(start) + time.Duration(nd.paused.Load()) }
 		nd.Registrar = registrar.New(nd.link, "p/", presence, registrar.WithLifetime(lifetime),
-			registrar.WithHandover(handover), registrar.WithClock(clock), registrar.WithCheck(fl.check))
+			registrar.WithHandover(handover), registrar.WithClock(clock), registrar.WithCheck(fl.check),
+			registrar.WithFitness(func() bool { return !nd.unfit.Load() }))
 		fl.nodes = append(fl.nodes, nd)
 		fl.done.Go(func() { _ = nd.Run(ctx) })
 	}
@@ -184,6 +187,33 @@
 	})
 }
 
+// A node that did not reach the servers that are sent orders led beside nodes that did, or
+// nobody led since none of them did.
+func TestNodeUnfitToLeadLeadsOnlyIfAllAre(t *testing.T) {
+	for name, unfit := range map[string]int{"one node is fit": 2, "no node is fit": 3} {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				fl := newFleet(3)
+				defer fl.end()
+				fl.await(t, 10*time.Second, func() bool { return len(fl.leaders()) == 1 })
+				leader := fl.leaders()[0]
+				leader.unfit.Store(true)
+				for _, nd := range fl.nodes {
+					if nd != leader && unfit > 1 {
+						nd.unfit.Store(true)
+						unfit--
+					}
+				}
+				leader.Resign(t.Context())
+				fl.await(t, 20*time.Second, func() bool { return len(fl.leaders()) == 1 })
+				if name == "one node is fit" {
+					require.False(t, fl.leaders()[0].unfit.Load())
+				}
+			})
+		})
+	}
+}
+
 func TestResignedLeaderIsReplacedByAnotherNode(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		fl := newFleet(2)
--- a/internal/keyspacerunner/keyspacerunner.go
+++ b/internal/keyspacerunner/keyspacerunner.go
@@ -163,7 +163,7 @@
 	delegator      *delegator.Delegator  // has other nodes run requests
 	quotas         *quotakeeper.Keeper   // charges requests to the quotas of callers
 	path           *pathwatcher.Watcher  // whether the node reaches the servers
-	pathPeers      pathPeers             // whom watchPath asks
+	pathPeers      map[string]*pathPeers // whom watchPaths asks, by pool
 	budget         *retrier.SharedBudget // retries of all nodes together
 	dispatch       *dispatcher.Dispatcher
 	crashes        *crashdetector.Detector // tells crashes of backend servers from other losses
@@ -173,8 +173,8 @@
 	demands        *placer.Collector       // demand reports of all nodes, for the leader's plan
 	// snapshot is nil until both configuration and servers are known.
 	snapshot atomic.Pointer[snapshot]
-	// cutOff is set while the node reaches no server and other nodes do.
-	cutOff atomic.Bool
+	// cutOff has the pools whose servers other nodes reach and this one does not.
+	cutOff cutOff
 	// rejected is set while the node's copy of the configuration is a later one than
 	// that in force and cannot be put in force.
 	rejected atomic.Bool
@@ -237,6 +237,7 @@
 		demands:    placer.NewCollector(),
 		tally:      tallier.New(),
 		signals:    map[string]throttler.Signals{},
+		pathPeers:  map[string]*pathPeers{},
 		tracker:    tracker.New(),
 		faulty:     map[string]bool{},
 		started:    stopwatch.Now(),
@@ -253,7 +254,7 @@
 		forwarder.WithOnConnect(func(address string, err error) { rn.path.Connected(address, err) }))
 	rn.path = pathwatcher.New(rn.pathServers, rn.pingServer, rn.forwarder, pathwatcher.WithRegistry(rn.registry), pathwatcher.WithOnChange(rn.pathChanged))
 	rn.registrar = registrar.New(bd.Store, ownPrefix, rn.presence,
-		registrar.WithReady(func() bool { return rn.Ready() && !rn.cutOff.Load() }), registrar.WithRegistry(rn.registry),
+		registrar.WithReady(rn.isReady), registrar.WithFitness(rn.mayLead), registrar.WithRegistry(rn.registry),
 		registrar.WithoutReplication(), registrar.WithCapacity(rn.capacity.Load), registrar.WithCheck(rn.checkPeer))
 	rn.leadership = rn.registrar
 	rn.relayer = relayer.New(bd.Store, rn.registrar.View, rn.registrar.LeaderID, rn.pool, []relayer.Prefix{
@@ -281,7 +282,7 @@
 		versionkeeper.WithAge(rn.relayer.Age), versionkeeper.WithRegistry(rn.registry),
 		versionkeeper.WithStore(bd.Store, ownPrefix, rn.leads))
 	rn.quotas = quotakeeper.New(id.ID, quotaLeadership{rn}, rn.quotaPool, quotakeeper.WithMachine(hostOf(id.PeerAddress)), quotakeeper.WithSlack(id.QuotaSlack), quotakeeper.WithRegistry(rn.registry))
-	rn.crashes = crashdetector.New(rn.forwarder.Refuses, crashdetector.WithLeaving(rn.hasLeft), crashdetector.WithPath(rn.reachesServers), crashdetector.WithRegistry(rn.registry),
+	rn.crashes = crashdetector.New(rn.forwarder.Refuses, crashdetector.WithLeaving(rn.hasLeft), crashdetector.WithPath(rn.lostPath), crashdetector.WithRegistry(rn.registry),
 		crashdetector.WithOnCrash(rn.noteCrash))
 	rn.dispatch = dispatcher.New(rn.admitter, rn.forwarder, rn.adapters,
 		dispatcher.WithRegistry(rn.registry), dispatcher.WithEjector(rn.ejector), dispatcher.WithSharedBudget(rn.budget), dispatcher.WithTally(rn.tally), dispatcher.WithSignals(rn.noteSignals), dispatcher.WithVersions(serverVersions{rn.versions, rn}),
@@ -330,7 +331,7 @@
 	})
 	for _, loop := range []func(context.Context) error{
 		rn.registrar.Run, rn.relayer.Run, rn.expireServers, rn.refreshAdmitter,
-		rn.exchangeLoads, rn.reportDemand, rn.reportUnserved, rn.runLeader, rn.adapters.Run, rn.isolator.Run, rn.versions.Run, rn.path.Run, rn.watchPath, rn.downs.Run, rn.quotas.Run,
+		rn.exchangeLoads, rn.reportDemand, rn.reportUnserved, rn.runLeader, rn.adapters.Run, rn.isolator.Run, rn.versions.Run, rn.path.Run, rn.watchPaths, rn.downs.Run, rn.quotas.Run,
 	} {
 		loopCtx, cancel := context.WithCancel(ctx)
 		gr.Add(func() error { return loop(loopCtx) }, func(error) { cancel() })
@@ -359,11 +360,7 @@
 	}
 	now := time.Now()
 	rn.registry.Set(rn.forwarder.Opened(), "backend-connections", "opened")
-	detached := int64(0)
-	if rn.path.Detached() {
-		detached = 1
-	}
-	rn.registry.Set(detached, "path", "detached")
+	rn.registry.Set(int64(len(rn.path.Lost())), "path", "detached")
 	down, suspected := rn.downs.Outages()
 	rn.registry.Set(int64(down), "backend-servers", "down")
 	rn.registry.Set(int64(suspected), "backend-servers", "suspected")
--- a/internal/keyspacerunner/leader.go
+++ b/internal/keyspacerunner/leader.go
@@ -386,9 +386,9 @@
 }
 
 // atRisk reports whether the server is down. A leader that has lost its path to the
-// servers can't tell.
+// server's pool can't tell.
 func (rn *Runner) atRisk(server string) bool {
-	return !rn.path.Detached() && rn.downs.Down(server)
+	return !rn.path.DetachedFrom(server) && rn.downs.Down(server)
 }
 
 // errNotLeader means that the node may not send orders.
--- a/internal/keyspacerunner/path.go
+++ b/internal/keyspacerunner/path.go
@@ -2,7 +2,11 @@
 
 import (
 	"context"
+	"maps"
 	"net/http"
+	"slices"
+	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/apex/log"
@@ -10,8 +14,10 @@
 
 	"github.com/lagoonpass/lagoonpass/internal/coordination/delegator"
 	"github.com/lagoonpass/lagoonpass/internal/coordination/pathwatcher"
+	"github.com/lagoonpass/lagoonpass/internal/coordination/prober"
 	"github.com/lagoonpass/lagoonpass/internal/coordination/tracker"
 	"github.com/lagoonpass/lagoonpass/internal/protocol/messenger"
+	"github.com/lagoonpass/lagoonpass/internal/state/configurer"
 	"github.com/lagoonpass/lagoonpass/internal/transport/forwarder"
 	"github.com/lagoonpass/lagoonpass/internal/waiter"
 )
@@ -23,7 +29,7 @@
 	pathQueryTimeout = 400 * time.Millisecond
 )
 
-// pathServers returns the servers by which the node's path is judged.
+// pathServers returns the servers by which the node's paths are judged.
 func (rn *Runner) pathServers() []pathwatcher.Server {
 	sn := rn.snapshot.Load()
 	if sn == nil || rn.binding.Ping == nil {
@@ -52,52 +58,175 @@
 	return err
 }
 
-// reachesServers reports whether the node reaches a server.
-func (rn *Runner) reachesServers(ctx context.Context) bool {
-	return rn.binding.Ping == nil || rn.path.Confirm(ctx)
+// lostPath reports whether the loss of connections to the server is that of the node's path:
+// it reaches no other server of the pool, and either none of another pool or other nodes
+// reach the server.
+func (rn *Runner) lostPath(ctx context.Context, server string) bool {
+	pool := rn.poolOf(server)
+	switch {
+	case rn.binding.Ping == nil, rn.path.Confirm(ctx, pool, server):
+		return false
+	case !rn.path.ConfirmOthers(ctx, pool):
+		return true
+	}
+	peers := (&pathPeers{}).choose(rn.registrar.View().Members(), rn.identity.ID)
+	return rn.peersReach(ctx, peers, []string{server})
+}
+
+// poolOf returns the pool of a registered server, or "".
+func (rn *Runner) poolOf(server string) string {
+	sn := rn.snapshot.Load()
+	if sn == nil {
+		return ""
+	}
+	for _, sv := range sn.reachable {
+		if sv.Name == server {
+			return sv.Pool
+		}
+	}
+	return ""
 }
 
-// pathChanged forgets which servers are down when the node has its path again: those that
-// refused it meanwhile may have been sound.
-func (rn *Runner) pathChanged(detached bool) {
+// serversOf returns the names of the registered servers of the pool.
+func (rn *Runner) serversOf(pool string) []string {
+	var names []string
+	for _, sv := range rn.pathServers() {
+		if sv.Pool == pool {
+			names = append(names, sv.Name)
+		}
+	}
+	return names
+}
+
+// pathChanged forgets which servers are down when the node has its path to them again:
+// those that refused it meanwhile may have been sound.
+func (rn *Runner) pathChanged(pool string, detached bool) {
 	if !detached {
-		rn.downs.Reset()
+		rn.downs.Forget(rn.serversOf(pool))
 	}
 }
 
-// watchPath keeps requests from a lost path. A node that is detached is cut off if
-// another node reaches the servers that it misses; otherwise the servers are lost.
-func (rn *Runner) watchPath(ctx context.Context) error {
+// watchPaths keeps requests from lost paths. A node that is detached from a pool is cut
+// off from it if another node reaches the servers that it misses; otherwise the servers
+// are lost.
+func (rn *Runner) watchPaths(ctx context.Context) error {
 	waiter.Every(ctx, pathInterval, func() {
-		detached := rn.path.Detached()
-		switch {
-		case detached && !rn.cutOff.Load() && rn.othersReachServers(ctx):
-			rn.setCutOff(ctx, true)
-		case !detached && rn.cutOff.Load():
-			rn.setCutOff(ctx, false)
+		lost := rn.path.Lost()
+		for _, pool := range rn.reachedByOthers(ctx, lost) {
+			rn.setCutOff(ctx, pool, true)
 		}
-		if !detached {
-			rn.pathPeers = pathPeers{}
+		for _, pool := range rn.cutOff.pools() {
+			if !slices.Contains(rn.path.Lost(), pool) {
+				rn.setCutOff(ctx, pool, false)
+			}
 		}
-		if rn.cutOff.Load() {
+		maps.DeleteFunc(rn.pathPeers, func(pool string, _ *pathPeers) bool { return !slices.Contains(lost, pool) })
+		if len(rn.cutOff.pools()) > 0 {
 			rn.dispatch.GiveUpSilent()
 		}
 	})
 	return nil
 }
 
-// setCutOff records whether the node is cut off. While it is, it does not lead, and the
+// reachedByOthers returns those of the lost pools from which the node is not known to be
+// cut off, and whose servers other nodes reach.
+func (rn *Runner) reachedByOthers(ctx context.Context, lost []string) []string {
+	lost = slices.DeleteFunc(lost, rn.cutOff.from)
+	reached := make([]bool, len(lost))
+	var asking sync.WaitGroup
+	for ix, pool := range lost {
+		peers := rn.nextPathPeers(pool)
+		asking.Go(func() { reached[ix] = rn.othersReachServers(ctx, pool, peers) })
+	}
+	asking.Wait()
+	var pools []string
+	for ix, pool := range lost {
+		if reached[ix] {
+			pools = append(pools, pool)
+		}
+	}
+	return pools
+}
+
+// nextPathPeers returns the nodes that are asked next about the pool.
+func (rn *Runner) nextPathPeers(pool string) []prober.Member {
+	asked, ok := rn.pathPeers[pool]
+	if !ok {
+		asked = &pathPeers{}
+		rn.pathPeers[pool] = asked
+	}
+	return asked.choose(rn.registrar.View().Members(), rn.identity.ID)
+}
+
+// cutOff is the set of pools whose servers a node does not reach while other nodes do. It
+// has one writer. The zero value is empty.
+type cutOff struct {
+	lost atomic.Pointer[[]string]
+}
+
+// from reports whether the node is cut off from the pool.
+func (co *cutOff) from(pool string) bool { return slices.Contains(co.pools(), pool) }
+
+// pools returns the pools from which the node is cut off. The slice must not be modified.
+func (co *cutOff) pools() []string {
+	if lost := co.lost.Load(); lost != nil {
+		return *lost
+	}
+	return nil
+}
+
+// fromAll reports whether the node is cut off from all of the pools.
+func (co *cutOff) fromAll(pools []string) bool {
+	for _, pool := range pools {
+		if !co.from(pool) {
+			return false
+		}
+	}
+	return len(pools) > 0
+}
+
+func (co *cutOff) set(pool string, yes bool) {
+	lost := slices.DeleteFunc(slices.Clone(co.pools()), func(other string) bool { return other == pool })
+	if yes {
+		lost = append(lost, pool)
+	}
+	co.lost.Store(&lost)
+}
+
+// isReady reports whether the node is named to callers: it serves, and reaches the servers
+// of some pool.
+func (rn *Runner) isReady() bool { return rn.Ready() && !rn.cutOff.fromAll(rn.path.Pools()) }
+
+// mayLead reports whether the node reaches the servers that are sent orders. One that does
+// not leads only if no other node does.
+func (rn *Runner) mayLead() bool {
+	return !slices.ContainsFunc(rn.cutOff.pools(), rn.isOrdered)
+}
+
+// isOrdered reports whether the servers of the pool are sent orders.
+func (rn *Runner) isOrdered(pool string) bool {
+	sn := rn.snapshot.Load()
+	return sn != nil && slices.ContainsFunc(sn.settings.Models(), func(md *configurer.Model) bool {
+		return md.Pool() == pool && md.Placed()
+	})
+}
+
+// setCutOff records whether the node is cut off from the pool. While it reaches none, the
 // other nodes name it to no callers.
-func (rn *Runner) setCutOff(ctx context.Context, yes bool) {
-	rn.cutOff.Store(yes)
-	rn.ejector.Reset()
-	rn.downs.Reset()
+func (rn *Runner) setCutOff(ctx context.Context, pool string, yes bool) {
+	rn.cutOff.set(pool, yes)
+	servers := rn.serversOf(pool)
+	rn.ejector.Forget(servers)
+	rn.downs.Forget(servers)
 	rn.registrar.Notify()
 	if !yes {
-		log.Info("node runs its requests itself again")
+		log.WithField("pool", pool).Info("node runs its requests itself again")
+		return
+	}
+	log.WithField("pool", pool).Warn("node is cut off from the backend servers; other nodes run its requests")
+	if rn.mayLead() {
 		return
 	}
-	log.Warn("node is cut off from the backend servers; other nodes run its requests")
 	go func() {
 		resignCtx, cancel := context.WithTimeout(ctx, callTimeout)
 		defer cancel()
@@ -105,36 +234,48 @@
 	}()
 }
 
-// othersReachServers reports whether another node reaches servers that this one does
-// not. Both call the same ones at the same time, since servers that were lost for all
-// nodes come back one after the other.
-func (rn *Runner) othersReachServers(ctx context.Context) bool {
-	peers := rn.pathPeers.choose(rn.registrar.View().Members(), rn.identity.ID)
+// othersReachServers reports whether one of the nodes reaches servers of the pool that this
+// one does not. Both call the same ones at the same time, since servers that were lost for
+// all nodes come back one after the other.
+func (rn *Runner) othersReachServers(ctx context.Context, pool string, peers []prober.Member) bool {
+	servers := rn.path.Missed(pool)
+	own := make(chan bool, 1)
+	go func() {
+		ownCtx, cancel := context.WithTimeout(ctx, pathQueryTimeout)
+		defer cancel()
+		own <- rn.path.Reaches(ownCtx, servers)
+	}()
+	return rn.peersReach(ctx, peers, servers) && !<-own
+}
+
+// peersReach reports whether one of the other nodes reaches most of the servers.
+func (rn *Runner) peersReach(ctx context.Context, peers []prober.Member, servers []string) bool {
 	ctx, cancel := context.WithTimeout(ctx, pathQueryTimeout)
 	defer cancel()
-	query := &messenger.PathQuery{Servers: rn.path.Missed()}
-	own := make(chan bool, 1)
-	go func() { own <- rn.path.Reaches(ctx, query.Servers) }()
 	answers := make(chan bool, len(peers))
 	for _, mb := range peers {
 		go func() {
-			answer, _ := rn.pool.Call(ctx, mb.PeerAddress, query)
+			answer, _ := rn.pool.Call(ctx, mb.PeerAddress, &messenger.PathQuery{Servers: servers})
 			pa, ok := answer.(*messenger.PathAnswer)
 			answers <- ok && pa.Reaches
 		}()
 	}
-	others := false
 	for range peers {
-		if others = <-answers; others {
-			break
+		if <-answers {
+			return true
 		}
 	}
-	return others && !<-own
+	return false
 }
 
-// servesOthers implements delegator.Serves.
-func (rn *Runner) servesOthers(revision int64) bool {
-	return rn.Ready() && !rn.cutOff.Load() && !rn.path.Detached() && rn.Revision() >= revision
+// servesOthers implements delegator.Serves. A request of an earlier build names no pool.
+func (rn *Runner) servesOthers(revision int64, pool string) bool {
+	lost := rn.path.Lost()
+	reaches := len(lost) < max(len(rn.path.Pools()), 1)
+	if pool != "" {
+		reaches = !rn.cutOff.from(pool) && !slices.Contains(lost, pool)
+	}
+	return rn.Ready() && reaches && rn.Revision() >= revision
 }
 
 // ServeDelegated sets the handler that runs the requests of nodes which are cut off from
@@ -147,7 +288,7 @@
 // pathDelegate implements dispatcher.Delegate.
 type pathDelegate struct{ rn *Runner }
 
-func (pd pathDelegate) CutOff() bool { return pd.rn.cutOff.Load() }
+func (pd pathDelegate) CutOff(pool string) bool { return pd.rn.cutOff.from(pool) }
 
 func (pd pathDelegate) Misses(server string) bool { return pd.rn.path.Misses(server) }
 
--- a/internal/protocol/messenger/delegate.go
+++ b/internal/protocol/messenger/delegate.go
@@ -48,6 +48,9 @@
 	// Caller is the name of the caller that the sender found by the request's key. It
 	// is empty in messages of builds before the field, which authenticate nobody.
 	Caller string
+	// Pool is the pool whose servers the sender does not reach. It is empty in messages of
+	// builds before the field.
+	Pool string
 }
 
 // Kind implements Message.
@@ -61,7 +64,7 @@
 	if err := encodeHeader(en, dg.Header); err != nil {
 		return err
 	}
-	return EncodeAll(en, dg.Caller)
+	return EncodeAll(en, dg.Caller, dg.Pool)
 }
 
 // Decode implements Message.
@@ -72,7 +75,7 @@
 	if dg.Header, err = decodeHeader(de); err != nil {
 		return err
 	}
-	return decodeTrailing(de, &dg.Caller)
+	return decodeTrailing(de, &dg.Caller, &dg.Pool)
 }
 
 // DelegateNext asks for the next page of the answer to a delegated request. Its answer
--- a/internal/protocol/messenger/messenger_test.go
+++ b/internal/protocol/messenger/messenger_test.go
@@ -53,7 +53,7 @@
 		&Trial{Content: 7},
 		&StreamsBegun{Groups: []BegunStreams{{Pool: "p", Software: "v1", IDs: []uint64{1, 1 << 63}}}},
 		&StreamQuery{ID: 1 << 63, Sole: []PoolSoftware{{Pool: "p", Software: "v1"}}, Route: "h/s/"},
-		&Delegate{ID: 1 << 63, Method: "POST", Host: "h", Target: "/p", Header: []HeaderField{{Name: "A", Values: []string{"1", "2"}}}, Body: []byte("b"), Servers: 1, Revision: 7, Caller: "c"},
+		&Delegate{ID: 1 << 63, Method: "POST", Host: "h", Target: "/p", Header: []HeaderField{{Name: "A", Values: []string{"1", "2"}}}, Body: []byte("b"), Servers: 1, Revision: 7, Caller: "c", Pool: "p"},
 		&DelegateNext{ID: 1 << 63},
 		&DelegateCancel{ID: 1 << 63},
 		&DelegatePage{Status: 200, Header: []HeaderField{{Name: "A", Values: []string{"1"}}}, Data: []byte("d"), Ended: true, Broken: true},
@@ -75,42 +75,43 @@
 	}
 }
 
-// earlierForm returns a message as an earlier build encodes it, without the fields that
-// were added at its end, and the length of these; nil if there are none.
-func earlierForm(ms Message) (Message, int) {
+// earlierForms returns a message as earlier builds encode it, without the fields that were
+// added at its end, by the length of these.
+func earlierForms(ms Message) map[int]Message {
 	switch tm := ms.(type) {
 	case *Delegate:
-		earlier := *tm
-		earlier.Caller = ""
-		return &earlier, 1 + len(tm.Caller)
+		beforePool, beforeCaller := *tm, *tm
+		beforePool.Pool = ""
+		beforeCaller.Pool, beforeCaller.Caller = "", ""
+		return map[int]Message{1 + len(tm.Pool): &beforePool, 2 + len(tm.Pool) + len(tm.Caller): &beforeCaller}
 	case *FeedPoll:
 		earlier := *tm
 		earlier.Lacks = 0
-		return &earlier, 1
+		return map[int]Message{1: &earlier}
 	case *FeedPage:
 		earlier := *tm
 		earlier.Configuration = nil
-		return &earlier, 2 + len(tm.Configuration)
+		return map[int]Message{2 + len(tm.Configuration): &earlier}
 	case *StreamQuery:
 		earlier := *tm
 		earlier.Route = ""
-		return &earlier, 1 + len(tm.Route)
+		return map[int]Message{1 + len(tm.Route): &earlier}
 	case *StreamOrigin:
 		earlier := *tm
 		earlier.Covers = false
-		return &earlier, 1
+		return map[int]Message{1: &earlier}
 	case *Checked:
-		return &Checked{Node: tm.Node}, 1
+		return map[int]Message{1: &Checked{Node: tm.Node}}
 	case *AdapterLoad:
 		earlier := *tm
 		earlier.Others = nil
-		return &earlier, 4
+		return map[int]Message{4: &earlier}
 	case *AdapterState:
 		earlier := *tm
 		earlier.Others = nil
-		return &earlier, 2
+		return map[int]Message{2: &earlier}
 	}
-	return nil, 0
+	return nil
 }
 
 // A message of a later build must not end the other calls on its connection.
@@ -147,12 +148,12 @@
 		ev, err := decodeEnvelope(payload)
 		require.NoError(t, err)
 		require.Equal(t, ms, ev.message)
-		earlier, added := earlierForm(ms)
+		earlier := earlierForms(ms)
 		for cut := range payload {
 			ev, err := decodeEnvelope(payload[:cut])
-			if earlier != nil && cut == len(payload)-added {
+			if form, ok := earlier[len(payload)-cut]; ok {
 				require.NoError(t, err)
-				require.Equal(t, earlier, ev.message)
+				require.Equal(t, form, ev.message)
 				continue
 			}
 			require.Error(t, err, "a frame that is cut short is an error")
--- a/internal/transport/forwarder/connection.go
+++ b/internal/transport/forwarder/connection.go
@@ -47,7 +47,8 @@
 // send bytes without end.
 type headReader struct {
 	io.Reader
-	owner *Forwarder
+	owner    *Forwarder
+	activity *activity
 	// bounded says that at most left bytes may be read.
 	bounded bool
 	left    int
@@ -64,7 +65,7 @@
 	count, err := hr.Reader.Read(buf)
 	if count > 0 {
 		hr.left -= count
-		hr.owner.heardAfter.Store(int64(time.Since(hr.owner.created)))
+		hr.activity.heardAfter.Store(int64(time.Since(hr.owner.created)))
 	}
 	return count, err
 }
@@ -75,11 +76,12 @@
 // connection is one connection to a server. It carries one request at a time.
 type connection struct {
 	Link
-	owner   *Forwarder
-	address string
-	raw     net.Conn
-	head    *headReader // bounds what reader reads
-	reader  *bufio.Reader
+	owner    *Forwarder
+	address  string
+	activity *activity
+	raw      net.Conn
+	head     *headReader // bounds what reader reads
+	reader   *bufio.Reader
 	// reused is set once the connection carries a second request.
 	reused bool
 	// refused has the ids of the last requests that got an answer other than a success.
@@ -92,11 +94,13 @@
 }
 
 func newConnection(fw *Forwarder, address string, raw net.Conn) *connection {
-	hr := &headReader{Reader: raw, owner: fw}
+	ac := fw.activityOf(address)
+	hr := &headReader{Reader: raw, owner: fw, activity: ac}
 	return &connection{
 		Link:      Link{opened: time.Now()},
 		owner:     fw,
 		address:   address,
+		activity:  ac,
 		raw:       raw,
 		head:      hr,
 		reader:    bufio.NewReaderSize(hr, readBytes),
@@ -327,7 +331,7 @@
 		return
 	}
 	bd.done = true
-	bd.cn.owner.inUse.Add(-1)
+	bd.cn.activity.inUse.Add(-1)
 	notCancelled := bd.stop()
 	if complete && bd.reusable && notCancelled && bd.writeResult() == nil && bd.cn.reader.Buffered() == 0 {
 		bd.cn.owner.putIdle(bd.cn)
--- a/internal/transport/forwarder/forwarder.go
+++ b/internal/transport/forwarder/forwarder.go
@@ -151,13 +151,12 @@
 	limit func(address string) int
 	// onConnect is called with the result of the first exchange on each connection.
 	onConnect func(address string, err error)
-	// inUse counts the requests in progress.
-	inUse atomic.Int64
-	// created is when the forwarder was created, and heardAfter the nanoseconds from
-	// then until a server last sent something. Steps of the clock do not count.
-	created    time.Time
-	heardAfter atomic.Int64
-	mu         sync.Mutex
+	// created is when the forwarder was created. Times are kept as durations since then,
+	// so that steps of the clock do not count.
+	created time.Time
+	mu      sync.Mutex
+	// activities has what is known of the servers by address.
+	activities map[string]*activity
 	// idle has the idle connections by address, the one idle longest first.
 	idle map[string][]*connection
 	// open counts the connections by address, including those in use and those
@@ -201,6 +200,7 @@
 		limit:       func(string) int { return 0 },
 		onConnect:   func(string, error) {},
 		created:     time.Now(),
+		activities:  map[string]*activity{},
 		idle:        map[string][]*connection{},
 		open:        map[string]int{},
 	}
@@ -217,13 +217,26 @@
 	return fw.opened
 }
 
-// InUse returns the number of requests in progress.
-func (fw *Forwarder) InUse() int64 { return fw.inUse.Load() }
+// InUse returns the number of requests in progress at the server.
+func (fw *Forwarder) InUse(address string) int64 {
+	fw.mu.Lock()
+	defer fw.mu.Unlock()
+	if ac, ok := fw.activities[address]; ok {
+		return ac.inUse.Load()
+	}
+	return 0
+}
 
-// LastHeard returns when a server last sent something, or when the forwarder was
-// created.
-func (fw *Forwarder) LastHeard() time.Time {
-	return fw.created.Add(time.Duration(fw.heardAfter.Load()))
+// LastHeard returns when the server last sent something. It returns the zero time if
+// that is not known, since it never did or did long ago.
+func (fw *Forwarder) LastHeard(address string) time.Time {
+	fw.mu.Lock()
+	defer fw.mu.Unlock()
+	ac, ok := fw.activities[address]
+	if !ok || ac.heardAfter.Load() == 0 {
+		return time.Time{}
+	}
+	return fw.created.Add(time.Duration(ac.heardAfter.Load()))
 }
 
 // DropIdle closes the idle connections to a server. Call it after a connection
@@ -255,17 +268,18 @@
 // Send sends the request once and returns the answer as soon as its head is
 // read. The caller must close the body. Errors have type *Error.
 func (fw *Forwarder) Send(ctx context.Context, rq Request) (*http.Response, error) {
-	fw.inUse.Add(1)
+	ac := fw.activityOf(rq.Address)
+	ac.inUse.Add(1)
 	cn, err := fw.connect(ctx, rq.Address, rq.ID)
 	if err != nil {
-		fw.inUse.Add(-1)
+		ac.inUse.Add(-1)
 		return nil, &Error{Address: rq.Address, Cause: err}
 	}
 	if rq.Connected != nil {
 		rq.Connected(&cn.Link)
 	}
 	if ctx.Err() != nil || rq.Begin != nil && !rq.Begin() {
-		fw.inUse.Add(-1)
+		ac.inUse.Add(-1)
 		cn.close()
 		return nil, &Error{Address: rq.Address, Cause: errGivenUp}
 	}
@@ -274,7 +288,7 @@
 		fw.onConnect(rq.Address, err)
 	}
 	if err != nil {
-		fw.inUse.Add(-1)
+		ac.inUse.Add(-1)
 		cn.abort()
 		if ctx.Err() != nil {
 			err = ctx.Err()
@@ -372,7 +386,7 @@
 		cn.abort()
 		return err
 	}
-	fw.inUse.Add(1) // until the end of the body
+	cn.activity.inUse.Add(1) // until the end of the body
 	defer func() { _ = rs.Body.Close() }()
 	_, err = io.Copy(io.Discard, io.LimitReader(rs.Body, maxSkippedBytes))
 	return err
