Take a lost path for back only when servers answer

What callers saw: in a zone that was cut off for 12 s, nodes ran requests over the dead path again every five seconds, and noticed the loss seconds late.

Cause: misses lapsed after 5 s while the node learned nothing further: hung requests held its one connection to each server (50 for 24 nodes), calls were not made, and a call that is not made left no trace.

A detached node now keeps its misses until servers answer. Requests leave one connection to calls if the node's share allows two; a call that can't be made counts as missed if a request ended there without a byte and nothing was heard of the pool.

TestPathIsBackOnlyWhenServersAnswer and TestRequestsWithoutAByteTellWhileNoServerCanBeCalled failed before.

--- a/internal/coordination/pathwatcher/evidence.go
+++ b/internal/coordination/pathwatcher/evidence.go
@@ -19,10 +19,18 @@
 	missLifetime = 5 * time.Second
 )
 
-// Evidence is which servers a node has reached lately over new connections. A server
-// that misses calls by itself is missed by all nodes; a node that misses nearly all
-// servers has lost its own path. Evidence must be used by one goroutine at a time.
-type Evidence struct{ servers map[string]*contact }
+// Evidence is which servers of a pool a node has reached lately over new connections. A
+// server that misses calls by itself is missed by all nodes; a node that misses nearly all
+// servers has lost its own path. Once it has, only answers of servers end that: misses
+// lapse while the path counts as sound, since a server that was missed once need not be
+// called again, but to hear nothing over a lost path is no news. Evidence must be used by
+// one goroutine at a time.
+type Evidence struct {
+	servers  map[string]*contact
+	detached bool
+	// lostSince is when the first of the misses was that made the node detached.
+	lostSince time.Time
+}
 
 // contact is the evidence on one server.
 type contact struct {
@@ -31,6 +39,8 @@
 	// missed is when it last did not, and missedFirst when it first did not since it
 	// was reached.
 	missed, missedFirst time.Time
+	// silent is when a request last ended there without a byte.
+	silent time.Time
 }
 
 // NewEvidence returns evidence on no server.
@@ -81,27 +91,56 @@
 	}
 }
 
+// Silent records that a request ended at the server without a byte of it. That may be the
+// server's fault, so that it is only a reason to call the server.
+func (ev *Evidence) Silent(now time.Time, server string) { ev.contact(server).silent = now }
+
+// Suspects reports whether a request ended at the server without a byte, and nothing was
+// learned of the server since.
+func (ev *Evidence) Suspects(server string) bool {
+	ct, ok := ev.servers[server]
+	return ok && ct.silent.After(ct.reached) && ct.silent.After(ct.missed)
+}
+
+// silentSince returns when a request last ended at the server without a byte of it, or the
+// zero time.
+func (ev *Evidence) silentSince(server string) time.Time {
+	if ct, ok := ev.servers[server]; ok {
+		return ct.silent
+	}
+	return time.Time{}
+}
+
 // count returns the servers that are missed now, those that were reached since the
 // first of these misses, and when that was.
 func (ev *Evidence) count(now time.Time) (missed, reached int, since time.Time) {
+	if ev.detached {
+		since = ev.lostSince
+	}
 	for _, ct := range ev.servers {
-		if ct.isMissed(now) {
+		if ev.isMissed(now, ct) {
 			missed++
-			if since.IsZero() || ct.missedFirst.Before(since) {
+			if !ev.detached && (since.IsZero() || ct.missedFirst.Before(since)) {
 				since = ct.missedFirst
 			}
 		}
 	}
 	for _, ct := range ev.servers {
-		if missed > 0 && !ct.isMissed(now) && !ct.reached.Before(since) {
+		if !since.IsZero() && !ev.isMissed(now, ct) && !ct.reached.Before(since) {
 			reached++
 		}
 	}
 	return missed, reached, since
 }
 
-func (ct *contact) isMissed(now time.Time) bool {
-	return !ct.missedFirst.IsZero() && now.Sub(ct.missed) < missLifetime
+func (ev *Evidence) isMissed(now time.Time, ct *contact) bool {
+	return !ct.missedFirst.IsZero() && (ev.detached || now.Sub(ct.missed) < missLifetime)
+}
+
+// Misses reports whether the server is missed now.
+func (ev *Evidence) Misses(now time.Time, server string) bool {
+	ct, ok := ev.servers[server]
+	return ok && ev.isMissed(now, ct)
 }
 
 // Undecided reports whether servers are missed and too little is known of the others,
@@ -111,9 +150,18 @@
 	return missed > 0 && (reached*reachedWeight <= missed || missed+reached < min(minSample, servers))
 }
 
-// Detached reports whether the node has lost its path to nearly all of the servers, of
+// Detached decides whether the node has lost its path to nearly all of the servers, of
 // which there are as many as given.
 func (ev *Evidence) Detached(now time.Time, servers int) bool {
 	missed, reached, since := ev.count(now)
-	return servers > 0 && missed >= min(minMissed, servers) && reached*reachedWeight <= missed && now.Sub(since) >= confirmTime
+	outweighed := reached*reachedWeight > missed
+	switch {
+	case servers == 0:
+		ev.detached = false
+	case ev.detached:
+		ev.detached = !outweighed
+	case missed >= min(minMissed, servers) && !outweighed && now.Sub(since) >= confirmTime:
+		ev.detached, ev.lostSince = true, since
+	}
+	return ev.detached
 }
--- a/internal/coordination/pathwatcher/path.go
+++ b/internal/coordination/pathwatcher/path.go
@@ -28,6 +28,7 @@
 	pool     string
 	servers  []Server
 	evidence *Evidence
+	// detached is what evidence said at the last decision.
 	detached bool
 	// since is when the pool was first listed.
 	since time.Time
@@ -82,6 +83,12 @@
 	return !pt.waitingSince.IsZero() && now.Sub(pt.waitingSince) >= silenceTime && now.Sub(pt.heardAt) >= silenceTime
 }
 
+// suspicious reports whether a request ended without a byte at a server of which nothing
+// was learned since.
+func (pt *path) suspicious() bool {
+	return slices.ContainsFunc(pt.servers, func(sv Server) bool { return pt.evidence.Suspects(sv.Name) })
+}
+
 // idle reports whether no request is in progress and none was lately.
 func (pt *path) idle(now time.Time) bool {
 	return pt.waitingSince.IsZero() && now.Sub(pt.heardAt) >= idleTime
@@ -98,7 +105,7 @@
 		return detachedInterval, true
 	case pt.undecided(now):
 		return undecidedInterval, true
-	case pt.silent(now), pt.idle(now) && doubtful:
+	case pt.silent(now), pt.suspicious(), pt.idle(now) && doubtful:
 		return silenceTime, true
 	case pt.idle(now):
 		return time.Duration(idle) * idleTime, true
@@ -106,12 +113,20 @@
 	return 0, false
 }
 
-// choose returns the servers to call: those of which nothing is known first.
+// choose returns the servers to call: those that are suspected first, then those of which
+// nothing is known.
 func (pt *path) choose(now time.Time) []Server {
 	servers := slices.Clone(pt.servers)
 	shuffle(servers)
 	slices.SortStableFunc(servers, func(one, two Server) int {
-		return pt.evidence.latest(one.Name).Compare(pt.evidence.latest(two.Name))
+		suspected := pt.evidence.Suspects(one.Name)
+		switch {
+		case suspected == pt.evidence.Suspects(two.Name):
+			return pt.evidence.latest(one.Name).Compare(pt.evidence.latest(two.Name))
+		case suspected:
+			return -1
+		}
+		return 1
 	})
 	count := pingCount
 	if !pt.detached && pt.undecided(now) {
--- a/internal/coordination/pathwatcher/pathwatcher.go
+++ b/internal/coordination/pathwatcher/pathwatcher.go
@@ -12,7 +12,7 @@
 //
 //	wt := pathwatcher.New(servers, ping, activity, pathwatcher.WithOnChange(fn))
 //	go wt.Run(ctx)
-//	fw := forwarder.New(forwarder.WithOnConnect(wt.Connected))
+//	fw := forwarder.New(forwarder.WithOnConnect(wt.Connected), forwarder.WithOnSilence(wt.Silent))
 //	if wt.Detached("pool-a") { ... } // use another path
 package pathwatcher
 
@@ -48,7 +48,7 @@
 }
 
 // ErrNotCalled means that a server was not called, since no further connection to it is
-// allowed. What is known of it does not change.
+// allowed. It counts as missed only if requests on the allowed ones end without a byte.
 var ErrNotCalled = errors.New("pathwatcher: server not called")
 
 // Ping calls a server over a new connection, and returns nil if it answers anything.
@@ -175,8 +175,7 @@
 	if !ok {
 		return false
 	}
-	ct, known := pt.evidence.servers[server]
-	return known && ct.isMissed(now) || pt.detached && now.Sub(pt.lastHeard(wt.activity)) >= silenceTime
+	return pt.evidence.Misses(now, server) || pt.detached && now.Sub(pt.lastHeard(wt.activity)) >= silenceTime
 }
 
 // Missed returns the names of a few servers of the pool that the node lately failed to
@@ -190,8 +189,8 @@
 		return nil
 	}
 	var names []string
-	for name, ct := range pt.evidence.servers {
-		if ct.isMissed(now) && len(names) < confirmCount {
+	for name := range pt.evidence.servers {
+		if pt.evidence.Misses(now, name) && len(names) < confirmCount {
 			names = append(names, name)
 		}
 	}
@@ -267,6 +266,19 @@
 	}
 }
 
+// Silent records that a request to the server at the address ended without a byte of it.
+func (wt *Watcher) Silent(address string) {
+	wt.mu.Lock()
+	sv, listed := wt.byAddress[address]
+	if listed {
+		wt.paths[sv.Pool].evidence.Silent(time.Now(), sv.Name)
+	}
+	wt.mu.Unlock()
+	if listed {
+		wt.notify()
+	}
+}
+
 // notify has the next step follow at once.
 func (wt *Watcher) notify() {
 	select {
@@ -387,8 +399,12 @@
 		wt.notCalled.Add(1)
 		// The connections that are open tell instead.
 		reached = !pt.detached && now.Sub(heard) < silenceTime
-		wt.mu.Unlock()
-		return reached
+		if !pt.evidence.Suspects(sv.Name) || heard.After(pt.evidence.silentSince(sv.Name).Add(-pingTimeout)) {
+			wt.mu.Unlock()
+			return reached
+		}
+		wt.registry.Inc("path", "missed")
+		pt.evidence.Missed(now, sv.Name)
 	case ctx.Err() != nil, now.Sub(began) > 2*pingTimeout:
 		wt.mu.Unlock()
 		return false
--- a/internal/coordination/pathwatcher/pathwatcher_test.go
+++ b/internal/coordination/pathwatcher/pathwatcher_test.go
@@ -28,6 +28,8 @@
 	down, unreachable map[string]bool
 	// hangs says that calls of unreachable servers hang; otherwise they are refused.
 	hangs bool
+	// full has the servers to which the node may open no further connection.
+	full map[string]bool
 	// inUse is the number of requests in progress at each server, and heard when bytes
 	// last came, by address.
 	inUse  atomic.Int64
@@ -71,10 +73,27 @@
 	return nw.down[server], nw.unreachable[server]
 }
 
+func (nw *network) isFull(server string) bool {
+	nw.mu.Lock()
+	defer nw.mu.Unlock()
+	return nw.full[server]
+}
+
+// fill sets whether the node may open no further connection to the servers.
+func (nw *network) fill(yes bool) {
+	nw.mu.Lock()
+	defer nw.mu.Unlock()
+	for _, sv := range nw.servers {
+		nw.full[sv.Name] = yes
+	}
+}
+
 func (nw *network) ping(ctx context.Context, sv pathwatcher.Server) error {
 	nw.pinged.Add(1)
 	down, unreachable := nw.state(sv.Name)
 	switch {
+	case nw.isFull(sv.Name):
+		return pathwatcher.ErrNotCalled
 	case down:
 		return errCut
 	case !unreachable:
@@ -92,7 +111,7 @@
 // newNetwork returns a network with the numbers of servers in the pools a, b and so on.
 func newNetwork(t *testing.T, counts ...int) *network {
 	log.SetLevel(log.FatalLevel)
-	nw := &network{down: map[string]bool{}, unreachable: map[string]bool{}, heard: map[string]time.Time{}}
+	nw := &network{down: map[string]bool{}, unreachable: map[string]bool{}, full: map[string]bool{}, heard: map[string]time.Time{}}
 	for pool, count := range counts {
 		for range count {
 			ix := len(nw.servers)
@@ -187,6 +206,63 @@
 	}
 }
 
+// A node that could not call servers, since hung requests held its connections, forgot that
+// it had missed them and took its path for back.
+func TestPathIsBackOnlyWhenServersAnswer(t *testing.T) {
+	for name, counts := range map[string][]int{"one pool": {6}, "two pools": {2, 4}} {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				nw := newNetwork(t, counts...)
+				nw.hangs = true
+				nw.inUse.Store(1)
+				nw.cut(6, true)
+				time.Sleep(2 * time.Second)
+				require.Len(t, nw.wt.Lost(), len(counts))
+				nw.fill(true)
+				for range 300 {
+					time.Sleep(100 * time.Millisecond)
+					require.Len(t, nw.wt.Lost(), len(counts))
+				}
+				nw.fill(false)
+				nw.cut(6, false)
+				time.Sleep(time.Second)
+				require.Empty(t, nw.wt.Lost())
+			})
+		})
+	}
+}
+
+// A node whose few connections were all held by hung requests did not learn that it had
+// lost its path, though these requests ended without a byte.
+func TestRequestsWithoutAByteTellWhileNoServerCanBeCalled(t *testing.T) {
+	for name, tc := range map[string]struct {
+		heard bool // whether bytes of another server come meanwhile
+		want  []string
+	}{
+		"no byte comes":             {false, []string{"a"}},
+		"another server sends some": {true, nil},
+	} {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				nw := newNetwork(t, 4)
+				nw.inUse.Store(1)
+				nw.fill(true)
+				nw.cut(4, true)
+				for range 20 {
+					for _, sv := range nw.servers[1:] {
+						nw.wt.Silent(sv.Address)
+						time.Sleep(50 * time.Millisecond)
+						if tc.heard {
+							nw.hear()
+						}
+					}
+				}
+				require.Equal(t, tc.want, nw.wt.Lost())
+			})
+		})
+	}
+}
+
 // A node that is busy must not call servers, and an idle one seldom.
 func TestFewServersAreCalledWhileAllIsWell(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
--- a/internal/keyspacerunner/keyspacerunner.go
+++ b/internal/keyspacerunner/keyspacerunner.go
@@ -250,7 +250,8 @@
 	}
 	rn.capacity.Store(id.Capacity)
 	rn.registry.OnRead(rn.setGauges)
-	rn.forwarder = forwarder.New(forwarder.WithIdleTimeout(defaultIdleTimeout), forwarder.WithLimit(rn.connections),
+	rn.forwarder = forwarder.New(forwarder.WithIdleTimeout(defaultIdleTimeout), forwarder.WithLimit(rn.connections), forwarder.WithProbeLimit(rn.probedConnections),
+		forwarder.WithOnSilence(func(address string) { rn.path.Silent(address) }),
 		forwarder.WithOnConnect(func(address string, err error) { rn.path.Connected(address, err) }))
 	rn.path = pathwatcher.New(rn.pathServers, rn.pingServer, rn.forwarder, pathwatcher.WithRegistry(rn.registry), pathwatcher.WithOnChange(rn.pathChanged))
 	rn.registrar = registrar.New(bd.Store, ownPrefix, rn.presence,
@@ -400,19 +401,36 @@
 	return ids
 }
 
-// connections returns how many connections this node may have to a server. It
-// is the node's share of the number that the operator configured for the
-// server, at least 1, or 0 if the server is unknown.
+// connections returns how many connections to a server this node's requests may have, at
+// least 1, or 0 if the server is unknown. It is the node's share of the number that the
+// operator configured for the server, and leaves one to probes if the share allows.
 func (rn *Runner) connections(address string) int {
-	sn := rn.snapshot.Load()
-	if sn == nil {
+	total, ok := rn.configuredConnections(address)
+	if !ok {
 		return 0
 	}
-	total, ok := sn.connections[address]
+	return max(min(int(connectionShare*float64(total))/rn.nodes(), total/rn.nodes()-1), 1)
+}
+
+// probedConnections returns how many connections this node may have to a server with those
+// that only show whether it answers, at least 1, or 0 if the server is unknown.
+func (rn *Runner) probedConnections(address string) int {
+	total, ok := rn.configuredConnections(address)
 	if !ok {
 		return 0
 	}
-	return max(int(connectionShare*float64(total))/rn.nodes(), 1)
+	return max(total/rn.nodes(), 1)
+}
+
+// configuredConnections returns how many connections the server accepts, or false if it is
+// unknown.
+func (rn *Runner) configuredConnections(address string) (int, bool) {
+	sn := rn.snapshot.Load()
+	if sn == nil {
+		return 0, false
+	}
+	total, ok := sn.connections[address]
+	return total, ok
 }
 
 // hostOf returns the host of an address, which identifies the VM.
--- a/internal/transport/forwarder/forwarder.go
+++ b/internal/transport/forwarder/forwarder.go
@@ -42,6 +42,9 @@
 	idleTimeout = 5 * time.Second
 	// maxIdleConnections bounds the idle connections to one server.
 	maxIdleConnections = 256
+	// silenceTime is how long a request waits without a byte of the server before its end
+	// says something of the server. Callers that leave early say nothing.
+	silenceTime = 250 * time.Millisecond
 	// maxSkipped bounds the answers to earlier requests that one request skips.
 	maxSkipped = 2
 )
@@ -149,8 +152,13 @@
 	idleTimeout time.Duration
 	// limit returns the most open connections to a server; zero means no limit.
 	limit func(address string) int
+	// probeLimit is that limit for connections that are opened to learn whether the server
+	// answers.
+	probeLimit func(address string) int
 	// onConnect is called with the result of the first exchange on each connection.
 	onConnect func(address string, err error)
+	// onSilence is called when a request ended without a byte of the server.
+	onSilence func(address string)
 	// created is when the forwarder was created. Times are kept as durations since then,
 	// so that steps of the clock do not count.
 	created time.Time
@@ -185,6 +193,19 @@
 	return func(fw *Forwarder) { fw.limit = limit }
 }
 
+// WithProbeLimit sets the limit for Ping and TryConnect. One that exceeds that of WithLimit
+// lets a node learn whether a server answers while requests hold all other connections.
+// Without it the limit is that of WithLimit.
+func WithProbeLimit(limit func(address string) int) Option {
+	return func(fw *Forwarder) { fw.probeLimit = limit }
+}
+
+// WithOnSilence sets a function that is called when the context of a request ended at least
+// silenceTime after it was sent, and the server sent nothing meanwhile on any connection.
+func WithOnSilence(fn func(address string)) Option {
+	return func(fw *Forwarder) { fw.onSilence = fn }
+}
+
 // WithOnConnect sets a function that is called with the result of the first exchange
 // on each connection: nil when the head of an answer has come, or why the connection
 // could not be opened or broke off. It is not called if the context ended before.
@@ -199,6 +220,7 @@
 		idleTimeout: idleTimeout,
 		limit:       func(string) int { return 0 },
 		onConnect:   func(string, error) {},
+		onSilence:   func(string) {},
 		created:     time.Now(),
 		activities:  map[string]*activity{},
 		idle:        map[string][]*connection{},
@@ -207,6 +229,9 @@
 	for _, opt := range opts {
 		opt(fw)
 	}
+	if fw.probeLimit == nil {
+		fw.probeLimit = fw.limit
+	}
 	return fw
 }
 
@@ -270,9 +295,11 @@
 func (fw *Forwarder) Send(ctx context.Context, rq Request) (*http.Response, error) {
 	ac := fw.activityOf(rq.Address)
 	ac.inUse.Add(1)
+	began := time.Now()
 	cn, err := fw.connect(ctx, rq.Address, rq.ID)
 	if err != nil {
 		ac.inUse.Add(-1)
+		fw.noteSilence(ctx, rq.Address, began)
 		return nil, &Error{Address: rq.Address, Cause: err}
 	}
 	if rq.Connected != nil {
@@ -288,6 +315,7 @@
 		fw.onConnect(rq.Address, err)
 	}
 	if err != nil {
+		fw.noteSilence(ctx, rq.Address, began)
 		ac.inUse.Add(-1)
 		cn.abort()
 		if ctx.Err() != nil {
@@ -298,6 +326,14 @@
 	return rs, nil
 }
 
+// noteSilence calls onSilence if the context of a request that began at the given time has
+// ended, and the server has sent nothing since.
+func (fw *Forwarder) noteSilence(ctx context.Context, address string, began time.Time) {
+	if ctx.Err() != nil && time.Since(began) >= silenceTime && fw.LastHeard(address).Before(began) {
+		fw.onSilence(address)
+	}
+}
+
 // Refuses reports whether the server refuses connections, as after the end of its
 // process. A connection that it accepts is kept for a later request.
 func (fw *Forwarder) Refuses(ctx context.Context, address string) bool {
@@ -310,7 +346,7 @@
 // TryConnect opens a connection to the server and keeps it for a later request. It
 // returns ErrConnectionLimit if the limit doesn't allow another connection.
 func (fw *Forwarder) TryConnect(ctx context.Context, address string) error {
-	if !fw.reserveSlot(address) {
+	if !fw.reserveSlot(address, fw.probeLimit) {
 		return ErrConnectionLimit
 	}
 	raw, err := fw.dial(ctx, "tcp", address)
@@ -335,7 +371,7 @@
 		}
 		cn.close()
 	}
-	if !fw.reserveSlot(address) && !fw.replaceIdle(address) {
+	if !fw.reserveSlot(address, fw.limit) && !fw.replaceIdle(address, fw.limit) {
 		return nil, ErrConnectionLimit
 	}
 	return fw.openReserved(ctx, address)
@@ -343,13 +379,13 @@
 
 // replaceIdle closes an idle connection that can't be used and reserves its slot. It
 // returns false if there is none.
-func (fw *Forwarder) replaceIdle(address string) bool {
+func (fw *Forwarder) replaceIdle(address string, limitOf func(address string) int) bool {
 	cn := fw.popIdle(address, "")
 	if cn == nil {
 		return false
 	}
 	cn.close()
-	return fw.reserveSlot(address)
+	return fw.reserveSlot(address, limitOf)
 }
 
 // openReserved opens a connection for which a slot is reserved.
@@ -374,7 +410,7 @@
 // It returns ErrConnectionLimit if the limit doesn't allow another connection. The
 // connection is kept for a later request.
 func (fw *Forwarder) Ping(ctx context.Context, rq Request) error {
-	if !fw.reserveSlot(rq.Address) {
+	if !fw.reserveSlot(rq.Address, fw.probeLimit) && !fw.replaceIdle(rq.Address, fw.probeLimit) {
 		return ErrConnectionLimit
 	}
 	cn, err := fw.openReserved(ctx, rq.Address)
@@ -393,8 +429,8 @@
 }
 
 // reserveSlot counts one more open connection. It returns false at the limit.
-func (fw *Forwarder) reserveSlot(address string) bool {
-	limit := fw.limit(address)
+func (fw *Forwarder) reserveSlot(address string, limitOf func(address string) int) bool {
+	limit := limitOf(address)
 	fw.mu.Lock()
 	defer fw.mu.Unlock()
 	if limit > 0 && fw.open[address] >= limit {
@@ -429,12 +465,13 @@
 }
 
 // putIdle makes a connection idle after a complete answer, or closes it if the
-// server has maxIdleConnections already.
+// server has maxIdleConnections already, or more open ones than requests may use.
 func (fw *Forwarder) putIdle(cn *connection) {
 	cn.idleSince = time.Now()
+	limit := fw.limit(cn.address)
 	fw.mu.Lock()
 	conns := fw.idle[cn.address]
-	full := len(conns) >= maxIdleConnections
+	full := len(conns) >= maxIdleConnections || limit > 0 && fw.open[cn.address] > limit
 	var expired []*connection
 	if !full {
 		conns, expired = splitExpired(append(conns, cn), cn.idleSince)
--- a/internal/transport/forwarder/forwarder_test.go
+++ b/internal/transport/forwarder/forwarder_test.go
@@ -12,6 +12,7 @@
 	"sync/atomic"
 	"testing"
 	"testing/synctest"
+	"time"
 
 	"github.com/stretchr/testify/require"
 
@@ -151,3 +152,51 @@
 		require.NotErrorIs(t, err, forwarder.ErrConnectionLimit, "a connection that never opened counts for nothing")
 	}
 }
+
+// Hung requests held all connections to a server, so that nothing could be learned of it,
+// and did not tell that they got no byte.
+func TestServerIsProbedWhileRequestsHoldAllConnections(t *testing.T) {
+	hold := make(chan struct{})
+	web := httptest.NewServer(http.HandlerFunc(func(_ http.ResponseWriter, rq *http.Request) {
+		if rq.URL.Path == "/hang" {
+			<-hold
+		}
+	}))
+	defer web.Close()
+	defer close(hold)
+	address := strings.TrimPrefix(web.URL, "http://")
+	silent := make(chan string, 2)
+	fw := forwarder.New(forwarder.WithLimit(func(string) int { return 1 }), forwarder.WithProbeLimit(func(string) int { return 2 }),
+		forwarder.WithOnSilence(func(address string) { silent <- address }))
+	defer fw.Close()
+	request := func(path string) forwarder.Request {
+		return forwarder.Request{Address: address, Host: "h", Method: http.MethodGet, Path: path}
+	}
+	ctx, cancel := context.WithTimeout(t.Context(), 400*time.Millisecond)
+	defer cancel()
+	ended := make(chan error, 1)
+	began := make(chan struct{})
+	go func() {
+		rq := request("/hang")
+		rq.Begin = func() bool { close(began); return true }
+		_, err := fw.Send(ctx, rq)
+		ended <- err
+	}()
+	<-began
+	_, err := fw.Send(t.Context(), request("/"))
+	require.ErrorIs(t, err, forwarder.ErrConnectionLimit)
+	require.Equal(t, int64(1), fw.InUse(address))
+	err = <-ended
+	require.ErrorIs(t, err, context.DeadlineExceeded)
+	require.Equal(t, address, <-silent)
+	require.True(t, fw.LastHeard(address).IsZero())
+	go func() { _, _ = fw.Send(t.Context(), request("/hang")) }()
+	for fw.InUse(address) == 0 {
+		time.Sleep(time.Millisecond)
+	}
+	for range 3 {
+		require.NoError(t, fw.Ping(t.Context(), request("/")), "a connection is left to probes, which keep none")
+	}
+	require.False(t, fw.LastHeard(address).IsZero())
+	require.Empty(t, silent)
+}
