Have nodes that outnumber a brittle server's slots take turns

What callers saw: beside a cut zone and brittle workers, sound nodes refused requests for waits of minutes at workers whose requests take 25 ms, and served 60 to 73 in 100.

Cause: a share of less than one slot was drawn by each node for itself once a second, so that a node had none for seconds while the sum was right on average only; the wait was estimated from the rate of former grants, which is nothing then. The same elsewhere: shares of named limits (ranks were given to nodes that reach no server).

Slots now go round in the order of the nodes' ids, for about as long as a request takes, and the wait is that for the next turn. Registrations name the pools from which a node is cut off; such a node has no share there. Nodes that have their path back delegate for a second more, so that others know.

--- a/internal/coordination/admitter/brittle_test.go
+++ b/internal/coordination/admitter/brittle_test.go
@@ -52,20 +52,22 @@
 	now     time.Time
 	nodes   []*Scheduler
 	servers map[string]*brittleServer
+	count   int // of nodes
+	work    time.Duration
 	brittle bool
 	falls   int
 	served  int
 }
 
-func newBrittleSim(t *testing.T, servers int) *brittleSim {
+func newBrittleSim(t *testing.T, servers, nodes int) *brittleSim {
 	text := "[caller.c]\nkey-sha256 = " + strings.Repeat("ab", 32) + "\nquota = 100000\nburst = 100000\n[class.c]\nrank = 0\nfirst-token = 300ms\ndeadline = 1h\n[pool.p]\n[model.m]\npool = p\nmemory = 1GiB\n"
 	st, faults := configurer.Parse([]configurer.File{{Name: "1.ini", Text: text}})
 	require.Empty(t, faults)
-	bs := &brittleSim{t: t, st: st, now: time.Unix(1000, 0), servers: map[string]*brittleServer{}}
+	bs := &brittleSim{t: t, st: st, now: time.Unix(1000, 0), servers: map[string]*brittleServer{}, count: nodes, work: brittleWork}
 	for ix := range servers {
 		bs.servers[fmt.Sprint("w", ix)] = &brittleServer{}
 	}
-	for ix := range brittleNodes {
+	for ix := range nodes {
 		bs.start(ix)
 	}
 	return bs
@@ -74,9 +76,15 @@
 // start starts a node, or starts it again without memory.
 func (bs *brittleSim) start(ix int) {
 	random := rand.New(rand.NewPCG(uint64(ix), 61))
-	ids := func() []string { return []string{"n0", "n1", "n2", "n3"} }
+	ids := func(string) []string {
+		var all []string
+		for ix := range bs.count {
+			all = append(all, fmt.Sprint("n", ix))
+		}
+		return all
+	}
 	sc := NewScheduler(random, WithPolicy(router.NewQuickest(random)), WithLocation(fmt.Sprint("n", ix), "z", ""), WithMembers(ids),
-		WithLiveNodes(func() int { return brittleNodes }), WithSignals(),
+		WithLiveNodes(func() int { return bs.count }), WithSignals(),
 		WithOnDecision(func(en *Entry) {
 			if en.Granted() {
 				bs.arrive(ix, en)
@@ -87,7 +95,7 @@
 	for name := range len(bs.servers) {
 		targets = append(targets, &router.Target{Name: fmt.Sprint("w", name), Pool: "p", Slots: brittleSlots, Models: []string{"m"}, Load: &router.Load{}})
 	}
-	sc.Update(bs.now, router.NewTable(targets, brittleNodes))
+	sc.Update(bs.now, router.NewTable(targets, bs.count))
 	if ix < len(bs.nodes) {
 		bs.nodes[ix] = sc
 		return
@@ -111,7 +119,7 @@
 	if bs.brittle {
 		queue = 0
 	}
-	rn := &brittleRun{node: bs.nodes[node], entry: en, sent: bs.now, ends: bs.now.Add(brittleWork)}
+	rn := &brittleRun{node: bs.nodes[node], entry: en, sent: bs.now, ends: bs.now.Add(bs.work)}
 	switch {
 	case bs.now.Before(sv.downUntil):
 		bs.nodes[node].Finish(bs.now, en, Result{Failed: true})
@@ -156,6 +164,19 @@
 	}
 }
 
+// submit has a request arrive at the node, and reports whether it was taken.
+func (bs *brittleSim) submit(node int) bool {
+	tk := &Ticket{ID: fmt.Sprint(bs.now), MaxTokens: 1, Deadline: bs.now.Add(1500 * time.Millisecond)}
+	tk.Caller, _ = bs.st.Caller("c")
+	tk.Class, _ = bs.st.Class("c")
+	tk.Model, _ = bs.st.Model("m")
+	en, rf := bs.nodes[node].Submit(bs.now, tk)
+	if rf == nil && en.Granted() {
+		bs.arrive(node, en)
+	}
+	return rf == nil
+}
+
 // step advances the time: requests end, and now and then nodes hear of the load of the
 // others.
 func (bs *brittleSim) step() {
@@ -174,13 +195,13 @@
 		for len(sv.running) < brittleSlots && len(sv.waiting) > 0 {
 			rn := sv.waiting[0]
 			sv.waiting = sv.waiting[1:]
-			rn.ends = bs.now.Add(brittleWork)
+			rn.ends = bs.now.Add(bs.work)
 			sv.running = append(sv.running, rn)
 		}
 		for _, rn := range ended {
 			bs.served++
 			rn.node.Observe(bs.now, name, rn.sent, bs.signals())
-			bs.end(rn, Result{Duration: brittleWork})
+			bs.end(rn, Result{Duration: bs.work})
 		}
 	}
 	if bs.now.UnixMilli()%100 == 0 {
@@ -198,7 +219,7 @@
 					others += far.Load.Own()
 				}
 			}
-			tg.Load.Digest(others, brittleNodes, bs.now)
+			tg.Load.Digest(others, bs.count, bs.now)
 		}
 		sc.Tick(bs.now)
 	}
@@ -209,7 +230,7 @@
 // just started.
 func TestBrittleServersAreNotPushedOver(t *testing.T) {
 	for seed := range uint64(10) {
-		bs := newBrittleSim(t, 3)
+		bs := newBrittleSim(t, 3, brittleNodes)
 		random := rand.New(rand.NewPCG(seed, 67))
 		for elapsed := time.Duration(0); elapsed < 30*time.Second; elapsed += brittleStep {
 			bs.brittle = elapsed > 2*time.Second
@@ -225,13 +246,7 @@
 			}
 			for range offered {
 				node := random.IntN(brittleNodes)
-				tk := &Ticket{ID: fmt.Sprint(elapsed), MaxTokens: 1, Deadline: bs.now.Add(1500 * time.Millisecond)}
-				tk.Caller, _ = bs.st.Caller("c")
-				tk.Class, _ = bs.st.Class("c")
-				tk.Model, _ = bs.st.Model("m")
-				if en, rf := bs.nodes[node].Submit(bs.now, tk); rf == nil && en.Granted() {
-					bs.arrive(node, en)
-				}
+				bs.submit(node)
 			}
 			bs.step()
 		}
@@ -240,11 +255,49 @@
 	}
 }
 
+// Nodes that were more than the slots of brittle servers refused requests for waits of
+// minutes at servers that were nearly idle: their share was nothing most of the time.
+func TestManyNodesShareFewSlotsOfBrittleServers(t *testing.T) {
+	for name, tc := range map[string]struct {
+		work    time.Duration
+		offered float64 // requests a second: about a third of what the servers can do
+		share   float64 // of the requests that has to be served
+	}{
+		"short requests": {25 * time.Millisecond, 100, 0.95},
+		"long requests":  {150 * time.Millisecond, 20, 2.0 / 3},
+	} {
+		t.Run(name, func(t *testing.T) {
+			for seed := range uint64(5) {
+				bs := newBrittleSim(t, 2, 24)
+				bs.work = tc.work
+				random := rand.New(rand.NewPCG(seed, 71))
+				offered, before := 0, 0
+				for elapsed := time.Duration(0); elapsed < 22*time.Second; elapsed += brittleStep {
+					bs.brittle = elapsed > time.Second
+					if elapsed == 2*time.Second {
+						before = bs.served
+					}
+					if elapsed < 20*time.Second && random.Float64() < tc.offered*brittleStep.Seconds() {
+						bs.submit(random.IntN(bs.count))
+						if elapsed > 2*time.Second {
+							offered++
+						}
+					}
+					bs.step()
+				}
+				t.Logf("seed %d: served %d of %d, falls %d", seed, bs.served-before, offered, bs.falls)
+				require.LessOrEqual(t, bs.falls, 2, "seed %d: servers that fell over", seed)
+				require.Greater(t, float64(bs.served-before), tc.share*float64(offered), "seed %d: served of %d", seed, offered)
+			}
+		})
+	}
+}
+
 // A node that had just started waited for its share of idle servers, which was less than
 // one request as soon as the nodes were more than the slots.
 func TestNodeThatHasHeardNothingSendsOneRequestAtOnce(t *testing.T) {
 	const nodes = 40
-	bs := newBrittleSim(t, 1)
+	bs := newBrittleSim(t, 1, 1)
 	for name, brittle := range map[string]bool{"sound": false, "brittle": true} {
 		t.Run(name, func(t *testing.T) {
 			for ix := range nodes {
--- a/internal/coordination/admitter/estimate.go
+++ b/internal/coordination/admitter/estimate.go
@@ -47,7 +47,7 @@
 }
 
 // estimateWait returns how long the request would wait. For a request with a
-// prompt this is estimatePrefillWait; otherwise it is the number of entries
+// prompt this is estimatePrefillWait, and turnWait at brittle servers; otherwise it is the number of entries
 // ahead of it, divided by the measured rate of grants. A request that would
 // become late is served with the late ones, which get one of lateGrantInterval
 // grants. It returns false if the rate is unknown or nothing waits.
@@ -55,6 +55,9 @@
 	if en.ownPrefillTime > 0 {
 		return sc.estimatePrefillWait(now, en), true
 	}
+	if wait, known := sc.turnWait(now, en); known {
+		return wait, true
+	}
 	mq, ok := sc.queues[en.ticket.Model.Name()]
 	if !ok {
 		return 0, false
--- a/internal/coordination/admitter/options.go
+++ b/internal/coordination/admitter/options.go
@@ -46,9 +46,9 @@
 // WithSignals says that the scheduler observes what servers say in their answers.
 func WithSignals() SchedulerOption { return func(sc *Scheduler) { sc.signals = true } }
 
-// WithMembers sets the function that returns the ids of the nodes that share the
-// limits of servers; by default the node has them for itself.
-func WithMembers(fn func() []string) SchedulerOption {
+// WithMembers sets the function that returns the ids of the nodes that may use the servers
+// of a pool, and share their limits; by default the node has these for itself.
+func WithMembers(fn func(pool string) []string) SchedulerOption {
 	return func(sc *Scheduler) { sc.members = fn }
 }
 
@@ -64,7 +64,8 @@
 	sc := &Scheduler{
 		random:         random,
 		liveNodes:      func() int { return 1 },
-		members:        func() []string { return nil },
+		places:         map[string]place{},
+		members:        func(string) []string { return nil },
 		queues:         map[string]*modelQueue{},
 		servers:        map[string]*serverState{},
 		stats:          map[string]*modelStats{},
@@ -83,7 +84,12 @@
 	for _, opt := range opts {
 		opt(sc)
 	}
-	sc.throttle = throttler.New(sc.nodeID, sc.members)
+	sc.throttle = throttler.New(sc.nodeID, func(server string) []string {
+		if tg, ok := sc.table.Target(server); ok {
+			return sc.members(tg.Pool)
+		}
+		return nil
+	})
 	sc.request.Weight = sc.weight
 	if sc.adapters != nil {
 		sc.request.HasAdapter = func(tg *router.Target) bool { return sc.adapters.Holds(tg.Name, sc.request.Adapter) }
--- a/internal/coordination/admitter/scheduler.go
+++ b/internal/coordination/admitter/scheduler.go
@@ -90,9 +90,11 @@
 	// peers compares the speeds of servers.
 	peers router.Peers
 	// throttle keeps the node within the limits that servers name, and members
-	// returns the ids of the nodes that share them.
+	// returns the ids of the nodes that share those of a pool.
 	throttle *throttler.Throttler
-	members  func() []string
+	members  func(pool string) []string
+	// places has this node's place among the members by pool.
+	places map[string]place
 	// signals says that servers' answers are observed.
 	signals bool
 	// excluded holds the end of each exclusion.
--- a/internal/coordination/admitter/throttle.go
+++ b/internal/coordination/admitter/throttle.go
@@ -61,11 +61,15 @@
 	return sc.signals && !sc.throttle.Heard(tg.Pool)
 }
 
-// brittleWindow returns how many requests this node may have on a brittle server. The
-// windows of all nodes together leave some of its slots free, since each node counts by
-// its own clock.
+// brittleWindow returns how many requests this node may have on a brittle server.
 func (sc *Scheduler) brittleWindow(now time.Time, tg *router.Target) int {
-	return sc.nodeShare(now, tg, max(tg.Slots*brittleShare/100, 1))
+	return sc.brittleTurns(now, tg).share(now)
+}
+
+// brittleTurns returns the turns at a brittle server. The windows of all nodes together
+// leave some of its slots free, since each node counts by its own clock.
+func (sc *Scheduler) brittleTurns(now time.Time, tg *router.Target) turns {
+	return sc.turnsAt(now, tg, max(tg.Slots*brittleShare/100, 1))
 }
 
 // throttledWait returns how long a new entry would wait because of what the
--- a/internal/coordination/prober/view.go
+++ b/internal/coordination/prober/view.go
@@ -45,6 +45,8 @@
 	// Revision is the configuration revision that the node last reported as in
 	// force.
 	Revision int64
+	// LostPools are the pools whose servers the node does not reach while others do.
+	LostPools []string
 	// Capacity is how many requests a second the node bears; 0 if it does not say.
 	Capacity int64
 }
--- a/internal/coordination/registrar/codec_test.go
+++ b/internal/coordination/registrar/codec_test.go
@@ -16,11 +16,14 @@
 	const today = `{"id":"n1","zone":"z","region":"r","peer-address":"p:1","caller-address":"c:1","leaving":true,"ready":true}`
 	pr := messenger.Presence{ID: "n1", Zone: "z", Region: "r", PeerAddress: "p:1", CallerAddress: "c:1", Leaving: true}
 	const stated = `{"id":"n1","zone":"z","region":"r","peer-address":"p:1","caller-address":"c:1","leaving":true,"ready":true,"capacity":70}`
-	require.JSONEq(t, today, string(encodeRegistration(pr, true, 0)))
-	require.JSONEq(t, stated, string(encodeRegistration(pr, true, 70)))
+	require.JSONEq(t, today, string(encodeRegistration(member{presence: pr, ready: true})))
+	require.JSONEq(t, stated, string(encodeRegistration(member{presence: pr, ready: true, capacity: 70})))
+	const without = `{"id":"n1","zone":"z","region":"r","peer-address":"p:1","caller-address":"c:1","leaving":true,"ready":true,"capacity":70,"lost-pools":["app"]}`
+	require.JSONEq(t, without, string(encodeRegistration(member{presence: pr, ready: true, capacity: 70, lost: []string{"app"}})))
 	for value, want := range map[string]member{
-		today:  {presence: pr, ready: true},
-		stated: {presence: pr, ready: true, capacity: 70},
+		today:   {presence: pr, ready: true},
+		stated:  {presence: pr, ready: true, capacity: 70},
+		without: {presence: pr, ready: true, capacity: 70, lost: []string{"app"}},
 		today[:len(today)-1] + `,"later":{"a":[1]}}`: {presence: pr, ready: true},
 		`{"id":"n1","ready":true,"capacity":-1}`:     {presence: messenger.Presence{ID: "n1"}, ready: true},
 	} {
--- a/internal/coordination/registrar/members.go
+++ b/internal/coordination/registrar/members.go
@@ -198,7 +198,7 @@
 	rg.mu.Lock()
 	defer rg.mu.Unlock()
 	own := rg.presence()
-	members := []prober.Member{memberOf(member{presence: own, ready: rg.ready(), capacity: rg.capacity()})}
+	members := []prober.Member{memberOf(member{presence: own, ready: rg.ready(), capacity: rg.capacity(), lost: rg.lost()})}
 	for _, mb := range rg.members {
 		if mb.presence.ID != own.ID && !rg.replacedLocked(mb) {
 			members = append(members, memberOf(mb))
@@ -237,6 +237,7 @@
 		State:         state,
 		Revision:      pr.Revision,
 		Capacity:      mb.capacity,
+		LostPools:     mb.lost,
 	}
 }
 
@@ -273,9 +274,12 @@
 	Capacity int64 `json:"capacity,omitempty"`
 	// Started is in Unix milliseconds; earlier builds neither write nor read it.
 	Started int64 `json:"started,omitempty"`
+	// LostPools is neither written nor read by earlier builds.
+	LostPools []string `json:"lost-pools,omitempty"`
 }
 
-func encodeRegistration(pr messenger.Presence, ready bool, capacity int64) []byte {
+func encodeRegistration(mb member) []byte {
+	pr := mb.presence
 	value, err := json.Marshal(wirePresence{
 		ID:            pr.ID,
 		Zone:          pr.Zone,
@@ -283,9 +287,10 @@
 		PeerAddress:   pr.PeerAddress,
 		CallerAddress: pr.CallerAddress,
 		Leaving:       pr.Leaving,
-		Ready:         ready,
-		Capacity:      capacity,
+		Ready:         mb.ready,
+		Capacity:      mb.capacity,
 		Started:       pr.Started,
+		LostPools:     mb.lost,
 	})
 	if err != nil {
 		log.WithError(err).Error("node registration was not encoded; peers do not see it")
@@ -306,5 +311,5 @@
 		CallerAddress: wp.CallerAddress,
 		Leaving:       wp.Leaving,
 		Started:       wp.Started,
-	}, ready: wp.Ready, capacity: max(wp.Capacity, 0)}, nil
+	}, ready: wp.Ready, capacity: max(wp.Capacity, 0), lost: wp.LostPools}, nil
 }
--- a/internal/coordination/registrar/registrar.go
+++ b/internal/coordination/registrar/registrar.go
@@ -71,6 +71,8 @@
 	ready func() bool
 	// fit reports whether the node can do all that a leader does.
 	fit func() bool
+	// lost returns the pools whose servers the node does not reach.
+	lost func() []string
 	// capacity returns how many requests a second the node bears; 0 means unknown.
 	capacity func() int64
 	// lifetime is the requested lifetime of the lease.
@@ -154,6 +156,8 @@
 	presence messenger.Presence
 	ready    bool
 	capacity int64
+	// lost are the pools whose servers the node does not reach.
+	lost     []string
 	revision int64
 	// keptUntil is when the node is dropped whose registration the store lost with
 	// its last writes, if it has not registered again; 0 means never.
@@ -179,6 +183,10 @@
 // does. A node that can't campaigns after all others.
 func WithFitness(fit func() bool) Option { return func(rg *Registrar) { rg.fit = fit } }
 
+// WithLostPools sets the function that returns the pools whose servers the node does not
+// reach. They are part of the registration.
+func WithLostPools(lost func() []string) Option { return func(rg *Registrar) { rg.lost = lost } }
+
 // WithCapacity sets the function that returns how many requests a second the node
 // bears, or 0 if that is not known. It is part of the registration.
 func WithCapacity(capacity func() int64) Option {
@@ -205,6 +213,7 @@
 		presence: presence,
 		ready:    func() bool { return true },
 		fit:      func() bool { return true },
+		lost:     func() []string { return nil },
 		capacity: func() int64 { return 0 },
 		lifetime: defaultLifetime,
 		clock:    stopwatch.Now,
@@ -386,7 +395,7 @@
 // the store has it.
 func (rg *Registrar) register(ctx context.Context) bool {
 	pr := rg.presence()
-	value := encodeRegistration(pr, rg.ready(), rg.capacity())
+	value := encodeRegistration(member{presence: pr, ready: rg.ready(), capacity: rg.capacity(), lost: rg.lost()})
 	key := rg.nodeKey(pr.PeerAddress)
 	rg.mu.Lock()
 	revision, era := rg.revision, rg.era
--- a/internal/coordination/throttler/throttler.go
+++ b/internal/coordination/throttler/throttler.go
@@ -55,7 +55,7 @@
 type Throttler struct {
 	// node is the id of this node, and members returns those of all nodes.
 	node    string
-	members func() []string
+	members func(server string) []string
 	// limits holds the servers that name a limit.
 	limits map[string]*limit
 	// pauses holds until when servers want no requests of this node.
@@ -81,7 +81,7 @@
 
 // New returns a throttler of the node with this id. The function members returns
 // the ids of the nodes that share limits.
-func New(node string, members func() []string) *Throttler {
+func New(node string, members func(server string) []string) *Throttler {
 	return &Throttler{node: node, members: members, limits: map[string]*limit{}, pauses: map[string]time.Time{}, pools: map[string]brittleSign{}}
 }
 
@@ -205,7 +205,7 @@
 	lm.countedAt = now
 	nodes, rank := 1, 0
 	own := th.hash(server, th.node)
-	for _, id := range th.members() {
+	for _, id := range th.members(server) {
 		if id == th.node {
 			continue
 		}
--- a/internal/coordination/throttler/throttler_test.go
+++ b/internal/coordination/throttler/throttler_test.go
@@ -23,7 +23,7 @@
 	for ix := range count {
 		id := fmt.Sprintf("n%d", ix)
 		fl.ids = append(fl.ids, id)
-		fl.nodes = append(fl.nodes, throttler.New(id, func() []string { return fl.ids }))
+		fl.nodes = append(fl.nodes, throttler.New(id, func(string) []string { return fl.ids }))
 	}
 	return fl
 }
--- a/internal/keyspacerunner/keyspacerunner.go
+++ b/internal/keyspacerunner/keyspacerunner.go
@@ -18,6 +18,7 @@
 	"context"
 	"math/rand/v2"
 	"net"
+	"slices"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -164,6 +165,7 @@
 	quotas         *quotakeeper.Keeper   // charges requests to the quotas of callers
 	path           *pathwatcher.Watcher  // whether the node reaches the servers
 	pathPeers      map[string]*pathPeers // whom watchPaths asks, by pool
+	pathBack       map[string]time.Time  // since when watchPaths has paths back, by pool
 	budget         *retrier.SharedBudget // retries of all nodes together
 	dispatch       *dispatcher.Dispatcher
 	crashes        *crashdetector.Detector // tells crashes of backend servers from other losses
@@ -238,6 +240,7 @@
 		tally:      tallier.New(),
 		signals:    map[string]throttler.Signals{},
 		pathPeers:  map[string]*pathPeers{},
+		pathBack:   map[string]time.Time{},
 		tracker:    tracker.New(),
 		faulty:     map[string]bool{},
 		started:    stopwatch.Now(),
@@ -255,7 +258,7 @@
 		forwarder.WithOnConnect(func(address string, err error) { rn.path.Connected(address, err) }))
 	rn.path = pathwatcher.New(rn.pathServers, rn.pingServer, rn.forwarder, pathwatcher.WithRegistry(rn.registry), pathwatcher.WithOnChange(rn.pathChanged))
 	rn.registrar = registrar.New(bd.Store, ownPrefix, rn.presence,
-		registrar.WithReady(rn.isReady), registrar.WithFitness(rn.mayLead), registrar.WithRegistry(rn.registry),
+		registrar.WithReady(rn.isReady), registrar.WithFitness(rn.mayLead), registrar.WithLostPools(rn.lostPools), registrar.WithRegistry(rn.registry),
 		registrar.WithoutReplication(), registrar.WithCapacity(rn.capacity.Load), registrar.WithCheck(rn.checkPeer))
 	rn.leadership = rn.registrar
 	rn.relayer = relayer.New(bd.Store, rn.registrar.View, rn.registrar.LeaderID, rn.pool, []relayer.Prefix{
@@ -391,12 +394,14 @@
 
 func (rn *Runner) nodes() int { return max(len(rn.registrar.View().Members()), 1) }
 
-// memberIDs returns the ids of the registered nodes.
-func (rn *Runner) memberIDs() []string {
+// memberIDs returns the ids of the registered nodes that reach the servers of the pool.
+func (rn *Runner) memberIDs(pool string) []string {
 	members := rn.registrar.View().Members()
 	ids := make([]string, 0, len(members))
 	for _, mb := range members {
-		ids = append(ids, mb.ID)
+		if !slices.Contains(mb.LostPools, pool) {
+			ids = append(ids, mb.ID)
+		}
 	}
 	return ids
 }
--- a/internal/keyspacerunner/path.go
+++ b/internal/keyspacerunner/path.go
@@ -27,6 +27,9 @@
 	pathInterval = 100 * time.Millisecond
 	// pathQueryTimeout bounds the question whether another node reaches servers.
 	pathQueryTimeout = 400 * time.Millisecond
+	// returnTime is how long other nodes go on running the requests of a node that has its
+	// path back, until all nodes know that it takes its share of the servers again.
+	returnTime = time.Second
 )
 
 // pathServers returns the servers by which the node's paths are judged.
@@ -115,11 +118,7 @@
 		for _, pool := range rn.reachedByOthers(ctx, lost) {
 			rn.setCutOff(ctx, pool, true)
 		}
-		for _, pool := range rn.cutOff.pools() {
-			if !slices.Contains(rn.path.Lost(), pool) {
-				rn.setCutOff(ctx, pool, false)
-			}
-		}
+		rn.takeBackPaths(ctx)
 		maps.DeleteFunc(rn.pathPeers, func(pool string, _ *pathPeers) bool { return !slices.Contains(lost, pool) })
 		if len(rn.cutOff.pools()) > 0 {
 			rn.dispatch.GiveUpSilent()
@@ -128,6 +127,30 @@
 	return nil
 }
 
+// takeBackPaths ends the loss of pools to which the node has had its path back for a while.
+func (rn *Runner) takeBackPaths(ctx context.Context) {
+	lost := rn.path.Lost()
+	for _, pool := range rn.cutOff.pools() {
+		since, back := rn.pathBack[pool]
+		switch {
+		case slices.Contains(lost, pool):
+			delete(rn.pathBack, pool)
+		case !back:
+			rn.pathBack[pool] = time.Now()
+			rn.registrar.Notify()
+		case time.Since(since) >= returnTime:
+			delete(rn.pathBack, pool)
+			rn.setCutOff(ctx, pool, false)
+		}
+	}
+}
+
+// lostPools returns the pools of which other nodes need not leave this one a share.
+func (rn *Runner) lostPools() []string {
+	lost := rn.path.Lost()
+	return slices.DeleteFunc(lost, func(pool string) bool { return !rn.cutOff.from(pool) })
+}
+
 // reachedByOthers returns those of the lost pools from which the node is not known to be
 // cut off, and whose servers other nodes reach.
 func (rn *Runner) reachedByOthers(ctx context.Context, lost []string) []string {
