Bound the calls that show whether servers of a small pool answer

An idle pool now gets one call at a time, one whose servers answer calls and not requests fewer and fewer, and servers that want a pause or name a limit none, unless the path is lost. TestSlowServersAreCalledSeldom: at most one call a second and pool.

--- a/internal/coordination/admitter/throttle.go
+++ b/internal/coordination/admitter/throttle.go
@@ -25,6 +25,14 @@
 	return ad.scheduler.Observe(ad.now(), server, sent, sg)
 }
 
+// Restricted reports whether the server wants a pause or names a limit, so that it should be
+// called for requests only.
+func (ad *Admitter) Restricted(server string) bool {
+	ad.mu.Lock()
+	defer ad.mu.Unlock()
+	return ad.scheduler.throttle.Restricts(ad.now(), server)
+}
+
 // EndLimit removes a server's limit, because another node heard that it ended.
 func (ad *Admitter) EndLimit(server string) {
 	ad.mu.Lock()
--- a/internal/coordination/pathwatcher/path.go
+++ b/internal/coordination/pathwatcher/path.go
@@ -6,11 +6,15 @@
 )
 
 const (
-	// pingCount is the number of servers of a pool that are called at once, and
-	// undecidedCount that while a node misses servers and has to know whether others are
-	// reached.
+	// pingCount is the number of servers of a pool that are called at once, idleCount that
+	// while no requests are in progress, and undecidedCount that while a node misses servers
+	// and has to know whether others are reached.
 	pingCount      = 2
+	idleCount      = 1
 	undecidedCount = 4
+	// maxSilenceDoublings bounds how often the time between two calls doubles while requests
+	// wait and the servers answer the calls: they are slow.
+	maxSilenceDoublings = 3
 	// silenceTime is how long no server of a pool sends anything, while requests wait,
 	// before servers are called. idleTime is that time without requests, for each pool
 	// that is idle.
@@ -32,8 +36,10 @@
 	detached bool
 	// since is when the pool was first listed.
 	since time.Time
-	// calledAt is when servers were last called.
-	calledAt time.Time
+	// calledAt is when servers were last called, and doublings how often the time to the
+	// next call has doubled.
+	calledAt  time.Time
+	doublings int
 	// heardAt is when a server last sent something, at the last observation, and
 	// waitingSince since when requests have been in progress; zero if none are.
 	heardAt, waitingSince time.Time
@@ -68,6 +74,9 @@
 // observe takes up what the node's requests do at the servers.
 func (pt *path) observe(now time.Time, ac Activity) {
 	pt.heardAt = pt.lastHeard(ac)
+	if !pt.silent(now) {
+		pt.doublings = 0
+	}
 	waiting := slices.ContainsFunc(pt.servers, func(sv Server) bool { return ac.InUse(sv.Address) > 0 })
 	switch {
 	case !waiting:
@@ -105,8 +114,10 @@
 		return detachedInterval, true
 	case pt.undecided(now):
 		return undecidedInterval, true
-	case pt.silent(now), pt.suspicious(), pt.idle(now) && doubtful:
+	case pt.suspicious(), pt.idle(now) && doubtful:
 		return silenceTime, true
+	case pt.silent(now):
+		return silenceTime << pt.doublings, true
 	case pt.idle(now):
 		return time.Duration(idle) * idleTime, true
 	}
@@ -129,8 +140,14 @@
 		return 1
 	})
 	count := pingCount
-	if !pt.detached && pt.undecided(now) {
+	switch {
+	case pt.detached:
+	case pt.undecided(now):
 		count = undecidedCount
+	case pt.silent(now):
+		pt.doublings = min(pt.doublings+1, maxSilenceDoublings)
+	case pt.idle(now):
+		count = idleCount
 	}
 	return servers[:min(count, len(servers))]
 }
--- a/internal/coordination/pathwatcher/pathwatcher_test.go
+++ b/internal/coordination/pathwatcher/pathwatcher_test.go
@@ -277,6 +277,18 @@
 	})
 }
 
+// Nodes whose requests wait at slow servers called these several times a second, which costs
+// the servers of a small pool much in a large fleet.
+func TestSlowServersAreCalledSeldom(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		nw := newNetwork(t, 3, 90)
+		nw.inUse.Store(1)
+		time.Sleep(time.Minute)
+		require.LessOrEqual(t, nw.pinged.Load(), int64(120), "two pools, one call a second each")
+		require.Empty(t, nw.wt.Lost())
+	})
+}
+
 // A sound node of a large fleet, which may have one connection to each server, denied that
 // it reached servers to which that connection was in use.
 func TestServersOutOfConnectionsAreReachedWhileBytesCome(t *testing.T) {
--- a/internal/coordination/throttler/throttler.go
+++ b/internal/coordination/throttler/throttler.go
@@ -152,6 +152,15 @@
 	return max(paused, th.limitWait(now, server))
 }
 
+// Restricts reports whether the server wants a pause, or names a limit that still holds.
+func (th *Throttler) Restricts(now time.Time, server string) bool {
+	if until, ok := th.pauses[server]; ok && now.Before(until) {
+		return true
+	}
+	lm, ok := th.limits[server]
+	return ok && now.Sub(lm.namedAt) <= lm.lifetime
+}
+
 // limitWait returns the wait for this node's share of a limit.
 func (th *Throttler) limitWait(now time.Time, server string) time.Duration {
 	lm, ok := th.limits[server]
--- a/internal/coordination/throttler/throttler_test.go
+++ b/internal/coordination/throttler/throttler_test.go
@@ -163,3 +163,19 @@
 	fl.nodes[0].EndLimit("w")
 	require.Zero(t, fl.nodes[0].Wait(now, "w"))
 }
+
+// Calls that only show whether a server answers went to servers that wanted a pause, or took
+// what a limit left to requests.
+func TestServersWithAPauseOrALimitAreRestricted(t *testing.T) {
+	now := time.Unix(1000, 0)
+	th := newFleet(1).nodes[0]
+	th.Observe(now, "paused", now, throttler.Signals{Pause: 2 * time.Second})
+	th.Observe(now, "limited", now, throttler.Signals{Limit: 3})
+	th.Observe(now, "sound", now, throttler.Signals{})
+	require.True(t, th.Restricts(now.Add(time.Second), "paused"))
+	require.True(t, th.Restricts(now.Add(time.Second), "limited"))
+	require.False(t, th.Restricts(now, "sound"))
+	require.False(t, th.Restricts(now.Add(time.Minute), "paused"))
+	th.EndLimit("limited")
+	require.False(t, th.Restricts(now.Add(time.Second), "limited"))
+}
--- a/internal/keyspacerunner/path.go
+++ b/internal/keyspacerunner/path.go
@@ -52,8 +52,12 @@
 	return all
 }
 
-// pingServer implements pathwatcher.Ping.
+// pingServer implements pathwatcher.Ping. A call counts against what a server takes, so that
+// those that want a pause or name a limit are called only to find that a lost path is back.
 func (rn *Runner) pingServer(ctx context.Context, sv pathwatcher.Server) error {
+	if rn.admitter.Restricted(sv.Name) && !rn.path.Detached(sv.Pool) {
+		return pathwatcher.ErrNotCalled
+	}
 	err := rn.forwarder.Ping(ctx, rn.binding.Ping(sv.Name, sv.Address))
 	if errors.Is(err, forwarder.ErrConnectionLimit) {
 		return pathwatcher.ErrNotCalled
