Take a pool for possibly brittle when its sign lapses unheard

Found while looking for what else lapses to good without news: ten seconds after a pool's last sign to be brittle, a node that had heard nothing since took its servers for sound and used all slots that the others seemed to leave free. In a large fleet most nodes send such a pool less than one request in that time.

A sign now ends with an answer that lacks it only. Until one comes the node sends each server its share, or one request at once, as one does that has just started.

--- a/internal/coordination/admitter/brittle_test.go
+++ b/internal/coordination/admitter/brittle_test.go
@@ -294,7 +294,8 @@
 }
 
 // A node that had just started waited for its share of idle servers, which was less than
-// one request as soon as the nodes were more than the slots.
+// one request as soon as the nodes were more than the slots; one that had heard nothing
+// since the sign took the servers for sound.
 func TestNodeThatHasHeardNothingSendsOneRequestAtOnce(t *testing.T) {
 	const nodes = 40
 	bs := newBrittleSim(t, 1, 1)
@@ -325,7 +326,10 @@
 				sc.Observe(bs.now, "w0", bs.now, bs.signals())
 				if !brittle {
 					require.Equal(t, 2, granted(), "node %d has heard that they are sound", ix)
+					continue
 				}
+				long := bs.now.Add(time.Minute)
+				require.Equal(t, 1, sc.window(long, sc.table.Targets()[0], false), "node %d has heard nothing for long", ix)
 			}
 		})
 	}
--- a/internal/coordination/admitter/throttle.go
+++ b/internal/coordination/admitter/throttle.go
@@ -64,9 +64,9 @@
 }
 
 // unheard reports whether the server may be brittle, since none of its pool has answered
-// this node yet.
-func (sc *Scheduler) unheard(tg *router.Target) bool {
-	return sc.signals && !sc.throttle.Heard(tg.Pool)
+// this node yet, or for long.
+func (sc *Scheduler) unheard(now time.Time, tg *router.Target) bool {
+	return sc.signals && !sc.throttle.Heard(now, tg.Pool)
 }
 
 // brittleWindow returns how many requests this node may have on a brittle server.
--- a/internal/coordination/admitter/window.go
+++ b/internal/coordination/admitter/window.go
@@ -34,7 +34,7 @@
 	switch {
 	case sc.brittle(now, tg):
 		return sc.brittleWindow(now, tg)
-	case sc.unheard(tg):
+	case sc.unheard(now, tg):
 		// The first answer tells; to wait for a share until then could take long in a
 		// large fleet.
 		return max(sc.brittleWindow(now, tg), 1)
--- a/internal/coordination/throttler/brittle.go
+++ b/internal/coordination/throttler/brittle.go
@@ -39,9 +39,11 @@
 	return now.Sub(th.pools[pool].namedAt) < brittleLifetime
 }
 
-// Heard reports whether a server of the pool has answered this node. Otherwise they may
-// be brittle.
-func (th *Throttler) Heard(pool string) bool { return th.pools[pool].heard }
+// Heard reports whether this node knows if the servers of the pool are brittle. It does not
+// before one has answered, and when none has for long after they said that they are.
+func (th *Throttler) Heard(now time.Time, pool string) bool {
+	return th.pools[pool].heard && (th.pools[pool].namedAt.IsZero() || th.Brittle(now, pool))
+}
 
 // Rejected records that a server of a brittle pool turned a request away for want of
 // room.
