Withhold notices of servers only where the path to their pool is in doubt

A node that misses servers of one pool, or is cut off from it, told other nodes nothing of the servers of any pool for as long; the doubt was that of the node, as the path was. It is now that of the server's pool.

--- a/internal/coordination/downlister/downlister.go
+++ b/internal/coordination/downlister/downlister.go
@@ -79,8 +79,8 @@
 	connect Connect
 	caller  Caller
 	peers   func() []Peer
-	// doubtful reports whether the node may have lost its path to the servers.
-	doubtful func() bool
+	// doubtful reports whether the node may have lost its path to servers like the named one.
+	doubtful func(server string) bool
 	registry *counter.Registry
 	wake     chan struct{}
 	// states has the servers that are suspected or down. Readers need no lock; writers
@@ -120,9 +120,9 @@
 	return func(lr *Lister) { lr.caller, lr.peers = ca, peers }
 }
 
-// WithDoubt sets the function that reports whether the node may have lost its path to the
-// servers. It notifies no other node while it may have.
-func WithDoubt(fn func() bool) Option { return func(lr *Lister) { lr.doubtful = fn } }
+// WithDoubt sets the function that reports whether the node may have lost its path to
+// servers like the named one. Other nodes are not notified of these while it may have.
+func WithDoubt(fn func(server string) bool) Option { return func(lr *Lister) { lr.doubtful = fn } }
 
 // WithRegistry sets the registry that counts outages, probes and messages.
 func WithRegistry(rg *counter.Registry) Option { return func(lr *Lister) { lr.registry = rg } }
@@ -132,7 +132,7 @@
 	lr := &Lister{
 		connect:  connect,
 		peers:    func() []Peer { return nil },
-		doubtful: func() bool { return false },
+		doubtful: func(string) bool { return false },
 		wake:     make(chan struct{}, 1),
 		list:     NewList(number(id), newRandom()),
 		boots:    map[bootKey]string{},
@@ -338,7 +338,7 @@
 	lr.list.SetNodes(nodes)
 	waiting := len(lr.list.pending)
 	lr.mu.Unlock()
-	if waiting == 0 || lr.doubtful() {
+	if waiting == 0 {
 		return
 	}
 	lr.tokens = min(lr.tokens+now.Sub(lr.filledAt).Seconds()*bytesPerSecond, burstBytes)
@@ -352,7 +352,7 @@
 		return
 	}
 	lr.mu.Lock()
-	marks := lr.list.PendingNotices(now, count)
+	marks := lr.list.PendingNotices(now, count, lr.doubtful)
 	lr.mu.Unlock()
 	sn := &messenger.ServerNotice{}
 	for _, mk := range marks {
--- a/internal/coordination/downlister/list.go
+++ b/internal/coordination/downlister/list.go
@@ -363,12 +363,16 @@
 	}
 }
 
-// PendingNotices removes and returns at most count marks for other nodes.
-func (ls *List) PendingNotices(now time.Time, count int) (marks []Mark) {
+// PendingNotices removes and returns at most count marks for other nodes, without those of
+// servers that are withheld.
+func (ls *List) PendingNotices(now time.Time, count int, withheld func(server string) bool) (marks []Mark) {
 	for server, mk := range ls.pending {
 		if len(marks) == count {
 			break
 		}
+		if withheld(server) {
+			continue
+		}
 		delete(ls.pending, server)
 		if now.Sub(mk.At) <= maxAge {
 			marks = append(marks, mk)
--- a/internal/coordination/pathwatcher/path.go
+++ b/internal/coordination/pathwatcher/path.go
@@ -105,6 +105,8 @@
 
 func (pt *path) undecided(now time.Time) bool { return pt.evidence.Undecided(now, len(pt.servers)) }
 
+func (pt *path) doubtful(now time.Time) bool { return pt.detached || pt.undecided(now) }
+
 // interval returns the time between two calls now, or false if none are needed. doubtful
 // says that the node may have lost its path to some pool, and idle is the number of pools
 // without requests, which share the calls of an idle node.
--- a/internal/coordination/pathwatcher/pathwatcher.go
+++ b/internal/coordination/pathwatcher/pathwatcher.go
@@ -148,21 +148,13 @@
 	return slices.Sorted(maps.Keys(wt.paths))
 }
 
-// Doubtful reports whether the node may have lost its path to a pool: it misses some of
-// the servers and does not know enough of the others, or it is detached.
-func (wt *Watcher) Doubtful() bool {
+// Doubtful reports whether the node may have lost its path to the server's pool: it misses
+// some of the servers and does not know enough of the others, or it is detached.
+func (wt *Watcher) Doubtful(server string) bool {
 	wt.mu.Lock()
 	defer wt.mu.Unlock()
-	return wt.doubtfulLocked(time.Now())
-}
-
-func (wt *Watcher) doubtfulLocked(now time.Time) bool {
-	for _, pt := range wt.paths {
-		if pt.detached || pt.undecided(now) {
-			return true
-		}
-	}
-	return false
+	pt, ok := wt.paths[wt.byName[server].Pool]
+	return ok && pt.doubtful(time.Now())
 }
 
 // Misses reports whether the node lately failed to reach the server, or has lost its path
@@ -309,9 +301,10 @@
 	wt.mu.Lock()
 	gone := wt.listLocked(now, servers)
 	var called []Server
-	doubtful, idle := wt.doubtfulLocked(now), 0
+	doubtful, idle := false, 0
 	for _, pt := range wt.paths {
 		pt.observe(now, wt.activity)
+		doubtful = doubtful || pt.doubtful(now)
 		idle += count(pt.idle(now))
 	}
 	for _, pt := range wt.paths {
