Have requests wait for a connection of their node

Cause: a node's window was that of the server's slots; its connections, the server's divided by the nodes, were not counted before the request was sent. The class is that of shares in small parts: what is divided among many nodes becomes one or nothing, and the decision does not know it.

The window is at most the node's connections, so that requests wait for one.

--- a/internal/coordination/admitter/options.go
+++ b/internal/coordination/admitter/options.go
@@ -43,6 +43,12 @@
 	return func(sc *Scheduler) { sc.nodeID, sc.zone, sc.region = id, zone, region }
 }
 
+// WithConnections sets the function that returns how many connections to the server at the
+// address the node's requests may have; 0, the default, means no limit.
+func WithConnections(fn func(address string) int) SchedulerOption {
+	return func(sc *Scheduler) { sc.connections = fn }
+}
+
 // WithSignals says that the scheduler observes what servers say in their answers.
 func WithSignals() SchedulerOption { return func(sc *Scheduler) { sc.signals = true } }
 
@@ -65,6 +71,7 @@
 		random:         random,
 		liveNodes:      func() int { return 1 },
 		places:         map[string]place{},
+		connections:    func(string) int { return 0 },
 		members:        func(string) []string { return nil },
 		queues:         map[string]*modelQueue{},
 		servers:        map[string]*serverState{},
--- a/internal/coordination/admitter/scheduler.go
+++ b/internal/coordination/admitter/scheduler.go
@@ -93,6 +93,9 @@
 	// returns the ids of the nodes that share those of a pool.
 	throttle *throttler.Throttler
 	members  func(pool string) []string
+	// connections returns how many connections the node may have to a server; 0 means no
+	// limit.
+	connections func(address string) int
 	// places has this node's place among the members by pool.
 	places map[string]place
 	// signals says that servers' answers are observed.
--- a/internal/coordination/admitter/window.go
+++ b/internal/coordination/admitter/window.go
@@ -29,8 +29,17 @@
 )
 
 // window returns how many requests this node may have on the target: the slots
-// that the other nodes leave free, and at least its own share of the slots.
+// that the other nodes leave free, and at least its own share of the slots, but no more
+// than it has connections. A request that is granted without one could only be refused.
 func (sc *Scheduler) window(now time.Time, tg *router.Target, resumed bool) int {
+	window := sc.slotWindow(now, tg, resumed)
+	if limit := sc.connections(tg.Address); limit > 0 {
+		return min(window, limit)
+	}
+	return window
+}
+
+func (sc *Scheduler) slotWindow(now time.Time, tg *router.Target, resumed bool) int {
 	switch {
 	case sc.brittle(now, tg):
 		return sc.brittleWindow(now, tg)
--- a/internal/keyspacerunner/keyspacerunner.go
+++ b/internal/keyspacerunner/keyspacerunner.go
@@ -274,7 +274,7 @@
 	random := rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64()))
 	rn.admitter = admitter.New(rn.watcher, rn.ejector, random,
 		admitter.WithNodes(rn.nodes), admitter.WithCounters(rn.registry),
-		admitter.WithScheduler(admitter.WithReachability(rn.downs), admitter.WithAdapterStandings(adapterStandings{rn}), admitter.WithLocation(id.ID, id.Zone, id.Region), admitter.WithMembers(rn.memberIDs), admitter.WithSignals(), admitter.WithPolicy(router.NewQuickest(random))))
+		admitter.WithScheduler(admitter.WithReachability(rn.downs), admitter.WithAdapterStandings(adapterStandings{rn}), admitter.WithLocation(id.ID, id.Zone, id.Region), admitter.WithMembers(rn.memberIDs), admitter.WithConnections(rn.connections), admitter.WithSignals(), admitter.WithPolicy(router.NewQuickest(random))))
 	rn.adapters = adapterkeeper.New(rn, rn.Settings, rn.leaderView, rn.pool,
 		adapterkeeper.WithEngines(rn), adapterkeeper.WithTokens(rn), adapterkeeper.WithBatchedLeases(adapterLease), adapterkeeper.WithWaitTimeout(adapterWaitTimeout),
 		adapterkeeper.WithReportedAdapters(rn.reportsAdapter), adapterkeeper.WithReplicas(rn.usableReplicas), adapterkeeper.WithRegistry(rn.registry))
