Keep the decision on a path in one place; split off the set of lost pools

No change of behaviour: Evidence.Detached changed its state and is now Decide, path no longer has a copy of it, and the list of lost pools is not modified while it is read.

--- a/internal/coordination/pathwatcher/evidence.go
+++ b/internal/coordination/pathwatcher/evidence.go
@@ -26,7 +26,8 @@
 // called again, but to hear nothing over a lost path is no news. Evidence must be used by
 // one goroutine at a time.
 type Evidence struct {
-	servers  map[string]*contact
+	servers map[string]*contact
+	// detached is the last decision.
 	detached bool
 	// lostSince is when the first of the misses was that made the node detached.
 	lostSince time.Time
@@ -150,9 +151,9 @@
 	return missed > 0 && (reached*reachedWeight <= missed || missed+reached < min(minSample, servers))
 }
 
-// Detached decides whether the node has lost its path to nearly all of the servers, of
-// which there are as many as given.
-func (ev *Evidence) Detached(now time.Time, servers int) bool {
+// Decide decides whether the node is detached: it has lost its path to nearly all of the
+// servers, of which there are as many as given.
+func (ev *Evidence) Decide(now time.Time, servers int) (detached bool) {
 	missed, reached, since := ev.count(now)
 	outweighed := reached*reachedWeight > missed
 	switch {
--- a/internal/coordination/pathwatcher/path.go
+++ b/internal/coordination/pathwatcher/path.go
@@ -29,11 +29,8 @@
 // path is what a node knows of its path to the servers of one pool. It must be used by one
 // goroutine at a time.
 type path struct {
-	pool     string
 	servers  []Server
 	evidence *Evidence
-	// detached is what evidence said at the last decision.
-	detached bool
 	// since is when the pool was first listed.
 	since time.Time
 	// calledAt is when servers were last called, and doublings how often the time to the
@@ -45,10 +42,13 @@
 	heardAt, waitingSince time.Time
 }
 
-func newPath(pool string, now time.Time) *path {
-	return &path{pool: pool, evidence: NewEvidence(), since: now, heardAt: now}
+func newPath(now time.Time) *path {
+	return &path{evidence: NewEvidence(), since: now, heardAt: now}
 }
 
+// detached reports whether the node has lost the path.
+func (pt *path) detached() bool { return pt.evidence.detached }
+
 // list takes up the servers of the pool.
 func (pt *path) list(servers []Server) {
 	pt.servers = servers
@@ -105,14 +105,14 @@
 
 func (pt *path) undecided(now time.Time) bool { return pt.evidence.Undecided(now, len(pt.servers)) }
 
-func (pt *path) doubtful(now time.Time) bool { return pt.detached || pt.undecided(now) }
+func (pt *path) doubtful(now time.Time) bool { return pt.detached() || pt.undecided(now) }
 
 // interval returns the time between two calls now, or false if none are needed. doubtful
 // says that the node may have lost its path to some pool, and idle is the number of pools
 // without requests, which share the calls of an idle node.
 func (pt *path) interval(now time.Time, doubtful bool, idle int) (time.Duration, bool) {
 	switch {
-	case pt.detached:
+	case pt.detached():
 		return detachedInterval, true
 	case pt.undecided(now):
 		return undecidedInterval, true
@@ -143,7 +143,7 @@
 	})
 	count := pingCount
 	switch {
-	case pt.detached:
+	case pt.detached():
 	case pt.undecided(now):
 		count = undecidedCount
 	case pt.silent(now):
@@ -156,7 +156,6 @@
 
 // decide updates whether the node is detached and reports whether that changed.
 func (pt *path) decide(now time.Time) (changed bool) {
-	was := pt.detached
-	pt.detached = pt.evidence.Detached(now, len(pt.servers))
-	return was != pt.detached
+	was := pt.detached()
+	return pt.evidence.Decide(now, len(pt.servers)) != was
 }
--- a/internal/coordination/pathwatcher/pathwatcher.go
+++ b/internal/coordination/pathwatcher/pathwatcher.go
@@ -116,7 +116,7 @@
 	wt.mu.Lock()
 	defer wt.mu.Unlock()
 	pt, ok := wt.paths[pool]
-	return ok && pt.detached
+	return ok && pt.detached()
 }
 
 // DetachedFrom reports whether the node has lost its path to the server's pool.
@@ -133,7 +133,7 @@
 	defer wt.mu.Unlock()
 	var pools []string
 	for pool, pt := range wt.paths {
-		if pt.detached {
+		if pt.detached() {
 			pools = append(pools, pool)
 		}
 	}
@@ -167,7 +167,7 @@
 	if !ok {
 		return false
 	}
-	return pt.evidence.Misses(now, server) || pt.detached && now.Sub(pt.lastHeard(wt.activity)) >= silenceTime
+	return pt.evidence.Misses(now, server) || pt.detached() && now.Sub(pt.lastHeard(wt.activity)) >= silenceTime
 }
 
 // Missed returns the names of a few servers of the pool that the node lately failed to
@@ -353,7 +353,7 @@
 		if len(pools[pool]) > 0 {
 			continue
 		}
-		if pt.detached {
+		if pt.detached() {
 			gone = append(gone, pool)
 		}
 		delete(wt.paths, pool)
@@ -361,7 +361,7 @@
 	for pool, listed := range pools {
 		pt, ok := wt.paths[pool]
 		if !ok {
-			pt = newPath(pool, now)
+			pt = newPath(now)
 			wt.paths[pool] = pt
 		}
 		pt.list(listed)
@@ -382,7 +382,7 @@
 	pt, ok := wt.paths[sv.Pool]
 	if !ok {
 		// A node that answers another one's question may have taken no step yet.
-		pt = newPath(sv.Pool, time.Time{})
+		pt = newPath(time.Time{})
 		pt.list([]Server{sv})
 	}
 	heard := pt.lastHeard(wt.activity)
@@ -391,7 +391,7 @@
 		wt.registry.Inc("path", "not-called")
 		wt.notCalled.Add(1)
 		// The connections that are open tell instead.
-		reached = !pt.detached && now.Sub(heard) < silenceTime
+		reached = !pt.detached() && now.Sub(heard) < silenceTime
 		if !pt.evidence.Suspects(sv.Name) || heard.After(pt.evidence.silentSince(sv.Name).Add(-pingTimeout)) {
 			wt.mu.Unlock()
 			return reached
@@ -425,7 +425,7 @@
 		wt.mu.Unlock()
 		return
 	}
-	detached := pt.detached
+	detached := pt.detached()
 	missed, reached, _ := pt.evidence.count(now)
 	line := log.WithFields(log.Fields{
 		"pool": pool, "missed": missed, "reached": reached, "servers": len(pt.servers),
--- a/internal/keyspacerunner/path.go
+++ b/internal/keyspacerunner/path.go
@@ -6,7 +6,6 @@
 	"net/http"
 	"slices"
 	"sync"
-	"sync/atomic"
 	"time"
 
 	"github.com/apex/log"
@@ -158,10 +157,12 @@
 // reachedByOthers returns those of the lost pools from which the node is not known to be
 // cut off, and whose servers other nodes reach.
 func (rn *Runner) reachedByOthers(ctx context.Context, lost []string) []string {
-	lost = slices.DeleteFunc(lost, rn.cutOff.from)
 	reached := make([]bool, len(lost))
 	var asking sync.WaitGroup
 	for ix, pool := range lost {
+		if rn.cutOff.from(pool) {
+			continue
+		}
 		peers := rn.nextPathPeers(pool)
 		asking.Go(func() { reached[ix] = rn.othersReachServers(ctx, pool, peers) })
 	}
@@ -185,41 +186,6 @@
 	return asked.choose(rn.registrar.View().Members(), rn.identity.ID)
 }
 
-// cutOff is the set of pools whose servers a node does not reach while other nodes do. It
-// has one writer. The zero value is empty.
-type cutOff struct {
-	lost atomic.Pointer[[]string]
-}
-
-// from reports whether the node is cut off from the pool.
-func (co *cutOff) from(pool string) bool { return slices.Contains(co.pools(), pool) }
-
-// pools returns the pools from which the node is cut off. The slice must not be modified.
-func (co *cutOff) pools() []string {
-	if lost := co.lost.Load(); lost != nil {
-		return *lost
-	}
-	return nil
-}
-
-// fromAll reports whether the node is cut off from all of the pools.
-func (co *cutOff) fromAll(pools []string) bool {
-	for _, pool := range pools {
-		if !co.from(pool) {
-			return false
-		}
-	}
-	return len(pools) > 0
-}
-
-func (co *cutOff) set(pool string, yes bool) {
-	lost := slices.DeleteFunc(slices.Clone(co.pools()), func(other string) bool { return other == pool })
-	if yes {
-		lost = append(lost, pool)
-	}
-	co.lost.Store(&lost)
-}
-
 // isReady reports whether the node is named to callers: it serves, and reaches the servers
 // of some pool.
 func (rn *Runner) isReady() bool { return rn.Ready() && !rn.cutOff.fromAll(rn.path.Pools()) }
