Have nodes agree on the length of turns at brittle servers

Nodes measure somewhat different durations of requests. Turns of twice that time began at different moments on each node, so that their order was worth nothing. The length is now 125 ms or that doubled up to three times.

--- a/internal/coordination/admitter/turns.go
+++ b/internal/coordination/admitter/turns.go
@@ -11,11 +11,13 @@
 
 const (
 	// turnDurations is how many times a request's duration a node keeps a slot of a
-	// brittle server before the next node has it.
+	// brittle server, at least, before the next node has it.
 	turnDurations = 2
-	// minTurn and maxTurn bound that time. Nodes look for a slot every 50 ms.
-	minTurn = 150 * time.Millisecond
-	maxTurn = time.Second
+	// minTurn and maxTurn bound that time. It is minTurn or that doubled some times, since
+	// nodes that measure somewhat different durations have to agree on it. Nodes look for a
+	// slot every 50 ms.
+	minTurn = 125 * time.Millisecond
+	maxTurn = 8 * minTurn
 	// placeLifetime is how long the number of nodes and this node's place are kept.
 	placeLifetime = 100 * time.Millisecond
 )
@@ -92,7 +94,10 @@
 		place:    pl.index,
 		servers:  max(len(pl.servers), 1),
 		server:   pl.servers[tg.Name],
-		interval: min(max(turnDurations*duration, minTurn), maxTurn),
+		interval: minTurn,
+	}
+	for tn.interval < turnDurations*duration && tn.interval < maxTurn {
+		tn.interval *= 2
 	}
 	tn.tail = min(duration, tn.interval/2)
 	return tn
--- a/internal/coordination/delegator/offer.go
+++ b/internal/coordination/delegator/offer.go
@@ -70,8 +70,9 @@
 	reasked int
 }
 
-// newOffer returns an offer of a request for the pool to all other nodes. Those that are registered as not ready
-// are among them, since a registration can't change while the store is out of reach.
+// newOffer returns an offer of a request for the pool to all other nodes. Those that are
+// registered as not ready are among them, since a registration can't change while the store
+// is out of reach.
 func (dg *Delegator) newOffer(pool string) *offer {
 	of := &offer{dg: dg, pool: pool}
 	for _, mb := range dg.members() {
