Correct what a test expects of a request that has ended

It now names the request that gets the connection and the one that still waits. Without the limit it fails: 4 requests granted for 2 connections.

--- a/internal/coordination/admitter/connections_test.go
+++ b/internal/coordination/admitter/connections_test.go
@@ -43,5 +43,7 @@
 	}
 	require.Equal(t, 2, granted())
 	sc.Finish(bs.now.Add(20*time.Millisecond), entries[0], Result{Duration: 20 * time.Millisecond})
-	require.Equal(t, 3, granted(), "the next one has the connection")
+	require.True(t, entries[2].Granted(), "the next one has the connection")
+	require.False(t, entries[3].Granted())
+	require.Equal(t, 2, granted(), "the first has ended")
 }
