--- a/internal/coordination/pathwatcher/path.go
+++ b/internal/coordination/pathwatcher/path.go
@@ -6,11 +6,10 @@
 )
 
 const (
-	// pingCount is the number of servers of a pool that are called at once, idleCount that
-	// while no requests are in progress, and undecidedCount that while a node misses servers
-	// and has to know whether others are reached.
+	// pingCount is the number of servers of a pool that are called at once, and
+	// undecidedCount that while a node misses servers and has to know whether others are
+	// reached. One alone could be the one that is still reached.
 	pingCount      = 2
-	idleCount      = 1
 	undecidedCount = 4
 	// maxSilenceDoublings bounds how often the time between two calls doubles while requests
 	// wait and the servers answer the calls: they are slow.
@@ -148,8 +147,6 @@
 		count = undecidedCount
 	case pt.silent(now):
 		pt.doublings = min(pt.doublings+1, maxSilenceDoublings)
-	case pt.idle(now):
-		count = idleCount
 	}
 	return servers[:min(count, len(servers))]
 }
