Tell a reset during the upload from the end of an answer

What callers saw: a server answered a long upload at once with a 200 without a length, wrote a part of the body and reset the connection. The caller got that part, with the server's seal and a length that the node had set, as a complete answer.

Cause: a long body is written in the background while the answer is read. The kernel reports a reset once, to a write as well as to a read. When the writer got it, the reader got an ordinary end of file, which is how an answer without a length or chunks ends. The result of the writing was looked at only to decide whether the connection may be used again.

Change: resetdetector.Conn, through which the forwarder writes and reads. A read that gets the end of file ends the write in progress and returns its error, if the kernel reported one. EPIPE is the report for a reset after the server had ended its side; all of the answer has come by then, and it stays complete. An upload that is merely blocked is ended as well; the connection was closed at this point before. Everything that reads answers of backend servers goes through the forwarder: requests on all kinds of routes, those of other nodes, orders, reports and calls of services.

The same elsewhere: pkg/caller, where net/http writes and reads on one connection at the same time; CallService returned the part that had come. Its connections are wrapped as well. The other clients over net/http decode JSON or send no body.

--- a/internal/transport/forwarder/connection.go
+++ b/internal/transport/forwarder/connection.go
@@ -15,6 +15,8 @@
 
 	"github.com/go-faster/errors"
 	"golang.org/x/sys/unix"
+
+	"github.com/lagoonpass/lagoonpass/internal/transport/resetdetector"
 )
 
 const (
@@ -80,7 +82,8 @@
 	address  string
 	activity *activity
 	raw      net.Conn
-	head     *headReader // bounds what reader reads
+	stream   *resetdetector.Conn // reads and writes raw
+	head     *headReader         // bounds what reader reads
 	reader   *bufio.Reader
 	// reused is set once the connection carries a second request.
 	reused bool
@@ -95,13 +98,15 @@
 
 func newConnection(fw *Forwarder, address string, raw net.Conn) *connection {
 	ac := fw.activityOf(address)
-	hr := &headReader{Reader: raw, owner: fw, activity: ac}
+	stream := resetdetector.New(raw)
+	hr := &headReader{Reader: stream, owner: fw, activity: ac}
 	return &connection{
 		Link:      Link{opened: time.Now()},
 		owner:     fw,
 		address:   address,
 		activity:  ac,
 		raw:       raw,
+		stream:    stream,
 		head:      hr,
 		reader:    bufio.NewReaderSize(hr, readBytes),
 		idleLimit: fw.idleTimeout,
@@ -215,13 +220,13 @@
 	head := appendHead(make([]byte, 0, 1024), rq)
 	written := make(chan error, 1)
 	if len(rq.Body) <= maxSyncBodyBytes {
-		_, err := cn.raw.Write(append(head, rq.Body...))
+		_, err := cn.stream.Write(append(head, rq.Body...))
 		written <- err
 		return written, err
 	}
 	go func() {
 		buffers := net.Buffers{head, rq.Body}
-		_, err := buffers.WriteTo(cn.raw)
+		_, err := buffers.WriteTo(cn.stream)
 		written <- err
 	}()
 	return written, nil
--- a/pkg/caller/caller.go
+++ b/pkg/caller/caller.go
@@ -23,6 +23,7 @@
 package caller
 
 import (
+	"context"
 	"math/rand/v2"
 	"net"
 	"net/http"
@@ -30,6 +31,8 @@
 	"time"
 
 	"github.com/google/uuid"
+
+	"github.com/lagoonpass/lagoonpass/internal/transport/resetdetector"
 )
 
 // Defaults of a Client.
@@ -113,7 +116,13 @@
 func newTransport() *http.Transport {
 	dl := &net.Dialer{Timeout: dialTimeout}
 	return &http.Transport{
-		DialContext:         dl.DialContext,
+		DialContext: func(ctx context.Context, network, address string) (net.Conn, error) {
+			raw, err := dl.DialContext(ctx, network, address)
+			if err != nil {
+				return nil, err
+			}
+			return resetdetector.New(raw), nil
+		},
 		MaxIdleConnsPerHost: idlePerHost,
 		IdleConnTimeout:     idleTimeout,
 	}
