Take an answer without a valid status for a failure

What callers saw: a server in trouble answered with the status 000. The caller's connection was closed without an answer. One above 599 reached the caller with the server's seal.

Cause: http.ReadResponse takes any three characters that strconv.Atoi does: 000 to 099, 600 to 999, -00 to -09 and +00 to +99. The node's own server panics on a status below 100. The panic also left the request's slot taken: after eight such answers the node refused all requests for that server.

Change: headchecker.Check wants 100 to 599, as HTTP has them. The forwarder calls it for each head, also before an answer to another request is skipped; the attempt then fails as one whose bytes are no answer, counts against the server, and is sent again where the route allows it. It covers requests on all kinds of routes, orders, reports and calls of services, whose recorded results could have had such a status.

A server that answers like this is reached and has not crashed: the path to it is not lost, and on the own interface its requests are not excluded as ones that crash servers.

The same elsewhere: an answer of another node, which may be of an older build that passes such a status on; reports of backend servers on the own interface, which were read whatever their status; and pkg/caller, where a status below 400 was a success.

--- a/internal/coordination/dispatcher/attempt.go
+++ b/internal/coordination/dispatcher/attempt.go
@@ -13,6 +13,7 @@
 	"github.com/lagoonpass/lagoonpass/internal/coordination/admitter"
 	"github.com/lagoonpass/lagoonpass/internal/coordination/crashdetector"
 	"github.com/lagoonpass/lagoonpass/internal/coordination/downlister"
+	"github.com/lagoonpass/lagoonpass/internal/protocol/headchecker"
 	"github.com/lagoonpass/lagoonpass/internal/transport/forwarder"
 	"github.com/lagoonpass/lagoonpass/pkg/refuser"
 )
@@ -173,6 +174,8 @@
 		} else {
 			at.ds.outages.Lost(at.server)
 		}
+	case errors.Is(err, headchecker.ErrMalformed):
+		// The server has not crashed: it answered.
 	default:
 		fl.crashed = true
 		at.ds.outages.Lost(at.server)
--- a/internal/coordination/dispatcher/delegate.go
+++ b/internal/coordination/dispatcher/delegate.go
@@ -10,6 +10,7 @@
 	"github.com/go-faster/errors"
 
 	"github.com/lagoonpass/lagoonpass/internal/coordination/delegator"
+	"github.com/lagoonpass/lagoonpass/internal/protocol/headchecker"
 	"github.com/lagoonpass/lagoonpass/pkg/refuser"
 )
 
@@ -78,6 +79,10 @@
 		return pa.classifyError(ctx, err, false), true
 	}
 	defer func() { _ = rs.Body.Close() }()
+	// A node of an older build passes malformed heads of servers on.
+	if err := headchecker.Check(rs); err != nil {
+		return pa.classifyError(ctx, err, false), true
+	}
 	log.WithFields(log.Fields{"request": pe.ticket.ID, "status": rs.StatusCode}).Info("request runs at another node")
 	return pa.receiveElsewhere(ctx, rs), true
 }
--- a/internal/coordination/dispatcher/delegate_test.go
+++ b/internal/coordination/dispatcher/delegate_test.go
@@ -94,6 +94,8 @@
 		"it loses its path, may be run":     {route: "safe", answers: []any{refusalOf(refuser.Unknown), answerOf(200, "text/plain", "whole", false)}, status: 200, body: "whole", opened: []string{"", ""}},
 		"it loses its path, may run once":   {route: "once", answers: []any{refusalOf(refuser.Unknown)}, outcome: refuser.Unknown, opened: []string{""}},
 		"a stream's other node does so":     {route: "resumable", answers: []any{stream("id: 1\ndata: x\n\nid: 2\nda", true), refusalOf(refuser.NotRun), stream("id: 2\ndata: y\n\n", false)}, status: 200, body: "id: 1\ndata: x\n\nid: 2\ndata: y\n\n", opened: []string{"", "1 id", "1 id"}},
+		"a status that is none":             {route: "once", answers: []any{answerOf(0, "text/plain", "whole", false)}, outcome: refuser.Unknown, opened: []string{""}},
+		"a status that is none, may be":     {route: "safe", answers: []any{answerOf(600, "text/plain", "failed", false), answerOf(200, "text/plain", "whole", false)}, status: 200, body: "whole", opened: []string{"", ""}},
 		"an answer that breaks off, may be": {route: "once", answers: []any{answerOf(200, "text/plain", "ha", true)}, outcome: refuser.Unknown, opened: []string{""}},
 	} {
 		t.Run(name, func(t *testing.T) {
--- a/internal/coordination/dispatcher/dispatcher_test.go
+++ b/internal/coordination/dispatcher/dispatcher_test.go
@@ -186,6 +186,35 @@
 	})
 }
 
+// A server that answered with a malformed head passed for one that had crashed, so that
+// other servers refused its requests.
+func TestServerWithAMalformedHeadHasNotCrashed(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		rg := newRig(t, 5, "yes")
+		defer rg.stop()
+		rg.fillRetryBudget(60)
+		var handlers []http.Handler
+		for _, sv := range rg.servers {
+			handlers = append(handlers, sv.Handler)
+			sv.Handler = http.HandlerFunc(func(wr http.ResponseWriter, _ *http.Request) {
+				cn, _, err := http.NewResponseController(wr).Hijack()
+				require.NoError(t, err)
+				_, _ = io.WriteString(cn, "HTTP/1.1 000 Trouble\r\nContent-Length: 0\r\n\r\n")
+				_ = cn.Close()
+			})
+		}
+		rq := rg.request("A", 6, false, "")
+		_, rf := rg.run(rq)
+		require.Equal(t, refuser.BackendFailed, rf.Reason())
+		require.Equal(t, refuser.Unknown, rf.Outcome())
+		for ix, sv := range rg.servers {
+			sv.Handler = handlers[ix]
+		}
+		_, rf = rg.run(rq)
+		require.Nil(t, rf)
+	})
+}
+
 // peerCaller delivers calls to the isolator of the only other node.
 type peerCaller struct{ peer **isolator.Isolator }
 
--- a/internal/coordination/dispatcher/prefill.go
+++ b/internal/coordination/dispatcher/prefill.go
@@ -6,8 +6,11 @@
 	"io"
 	"net/http"
 
+	"github.com/go-faster/errors"
+
 	"github.com/lagoonpass/lagoonpass/internal/coordination/admitter"
 	"github.com/lagoonpass/lagoonpass/internal/coordination/retrier"
+	"github.com/lagoonpass/lagoonpass/internal/protocol/headchecker"
 	"github.com/lagoonpass/lagoonpass/internal/transport/forwarder"
 	"github.com/lagoonpass/lagoonpass/pkg/refuser"
 )
@@ -59,7 +62,7 @@
 func (at *attempt) recordPrefillFailure(ctx context.Context, address string, err error) *failure {
 	at.ds.registry.Inc("prefill", "failed")
 	at.ds.forwarder.DropIdle(address)
-	if forwarder.NotSent(err) || ctx.Err() != nil {
+	if forwarder.NotSent(err) || ctx.Err() != nil || errors.Is(err, headchecker.ErrMalformed) {
 		return nil
 	}
 	at.recordFailure(&failure{unsent: true, crashed: true})
--- a/internal/coordination/watcher/exchange_test.go
+++ b/internal/coordination/watcher/exchange_test.go
@@ -1,9 +1,13 @@
 package watcher
 
 import (
+	"bufio"
 	"bytes"
 	"context"
 	"fmt"
+	"io"
+	"net"
+	"net/http"
 	"strings"
 	"testing"
 	"time"
@@ -14,6 +18,7 @@
 
 	"github.com/lagoonpass/lagoonpass/internal/coordination/router"
 	"github.com/lagoonpass/lagoonpass/internal/protocol/messenger"
+	"github.com/lagoonpass/lagoonpass/internal/state/configurer"
 )
 
 // memoryCaller calls the exchanges of other nodes without a network.
@@ -76,6 +81,26 @@
 	require.Error(t, err)
 }
 
+// The text of a failure that decodes was taken for a report.
+func TestReportOfAFailureIsNone(t *testing.T) {
+	for _, status := range []string{"000", "204", "301", "503", "600"} {
+		ln, err := net.Listen("tcp", "127.0.0.1:0")
+		require.NoError(t, err)
+		defer func() { _ = ln.Close() }()
+		go func() {
+			cn, err := ln.Accept()
+			if err != nil {
+				return
+			}
+			defer func() { _ = cn.Close() }()
+			_, _ = http.ReadRequest(bufio.NewReader(cn))
+			_, _ = io.WriteString(cn, "HTTP/1.1 "+status+" Trouble\r\nConnection: close\r\n\r\n{}")
+		}()
+		_, err = newReader().read(t.Context(), configurer.NewBackendServer("w1", configurer.WithAddress(ln.Addr().String())))
+		require.Error(t, err, status)
+	}
+}
+
 func encodedBytes(t *testing.T, ms messenger.Message) int {
 	var buf bytes.Buffer
 	en := msgpack.NewEncoder(&buf)
--- a/internal/coordination/watcher/report.go
+++ b/internal/coordination/watcher/report.go
@@ -83,6 +83,9 @@
 		return Report{}, errors.Wrapf(err, "read report of %q", bs.Name())
 	}
 	defer func() { _ = rs.Body.Close() }()
+	if rs.StatusCode != http.StatusOK {
+		return Report{}, errors.Errorf("read report of %q: status %d", bs.Name(), rs.StatusCode)
+	}
 	rp, err := decodeReport(rs.Body, time.Now())
 	if err != nil {
 		return Report{}, errors.Wrapf(err, "decode report of %q", bs.Name())
--- a/internal/transport/forwarder/connection.go
+++ b/internal/transport/forwarder/connection.go
@@ -16,6 +16,7 @@
 	"github.com/go-faster/errors"
 	"golang.org/x/sys/unix"
 
+	"github.com/lagoonpass/lagoonpass/internal/protocol/headchecker"
 	"github.com/lagoonpass/lagoonpass/internal/transport/resetdetector"
 )
 
@@ -268,6 +269,9 @@
 	defer func() { cn.head.bounded = false }()
 	for skipped := 0; ; {
 		rs, err := http.ReadResponse(cn.reader, request)
+		if err == nil {
+			err = headchecker.Check(rs)
+		}
 		if err != nil {
 			return nil, err
 		}
--- a/internal/transport/forwarder/connection_test.go
+++ b/internal/transport/forwarder/connection_test.go
@@ -14,6 +14,7 @@
 
 	"github.com/stretchr/testify/require"
 
+	"github.com/lagoonpass/lagoonpass/internal/protocol/headchecker"
 	"github.com/lagoonpass/lagoonpass/internal/transport/forwarder"
 )
 
@@ -277,3 +278,17 @@
 		fw.Close()
 	}
 }
+
+// The path to a server that answers with a malformed head passed for lost, as if the server
+// was not reached.
+func TestMalformedHeadShowsThatTheServerIsReached(t *testing.T) {
+	malformed := "HTTP/1.1 000 Trouble\r\nContent-Length: 0\r\n\r\n"
+	sc := newScriptedServer(t, malformed, malformed)
+	var results []error
+	fw := forwarder.New(forwarder.WithOnConnect(func(_ string, err error) { results = append(results, err) }))
+	defer fw.Close()
+	_, err := sc.send(t, fw, "1")
+	require.ErrorIs(t, err, headchecker.ErrMalformed)
+	require.Equal(t, []error{nil}, results)
+	require.NoError(t, fw.Ping(t.Context(), forwarder.Request{Address: sc.ln.Addr().String(), Method: http.MethodGet, Path: "/"}))
+}
--- a/internal/transport/forwarder/forwarder.go
+++ b/internal/transport/forwarder/forwarder.go
@@ -31,6 +31,8 @@
 	"time"
 
 	"github.com/go-faster/errors"
+
+	"github.com/lagoonpass/lagoonpass/internal/protocol/headchecker"
 )
 
 const (
@@ -312,7 +314,7 @@
 	}
 	rs, err := cn.roundTrip(ctx, rq)
 	if !cn.reused && ctx.Err() == nil {
-		fw.onConnect(rq.Address, err)
+		fw.onConnect(rq.Address, exchangeError(err))
 	}
 	if err != nil {
 		fw.noteSilence(ctx, rq.Address, began)
@@ -326,6 +328,15 @@
 	return rs, nil
 }
 
+// exchangeError returns err unless the server has answered with a malformed head. The server
+// is then at fault, and not the path to it.
+func exchangeError(err error) error {
+	if errors.Is(err, headchecker.ErrMalformed) {
+		return nil
+	}
+	return err
+}
+
 // noteSilence calls onSilence if the context of a request that began at the given time has
 // ended, and the server has sent nothing since.
 func (fw *Forwarder) noteSilence(ctx context.Context, address string, began time.Time) {
@@ -420,7 +431,7 @@
 	rs, err := cn.roundTrip(ctx, rq)
 	if err != nil {
 		cn.abort()
-		return err
+		return exchangeError(err)
 	}
 	cn.activity.inUse.Add(1) // until the end of the body
 	defer func() { _ = rs.Body.Close() }()
--- a/pkg/caller/broken_test.go
+++ b/pkg/caller/broken_test.go
@@ -57,3 +57,14 @@
 	}
 	require.Zero(t, passed, "of %d answers", tries)
 }
+
+// A call whose answer had the status 000 ended as a success.
+func TestAnswerWithoutAValidStatusFails(t *testing.T) {
+	for _, status := range []string{"000", "099", "600"} {
+		cl := newScriptedNode(t, func(cn *net.TCPConn) {
+			_, _ = io.WriteString(cn, "HTTP/1.1 "+status+" Trouble\r\nContent-Length: 5\r\n\r\nwhole")
+		})
+		body, err := cl.CallService(t.Context(), caller.ServiceCall{Service: "s", Method: http.MethodPost, Path: "/x"})
+		require.Error(t, err, "%s: %q", status, body)
+	}
+}
--- a/pkg/caller/send.go
+++ b/pkg/caller/send.go
@@ -11,6 +11,7 @@
 
 	"github.com/go-faster/errors"
 
+	"github.com/lagoonpass/lagoonpass/internal/protocol/headchecker"
 	"github.com/lagoonpass/lagoonpass/internal/waiter"
 	"github.com/lagoonpass/lagoonpass/pkg/refuser"
 )
@@ -127,6 +128,10 @@
 	if err != nil {
 		return nil, &networkError{cause: err}
 	}
+	if err := headchecker.Check(rs); err != nil {
+		_ = rs.Body.Close()
+		return nil, &networkError{cause: err}
+	}
 	cl.observeRevision(rs.Header)
 	if rs.StatusCode < http.StatusBadRequest {
 		return rs, nil
