Take an answer with a blank in a field's name for a failure

What callers saw: a server in trouble wrote a blank in the name of a field. The caller got an answer with the server's seal and a body that was not the server's: the chunks with their sizes after "Transfer-Encoding : chunked", or all that followed after "Content-Length : 5". Other fields were lost.

Cause: http.ReadResponse accepts a blank before the colon and inside a name, keeps it as a part of the name, and so finds neither the length nor the coding. A line that begins with a blank, other than the first, is appended to the value of the field before, with the same effect. Control bytes in names and values are refused by it, tabs in names and empty names too.

Change: headchecker.Check refuses a head with a blank in a name. What begins with a blank can't be seen afterwards: the forwarder has a headchecker.Scanner look at the bytes of each head, also of interim answers and of those that are skipped. RFC 9112 lets a proxy answer 502 for such a line.

--- a/internal/protocol/headchecker/headchecker_test.go
+++ b/internal/protocol/headchecker/headchecker_test.go
@@ -22,3 +22,36 @@
 		require.ErrorIs(t, headchecker.Check(rs), want, status)
 	}
 }
+
+func TestNameOfAFieldHasNoBlank(t *testing.T) {
+	for line, want := range map[string]error{
+		"Name: value": nil, "Name:value with blanks ": nil, "Name:": nil,
+		"Name : value": headchecker.ErrMalformed, "Na me: value": headchecker.ErrMalformed,
+	} {
+		rs, err := http.ReadResponse(bufio.NewReader(strings.NewReader("HTTP/1.1 200 OK\r\n"+line+"\r\n\r\n")), nil)
+		require.NoError(t, err, line)
+		require.ErrorIs(t, headchecker.Check(rs), want, line)
+	}
+}
+
+// Heads are scanned in pieces of any size, with what follows them.
+func TestLineOfAHeadBeginsWithNoBlank(t *testing.T) {
+	for head, want := range map[string]error{
+		"HTTP/1.1 200 OK\r\nName: value\r\n\r\n":              nil,
+		"HTTP/1.1 200 OK\r\nName: value\r\n folded\r\n\r\n":   headchecker.ErrMalformed,
+		"HTTP/1.1 200 OK\nName: value\n\tLength: 5\n\n":       headchecker.ErrMalformed,
+		"HTTP/1.1 200 OK\r\nName: \r\nOther: value\r\n\r\n":   nil,
+		"HTTP/1.1 200 OK\r\nName: v\r\n \r\nOther: v\r\n\r\n": headchecker.ErrMalformed,
+	} {
+		for _, body := range []string{"", "body", " body", "body\n body"} {
+			text := []byte(head + body)
+			for size := 1; size <= len(text); size++ {
+				sc := headchecker.Scanner{}
+				for from := 0; from < len(text); from += size {
+					sc.Scan(text[from:min(from+size, len(text))])
+				}
+				require.ErrorIs(t, sc.Check(len(body)), want, "%q in pieces of %d", text, size)
+			}
+		}
+	}
+}
--- a/internal/transport/forwarder/connection.go
+++ b/internal/transport/forwarder/connection.go
@@ -50,6 +50,8 @@
 // send bytes without end.
 type headReader struct {
 	io.Reader
+	// lines scans what is read while bounded is set.
+	lines    headchecker.Scanner
 	owner    *Forwarder
 	activity *activity
 	// bounded says that at most left bytes may be read.
@@ -66,6 +68,9 @@
 		buf = buf[:min(len(buf), hr.left)]
 	}
 	count, err := hr.Reader.Read(buf)
+	if hr.bounded {
+		hr.lines.Scan(buf[:count])
+	}
 	if count > 0 {
 		hr.left -= count
 		hr.activity.heardAfter.Store(int64(time.Since(hr.owner.created)))
@@ -268,10 +273,7 @@
 	cn.head.bounded, cn.head.left = true, maxHeadBytes
 	defer func() { cn.head.bounded = false }()
 	for skipped := 0; ; {
-		rs, err := http.ReadResponse(cn.reader, request)
-		if err == nil {
-			err = headchecker.Check(rs)
-		}
+		rs, err := cn.readOneHead(request)
 		if err != nil {
 			return nil, err
 		}
@@ -293,6 +295,22 @@
 	}
 }
 
+// readOneHead reads the next head, which may be that of an interim answer.
+func (cn *connection) readOneHead(request *http.Request) (*http.Response, error) {
+	// The end of the previous read may be the start of this head.
+	buffered, _ := cn.reader.Peek(cn.reader.Buffered())
+	cn.head.lines = headchecker.Scanner{}
+	cn.head.lines.Scan(buffered)
+	rs, err := http.ReadResponse(cn.reader, request)
+	if err == nil {
+		err = cn.head.lines.Check(cn.reader.Buffered())
+	}
+	if err == nil {
+		err = headchecker.Check(rs)
+	}
+	return rs, err
+}
+
 // updateIdleLimit sets the idle limit from the timeout in the Keep-Alive
 // header.
 func (cn *connection) updateIdleLimit(hd http.Header) {
--- a/internal/transport/forwarder/connection_test.go
+++ b/internal/transport/forwarder/connection_test.go
@@ -292,3 +292,35 @@
 	require.Equal(t, []error{nil}, results)
 	require.NoError(t, fw.Ping(t.Context(), forwarder.Request{Address: sc.ln.Addr().String(), Method: http.MethodGet, Path: "/"}))
 }
+
+// The head of an answer that was skipped, or came before the answer, was read with less care
+// than that of the answer.
+func TestEachHeadIsChecked(t *testing.T) {
+	for name, head := range map[string]string{
+		"interim":          "HTTP/1.1 103 Early Hints\r\nLink : x\r\n\r\n",
+		"interim, a line":  "HTTP/1.1 103 Early Hints\r\nLink: x\r\n y: z\r\n\r\n",
+		"another's":        strings.Replace(answerText("1", "again", ""), "Id: ", "Note : x\r\nId: ", 1),
+		"another's status": strings.Replace(answerText("1", "again", ""), "200", "000", 1),
+	} {
+		sc := newScriptedServer(t, answerText("1", "one", ""), head+answerText("2", "two", ""))
+		fw := forwarder.New()
+		_, err := sc.send(t, fw, "1")
+		require.NoError(t, err)
+		body, err := sc.send(t, fw, "2")
+		require.Error(t, err, "%s: %q", name, body)
+		require.False(t, forwarder.NotSent(err), "the request may have run")
+		fw.Close()
+	}
+}
+
+// A line of the body that begins with a blank was read with the head.
+func TestBlankInTheBodyIsNoneInTheHead(t *testing.T) {
+	for _, interim := range []string{"", "HTTP/1.1 100 Continue\r\n\r\n"} {
+		sc := newScriptedServer(t, interim+answerText("1", " body\r\n of lines", "Note: x y\r\n"))
+		fw := forwarder.New()
+		body, err := sc.send(t, fw, "1")
+		require.NoError(t, err)
+		require.Equal(t, " body\r\n of lines", body)
+		fw.Close()
+	}
+}
--- a/pkg/caller/broken_test.go
+++ b/pkg/caller/broken_test.go
@@ -68,3 +68,15 @@
 		require.Error(t, err, "%s: %q", status, body)
 	}
 }
+
+// A field whose name had a blank was not understood, so that the sizes of chunks, or what
+// came after the body, were returned as a part of it.
+func TestAnswerWithABlankInAFieldNameFails(t *testing.T) {
+	for _, line := range []string{"Transfer-Encoding : chunked", "Content-Length : 5", "No te: x"} {
+		cl := newScriptedNode(t, func(cn *net.TCPConn) {
+			_, _ = io.WriteString(cn, "HTTP/1.1 200 OK\r\n"+line+"\r\n\r\n5\r\nwhole\r\n0\r\n\r\n")
+		})
+		body, err := cl.CallService(t.Context(), caller.ServiceCall{Service: "s", Method: http.MethodPost, Path: "/x"})
+		require.Error(t, err, "%s: %q", line, body)
+	}
+}
