Tell an answer that its server's crash cut off from a complete one after a restart

What callers saw: a node had no path to a server for a few seconds, and the server crashed behind the cut and started again.

Cause: such an answer ends with its connection whether or not it is whole, and the dispatcher asked only whether the server's address refuses connections at the moment at which the end arrives. Behind a cut that is seconds after the crash, and a later process may listen at the address by then. Its registration was known, and nothing compared it with the process that got the request.

Change: truncationdetector asks first what has become of that process. An answer is truncated if a later process has the server's name or its address; while the registrations are not current, the server is asked. It logs and counts what it finds. The two places that asked a server for its process and this one share one function.

--- a/internal/coordination/dispatcher/answer.go
+++ b/internal/coordination/dispatcher/answer.go
@@ -14,6 +14,7 @@
 
 	"github.com/lagoonpass/lagoonpass/internal/coordination/admitter"
 	"github.com/lagoonpass/lagoonpass/internal/coordination/crashdetector"
+	"github.com/lagoonpass/lagoonpass/internal/coordination/truncationdetector"
 	"github.com/lagoonpass/lagoonpass/internal/coordination/versionkeeper"
 	"github.com/lagoonpass/lagoonpass/internal/protocol/eventreader"
 	"github.com/lagoonpass/lagoonpass/internal/transport/forwarder"
@@ -49,10 +50,6 @@
 	pieceBytes = 64 << 10
 )
 
-// refuseTimeout bounds the question whether a server whose answer ended with its
-// connection has crashed.
-const refuseTimeout = 250 * time.Millisecond
-
 // bufferedAnswer is an answer that was read completely.
 type bufferedAnswer struct {
 	// head has the status and headers; its body is read.
@@ -481,19 +478,15 @@
 // with its connection.
 func unframed(rs *http.Response) bool { return rs.ContentLength < 0 && len(rs.TransferEncoding) == 0 }
 
-// brokenOff returns a failure if the answer ended with its connection because its
-// server crashed, or may have given up since the caller read slowly. An answer without
-// a length or chunks does not show it.
+// brokenOff returns a failure if the answer has neither a length nor chunks and may have
+// ended before it was complete: its server has crashed, or may have given up since the
+// caller read slowly.
 func (pa *proxyAttempt) brokenOff(ctx context.Context, rs *http.Response) *failure {
-	if !unframed(rs) {
+	if !unframed(rs) || pa.grant == nil {
 		return nil
 	}
-	if pa.writer.blocked >= slowCallerTime {
-		return pa.classifyError(ctx, io.ErrUnexpectedEOF, false)
-	}
-	askCtx, cancel := context.WithTimeout(ctx, refuseTimeout)
-	defer cancel()
-	if !pa.ds.forwarder.Refuses(askCtx, pa.address) {
+	ended := truncationdetector.Answer{ID: pa.ticket.ID, Process: pa.process, Address: pa.address}
+	if pa.writer.blocked < slowCallerTime && !pa.ds.truncation.Truncated(ctx, ended) {
 		return nil
 	}
 	return pa.classifyError(ctx, io.ErrUnexpectedEOF, false)
--- a/internal/coordination/dispatcher/dispatcher.go
+++ b/internal/coordination/dispatcher/dispatcher.go
@@ -35,6 +35,7 @@
 	"github.com/lagoonpass/lagoonpass/internal/coordination/retrier"
 	"github.com/lagoonpass/lagoonpass/internal/coordination/tallier"
 	"github.com/lagoonpass/lagoonpass/internal/coordination/throttler"
+	"github.com/lagoonpass/lagoonpass/internal/coordination/truncationdetector"
 	"github.com/lagoonpass/lagoonpass/internal/counter"
 	"github.com/lagoonpass/lagoonpass/internal/state/configurer"
 	"github.com/lagoonpass/lagoonpass/internal/transport/forwarder"
@@ -115,6 +116,8 @@
 	suspects *retrier.Suspects
 	// crashes is told of lost connections.
 	crashes *crashdetector.Detector
+	// truncation judges answers that end with their connections.
+	truncation *truncationdetector.Detector
 	// quarantine keeps requests from servers that they would crash.
 	quarantine Quarantine
 	// delegate has other nodes run requests while this one does not reach the servers.
@@ -162,6 +165,12 @@
 // WithCrashes makes the dispatcher tell dt of lost connections.
 func WithCrashes(dt *crashdetector.Detector) Option { return func(ds *Dispatcher) { ds.crashes = dt } }
 
+// WithTruncation sets what judges answers that end with their connections. The default asks
+// only whether the server's address refuses connections.
+func WithTruncation(dt *truncationdetector.Detector) Option {
+	return func(ds *Dispatcher) { ds.truncation = dt }
+}
+
 // Quarantine keeps requests from servers that they would crash.
 type Quarantine interface {
 	// Admit returns how long a request with the contents is kept from servers, or
@@ -233,6 +242,9 @@
 	if ds.crashes == nil {
 		ds.crashes = crashdetector.New(fw.Refuses, crashdetector.WithRegistry(ds.registry))
 	}
+	if ds.truncation == nil {
+		ds.truncation = truncationdetector.New(fw.Refuses, truncationdetector.WithRegistry(ds.registry))
+	}
 	return ds
 }
 
--- a/internal/keyspacerunner/keyspacerunner.go
+++ b/internal/keyspacerunner/keyspacerunner.go
@@ -48,6 +48,7 @@
 	"github.com/lagoonpass/lagoonpass/internal/coordination/tallier"
 	"github.com/lagoonpass/lagoonpass/internal/coordination/throttler"
 	"github.com/lagoonpass/lagoonpass/internal/coordination/tracker"
+	"github.com/lagoonpass/lagoonpass/internal/coordination/truncationdetector"
 	"github.com/lagoonpass/lagoonpass/internal/coordination/versionkeeper"
 	"github.com/lagoonpass/lagoonpass/internal/coordination/watcher"
 	"github.com/lagoonpass/lagoonpass/internal/counter"
@@ -288,9 +289,10 @@
 	rn.quotas = quotakeeper.New(id.ID, quotaLeadership{rn}, rn.quotaPool, quotakeeper.WithMachine(hostOf(id.PeerAddress)), quotakeeper.WithSlack(id.QuotaSlack), quotakeeper.WithRegistry(rn.registry))
 	rn.crashes = crashdetector.New(rn.forwarder.Refuses, crashdetector.WithLeaving(rn.hasLeft), crashdetector.WithPath(rn.lostPath), crashdetector.WithRegistry(rn.registry),
 		crashdetector.WithOnCrash(rn.noteCrash))
+	truncation := truncationdetector.New(rn.forwarder.Refuses, truncationdetector.WithState(rn.processState), truncationdetector.WithRegistry(rn.registry))
 	rn.dispatch = dispatcher.New(rn.admitter, rn.forwarder, rn.adapters,
 		dispatcher.WithRegistry(rn.registry), dispatcher.WithEjector(rn.ejector), dispatcher.WithSharedBudget(rn.budget), dispatcher.WithTally(rn.tally), dispatcher.WithSignals(rn.noteSignals), dispatcher.WithVersions(serverVersions{rn.versions, rn}),
-		dispatcher.WithCrashes(rn.crashes), dispatcher.WithQuarantine(rn.isolator), dispatcher.WithDelegate(pathDelegate{rn}), dispatcher.WithOutages(rn.downs), dispatcher.WithQuota(rn.quotas))
+		dispatcher.WithCrashes(rn.crashes), dispatcher.WithTruncation(truncation), dispatcher.WithQuarantine(rn.isolator), dispatcher.WithDelegate(pathDelegate{rn}), dispatcher.WithOutages(rn.downs), dispatcher.WithQuota(rn.quotas))
 	return rn
 }
 
--- a/internal/keyspacerunner/signals.go
+++ b/internal/keyspacerunner/signals.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"strconv"
 	"time"
 
 	"github.com/apex/log"
@@ -77,17 +76,13 @@
 // started under its id, and left at once, was used again when it was registered.
 func (rn *Runner) attributeLeaving(server string) {
 	bs, ok := rn.Settings().BackendServer(server)
-	if !ok || rn.binding.EngineClient == nil {
+	if !ok {
 		return
 	}
 	ctx, cancel := context.WithTimeout(context.Background(), reportTimeout)
 	defer cancel()
-	st, err := rn.binding.EngineClient.State(ctx, server, bs.Address())
-	if err != nil {
-		return
-	}
-	number, err := strconv.ParseInt(st.Boot, 10, 64)
-	if err != nil {
+	number, ok := rn.askIncarnation(ctx, server, bs.Address())
+	if !ok {
 		return
 	}
 	rn.mu.Lock()
--- a/internal/keyspacerunner/versions.go
+++ b/internal/keyspacerunner/versions.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"strconv"
 	"time"
 
 	"github.com/lagoonpass/lagoonpass/internal/coordination/versionkeeper"
@@ -22,6 +21,6 @@
 func (sv serverVersions) Confirm(ctx context.Context, pr versionkeeper.Process, address string) bool {
 	ctx, cancel := context.WithTimeout(ctx, confirmTimeout)
 	defer cancel()
-	st, err := sv.rn.binding.EngineClient.State(ctx, pr.Server, address)
-	return err == nil && st.Boot == strconv.FormatInt(pr.Incarnation, 10)
+	number, ok := sv.rn.askIncarnation(ctx, pr.Server, address)
+	return ok && number == pr.Incarnation
 }
