Deliver the last answers of a leaving server as complete

What callers saw: a server that leaves as planned closes its listener and then ends its last streams. Other answers without length or chunks became a 502.

Cause: when such an answer ends with its connection, the dispatcher took an address that refuses connections for a crash, and did not ask whether the server leaves.

Change: truncationdetector follows the answers in progress by server. Of a server that has said it leaves, or whose registration has ended while it was heard of all the time, an answer is truncated only if others broke off together with it and none goes on, since a process that ends takes all its connections with it. Once the time of a server that leaves at short notice is over, its answers are truncated as before. The tracker keeps what a server said of its leaving after the end of its registration.

--- a/internal/coordination/dispatcher/answer.go
+++ b/internal/coordination/dispatcher/answer.go
@@ -158,8 +158,9 @@
 	grant    *admitter.Grant // nil if another node makes the attempt
 	server   string
 	address  string
-	process  versionkeeper.Process // of the server, when the request was sent
-	link     *forwarder.Link       // to the server
+	process  versionkeeper.Process      // of the server, when the request was sent
+	link     *forwarder.Link            // to the server
+	answer   *truncationdetector.Answer // nil if another node makes the attempt
 	sent     time.Time
 	watchdog *time.Timer
 	stall    stallTimer
@@ -249,6 +250,7 @@
 		pa.ds.outages.Lost(pa.server)
 	}
 	if !unsent && connectionLost(err) {
+		pa.answer.BreakOff()
 		pa.ds.outages.Lost(pa.server)
 		fl.decided = pa.ds.crashes.Lost(pa.server, pa.address, pa.loss())
 	}
@@ -355,6 +357,7 @@
 	for {
 		count, err := rs.Body.Read(buf)
 		received += count
+		pa.hear()
 		if rs.ContentLength < 0 && received > maxAnswerBytes {
 			return &failure{reason: refuser.StreamBroken, detail: "answer of server " + pa.server + " is too large", final: true, faulty: true}
 		}
@@ -482,11 +485,10 @@
 // ended before it was complete: its server has crashed, or may have given up since the
 // caller read slowly.
 func (pa *proxyAttempt) brokenOff(ctx context.Context, rs *http.Response) *failure {
-	if !unframed(rs) || pa.grant == nil {
+	if !unframed(rs) || pa.answer == nil {
 		return nil
 	}
-	ended := truncationdetector.Answer{ID: pa.ticket.ID, Process: pa.process, Address: pa.address}
-	if pa.writer.blocked < slowCallerTime && !pa.ds.truncation.Truncated(ctx, ended) {
+	if pa.writer.blocked < slowCallerTime && !pa.answer.Truncated(ctx) {
 		return nil
 	}
 	return pa.classifyError(ctx, io.ErrUnexpectedEOF, false)
--- a/internal/coordination/dispatcher/delegate.go
+++ b/internal/coordination/dispatcher/delegate.go
@@ -194,7 +194,12 @@
 }
 
 // hear records that the server sent something.
-func (pa *proxyAttempt) hear() { pa.heardAt.Store(int64(time.Since(pa.began))) }
+func (pa *proxyAttempt) hear() {
+	pa.heardAt.Store(int64(time.Since(pa.began)))
+	if pa.answer != nil {
+		pa.answer.Heard()
+	}
+}
 
 // silentFor returns how long the server has sent nothing.
 func (pa *proxyAttempt) silentFor() time.Duration {
--- a/internal/coordination/dispatcher/proxy.go
+++ b/internal/coordination/dispatcher/proxy.go
@@ -338,6 +338,8 @@
 		LastEvent:    pe.writer.lastEvent(),
 		PrefixSource: gr.PrefixSource(),
 	})
+	pa.answer = pe.ds.truncation.Begin(pe.ticket.ID, pa.process, gr.Address())
+	defer pa.answer.End()
 	rs, err := pe.ds.forwarder.Send(ctx, forwarder.Request{
 		ID:        pe.ticket.ID,
 		Address:   gr.Address(),
--- a/internal/coordination/tracker/tracker.go
+++ b/internal/coordination/tracker/tracker.go
@@ -88,9 +88,8 @@
 // Tracker keeps the registered servers.
 type Tracker struct {
 	entries map[string]*entry
-	// leaving holds the incarnations that announced that they leave, with the
-	// time of the first announcement.
-	leaving map[incarnation]time.Time
+	// leaving holds the incarnations that announced that they leave.
+	leaving map[incarnation]departure
 	// storeDown is set while the store does not answer.
 	storeDown bool
 	// storeBackAt is when the last outage of the store ended, or zero.
@@ -108,6 +107,14 @@
 	at       time.Time
 }
 
+// departure is what a server said when it announced that it leaves.
+type departure struct {
+	// announcedAt is when it first said so.
+	announcedAt time.Time
+	// stopsAt is when it stops whatever it runs, or zero if it did not say.
+	stopsAt time.Time
+}
+
 // incarnation identifies one start of a server.
 type incarnation struct {
 	// id is the ID of the server.
@@ -118,7 +125,7 @@
 
 // New returns a tracker without servers.
 func New() *Tracker {
-	return &Tracker{entries: map[string]*entry{}, leaving: map[incarnation]time.Time{}, removed: map[incarnation]removal{}}
+	return &Tracker{entries: map[string]*entry{}, leaving: map[incarnation]departure{}, removed: map[incarnation]removal{}}
 }
 
 // Replace applies the complete list of registrations. Known servers that are
@@ -164,11 +171,10 @@
 		return
 	}
 	key := incarnation{sv.ID, sv.Incarnation}
-	if _, leaving := tk.leaving[key]; leaving {
-		sv.Leaving = true
-	} else if sv.Leaving {
-		tk.leaving[key] = now
+	if sv.Leaving {
+		tk.noteDeparture(now, key, sv.Remaining)
 	}
+	_, sv.Leaving = tk.leaving[key]
 	since := now
 	if ok && known.server.Incarnation == sv.Incarnation {
 		since = known.since
@@ -187,10 +193,32 @@
 		return false
 	}
 	en.server.Leaving = true
-	tk.leaving[incarnation{id, en.server.Incarnation}] = now
+	tk.noteDeparture(now, incarnation{id, en.server.Incarnation}, 0)
 	return true
 }
 
+// noteDeparture records that an incarnation leaves. remaining is the time until it stops, or
+// 0 if unknown.
+func (tk *Tracker) noteDeparture(now time.Time, key incarnation, remaining time.Duration) {
+	dp, known := tk.leaving[key]
+	if !known {
+		dp.announcedAt = now
+	}
+	// A registration may arrive late.
+	if stopsAt := now.Add(remaining); remaining > 0 && (dp.stopsAt.IsZero() || stopsAt.Before(dp.stopsAt)) {
+		dp.stopsAt = stopsAt
+	}
+	tk.leaving[key] = dp
+}
+
+// Departure reports whether an incarnation announced that it leaves, and when it stops
+// whatever it runs, or the zero time if it did not say. That is known for a while after its
+// registration has ended.
+func (tk *Tracker) Departure(id string, number int64) (stopsAt time.Time, announced bool) {
+	dp, announced := tk.leaving[incarnation{id, number}]
+	return dp.stopsAt, announced
+}
+
 // MarkProcessLeaving records that the incarnation of a server said that it leaves,
 // which may not have been registered yet. It reports whether the mark is new.
 func (tk *Tracker) MarkProcessLeaving(now time.Time, id string, number int64) bool {
@@ -198,7 +226,7 @@
 	if _, known := tk.leaving[key]; known {
 		return false
 	}
-	tk.leaving[key] = now
+	tk.noteDeparture(now, key, 0)
 	if en, ok := tk.entries[id]; ok && en.server.Incarnation == number {
 		en.server.Leaving = true
 	}
@@ -215,8 +243,8 @@
 
 // pruneLeaving deletes old leaving marks of servers that are not registered.
 func (tk *Tracker) pruneLeaving(now time.Time) {
-	for key, at := range tk.leaving {
-		if now.Sub(at) > leavingRetention && tk.entries[key.id] == nil {
+	for key, dp := range tk.leaving {
+		if now.Sub(dp.announcedAt) > leavingRetention && tk.entries[key.id] == nil {
 			delete(tk.leaving, key)
 		}
 	}
