Delegate bodies that do not fit into one message, and lose no other request

Cause: a delegated request was one message in one frame of at most 4 MiB. The pool took a message that does not fit for a broken connection, closed it and failed all calls on it, and the delegator took that for the loss of a node that may have run the request.

Change: a message that does not fit fails alone, as TooLarge or as a rejection. A body that does not fit goes ahead in parts, over connections of their own, as builds up to close a connection on which they get an unknown message; only the last part lets the request run, so that an earlier failure leads to the next node. What a node holds of such bodies is bounded in size and time.

--- a/internal/coordination/delegator/delegator.go
+++ b/internal/coordination/delegator/delegator.go
@@ -5,8 +5,8 @@
 // go with it.
 //
 // The answer comes in pages, each asked for by a call, so that a node that does not read
-// holds up the server and not the other node's memory. A request that was delegated is
-// not delegated again.
+// holds up the server and not the other node's memory. A body that is too long for one
+// message goes ahead in parts. A request that was delegated is not delegated again.
 //
 // # Usage
 //
@@ -92,6 +92,7 @@
 // concurrent use.
 type Delegator struct {
 	caller     Caller
+	uploader   Caller // sends bodies in parts
 	self, zone string
 	members    func() []prober.Member
 	serves     Serves
@@ -104,6 +105,10 @@
 	// served has the requests of other nodes that this one runs.
 	served map[uint64]*service
 	idle   chan struct{} // closed while served is empty
+	// uploads has the bodies of which parts are missing, and uploadedBytes is the length of
+	// these and of those of requests in served.
+	uploads       map[uint64]*upload
+	uploadedBytes int64
 }
 
 // Option configures a Delegator.
@@ -123,8 +128,10 @@
 		helpers: map[helperKey]*helper{},
 		served:  map[uint64]*service{},
 		idle:    make(chan struct{}),
+		uploads: map[uint64]*upload{},
 	}
 	close(dg.idle)
+	dg.uploader = ca
 	for _, opt := range opts {
 		opt(dg)
 	}
@@ -147,7 +154,7 @@
 	failed := &OfferError{Known: len(of.members), Declined: map[string]int{}, Unreachable: map[string]int{}}
 	for mb, ok := of.next(); ok; mb, ok = of.next() {
 		key := helperKey{mb.PeerAddress, rq.Pool}
-		answer, err := dg.caller.Call(ctx, key.address, call)
+		answer, sent, err := dg.offerTo(ctx, key.address, call)
 		page, ok := answer.(*messenger.DelegatePage)
 		switch {
 		case err == nil && ok && !page.Declined:
@@ -160,7 +167,7 @@
 			return nil, ctx.Err()
 		case err == nil && ok:
 			failed.Declined[mb.Zone]++
-		case messenger.Is(err, messenger.Unreachable), messenger.Is(err, messenger.Rejected):
+		case !sent, messenger.Is(err, messenger.Unreachable), messenger.Is(err, messenger.Rejected), messenger.Is(err, messenger.TooLarge):
 			failed.Unreachable[mb.Zone]++
 		default:
 			dg.registry.Inc("delegate", "lost")
--- a/internal/coordination/delegator/service.go
+++ b/internal/coordination/delegator/service.go
@@ -75,13 +75,17 @@
 // kind.
 func (dg *Delegator) Handle(ctx context.Context, call messenger.Message) messenger.Message {
 	switch tc := call.(type) {
-	case *messenger.Delegate:
-		sv := dg.begin(tc)
-		if sv == nil {
-			dg.registry.Inc("delegate", "refused")
+	case *messenger.DelegatePart:
+		return &messenger.DelegatePage{Declined: !dg.receivePart(tc)}
+	case *messenger.DelegateLast:
+		body, ok := dg.takeUpload(tc.ID, tc.Body)
+		if !ok {
 			return &messenger.DelegatePage{Declined: true}
 		}
-		return sv.next(ctx)
+		tc.Body = body
+		return dg.run(ctx, &tc.Delegate, func() { dg.releaseUpload(len(body)) })
+	case *messenger.Delegate:
+		return dg.run(ctx, tc, func() {})
 	case *messenger.DelegateNext:
 		dg.mu.Lock()
 		sv, ok := dg.served[tc.ID]
@@ -97,13 +101,27 @@
 		if ok {
 			sv.cancel(context.Canceled)
 		}
+		dg.dropUpload(tc.ID)
 		return &messenger.DelegatePage{Ended: true}
 	}
 	return nil
 }
 
-// begin starts the request, or returns nil if the node does not take it.
-func (dg *Delegator) begin(call *messenger.Delegate) *service {
+// run runs the request and returns the first page of its answer. It calls release once the
+// body is no longer needed.
+func (dg *Delegator) run(ctx context.Context, call *messenger.Delegate, release func()) messenger.Message {
+	sv := dg.begin(call, release)
+	if sv == nil {
+		release()
+		dg.registry.Inc("delegate", "refused")
+		return &messenger.DelegatePage{Declined: true}
+	}
+	return sv.next(ctx)
+}
+
+// begin starts the request, or returns nil if the node does not take it. It has release called
+// after the request.
+func (dg *Delegator) begin(call *messenger.Delegate, release func()) *service {
 	if dg.handler == nil || !dg.serves(call.Revision, call.Pool) {
 		return nil
 	}
@@ -129,6 +147,7 @@
 	dg.registry.Inc("delegate", "served")
 	go func() {
 		sv.run(dg.handler, rq)
+		release()
 		dg.end(ctx, call.ID, sv)
 	}()
 	return sv
--- a/internal/keyspacerunner/keyspacerunner.go
+++ b/internal/keyspacerunner/keyspacerunner.go
@@ -155,6 +155,7 @@
 	orderRegistrar *orderregistrar.Record // the record of the servers to which orders were sent
 	pool           *messenger.Pool        // connections to peers
 	quotaPool      *messenger.Pool        // those for reports of quotas
+	uploadPool     *messenger.Pool        // those for long bodies of delegated requests
 	exchange       *watcher.Exchange      // exchanges loads with peers
 	watcher        *watcher.Watcher
 	ejector        *ejector.Ejector
@@ -235,6 +236,7 @@
 		// A leader of an earlier build closes the connection on which it gets a
 		// message that it does not know, with all other calls on it.
 		quotaPool:  messenger.NewPool(),
+		uploadPool: messenger.NewPool(),
 		exchange:   watcher.NewExchange(id.ID, watcher.WithByteBudget(exchangeBytesPerSecond)),
 		budget:     retrier.NewSharedBudget(id.Retries, time.Now(), retrier.WithPredecessor()),
 		demands:    placer.NewCollector(),
@@ -280,7 +282,7 @@
 		adapterkeeper.WithEngines(rn), adapterkeeper.WithTokens(rn), adapterkeeper.WithBatchedLeases(adapterLease), adapterkeeper.WithWaitTimeout(adapterWaitTimeout),
 		adapterkeeper.WithReportedAdapters(rn.reportsAdapter), adapterkeeper.WithReplicas(rn.usableReplicas), adapterkeeper.WithRegistry(rn.registry))
 	rn.delegator = delegator.New(rn.pool, id.ID, id.Zone, func() []prober.Member { return rn.registrar.View().Members() },
-		rn.servesOthers, delegator.WithRegistry(rn.registry))
+		rn.servesOthers, delegator.WithUploads(rn.uploadPool), delegator.WithRegistry(rn.registry))
 	rn.isolator = isolator.New(rn.pool, rn.peerAddresses, rn.leaderAddress,
 		isolator.WithStore(bd.Store, ownPrefix+excludedPrefix), isolator.WithRegistry(rn.registry))
 	rn.versions = versionkeeper.New(rn.pool, id.ID, func() []prober.Member { return rn.registrar.View().Members() },
@@ -334,6 +336,7 @@
 		_ = peers.Close()
 		rn.pool.Close()
 		rn.quotaPool.Close()
+		rn.uploadPool.Close()
 	})
 	for _, loop := range []func(context.Context) error{
 		rn.registrar.Run, rn.relayer.Run, rn.expireServers, rn.refreshAdmitter,
--- a/internal/protocol/messenger/delegate.go
+++ b/internal/protocol/messenger/delegate.go
@@ -78,6 +78,41 @@
 	return decodeTrailing(de, &dg.Caller, &dg.Pool)
 }
 
+// DelegatePart brings a piece of the body of a request that is to be delegated and whose body
+// does not fit into one message. Pieces come in order; a DelegateLast brings the last one. Its
+// answer is a DelegatePage without content.
+type DelegatePart struct {
+	// ID names the request between the two nodes.
+	ID uint64
+	// Revision and Pool are those of the Delegate that follows.
+	Revision int64
+	Pool     string
+	// Length is the length of the whole body, and Offset is where Data begins in it.
+	Length, Offset int64
+	// Data is the piece.
+	Data []byte
+}
+
+// Kind implements Message.
+func (*DelegatePart) Kind() Kind { return KindDelegatePart }
+
+// Encode implements Message.
+func (dp *DelegatePart) Encode(en *msgpack.Encoder) error {
+	return EncodeAll(en, dp.ID, dp.Revision, dp.Pool, dp.Length, dp.Offset, dp.Data)
+}
+
+// Decode implements Message.
+func (dp *DelegatePart) Decode(de *msgpack.Decoder) error {
+	return DecodeAll(de, &dp.ID, &dp.Revision, &dp.Pool, &dp.Length, &dp.Offset, &dp.Data)
+}
+
+// DelegateLast is a Delegate whose Body is the last piece of the request's body. Its kind
+// differs, since a node of an earlier build would take that piece for the whole.
+type DelegateLast struct{ Delegate }
+
+// Kind implements Message.
+func (*DelegateLast) Kind() Kind { return KindDelegateLast }
+
 // DelegateNext asks for the next page of the answer to a delegated request. Its answer
 // is a DelegatePage.
 type DelegateNext struct{ ID uint64 }
--- a/internal/protocol/messenger/golden_test.go
+++ b/internal/protocol/messenger/golden_test.go
@@ -34,6 +34,8 @@
 		&AdapterUse{Used: []AdapterAt{{Server: "w1", Adapter: "a"}}},
 		&Retire{Server: "w1", Model: "m", Duration: time.Second},
 		&LimitEnd{Server: "w1"},
+		&DelegatePart{ID: 1, Revision: 7, Pool: "llm", Length: 5, Offset: 2, Data: []byte("b")},
+		&DelegateLast{Delegate{ID: 1, Method: "GET", Host: "h", Target: "/", Header: []HeaderField{{Name: "A", Values: []string{"1"}}}, Body: []byte("b"), Servers: 2, Revision: 7, Caller: "desk", Pool: "llm"}},
 	}
 }
 
--- a/internal/protocol/messenger/kinds.go
+++ b/internal/protocol/messenger/kinds.go
@@ -50,6 +50,8 @@
 	KindDelegatePage    Kind = 83
 	KindPathQuery       Kind = 84
 	KindPathAnswer      Kind = 85
+	KindDelegatePart    Kind = 86
+	KindDelegateLast    Kind = 87
 	KindFeedPoll        Kind = 60
 	KindFeedPage        Kind = 61
 	KindCheck           Kind = 62
@@ -108,6 +110,8 @@
 	KindDelegatePage:   func() Message { return &DelegatePage{} },
 	KindPathQuery:      func() Message { return &PathQuery{} },
 	KindPathAnswer:     func() Message { return &PathAnswer{} },
+	KindDelegatePart:   func() Message { return &DelegatePart{} },
+	KindDelegateLast:   func() Message { return &DelegateLast{} },
 
 	KindFeedPoll: func() Message { return &FeedPoll{} },
 	KindFeedPage: func() Message { return &FeedPage{} },
--- a/internal/protocol/messenger/messenger.go
+++ b/internal/protocol/messenger/messenger.go
@@ -14,7 +14,8 @@
 //
 // A connection with a pending call carries heartbeats. If no frame arrives for
 // the silence timeout, the connection is closed, its pending calls fail as
-// Lost, and the next call opens a new connection.
+// Lost, and the next call opens a new connection. A message that does not fit into a
+// frame fails alone: the call as TooLarge, and an answer as Rejected.
 package messenger
 
 import (
@@ -52,11 +53,13 @@
 	Lost
 	// Rejected means that the peer answered with an error.
 	Rejected
+	// TooLarge means that the message does not fit into a frame. It was not sent.
+	TooLarge
 )
 
 // String returns the failure in kebab case.
 func (fl Failure) String() string {
-	names := map[Failure]string{Unreachable: "unreachable", Lost: "lost", Rejected: "rejected"}
+	names := map[Failure]string{Unreachable: "unreachable", Lost: "lost", Rejected: "rejected", TooLarge: "too-large"}
 	return names[fl]
 }
 
--- a/internal/protocol/messenger/messenger_test.go
+++ b/internal/protocol/messenger/messenger_test.go
@@ -313,3 +313,42 @@
 		sv.Close()
 	})
 }
+
+// A message that did not fit into a frame closed its connection, with all other calls on it.
+func TestMessageThatIsTooLargeFailsAlone(t *testing.T) {
+	large := &Delegate{Body: make([]byte, 5<<20)}
+	end, began := make(chan struct{}), make(chan struct{})
+	server := NewServer(HandlerFunc(func(_ context.Context, call Message) (Message, error) {
+		switch tc := call.(type) {
+		case *DelegateNext:
+			close(began)
+			<-end
+		case *DelegateCancel:
+			return large, nil
+		case *Delegate:
+			return &DelegatePage{Data: tc.Body}, nil
+		}
+		return &DelegatePage{Ended: true}, nil
+	}))
+	ln, err := net.Listen("tcp", "127.0.0.1:0")
+	require.NoError(t, err)
+	go func() { _ = server.Serve(ln) }()
+	pl := NewPool()
+	defer func() {
+		pl.Close()
+		server.Close()
+		_ = ln.Close()
+	}()
+	pending := make(chan error, 1)
+	go func() {
+		_, err := pl.Call(t.Context(), ln.Addr().String(), &DelegateNext{ID: 1})
+		pending <- err
+	}()
+	<-began
+	_, err = pl.Call(t.Context(), ln.Addr().String(), large)
+	require.True(t, Is(err, TooLarge), "%v", err)
+	_, err = pl.Call(t.Context(), ln.Addr().String(), &DelegateCancel{ID: 1})
+	require.True(t, Is(err, Rejected), "an answer that is too large: %v", err)
+	close(end)
+	require.NoError(t, <-pending)
+}
--- a/internal/protocol/messenger/pool.go
+++ b/internal/protocol/messenger/pool.go
@@ -181,7 +181,11 @@
 		return nil, errUnsent
 	}
 	defer pc.unregister(id)
-	if err := pc.writer.write(&envelope{id: id, frameType: frameCall, message: call}); err != nil {
+	err := pc.writer.write(&envelope{id: id, frameType: frameCall, message: call})
+	if errors.Is(err, framer.ErrLength) {
+		return nil, &Error{Failure: TooLarge, Address: pc.address, Cause: err}
+	}
+	if err != nil {
 		pc.fail(err)
 		return nil, &Error{Failure: Lost, Address: pc.address, Cause: err}
 	}
--- a/internal/protocol/messenger/server.go
+++ b/internal/protocol/messenger/server.go
@@ -131,7 +131,12 @@
 	} else {
 		out.message = message
 	}
-	if err := wr.write(out); err != nil {
+	err = wr.write(out)
+	if errors.Is(err, framer.ErrLength) {
+		// The other calls on the connection go on.
+		err = wr.write(&envelope{id: ev.id, frameType: frameReject, text: err.Error()})
+	}
+	if err != nil {
 		_ = wr.conn.Close()
 	}
 }
@@ -142,11 +147,16 @@
 	conn net.Conn
 }
 
+// write writes the envelope in one frame. It returns framer.ErrLength, and writes nothing, if
+// the envelope does not fit.
 func (fw *frameWriter) write(ev *envelope) error {
 	payload, err := ev.encode()
 	if err != nil {
 		return err
 	}
+	if len(payload) > framer.MaxPayloadBytes {
+		return framer.ErrLength
+	}
 	fw.mu.Lock()
 	defer fw.mu.Unlock()
 	if err := fw.conn.SetWriteDeadline(time.Now().Add(writeTimeout)); err != nil {
