Pass on large answers at a node without a path

Cause: the node read the whole answer of the other one before it passed it on.

Change: from 256 KiB on, the answer is passed on as its pages come, as one of a server is, with the length that the server gave.

Result: an answer of 10 MiB and one that breaks off after 9 MiB, added to TestCutOffNodeHasItsRequestsRunElsewhere, failed before and pass.

--- a/internal/coordination/delegator/delegator.go
+++ b/internal/coordination/delegator/delegator.go
@@ -22,6 +22,7 @@
 	"io"
 	"math/rand/v2"
 	"net/http"
+	"strconv"
 	"sync"
 	"time"
 
@@ -199,6 +200,9 @@
 		StatusCode: page.Status, Proto: "HTTP/1.1", ProtoMajor: 1, ProtoMinor: 1,
 		Header: fromFields(page.Header), ContentLength: -1, TransferEncoding: []string{"chunked"},
 	}
+	if length, err := strconv.ParseInt(rs.Header.Get("Content-Length"), 10, 64); err == nil && length >= 0 {
+		rs.ContentLength, rs.TransferEncoding = length, nil
+	}
 	rs.Body = &pages{dg: dg, ctx: ctx, key: key, id: id, page: page}
 	return rs
 }
--- a/internal/coordination/delegator/delegator_test.go
+++ b/internal/coordination/delegator/delegator_test.go
@@ -116,6 +116,7 @@
 			_, _ = fmt.Fprint(wr, rq.Method, rq.Host, rq.RequestURI, string(body), rq.Header.Get("X"), in.Servers, ok, in.Caller)
 		},
 		"large": func(wr http.ResponseWriter, _ *http.Request) {
+			wr.Header().Set("Content-Length", "300000")
 			for range 30 {
 				_, _ = wr.Write(make([]byte, 10_000))
 			}
@@ -148,13 +149,21 @@
 		_, body, err = fl.open(t.Context(), rq("large"))
 		require.NoError(t, err)
 		require.Len(t, body, 300_000)
+		for kind, length := range map[string]int64{"large": 300_000, "whole": -1} {
+			rs, err := fl.nodes["a"].Open(t.Context(), rq(kind))
+			require.NoError(t, err)
+			require.Equal(t, length, rs.ContentLength, kind)
+			_, err = io.Copy(io.Discard, rs.Body)
+			require.NoError(t, err)
+			_ = rs.Body.Close()
+		}
 		_, body, err = fl.open(t.Context(), rq("stream"))
 		require.NoError(t, err)
 		require.Equal(t, "01234", body)
 		_, body, err = fl.open(t.Context(), rq("broken"))
 		require.ErrorIs(t, err, io.ErrUnexpectedEOF)
 		require.Equal(t, "half", body)
-		require.Equal(t, 4, runs)
+		require.Equal(t, 6, runs)
 		for _, dg := range fl.nodes {
 			dg.AwaitIdle(t.Context())
 		}
--- a/internal/coordination/dispatcher/delegate.go
+++ b/internal/coordination/dispatcher/delegate.go
@@ -106,15 +106,15 @@
 	}
 	br := &boundedReader{Reader: rs.Body, total: &pa.ds.buffered}
 	defer br.release()
-	body, err := io.ReadAll(io.LimitReader(br, maxAnswerBytes+1))
+	body, err := io.ReadAll(io.LimitReader(br, maxBufferedBytes))
 	if errors.Is(err, errNodeBuffer) {
 		return callerFailure(err)
 	}
 	if err != nil {
 		return pa.classifyError(ctx, err, false)
 	}
-	if len(body) > maxAnswerBytes {
-		return &failure{reason: refuser.BackendFailed, detail: "answer of another node is too large", final: true}
+	if len(body) == maxBufferedBytes && !pa.writer.begun() {
+		return pa.receiveLarge(ctx, rs, body)
 	}
 	rf := refusalIn(rs.StatusCode, body)
 	if rf != nil && rf.Reason() == refuser.PathLost {
--- a/internal/coordination/dispatcher/delegate_test.go
+++ b/internal/coordination/dispatcher/delegate_test.go
@@ -70,6 +70,12 @@
 	stream := func(body string, broken bool) *http.Response {
 		return answerOf(http.StatusOK, "text/event-stream", body, broken)
 	}
+	large := strings.Repeat("large", 2<<20)
+	sized := func(body string, broken bool) *http.Response {
+		rs := answerOf(http.StatusOK, "text/plain", body, broken)
+		rs.ContentLength, rs.TransferEncoding = int64(len(large)), nil
+		return rs
+	}
 	for name, tc := range map[string]struct {
 		route   string
 		answers []any
@@ -82,6 +88,8 @@
 		direct int
 	}{
 		"an answer":                         {route: "once", answers: []any{answerOf(200, "text/plain", "whole", false)}, status: 200, body: "whole", opened: []string{""}},
+		"a large answer":                    {route: "once", answers: []any{sized(large, false)}, status: 200, body: large, opened: []string{""}},
+		"a large answer that breaks off":    {route: "safe", answers: []any{sized(large[:9<<20], true)}, status: 200, body: large[:9<<20], outcome: refuser.Unknown, opened: []string{""}},
 		"a failure of a server":             {route: "safe", answers: []any{answerOf(500, "text/plain", "failed", false)}, status: 500, body: "failed", opened: []string{""}},
 		"a refusal":                         {route: "safe", answers: []any{answerOf(503, "text/plain", "refused", false)}, status: 503, body: "refused", opened: []string{""}},
 		"no node takes it":                  {route: "once", status: 200, body: "whole", direct: 1},
