--- a/internal/coordination/delegator/service.go
+++ b/internal/coordination/delegator/service.go
@@ -76,11 +76,14 @@
 func (dg *Delegator) Handle(ctx context.Context, call messenger.Message) messenger.Message {
 	switch tc := call.(type) {
 	case *messenger.DelegatePart:
-		return &messenger.DelegatePage{Declined: !dg.receivePart(tc)}
+		if !dg.receivePart(tc) {
+			return dg.decline()
+		}
+		return &messenger.DelegatePage{}
 	case *messenger.DelegateLast:
 		body, ok := dg.takeUpload(tc.ID, tc.Body)
 		if !ok {
-			return &messenger.DelegatePage{Declined: true}
+			return dg.decline()
 		}
 		tc.Body = body
 		return dg.run(ctx, &tc.Delegate, func() { dg.releaseUpload(len(body)) })
@@ -113,12 +116,17 @@
 	sv := dg.begin(call, release)
 	if sv == nil {
 		release()
-		dg.registry.Inc("delegate", "refused")
-		return &messenger.DelegatePage{Declined: true}
+		return dg.decline()
 	}
 	return sv.next(ctx)
 }
 
+// decline returns the answer to a request that the node does not run.
+func (dg *Delegator) decline() *messenger.DelegatePage {
+	dg.registry.Inc("delegate", "refused")
+	return &messenger.DelegatePage{Declined: true}
+}
+
 // begin starts the request, or returns nil if the node does not take it. It has release called
 // after the request.
 func (dg *Delegator) begin(call *messenger.Delegate, release func()) *service {
