Refuse lengths of delegated bodies that overflow the bound

A part that names a length near the largest integer passed the check of what the node may hold, since the sum overflowed, and the allocation would have ended the process; found at reading. Lengths outside the bound are declined now, and TestBodiesInPartsAreBounded has six of them. The comment on Answer says who may use it.

--- a/internal/coordination/delegator/upload.go
+++ b/internal/coordination/delegator/upload.go
@@ -22,8 +22,8 @@
 
 // upload is a body that another node sends in parts.
 type upload struct {
-	length int64
-	body   []byte
+	length int64  // of the whole body
+	body   []byte // the parts that have come
 	expiry *time.Timer
 }
 
@@ -68,10 +68,11 @@
 	defer dg.mu.Unlock()
 	up, ok := dg.uploads[part.ID]
 	if !ok {
-		if part.Length <= 0 || dg.uploadedBytes+part.Length > maxUploadedBytes {
+		if part.Length <= 0 || part.Length > maxUploadedBytes-dg.uploadedBytes {
 			return false
 		}
-		up = &upload{length: part.Length, body: make([]byte, 0, part.Length), expiry: time.AfterFunc(partTimeout, func() { dg.dropUpload(part.ID) })}
+		up = &upload{length: part.Length, body: make([]byte, 0, part.Length)}
+		up.expiry = time.AfterFunc(partTimeout, func() { dg.dropUpload(part.ID) })
 		dg.uploads[part.ID] = up
 		dg.uploadedBytes += up.length
 	}
--- a/internal/coordination/delegator/upload_test.go
+++ b/internal/coordination/delegator/upload_test.go
@@ -5,6 +5,7 @@
 	"context"
 	"fmt"
 	"io"
+	"math"
 	"net"
 	"net/http"
 	"strconv"
@@ -111,6 +112,9 @@
 			require.True(t, ok)
 			return page.Declined
 		}
+		for _, invalid := range []int64{math.MinInt64, -1, 0, 1, 64<<20 + 1, math.MaxInt64} {
+			require.True(t, declined(&messenger.DelegatePart{ID: 1, Length: invalid, Data: make([]byte, 1)}), "length %d", invalid)
+		}
 		accepted := uint64(0)
 		for !declined(part(accepted+1, 0)) {
 			accepted++
--- a/internal/coordination/truncationdetector/truncationdetector.go
+++ b/internal/coordination/truncationdetector/truncationdetector.go
@@ -112,8 +112,7 @@
 	return dt
 }
 
-// Answer is the answer to one request. Its methods but Truncated must not be called
-// concurrently.
+// Answer is the answer to one request. It must be used by one goroutine only.
 type Answer struct {
 	dt      *Detector
 	id      string
