--- a/internal/coordination/delegator/upload_test.go
+++ b/internal/coordination/delegator/upload_test.go
@@ -112,9 +112,11 @@
 			require.True(t, ok)
 			return page.Declined
 		}
+		require.False(t, declined(part(200, 0)), "a sum with the greatest length overflows while a body is held")
 		for _, invalid := range []int64{math.MinInt64, -1, 0, 1, 64<<20 + 1, math.MaxInt64} {
 			require.True(t, declined(&messenger.DelegatePart{ID: 1, Length: invalid, Data: make([]byte, 1)}), "length %d", invalid)
 		}
+		require.False(t, declined(&messenger.DelegateCancel{ID: 200}))
 		accepted := uint64(0)
 		for !declined(part(accepted+1, 0)) {
 			accepted++
