--- a/review/15/run.sh
+++ b/review/15/run.sh
@@ -5,4 +5,4 @@
   echo "build first: the build line of deploy/system.toml, then review/build-3.sh"
   exit 2
 fi
-exec target/lab3 frozen-restart review/15
+exec target/lab3 leaving-unseen review/15
